Lay out the workspace: model, ports and the engine protocol

Cause: nothing exists yet, and the parts can only be built side by side once the types between them stand. Conclusion: the packages can now be written independently.

--- /dev/null
+++ b/cmake/ApricothookPackage.cmake
@@ -0,0 +1,29 @@
+# apricothook_package(NAME [DEPENDS packages...] [LIBRARIES targets...])
+#
+# Builds the static library apricothook_NAME from apricothook/NAME/**.cpp and, where the package has
+# a folder tests/, the doctest program apricothook_NAME_tests.
+function(apricothook_package name)
+    cmake_parse_arguments(PACKAGE "" "" "DEPENDS;LIBRARIES" ${ARGN})
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/apricothook/*.cpp)
+    list(TRANSFORM PACKAGE_DEPENDS PREPEND apricothook_)
+    if(sources)
+        add_library(apricothook_${name} STATIC ${sources})
+        set(scope PUBLIC)
+    else()
+        add_library(apricothook_${name} INTERFACE)
+        set(scope INTERFACE)
+    endif()
+    target_include_directories(apricothook_${name} ${scope} ${CMAKE_CURRENT_SOURCE_DIR})
+    target_link_libraries(apricothook_${name} ${scope} ${PACKAGE_DEPENDS} ${PACKAGE_LIBRARIES})
+
+    file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
+    if(tests)
+        add_executable(apricothook_${name}_tests ${tests} ${CMAKE_SOURCE_DIR}/cmake/doctest_main.cpp)
+        target_include_directories(apricothook_${name}_tests PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/tests)
+        target_link_libraries(apricothook_${name}_tests PRIVATE apricothook_${name} rapidcheck)
+        target_compile_definitions(apricothook_${name}_tests PRIVATE
+            APRICOTHOOK_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+        add_test(NAME ${name} COMMAND apricothook_${name}_tests)
+        set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+    endif()
+endfunction()
--- /dev/null
+++ b/packages/ports/apricothook/ports/apricothook_bounded_ring.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <apricothook/model/apricothook_time.hpp>
+
+#include <ace/Condition_Thread_Mutex.h>
+#include <ace/Message_Queue_T.h>
+#include <ace/OS_NS_sys_time.h>
+#include <ace/Thread_Mutex.h>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace Apricothook {
+
+/**
+ * A bounded queue of values between threads. A full ring refuses at once: a writer that blocked
+ * would let one slow duty stop all the others.
+ */
+template <typename T>
+class BoundedRing
+{
+public:
+    explicit BoundedRing(std::size_t capacity)
+        // The queue counts the bytes of its items; its water marks are set to match.
+        : m_queue(capacity * sizeof(T), capacity * sizeof(T))
+    {
+    }
+    ~BoundedRing()
+    {
+        while (tryTake()) { }
+    }
+    BoundedRing(const BoundedRing &) = delete;
+    BoundedRing &operator=(const BoundedRing &) = delete;
+
+    /** False when the ring is full or closed; `value` is lost then. */
+    bool tryPut(T value)
+    {
+        auto owned = std::make_unique<T>(std::move(value));
+        ACE_Time_Value immediately = ACE_OS::gettimeofday();
+        if (m_queue.enqueue_tail(owned.get(), &immediately) < 0)
+            return false;
+        owned.release();
+        return true;
+    }
+
+    std::optional<T> tryTake() { return take(Duration::zero()); }
+
+    /** Waits up to `patience`; nothing when none came or the ring was closed. */
+    std::optional<T> take(Duration patience)
+    {
+        ACE_Time_Value until = ACE_OS::gettimeofday();
+        until += ACE_Time_Value(patience.count() / MicrosecondsPerSecond,
+                                patience.count() % MicrosecondsPerSecond);
+        T *taken = nullptr;
+        if (m_queue.dequeue_head(taken, &until) < 0)
+            return std::nullopt;
+        const std::unique_ptr<T> owned(taken);
+        return std::move(*owned);
+    }
+
+    /** Wakes all who wait; what is in the ring is dropped. */
+    void close() { m_queue.deactivate(); }
+    std::size_t size() { return m_queue.message_count(); }
+
+private:
+    static constexpr long MicrosecondsPerSecond = 1'000'000;
+
+    ACE_Message_Queue_Ex<T, ACE_MT_SYNCH> m_queue;
+};
+
+} // namespace Apricothook
