--- /dev/null
+++ b/packages/text/apricothook/text/internal/apricothook_text_document.cpp
@@ -0,0 +1,106 @@
+#include <apricothook/text/internal/apricothook_text_document.hpp>
+
+#include <apricothook/text/apricothook_text_limits.hpp>
+#include <apricothook/text/internal/apricothook_quoting.hpp>
+
+#include <json/reader.h>
+
+#include <algorithm>
+#include <charconv>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace Apricothook {
+
+namespace {
+
+constexpr std::string_view ByteOrderMark = "\xEF\xBB\xBF";
+
+std::unique_ptr<Json::CharReader> makeReader()
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["allowComments"] = true;
+    builder["collectComments"] = false;
+    builder["stackLimit"] = MaximumTextDepth;
+    return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+}
+
+/** JsonCpp tells errors as "* Line 3, Column 5\n  What is wrong\n"; the first is the cause. */
+TextError errorOfReader(std::string_view told)
+{
+    constexpr std::string_view lineMark = "Line ";
+    TextError error {1, "$", TextRule::Syntax, {}};
+    const std::size_t mark = told.find(lineMark);
+    if (mark != std::string_view::npos) {
+        const char *digits = told.data() + mark + lineMark.size();
+        std::from_chars(digits, told.data() + told.size(), error.line);
+    }
+    const std::size_t firstEnd = std::min(told.find('\n'), told.size());
+    const std::string_view rest = told.substr(firstEnd);
+    const std::size_t start = std::min(rest.find_first_not_of("\n "), rest.size());
+    const std::string_view message = rest.substr(start);
+    error.detail = printable(message.substr(0, message.find('\n')));
+    if (error.detail.starts_with("Duplicate key"))
+        error.rule = TextRule::DuplicateKey;
+    return error;
+}
+
+TextError tooLarge(std::size_t bytes)
+{
+    return {1, "$", TextRule::TooLarge,
+            std::to_string(bytes) + " bytes; at most " + std::to_string(MaximumTextBytes)};
+}
+
+TextError tooDeep()
+{
+    return {1, "$", TextRule::TooDeep,
+            "nested deeper than " + std::to_string(MaximumTextDepth) + " levels"};
+}
+
+} // namespace
+
+Result<TextDocument, TextError> TextDocument::parse(std::string_view text)
+{
+    if (text.size() > MaximumTextBytes)
+        return tooLarge(text.size());
+    // JsonCpp counts offsets from after a byte order mark; so does this document.
+    if (text.starts_with(ByteOrderMark))
+        text.remove_prefix(ByteOrderMark.size());
+    Json::Value root;
+    std::string told;
+    try {
+        if (!makeReader()->parse(text.data(), text.data() + text.size(), &root, &told))
+            return errorOfReader(told);
+    } catch (const Json::Exception &) {
+        // JsonCpp throws when it meets its stack limit, and only then.
+        return tooDeep();
+    }
+    return TextDocument(text, std::move(root));
+}
+
+TextDocument::TextDocument(std::string_view text, Json::Value root)
+    : m_text(text), m_root(std::move(root))
+{
+    for (std::size_t offset = 0; offset < text.size(); ++offset) {
+        if (text[offset] == '\n')
+            m_lineEnds.push_back(offset);
+    }
+}
+
+int TextDocument::lineOf(const Json::Value &value) const
+{
+    const auto offset = static_cast<std::size_t>(value.getOffsetStart());
+    const auto end = std::lower_bound(m_lineEnds.begin(), m_lineEnds.end(), offset);
+    return static_cast<int>(end - m_lineEnds.begin()) + 1;
+}
+
+std::string_view TextDocument::writingOf(const Json::Value &value) const
+{
+    const auto start = static_cast<std::size_t>(value.getOffsetStart());
+    const auto limit = static_cast<std::size_t>(value.getOffsetLimit());
+    return m_text.substr(std::min(start, m_text.size()), limit - start);
+}
+
+} // namespace Apricothook
