Add the peers package: codec, seal and UDP transport

Cause: daemons must exchange small messages that may be lost, at a cost that fits the budget. Change: CBOR codec over fields(), HMAC-SHA256 seal with replay windows and key change, packing of messages into datagrams of 1,200 bytes, ACE UDP transport with counters; PeerPort gains flush().

--- /dev/null
+++ b/packages/peers/tests/apricothook_peer_codec_tests.cpp
@@ -0,0 +1,156 @@
+#include "apricothook_message_filler.hpp"
+
+#include <apricothook/peers/apricothook_peer_codec.hpp>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <string>
+
+using namespace Apricothook;
+
+TEST_SUITE_BEGIN("codec");
+
+namespace {
+
+constexpr std::size_t Kinds = std::variant_size_v<PeerMessage>;
+constexpr std::uint64_t FuzzSeed = 20'260'417;
+
+std::size_t fuzzInputs()
+{
+    const char *wanted = std::getenv("APRICOTHOOK_FUZZ_INPUTS");
+    return wanted ? std::stoul(wanted) : 20'000;
+}
+
+std::string broken(std::string bytes, std::mt19937_64 &engine)
+{
+    const std::size_t changes = 1 + engine() % 4;
+    for (std::size_t i = 0; i < changes && !bytes.empty(); ++i) {
+        const std::size_t place = engine() % bytes.size();
+        if (engine() % 3 == 0)
+            bytes.resize(place);
+        else
+            bytes[place] = static_cast<char>(engine());
+    }
+    return bytes;
+}
+
+std::string randomBytes(std::mt19937_64 &engine)
+{
+    std::string bytes(engine() % 200, '\0');
+    for (char &byte : bytes)
+        byte = static_cast<char>(engine());
+    return bytes;
+}
+
+std::string bytesOf(std::initializer_list<int> values)
+{
+    std::string bytes;
+    for (const int value : values)
+        bytes.push_back(static_cast<char>(value));
+    return bytes;
+}
+
+CodecError errorOf(const std::string &bytes)
+{
+    const Result<PeerMessage, CodecError> decoded = decode(bytes);
+    REQUIRE_FALSE(decoded);
+    return decoded.error();
+}
+
+} // namespace
+
+TEST_CASE("Every kind of message is read as it was written")
+{
+    for (std::size_t kind = 0; kind < Kinds; ++kind) {
+        CAPTURE(kind);
+        CHECK_FALSE(kindName(kind).empty());
+        CHECK(rc::check([kind](std::uint64_t seed) {
+            const PeerMessage message = MessageFiller(seed).message(kind);
+            const Result<PeerMessage, CodecError> decoded = decode(encode(message));
+            RC_ASSERT(decoded.has_value());
+            RC_ASSERT(decoded.value() == message);
+        }));
+    }
+}
+
+TEST_CASE("Messages of a datagram are read in order with their sizes")
+{
+    const std::string first = encode(DigestRequest {7});
+    const std::string second = encode(VmListRequest {300});
+    const Result<DecodedMessages, CodecError> decoded = decodeAll(first + second);
+    REQUIRE(decoded);
+    REQUIRE(decoded.value().messages.size() == 2);
+    CHECK(decoded.value().messages[0].message == PeerMessage(DigestRequest {7}));
+    CHECK(decoded.value().messages[1].bytes == second.size());
+}
+
+TEST_CASE("Two versions understand each other")
+{
+    SUBCASE("a field that an older sender doesn't know keeps its default")
+    {
+        // [8, [5]]: a DigestReply without its digest.
+        const auto decoded = decode(bytesOf({0x82, 0x08, 0x81, 0x05}));
+        REQUIRE(decoded);
+        CHECK(decoded.value() == PeerMessage(DigestReply {5, {}}));
+    }
+    SUBCASE("fields that a newer sender added are left out, whatever they hold")
+    {
+        // [7, [5, [[], {1: "a"}], 2.5], 6]
+        const auto decoded = decode(bytesOf(
+            {0x83, 0x07, 0x83, 0x05, 0x82, 0x80, 0xa1, 0x01, 0x61, 'a', 0xf9, 0x41, 0x00, 0x06}));
+        REQUIRE(decoded);
+        CHECK(decoded.value() == PeerMessage(DigestRequest {5}));
+    }
+    SUBCASE("a kind of a later version costs only itself")
+    {
+        const std::string later = bytesOf({0x82, 0x18, 0xc8, 0x81, 0x05});
+        CHECK(errorOf(later) == CodecError::UnknownKind);
+        const auto decoded = decodeAll(later + encode(DigestRequest {7}));
+        REQUIRE(decoded);
+        CHECK(decoded.value().unknown == 1);
+        CHECK(decoded.value().messages.size() == 1);
+    }
+}
+
+TEST_CASE("What a field can't hold is refused with its own error")
+{
+    CHECK(errorOf("") == CodecError::Truncated);
+    CHECK(errorOf(encode(DigestRequest {1}) + "x") == CodecError::Trailing);
+    CHECK(errorOf(bytesOf({0x82, 0x07, 0x81, 0x61, 'a'})) == CodecError::WrongType);
+    CHECK(errorOf(bytesOf({0x9f, 0x07, 0x81, 0x05, 0xff})) == CodecError::Malformed);
+    // A FloorRaise with tier 0, an OutcomeReport with an end that isn't defined.
+    CHECK(errorOf(bytesOf({0x82, 0x15, 0x82, 0x60, 0x00})) == CodecError::OutOfRange);
+    CHECK(errorOf(bytesOf({0x82, 0x0b, 0x83, 0x80, 0x60, 0x03})) == CodecError::OutOfRange);
+    CHECK(errorOf(encode(KeyQuery {1, RequestKey(std::string(2000, 'k')), {}}))
+          == CodecError::TooLong);
+    VmList list;
+    list.leaving.resize(5000);
+    CHECK(errorOf(encode(list)) == CodecError::TooLong);
+}
+
+TEST_CASE("No input makes the reader crash, loop or reserve what isn't there")
+{
+    // A daemon of another version, a damaged frame or a stranger sends bytes that are almost a
+    // message. The reader must answer with a message or an error; a crash would take the daemon
+    // and the requests in it.
+    std::mt19937_64 engine(FuzzSeed);
+    std::size_t refused = 0;
+    for (std::size_t input = 0; input < fuzzInputs(); ++input) {
+        const std::string whole = encode(MessageFiller(engine()).message(engine() % Kinds));
+        const std::string bytes = input % 4 == 0 ? randomBytes(engine) : broken(whole, engine);
+        const Result<PeerMessage, CodecError> decoded = decode(bytes);
+        if (decoded)
+            CHECK(decode(encode(decoded.value())).has_value());
+        else
+            ++refused;
+    }
+    CHECK(refused > fuzzInputs() / 4);
+    // 2^60 items, and ten thousand arrays one in the other in a field that is skipped.
+    CHECK(errorOf(bytesOf({0x9b, 0x10, 0, 0, 0, 0, 0, 0, 0, 1})) == CodecError::Truncated);
+    CHECK(errorOf(bytesOf({0x82, 0x07, 0x82, 0x05}) + std::string(10'000, '\x81'))
+          == CodecError::Truncated);
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/packages/peers/tests/apricothook_peer_transport_tests.cpp
@@ -0,0 +1,162 @@
+#include <apricothook/peers/apricothook_peer_codec.hpp>
+#include <apricothook/peers/apricothook_peer_seal.hpp>
+#include <apricothook/peers/apricothook_peer_transport.hpp>
+#include <apricothook/peers/internal/apricothook_peer_packer.hpp>
+#include <apricothook/ports/apricothook_bounded_ring.hpp>
+#include <apricothook/ports/apricothook_core_inbox.hpp>
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Dgram.h>
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace Apricothook;
+
+TEST_SUITE_BEGIN("transport");
+
+namespace {
+
+const PeerKeys Keys {{1, "0123456789abcdef"}};
+const MemberLife First {MemberId("entry-1"), Incarnation(1)};
+const MemberLife Second {MemberId("entry-2"), Incarnation(1)};
+constexpr Duration Patience = std::chrono::seconds(5);
+
+class FakeInbox : public CoreInbox
+{
+public:
+    explicit FakeInbox(std::size_t room) : m_ring(room) { }
+    bool tryGive(CoreEvent event) override { return m_ring.tryPut(std::move(event)); }
+    void give(CoreEvent event) override { m_ring.tryPut(std::move(event)); }
+    std::optional<PeerArrived> take(Duration patience = Patience)
+    {
+        const std::optional<CoreEvent> event = m_ring.take(patience);
+        if (!event)
+            return std::nullopt;
+        return std::get<PeerArrived>(*event);
+    }
+
+private:
+    BoundedRing<CoreEvent> m_ring;
+};
+
+/** A port of the loopback that was free a moment ago. */
+Endpoint freeEndpoint()
+{
+    ACE_SOCK_Dgram socket(ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
+    ACE_INET_Addr address;
+    socket.get_local_addr(address);
+    socket.close();
+    return {"127.0.0.1", address.get_port_number()};
+}
+
+struct Daemon
+{
+    explicit Daemon(const MemberLife &life, std::size_t room = 100)
+        : address(freeEndpoint())
+        , inbox(room)
+        , transport(PeerTransport::open(life, address, Keys, inbox).value())
+    {
+    }
+    Endpoint address;
+    FakeInbox inbox;
+    std::unique_ptr<PeerTransport> transport;
+};
+
+} // namespace
+
+TEST_CASE("Messages to one member travel in one datagram")
+{
+    Daemon first(First);
+    Daemon second(Second);
+    for (std::uint64_t i = 0; i < 10; ++i)
+        first.transport->send(Second.member, second.address, DigestRequest {i});
+    first.transport->flush();
+    for (std::uint64_t i = 0; i < 10; ++i) {
+        const std::optional<PeerArrived> arrived = second.inbox.take();
+        REQUIRE(arrived);
+        CHECK(arrived->from == First);
+        CHECK(arrived->address == first.address);
+        CHECK(arrived->message == PeerMessage(DigestRequest {i}));
+    }
+    const PeerCounters sent = first.transport->counters();
+    const PeerCounters received = second.transport->counters();
+    CHECK(sent.datagramsSent == 1);
+    const std::size_t kind = PeerMessage(DigestRequest {}).index();
+    CHECK(sent.sent[kind].messages == 10);
+    CHECK(received.received[kind] == sent.sent[kind]);
+    CHECK(received.bytesReceived == sent.bytesSent);
+}
+
+TEST_CASE("A message as large as may be arrives, and a larger one is counted")
+{
+    Daemon first(First);
+    Daemon second(Second);
+    InFlightReport report;
+    report.running.resize(1000);
+    first.transport->send(Second.member, second.address, report);
+    VmList tooLong;
+    tooLong.leaving.assign(4000, VmId(std::string(20, 'v')));
+    first.transport->send(Second.member, second.address, tooLong);
+    first.transport->flush();
+    const std::optional<PeerArrived> arrived = second.inbox.take();
+    REQUIRE(arrived);
+    CHECK(arrived->message == PeerMessage(report));
+    CHECK(first.transport->counters().tooLong == 1);
+}
+
+TEST_CASE("Strangers, replays and a core that is behind cost a count and nothing else")
+{
+    // A stranger sends to the port, somebody repeats a datagram that was recorded, and the core is
+    // too slow to take all. The caller sees nothing of it: the receiving thread drops and counts.
+    Daemon daemon(Second, 1);
+    ACE_SOCK_Dgram socket(ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
+    const ACE_INET_Addr address(daemon.address.port, "127.0.0.1");
+    PeerSealer sealer(First, Keys);
+    const std::string good = sealer.seal(Second.member, encode(DigestRequest {1}));
+    const std::string last = sealer.seal(Second.member, encode(DigestRequest {2}));
+    for (const std::string &bytes : {std::string("stranger without any signature"), good, good,
+                                     sealer.seal(Second.member, "not CBOR"), last})
+        CHECK(socket.send(bytes.data(), bytes.size(), address) > 0);
+    socket.close();
+    // The only place of the inbox is taken by the first message until the last one has come.
+    constexpr std::uint64_t Sent = 5;
+    while (daemon.transport->counters().datagramsReceived < Sent)
+        std::this_thread::yield();
+    daemon.transport->stop();
+    const PeerCounters counters = daemon.transport->counters();
+    CHECK(counters.refused[static_cast<std::size_t>(SealError::Malformed)] == 1);
+    CHECK(counters.refused[static_cast<std::size_t>(SealError::Replayed)] == 1);
+    CHECK(counters.undecodable == 1);
+    CHECK(counters.inboxFull == 1);
+    CHECK(daemon.inbox.take()->message == PeerMessage(DigestRequest {1}));
+}
+
+TEST_CASE("A daemon that can't have its address is told why")
+{
+    Daemon first(First);
+    FakeInbox inbox(1);
+    CHECK(PeerTransport::open(Second, first.address, Keys, inbox).error()
+          == TransportError::CannotBind);
+    CHECK(PeerTransport::open(Second, first.address, {}, inbox).error() == TransportError::NoKey);
+    CHECK(PeerTransport::open(Second, {"name", 1}, Keys, inbox).error()
+          == TransportError::BadAddress);
+}
+
+TEST_CASE("The packer fills shared datagrams and lets long messages go alone")
+{
+    PeerPacker packer;
+    const MemberId to("entry-2");
+    const Endpoint address {"10.0.0.2", 7000};
+    for (const std::size_t size : {400, 400, 400, 5000, 100})
+        packer.add(to, address, std::string(size, 'm'), 1000);
+    const std::vector<PackedMessages> packed = packer.take();
+    REQUIRE(packed.size() == 4);
+    CHECK(packed[0].payload.size() == 800);
+    CHECK(packed[1].payload.size() == 400);
+    CHECK(packed[2].payload.size() == 5000);
+    CHECK(packed[3].payload.size() == 100);
+    CHECK(packer.take().empty());
+}
+
+TEST_SUITE_END();
--- a/packages/ports/apricothook/ports/apricothook_core_ports.hpp
+++ b/packages/ports/apricothook/ports/apricothook_core_ports.hpp
@@ -24,6 +24,8 @@
 public:
     virtual ~PeerPort() = default;
     virtual void send(const MemberId &to, const Endpoint &address, const PeerMessage &message) = 0;
+    /** Called at the end of each turn of the core: what was sent in it leaves in few datagrams. */
+    virtual void flush() { }
 };
 
 /** What the core asks of the threads that read the platform and fetch from peers. */
