Decide the life of a request at its entry

Cause: a request needs room, a grant and a run in that order, and a truthful way out at each step; this is the path that everything else hangs on. Change: RequestFlow as a state machine of four steps (reserve, grant, run, inquire), outcome reports that are repeated until acknowledged, in-flight reports for new stewards, a retry budget. A refusal of a key that the caller chose says "not run" only after the key's homes said so. Conclusion: the entry's side stands behind interfaces; homes and stewards can be put in their place.

--- a/packages/model/apricothook/model/apricothook_peer_message.hpp
+++ b/packages/model/apricothook/model/apricothook_peer_message.hpp
@@ -205,10 +205,13 @@
     Generation generation;
     /** True when this entry proved that its attempt before this one did not run. */
     bool closesPrevious = false;
+    /** The other homes whose grant this attempt needs too; empty outside a change of roster. */
+    std::vector<MemberId> otherHomes {};
     template <typename A, typename S>
     static void fields(A &a, S &s)
     {
-        a(s.attempt, s.key, s.customer, s.fingerprint, s.target, s.generation, s.closesPrevious);
+        a(s.attempt, s.key, s.customer, s.fingerprint, s.target, s.generation, s.closesPrevious,
+          s.otherHomes);
     }
     auto operator<=>(const GrantRequest &) const = default;
 };
@@ -233,11 +236,13 @@
     Generation generation;
     /** Where the granted attempt went, so that its stream can be resumed if the holder is gone. */
     TargetId target;
+    /** With WrongHome: the homes as the receiver knows them, all of which must be asked. */
+    std::vector<MemberId> homes {};
     template <typename A, typename S>
     static void fields(A &a, S &s)
     {
         a(s.attempt, s.key, s.verdict, s.holder.member, s.holder.incarnation, s.generation,
-          s.target);
+          s.target, s.homes);
     }
     auto operator<=>(const GrantReply &) const = default;
 };
@@ -358,6 +363,8 @@
     PatienceTooShort, ///< Can't finish in time on any target of the shard, even when idle.
     NoTarget,
     NotSteward, ///< The receiver doesn't hold this shard as it sees the members.
+    /** Waited until no target could finish in time any more; lower tiers may still be served. */
+    PatienceOver,
 };
 
 struct ReserveReply
--- a/packages/model/apricothook/model/apricothook_refusal.cpp
+++ b/packages/model/apricothook/model/apricothook_refusal.cpp
@@ -52,6 +52,9 @@
     Description {RefusalReason::TargetFailed, 502, "target-failed", "The target failed"},
     Description {RefusalReason::TargetTimeout, 504, "target-timeout",
                  "The target didn't answer in time"},
+    Description {RefusalReason::TargetRefused, 503, "target-refused", "The targets refused it"},
+    Description {RefusalReason::OutcomeLost, 409, "outcome-lost",
+                 "A request with this key was run and its end isn't known"},
 };
 
 const Description &descriptionOf(RefusalReason reason)
--- a/packages/model/apricothook/model/apricothook_refusal.hpp
+++ b/packages/model/apricothook/model/apricothook_refusal.hpp
@@ -42,6 +42,8 @@
     Overloaded,    ///< A ring between threads of the daemon is full.
     TargetFailed,  ///< The target ended the answer early and it couldn't be resumed.
     TargetTimeout,
+    TargetRefused, ///< Targets proved that they did not run it, and no attempt is left.
+    OutcomeLost,   ///< The key was granted before, and nobody knows any more how it ended.
 };
 
 /** A refusal as a caller sees it. */
--- a/packages/ports/apricothook/ports/apricothook_target_event.hpp
+++ b/packages/ports/apricothook/ports/apricothook_target_event.hpp
@@ -29,6 +29,8 @@
     std::uint32_t resumes = 0;
     Duration firstByte {};
     Duration streaming {};
+    /** Prompt tokens that the engine found in its cache; 0 where it didn't say. */
+    std::uint32_t cachedTokens = 0;
 };
 
 struct EngineOrderEnded
--- /dev/null
+++ b/packages/requests/apricothook/requests/apricothook_request_admission.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <apricothook/model/apricothook_failure.hpp>
+#include <apricothook/model/apricothook_refusal.hpp>
+#include <apricothook/requests/apricothook_configuration_index.hpp>
+#include <apricothook/requests/apricothook_exchange.hpp>
+
+namespace Apricothook {
+
+/**
+ * Finds customer, class and service of a request in the configuration in force. `index` is null
+ * while none is in force. The key of the exchange is set only where the caller gave one.
+ */
+Result<Exchange, Refusal> admitRequest(CallerRequest request, const ConfigurationIndex *index,
+                                       Instant now);
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/requests/apricothook/requests/apricothook_request_flow.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <apricothook/ports/apricothook_core_event.hpp>
+#include <apricothook/requests/apricothook_configuration_index.hpp>
+#include <apricothook/requests/apricothook_exchange.hpp>
+#include <apricothook/requests/apricothook_output_estimate.hpp>
+#include <apricothook/requests/apricothook_retry_budget.hpp>
+#include <apricothook/requests/internal/apricothook_flow_context.hpp>
+#include <apricothook/requests/internal/apricothook_grant_step.hpp>
+#include <apricothook/requests/internal/apricothook_in_flight_reporter.hpp>
+#include <apricothook/requests/internal/apricothook_inquiry_step.hpp>
+#include <apricothook/requests/internal/apricothook_reserve_step.hpp>
+#include <apricothook/requests/internal/apricothook_run_step.hpp>
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace Apricothook {
+
+/**
+ * The life of every request at its entry daemon, as one state machine: room from a steward, then
+ * the grant of the key's homes, then the run, and the truth to the caller at each way out. See
+ * docs/ARCHITECTURE.md and docs/AT-MOST-ONCE.md.
+ */
+class RequestFlow
+{
+public:
+    explicit RequestFlow(const FlowPorts &ports);
+    RequestFlow(const RequestFlow &) = delete;
+    RequestFlow &operator=(const RequestFlow &) = delete;
+
+    void applyConfiguration(std::shared_ptr<const Configuration> configuration);
+
+    void handle(CallerRequest request, Instant now, Outbox &out);
+    void handle(const CallerGone &gone, Instant now, Outbox &out);
+    void handle(const KeyLookup &lookup, Instant now, Outbox &out);
+    void handle(const DispatchStarted &started, Instant now);
+    void handle(const DispatchEnded &ended, Instant now, Outbox &out);
+    void handle(const KeptAnswerArrived &arrived, Instant now, Outbox &out);
+    void handle(const MemberId &from, const ReserveReply &reply, Instant now, Outbox &out);
+    void handle(const MemberId &from, const GrantReply &reply, Instant now, Outbox &out);
+    void handle(const MemberId &from, const KeyQueryReply &reply, Instant now, Outbox &out);
+    void handle(const MemberId &from, const OutcomeAcknowledged &message);
+
+    void membersChanged(Instant now, Outbox &out);
+    void tick(Instant now, Outbox &out);
+    std::optional<Instant> nextDue() const;
+
+    /** Refuses new requests from now on; those admitted go on to their end. */
+    void close() { m_isClosed = true; }
+    std::size_t activeExchanges() const { return m_exchanges.size(); }
+    /** Reports of outcomes that homes haven't acknowledged yet. */
+    std::size_t pendingReports() const { return m_context.outcomes.pending(); }
+    const ConfigurationIndex *index() const { return m_index.get(); }
+
+private:
+    Exchange *find(ExchangeId id);
+    void start(Exchange &exchange, Instant now, Outbox &out);
+    void reserve(Exchange &exchange, Instant now, Outbox &out);
+    void advance(Exchange &exchange, const ReserveStep::Advance &advance, Instant now, Outbox &out);
+    void grant(Exchange &exchange, Instant now, Outbox &out);
+    void advance(Exchange &exchange, const GrantStep::Advance &advance, Instant now, Outbox &out);
+    void dispatch(Exchange &exchange, Instant now, Outbox &out);
+    void runFailed(Exchange &exchange, const DispatchEnded &ended, Instant now, Outbox &out);
+    void tryAgain(Exchange &exchange, const DispatchEnded &ended, Instant now, Outbox &out);
+    void await(Exchange &exchange, Instant now, Outbox &out);
+    void answerAwaited(Exchange &exchange, const InquiryStep::Advance &advance, Instant now,
+                       Outbox &out);
+    void answerLookup(Exchange &exchange, const InquiryStep::Advance &advance, Instant now,
+                      Outbox &out);
+    void takeOver(Exchange &exchange, const TargetId &target, Instant now, Outbox &out);
+    void due(Exchange &exchange, Instant now, Outbox &out);
+    void patienceOver(Exchange &exchange, Instant now, Outbox &out);
+
+    void giveUp(Exchange &exchange, const Refusal &refusal, Instant now, Outbox &out);
+    void finish(Exchange &exchange, std::optional<Refusal> refusal, Instant now);
+    void erase(const Exchange &exchange);
+
+    FlowContext m_context;
+    ReserveStep m_reserve;
+    GrantStep m_grant;
+    RunStep m_run;
+    InquiryStep m_inquiry;
+    InFlightReporter m_inFlight;
+    OutputEstimate m_output;
+    RetryBudget m_retries;
+    std::unique_ptr<ConfigurationIndex> m_index;
+    ExchangeTable m_exchanges;
+    std::unordered_map<DispatchId, ExchangeId> m_dispatches;
+    bool m_isClosed = false;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/requests/apricothook/requests/internal/apricothook_in_flight_reporter.cpp
@@ -0,0 +1,64 @@
+#include <apricothook/requests/internal/apricothook_in_flight_reporter.hpp>
+
+#include <apricothook/requests/internal/apricothook_flow_context.hpp>
+
+namespace Apricothook {
+
+namespace {
+// A third of the reservations' lease, so that two reports in a row may be lost.
+constexpr Duration ReportPeriod = std::chrono::seconds(3);
+} // namespace
+
+void InFlightReporter::tick(const ExchangeTable &exchanges, Instant now, Outbox &out)
+{
+    if (now < m_due)
+        return;
+    m_due = now + ReportPeriod;
+    for (auto &[shard, report] : collect(exchanges, now)) {
+        const MemberId steward = m_context.ports.router.stewardOf(shard);
+        m_stewards[shard] = steward;
+        out.push_back({steward, std::move(report)});
+    }
+}
+
+void InFlightReporter::membersChanged(const ExchangeTable &exchanges, Instant now, Outbox &out)
+{
+    for (auto &[shard, report] : collect(exchanges, now)) {
+        const MemberId steward = m_context.ports.router.stewardOf(shard);
+        MemberId &known = m_stewards[shard];
+        if (known == steward)
+            continue;
+        known = steward;
+        out.push_back({steward, std::move(report)});
+    }
+}
+
+std::optional<Instant> InFlightReporter::nextDue() const
+{
+    return m_due;
+}
+
+InFlightReporter::Reports InFlightReporter::collect(const ExchangeTable &exchanges,
+                                                    Instant now) const
+{
+    Reports reports;
+    for (const auto &[id, exchange] : exchanges) {
+        if (!exchange.reservation)
+            continue;
+        InFlightReport &report = reports[exchange.reservation->shard];
+        report.entry = m_context.ports.members.self();
+        report.shard = exchange.reservation->shard;
+        InFlight running;
+        running.attempt = m_context.attemptOf(exchange);
+        running.target = exchange.reservation->target;
+        running.tier = exchange.requestClass.tier;
+        running.customer = exchange.customer;
+        running.promptTokens = exchange.request.sketch.promptTokens;
+        running.outputTokens = exchange.outputTokens;
+        running.age = now - exchange.arrived;
+        report.running.push_back(std::move(running));
+    }
+    return reports;
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/requests/apricothook/requests/internal/apricothook_reserve_step.cpp
@@ -0,0 +1,176 @@
+#include <apricothook/requests/internal/apricothook_reserve_step.hpp>
+
+#include <apricothook/requests/internal/apricothook_flow_context.hpp>
+#include <apricothook/requests/internal/apricothook_resend_delay.hpp>
+
+#include <algorithm>
+
+namespace Apricothook {
+
+namespace {
+
+// A steward that is silent for so many sends (about 0.75 s) is dead, paused or cut off; another
+// shard is asked rather than the whole patience spent on it.
+constexpr std::uint32_t SendsPerSteward = 4;
+// A steward that lost its queue, as by a restart, is asked again after this long.
+constexpr Duration QueuedKeepAlive = std::chrono::seconds(1);
+// Two daemons see a change of members within a few gossip periods of each other.
+constexpr Duration NotStewardDelay = std::chrono::milliseconds(100);
+
+const ShardId &shardOf(const Exchange &exchange)
+{
+    return exchange.shards[exchange.shardIndex];
+}
+
+ReserveRequest requestOf(const Exchange &exchange, const AttemptId &attempt, Instant now)
+{
+    ReserveRequest request;
+    request.attempt = attempt;
+    request.shard = shardOf(exchange);
+    request.tier = exchange.requestClass.tier;
+    request.customer = exchange.customer;
+    request.model = exchange.request.sketch.model;
+    request.promptTokens = exchange.request.sketch.promptTokens;
+    request.outputTokens = exchange.outputTokens;
+    request.patienceLeft = exchange.deadline - now;
+    request.prefixes = exchange.request.sketch.prefixes;
+    request.excluded = exchange.excluded;
+    request.isLastResort = exchange.isLastResort;
+    return request;
+}
+
+RefusalReason reasonOf(ReserveVerdict verdict)
+{
+    switch (verdict) {
+    case ReserveVerdict::PatienceTooShort:
+        return RefusalReason::PatienceTooShort;
+    case ReserveVerdict::NoTarget:
+        return RefusalReason::NoTarget;
+    case ReserveVerdict::PatienceOver:
+        return RefusalReason::PatienceOver;
+    default:
+        return RefusalReason::Shed;
+    }
+}
+
+std::optional<Duration> retryAfterOf(const ReserveReply &reply)
+{
+    if (reply.retryAfter > Duration::zero())
+        return reply.retryAfter;
+    return std::nullopt;
+}
+
+} // namespace
+
+ReserveStep::Advance ReserveStep::begin(Exchange &exchange, std::uint32_t outputTokens, Instant now,
+                                        Outbox &out)
+{
+    exchange.step = ExchangeStep::Reserving;
+    exchange.outputTokens = outputTokens;
+    exchange.reservation.reset();
+    exchange.lastShardRefusal.reset();
+    exchange.shards
+        = m_context.ports.router.shardsFor(exchange.request.service, exchange.request.sketch, now);
+    exchange.sends = 0;
+    exchange.isQueued = false;
+    exchange.shardIndex = 0;
+    exchange.isLastResort = exchange.shards.size() == 1;
+    if (exchange.shards.empty())
+        return {Progress::Refused, Refusal {RefusalReason::NoTarget, Outcome::NotRun, {}}};
+    ask(exchange, now, out);
+    return {};
+}
+
+ReserveStep::Advance ReserveStep::replied(Exchange &exchange, const MemberId &from,
+                                          const ReserveReply &reply, Instant now, Outbox &out)
+{
+    if (reply.shard != shardOf(exchange) || reply.attempt != m_context.attemptOf(exchange))
+        return {};
+    switch (reply.verdict) {
+    case ReserveVerdict::Reserved:
+        exchange.askedSteward = from;
+        exchange.reservation = reply;
+        exchange.reservedUntil = now + reply.lease;
+        return {Progress::Reserved, {}};
+    case ReserveVerdict::Queued:
+        exchange.isQueued = true;
+        m_context.due.set(exchange.request.exchange,
+                          std::min(now + QueuedKeepAlive, exchange.deadline));
+        return {};
+    case ReserveVerdict::NotSteward:
+        m_context.due.set(exchange.request.exchange,
+                          std::min(now + NotStewardDelay, exchange.deadline));
+        return {};
+    default:
+        return refusedBy(exchange, reply, now, out);
+    }
+}
+
+ReserveStep::Advance ReserveStep::due(Exchange &exchange, Instant now, Outbox &out)
+{
+    if (exchange.sends >= SendsPerSteward && !exchange.isQueued && exchange.shards.size() > 1) {
+        m_context.record(RequestsEvent::StewardSilent, exchange,
+                         "steward=" + exchange.askedSteward.text());
+        return nextShard(exchange, now, out);
+    }
+    exchange.isQueued = false;
+    ask(exchange, now, out);
+    return {};
+}
+
+void ReserveStep::membersChanged(Exchange &exchange, Instant now, Outbox &out)
+{
+    if (m_context.ports.router.stewardOf(shardOf(exchange)) == exchange.askedSteward)
+        return;
+    exchange.sends = 0;
+    exchange.isQueued = false;
+    ask(exchange, now, out);
+}
+
+void ReserveStep::cancel(const Exchange &exchange, Outbox &out) const
+{
+    if (exchange.shards.empty())
+        return;
+    out.push_back(
+        {exchange.askedSteward, ReserveCancel {m_context.attemptOf(exchange), shardOf(exchange)}});
+}
+
+void ReserveStep::ask(Exchange &exchange, Instant now, Outbox &out)
+{
+    exchange.askedSteward = m_context.ports.router.stewardOf(shardOf(exchange));
+    ++exchange.sends;
+    out.push_back({exchange.askedSteward, requestOf(exchange, m_context.attemptOf(exchange), now)});
+    m_context.due.set(exchange.request.exchange,
+                      std::min(now + resendDelay(exchange.sends), exchange.deadline));
+}
+
+ReserveStep::Advance ReserveStep::nextShard(Exchange &exchange, Instant now, Outbox &out)
+{
+    cancel(exchange, out);
+    exchange.sends = 0;
+    exchange.isQueued = false;
+    ++exchange.shardIndex;
+    if (exchange.shardIndex == exchange.shards.size()) {
+        // Every shard is full: only now may a steward shed, after it has shut the lower tiers.
+        exchange.shardIndex = 0;
+        exchange.isLastResort = true;
+    }
+    // A new attempt, as the steward that was left must not mix it up with the cancelled one.
+    ++exchange.attempt;
+    ask(exchange, now, out);
+    return {};
+}
+
+ReserveStep::Advance ReserveStep::refusedBy(Exchange &exchange, const ReserveReply &reply,
+                                            Instant now, Outbox &out)
+{
+    const Refusal refusal {reasonOf(reply.verdict), Outcome::NotRun, retryAfterOf(reply)};
+    const bool isLast = exchange.shardIndex + 1 == exchange.shards.size();
+    const bool isFinal = exchange.isLastResort && isLast;
+    if (isFinal || reply.verdict == ReserveVerdict::Shed)
+        return {Progress::Refused, refusal};
+    exchange.lastShardRefusal = refusal;
+    return nextShard(exchange, now, out);
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/requests/apricothook/requests/internal/apricothook_run_step.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <apricothook/ports/apricothook_target_event.hpp>
+#include <apricothook/requests/apricothook_exchange.hpp>
+
+namespace Apricothook {
+
+struct FlowContext;
+
+/** Hands a granted exchange to the target adapter, and tells steward and homes how it ended. */
+class RunStep
+{
+public:
+    explicit RunStep(FlowContext &context) : m_context(context) { }
+    /** False when nothing was sent and nothing will be: too late, or the adapter is full. */
+    bool dispatch(Exchange &exchange, const Target &target, Instant now);
+    /** Fetches the stream of a run that another daemon dispatched before it died. */
+    bool takeOver(Exchange &exchange, const Target &target, Instant now);
+    void cancel(const Exchange &exchange);
+    /** Tells the steward; `ended` is what the adapter said. */
+    void release(const Exchange &exchange, const DispatchEnded &ended, Outbox &out) const;
+    void report(const Exchange &exchange, KeyEnd end, Instant now, Outbox &out);
+
+private:
+    DispatchOrder orderFor(const Exchange &exchange, const Target &target) const;
+    bool order(Exchange &exchange, DispatchOrder order, Instant now);
+
+    FlowContext &m_context;
+    std::uint64_t m_lastDispatch = 0;
+};
+
+} // namespace Apricothook
