--- a/packages/text/apricothook/text/internal/apricothook_quoting.cpp
+++ b/packages/text/apricothook/text/apricothook_printable.cpp
@@ -1,11 +1,9 @@
-#include <apricothook/text/internal/apricothook_quoting.hpp>
+#include <apricothook/text/apricothook_printable.hpp>
 
 namespace Apricothook {
 
 namespace {
 
-constexpr std::size_t MaximumShownBytes = 80;
-
 bool isPrintable(char character)
 {
     return character >= ' ' && character <= '~';
@@ -13,12 +11,12 @@
 
 } // namespace
 
-std::string printable(std::string_view text)
+std::string printable(std::string_view text, std::size_t maximumBytes)
 {
     std::string shown;
-    for (const char character : text.substr(0, MaximumShownBytes))
+    for (const char character : text.substr(0, maximumBytes))
         shown += isPrintable(character) ? character : '?';
-    if (text.size() > MaximumShownBytes)
+    if (text.size() > maximumBytes)
         shown += "...";
     return shown;
 }
--- a/packages/text/apricothook/text/internal/apricothook_circular_dependencies.cpp
+++ b/packages/text/apricothook/text/internal/apricothook_circular_dependencies.cpp
@@ -1,6 +1,6 @@
 #include <apricothook/text/internal/apricothook_circular_dependencies.hpp>
 
-#include <apricothook/text/internal/apricothook_quoting.hpp>
+#include <apricothook/text/apricothook_printable.hpp>
 
 #include <algorithm>
 #include <map>
--- a/packages/text/apricothook/text/internal/apricothook_object_reader.cpp
+++ b/packages/text/apricothook/text/internal/apricothook_object_reader.cpp
@@ -1,7 +1,7 @@
 #include <apricothook/text/internal/apricothook_object_reader.hpp>
 
+#include <apricothook/text/apricothook_printable.hpp>
 #include <apricothook/text/internal/apricothook_known_names.hpp>
-#include <apricothook/text/internal/apricothook_quoting.hpp>
 #include <apricothook/text/internal/apricothook_value_checks.hpp>
 
 #include <algorithm>
--- a/packages/text/apricothook/text/internal/apricothook_target_reader.cpp
+++ b/packages/text/apricothook/text/internal/apricothook_target_reader.cpp
@@ -1,5 +1,5 @@
+#include <apricothook/text/apricothook_printable.hpp>
 #include <apricothook/text/internal/apricothook_object_reader.hpp>
-#include <apricothook/text/internal/apricothook_quoting.hpp>
 #include <apricothook/text/internal/apricothook_section_readers.hpp>
 #include <apricothook/text/internal/apricothook_text_references.hpp>
 #include <apricothook/text/internal/apricothook_value_checks.hpp>
--- a/packages/text/apricothook/text/internal/apricothook_text_document.cpp
+++ b/packages/text/apricothook/text/internal/apricothook_text_document.cpp
@@ -1,7 +1,7 @@
 #include <apricothook/text/internal/apricothook_text_document.hpp>
 
+#include <apricothook/text/apricothook_printable.hpp>
 #include <apricothook/text/apricothook_text_limits.hpp>
-#include <apricothook/text/internal/apricothook_quoting.hpp>
 
 #include <json/reader.h>
 
@@ -47,10 +47,10 @@
     return error;
 }
 
-TextError tooLarge(std::size_t bytes)
+TextError tooLarge()
 {
     return {1, "$", TextRule::TooLarge,
-            std::to_string(bytes) + " bytes; at most " + std::to_string(MaximumTextBytes)};
+            "larger than " + std::to_string(MaximumTextBytes) + " bytes"};
 }
 
 TextError tooDeep()
@@ -64,7 +64,7 @@
 Result<TextDocument, TextError> TextDocument::parse(std::string_view text)
 {
     if (text.size() > MaximumTextBytes)
-        return tooLarge(text.size());
+        return tooLarge();
     // JsonCpp counts offsets from after a byte order mark; so does this document.
     if (text.starts_with(ByteOrderMark))
         text.remove_prefix(ByteOrderMark.size());
--- a/packages/text/apricothook/text/internal/apricothook_value_path.cpp
+++ b/packages/text/apricothook/text/internal/apricothook_value_path.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/text/internal/apricothook_quoting.hpp>
+#include <apricothook/text/apricothook_printable.hpp>
 #include <apricothook/text/internal/apricothook_value_path.hpp>
 
 namespace Apricothook {
