--- /dev/null
+++ b/packages/core/apricothook/core/internal/apricothook_entry_homes.cpp
@@ -0,0 +1,37 @@
+#include <apricothook/core/internal/apricothook_entry_homes.hpp>
+
+namespace Apricothook {
+
+namespace {
+
+KeyProblem problemOf(HomeError error)
+{
+    return error == HomeError::BadTicket ? KeyProblem::ForgedTicket : KeyProblem::NoHome;
+}
+
+} // namespace
+
+Result<std::vector<MemberId>, KeyProblem>
+EntryHomes::homesOf(const RequestKey &key, const CustomerId &customer, Instant now)
+{
+    const Result<HomeChoice, HomeError> choice = m_map.homesOf(key, customer, now);
+    if (!choice)
+        return problemOf(choice.error());
+    const HomeChoice &homes = choice.value();
+    if (!homes.requiredLife)
+        return homes.homes;
+    const MemberLife life {homes.homes.front(), *homes.requiredLife};
+    const std::optional<MemberUpdate> member = m_members.find(life.member);
+    // A newer life is proof that the ticket's is gone. A member that isn't seen may be cut off and
+    // alive: it is asked, and the request waits for it within its patience.
+    if (member && member->life.incarnation > life.incarnation)
+        return KeyProblem::HomeGone;
+    return homes.homes;
+}
+
+RequestKey EntryHomes::mint()
+{
+    return m_issuer.mint(m_now, m_random);
+}
+
+} // namespace Apricothook
--- a/packages/ports/apricothook/ports/apricothook_bounded_ring.hpp
+++ b/packages/ports/apricothook/ports/apricothook_bounded_ring.hpp
@@ -35,12 +35,17 @@
     BoundedRing &operator=(const BoundedRing &) = delete;
 
     /** False when the ring is full or closed; `value` is lost then. */
-    bool tryPut(T value)
+    bool tryPut(T value) { return tryPutOrKeep(value); }
+
+    /** As tryPut(), but `value` is as it was when this is false. */
+    bool tryPutOrKeep(T &value)
     {
         auto owned = std::make_unique<T>(std::move(value));
         ACE_Time_Value immediately = ACE_OS::gettimeofday();
-        if (m_queue.enqueue_tail(owned.get(), &immediately) < 0)
+        if (m_queue.enqueue_tail(owned.get(), &immediately) < 0) {
+            value = std::move(*owned);
             return false;
+        }
         owned.release();
         return true;
     }
--- a/packages/requests/apricothook/requests/apricothook_customer_key.hpp
+++ b/packages/requests/apricothook/requests/apricothook_customer_key.hpp
@@ -19,4 +19,10 @@
     return RequestKey(key.text().substr(0, key.text().rfind('@')));
 }
 
+/** The customer of a key of keyOfCustomer(). */
+inline CustomerId customerOfKey(const RequestKey &key)
+{
+    return CustomerId(key.text().substr(key.text().rfind('@') + 1));
+}
+
 } // namespace Apricothook
--- a/packages/requests/apricothook/requests/apricothook_request_flow.cpp
+++ b/packages/requests/apricothook/requests/apricothook_request_flow.cpp
@@ -50,6 +50,20 @@
     m_index = std::make_unique<ConfigurationIndex>(std::move(configuration));
 }
 
+void RequestFlow::setLeavingVms(const std::vector<VmId> &vms)
+{
+    m_leavingVms = {vms.begin(), vms.end()};
+}
+
+bool RequestFlow::usesModel(const TargetId &target, const ModelId &model) const
+{
+    return std::ranges::any_of(m_exchanges, [&](const auto &entry) {
+        const Exchange &exchange = entry.second;
+        return exchange.reservation && exchange.reservation->target == target
+            && exchange.request.sketch.model == model;
+    });
+}
+
 // ---- Arrival.
 
 void RequestFlow::handle(CallerRequest request, Instant now, Outbox &out)
@@ -216,7 +230,9 @@
 void RequestFlow::dispatch(Exchange &exchange, Instant now, Outbox &out)
 {
     const Target *target = m_index->target(exchange.reservation->target);
-    if (target == nullptr || !m_run.dispatch(exchange, *target, now)) {
+    // The steward may not have heard yet that the target is leaving.
+    const bool isLeaving = target == nullptr || m_leavingVms.contains(target->vm);
+    if (isLeaving || !m_run.dispatch(exchange, *target, now)) {
         DispatchEnded unsent;
         unsent.end = RunEnd::Cancelled;
         unsent.isProvenNotRun = true;
--- a/packages/requests/apricothook/requests/apricothook_request_flow.hpp
+++ b/packages/requests/apricothook/requests/apricothook_request_flow.hpp
@@ -14,7 +14,9 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
+#include <vector>
 
 namespace Apricothook {
 
@@ -31,6 +33,8 @@
     RequestFlow &operator=(const RequestFlow &) = delete;
 
     void applyConfiguration(std::shared_ptr<const Configuration> configuration);
+    /** Nothing is sent to targets on these VMs from now on, whatever room was reserved there. */
+    void setLeavingVms(const std::vector<VmId> &vms);
 
     void handle(CallerRequest request, Instant now, Outbox &out);
     void handle(const CallerGone &gone, Instant now, Outbox &out);
@@ -50,6 +54,8 @@
     /** Refuses new requests from now on; those admitted go on to their end. */
     void close() { m_isClosed = true; }
     std::size_t activeExchanges() const { return m_exchanges.size(); }
+    /** Whether a request of this entry that needs the model holds room at the target. */
+    bool usesModel(const TargetId &target, const ModelId &model) const;
     /** Reports of outcomes that homes haven't acknowledged yet. */
     std::size_t pendingReports() const { return m_context.outcomes.pending(); }
     const ConfigurationIndex *index() const { return m_index.get(); }
@@ -88,6 +94,7 @@
     std::unique_ptr<ConfigurationIndex> m_index;
     ExchangeTable m_exchanges;
     std::unordered_map<DispatchId, ExchangeId> m_dispatches;
+    std::set<VmId> m_leavingVms;
     bool m_isClosed = false;
 };
 
--- a/packages/requests/apricothook/requests/internal/apricothook_grant_step.cpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_grant_step.cpp
@@ -39,6 +39,7 @@
         if (answerOf(exchange, home) == nullptr)
             exchange.homes.push_back({home, false, false});
     }
+    std::ranges::sort(exchange.homes, {}, &HomeAnswer::home);
 }
 
 std::vector<MemberId> othersThan(const MemberId &home, const Exchange &exchange)
@@ -81,7 +82,11 @@
     switch (reply.verdict) {
     case GrantVerdict::Granted:
         answer->isGranted = true;
-        return {isGrantedByAll(exchange) ? Progress::Granted : Progress::Waiting, {}};
+        if (isGrantedByAll(exchange))
+            return {Progress::Granted, {}};
+        exchange.sends = 0;
+        ask(exchange, now, out);
+        return {};
     case GrantVerdict::Running:
     case GrantVerdict::Finished:
     case GrantVerdict::OutcomeUnknown:
@@ -133,12 +138,11 @@
     request.generation = exchange.configuration->generation;
     // An attempt of the same exchange follows only on one that was proved not to have run.
     request.closesPrevious = exchange.attempt > 1;
-    for (const HomeAnswer &answer : exchange.homes) {
-        if (answer.isGranted)
-            continue;
-        request.otherHomes = othersThan(answer.home, exchange);
-        out.push_back({answer.home, request});
-    }
+    // One home after the other, in an order that all entries share: two entries that ask for the
+    // same key at once could otherwise hold one grant each, and both would fail.
+    const auto next = std::ranges::find(exchange.homes, false, &HomeAnswer::isGranted);
+    request.otherHomes = othersThan(next->home, exchange);
+    out.push_back({next->home, request});
     exchange.mayBeGranted = true;
     ++exchange.sends;
     const Instant end = std::min(exchange.deadline, exchange.reservedUntil);
--- a/packages/requests/apricothook/requests/internal/apricothook_reserve_step.cpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_reserve_step.cpp
@@ -17,6 +17,10 @@
 // Two daemons see a change of members within a few gossip periods of each other.
 constexpr Duration NotStewardDelay = std::chrono::milliseconds(100);
 
+// Room is used at once or not at all: a daemon that was paused would otherwise send work to a
+// target that began to leave meanwhile.
+constexpr Duration UseWithin = std::chrono::seconds(3);
+
 const ShardId &shardOf(const Exchange &exchange)
 {
     return exchange.shards[exchange.shardIndex];
@@ -90,7 +94,7 @@
     case ReserveVerdict::Reserved:
         exchange.askedSteward = from;
         exchange.reservation = reply;
-        exchange.reservedUntil = now + reply.lease;
+        exchange.reservedUntil = now + std::min(reply.lease, UseWithin);
         return {Progress::Reserved, {}};
     case ReserveVerdict::Queued:
         exchange.isQueued = true;
