Observe the daemon: numbered log, metrics, health

Cause: operators need events by number, and histograms for each tier, class and customer whose memory doesn't grow with 2,500 customers. Conclusion: the daemon can be wired to it; bytes a series are measured next.

--- a/packages/caller/apricothook/caller/apricothook_caller_event.hpp
+++ b/packages/caller/apricothook/caller/apricothook_caller_event.hpp
@@ -13,7 +13,7 @@
     BodyRefused = 743,    ///< info: a body was refused; detail: reason. Operator: none.
     HeldBodiesFull = 744, ///< warning: the bodies held leave no room for another; detail: held.
                           ///< Operator: add entry VMs; look for callers that send large bodies.
-    CallerLeft = 745,     ///< info: the caller went away before its answer was whole; its work is
+    CallerHungUp = 745,   ///< info: the caller went away before its answer was whole; its work is
                           ///< cancelled; detail: exchange. Operator: none.
     InboxFull = 746, ///< warning: the core is behind; a request was refused as not run. Operator:
                      ///< add entry VMs; look for a burst.
--- a/packages/caller/apricothook/caller/internal/apricothook_caller_service.cpp
+++ b/packages/caller/apricothook/caller/internal/apricothook_caller_service.cpp
@@ -1,10 +1,8 @@
 #include <apricothook/caller/internal/apricothook_caller_service.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
+#include <apricothook/model/apricothook_socket_address.hpp>
 
-#include <optional>
+#include <sys/socket.h>
 
 namespace Apricothook {
 
@@ -24,30 +22,6 @@
 /** The library's own limit is fixed at start and refuses without a word; ours comes before it. */
 constexpr unsigned int ConnectionHeadroom = 2;
 
-struct SocketAddress
-{
-    sockaddr_storage storage {};
-    unsigned int flags = 0;
-};
-
-std::optional<SocketAddress> socketAddressOf(const Endpoint &endpoint)
-{
-    SocketAddress address;
-    auto *four = reinterpret_cast<sockaddr_in *>(&address.storage);
-    if (::inet_pton(AF_INET, endpoint.address.c_str(), &four->sin_addr) == 1) {
-        four->sin_family = AF_INET;
-        four->sin_port = htons(endpoint.port);
-        return address;
-    }
-    auto *six = reinterpret_cast<sockaddr_in6 *>(&address.storage);
-    if (::inet_pton(AF_INET6, endpoint.address.c_str(), &six->sin6_addr) != 1)
-        return std::nullopt;
-    six->sin6_family = AF_INET6;
-    six->sin6_port = htons(endpoint.port);
-    address.flags = MHD_USE_IPv6;
-    return address;
-}
-
 void *onUri(void *service, const char *uri, MHD_Connection *connection)
 {
     const MHD_ConnectionInfo *info
@@ -127,16 +101,17 @@
 
 MHD_Daemon *CallerService::listen()
 {
-    const SocketAddress address = *socketAddressOf(m_address);
+    const sockaddr_storage address = *socketAddressOf(m_address);
+    const unsigned int family = address.ss_family == AF_INET6 ? MHD_USE_IPv6 : 0;
     const unsigned int flags
-        = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | address.flags;
+        = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | family;
     const unsigned int connections
         = m_exchanges.limits()->maximumConnections * ConnectionHeadroom + Threads;
     return MHD_start_daemon(
         flags, m_address.port, nullptr, nullptr, onAccess, this, MHD_OPTION_URI_LOG_CALLBACK, onUri,
         this, MHD_OPTION_NOTIFY_COMPLETED, onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
-        onConnection, this, MHD_OPTION_SOCK_ADDR, &address.storage, MHD_OPTION_THREAD_POOL_SIZE,
-        Threads, MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionBytes, MHD_OPTION_CONNECTION_LIMIT,
+        onConnection, this, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_THREAD_POOL_SIZE, Threads,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionBytes, MHD_OPTION_CONNECTION_LIMIT,
         connections, MHD_OPTION_CONNECTION_TIMEOUT, SilentSeconds, MHD_OPTION_LISTEN_BACKLOG_SIZE,
         Backlog, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 }
--- a/packages/caller/apricothook/caller/internal/apricothook_exchange_service.cpp
+++ b/packages/caller/apricothook/caller/internal/apricothook_exchange_service.cpp
@@ -253,7 +253,7 @@
     exchange.answer->abandon();
     if (!exchange.isGiven)
         return;
-    record(CallerEvent::CallerLeft, "exchange=" + std::to_string(exchange.id.value()));
+    record(CallerEvent::CallerHungUp, "exchange=" + std::to_string(exchange.id.value()));
     m_inbox.give(CallerGone {exchange.id});
 }
 
--- /dev/null
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -0,0 +1,178 @@
+#include <apricothook/observe/apricothook_metrics.hpp>
+
+#include <apricothook/observe/internal/apricothook_metrics_tables.hpp>
+
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <sstream>
+
+namespace Apricothook {
+
+namespace {
+
+/** Fewer than for a class, as there are more customers than classes. */
+const prometheus::Histogram::BucketBoundaries CustomerBounds {0.05, 0.25, 0.46, 1, 5, 30, 120};
+
+constexpr std::array Results {RequestResult::Answered, RequestResult::AnsweredLate,
+                              RequestResult::NotRun, RequestResult::Unknown,
+                              RequestResult::CallerLeft};
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+std::string tierLabel(Tier tier)
+{
+    const bool isKnown = tier.rank() >= 1 && tier.rank() <= LowestTierRank;
+    return isKnown ? std::to_string(tier.rank()) : "other";
+}
+
+std::string_view nameOf(PrefillUse use)
+{
+    if (use == PrefillUse::Computed)
+        return "computed";
+    return use == PrefillUse::Cached ? "cached" : "wasted";
+}
+
+const char *nameOf(Level level)
+{
+    switch (level) {
+    case Level::Generation:
+        return "apricothook_generation";
+    case Level::LiveMembers:
+        return "apricothook_live_members";
+    case Level::CallerConnections:
+        return "apricothook_caller_connections";
+    case Level::CallerExchanges:
+        return "apricothook_caller_exchanges";
+    case Level::HeldBodyBytes:
+        return "apricothook_held_body_bytes";
+    case Level::WaitingRequests:
+        return "apricothook_waiting_requests";
+    case Level::RunningRequests:
+        return "apricothook_running_requests";
+    case Level::KeptKeys:
+        return "apricothook_kept_keys";
+    case Level::KeptAnswerBytes:
+        return "apricothook_kept_answer_bytes";
+    }
+    return "apricothook_unnamed";
+}
+
+std::string customerLabel(const MetricsTables &tables, const CustomerId &customer)
+{
+    return tables.customers.has(customer) ? customer.text() : "other";
+}
+
+void observe(MetricsTables &tables, ClassHistograms &histograms, const RequestLabels &labels,
+             Duration value)
+{
+    const std::lock_guard lock(tables.mutex);
+    const std::string requestClass = tables.classes.label(labels.requestClass.text());
+    histograms.series(tierLabel(labels.tier), requestClass).Observe(secondsOf(value));
+}
+
+} // namespace
+
+Metrics::Metrics() : m_tables(std::make_unique<MetricsTables>(CustomerPlaces, MaximumNames)) { }
+
+Metrics::~Metrics() = default;
+
+void Metrics::requestEnded(const RequestLabels &labels, RequestResult result, Duration took)
+{
+    MetricsTables &tables = *m_tables;
+    observe(tables, tables.requestSeconds, labels, took);
+    const std::string resultName(Apricothook::nameOf(result));
+    const std::lock_guard lock(tables.mutex);
+    tables.requests
+        .Add({{"tier", tierLabel(labels.tier)},
+              {"class", tables.classes.label(labels.requestClass.text())},
+              {"result", resultName}})
+        .Increment();
+    tables.customers.count(labels.customer);
+    const std::string customer = customerLabel(tables, labels.customer);
+    tables.customerSeconds.Add({{"customer", customer}}, CustomerBounds).Observe(secondsOf(took));
+    tables.customerRequests.Add({{"customer", customer}, {"result", resultName}}).Increment();
+}
+
+void Metrics::refused(Tier tier, RefusalReason reason)
+{
+    m_tables->refusals
+        .Add({{"tier", tierLabel(tier)}, {"reason", std::string(Apricothook::nameOf(reason))}})
+        .Increment();
+}
+
+void Metrics::firstToken(const RequestLabels &labels, Duration after)
+{
+    observe(*m_tables, m_tables->firstTokenSeconds, labels, after);
+}
+
+void Metrics::betweenTokens(const RequestLabels &labels, Duration gap)
+{
+    observe(*m_tables, m_tables->betweenTokensSeconds, labels, gap);
+}
+
+void Metrics::queueWait(const RequestLabels &labels, Duration waited)
+{
+    observe(*m_tables, m_tables->queueWaitSeconds, labels, waited);
+}
+
+void Metrics::prefill(Tier tier, PrefillUse use, std::uint64_t tokens)
+{
+    m_tables->prefillTokens.Add({{"tier", tierLabel(tier)}, {"use", std::string(nameOf(use))}})
+        .Increment(static_cast<double>(tokens));
+}
+
+void Metrics::set(Level level, double value)
+{
+    prometheus::BuildGauge()
+        .Name(nameOf(level))
+        .Help("See docs/METRICS.md")
+        .Register(m_tables->registry)
+        .Add({})
+        .Set(value);
+}
+
+void Metrics::setRing(std::string_view ring, std::size_t items)
+{
+    m_tables->ringItems.Add({{"ring", std::string(ring)}}).Set(static_cast<double>(items));
+}
+
+void Metrics::setFloor(const ServiceId &service, Tier lowest)
+{
+    const std::lock_guard lock(m_tables->mutex);
+    m_tables->floors.Add({{"service", m_tables->services.label(service.text())}})
+        .Set(lowest.rank());
+}
+
+void Metrics::controlBytes(Direction direction, std::uint64_t bytes)
+{
+    const std::string name = direction == Direction::Sent ? "sent" : "received";
+    m_tables->controlBytes.Add({{"direction", name}}).Increment(static_cast<double>(bytes));
+}
+
+void Metrics::rankCustomers(Instant now)
+{
+    MetricsTables &tables = *m_tables;
+    const std::lock_guard lock(tables.mutex);
+    const std::optional<CustomerId> lost = tables.customers.rank(now);
+    if (!lost)
+        return;
+    const std::string customer = lost->text();
+    tables.customerSeconds.Remove(
+        &tables.customerSeconds.Add({{"customer", customer}}, CustomerBounds));
+    for (const RequestResult result : Results) {
+        const std::string name(Apricothook::nameOf(result));
+        tables.customerRequests.Remove(
+            &tables.customerRequests.Add({{"customer", customer}, {"result", name}}));
+    }
+}
+
+std::string Metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_tables->registry.Collect());
+}
+
+} // namespace Apricothook
