--- a/packages/homes/apricothook/homes/apricothook_key_home.cpp
+++ b/packages/homes/apricothook/homes/apricothook_key_home.cpp
@@ -11,9 +11,7 @@
     return std::find(members.begin(), members.end(), member) != members.end();
 }
 
-/** The last closed attempt of the same exchange; null when the exchange closed none. */
-template <typename Record>
-auto *closedOf(Record &record, const ExchangeRef &attempt)
+ExchangeRef *closedOf(KeyRecord &record, const ExchangeRef &attempt)
 {
     const auto found = std::find_if(
         record.closed.begin(), record.closed.end(),
@@ -21,6 +19,15 @@
     return found == record.closed.end() ? nullptr : &*found;
 }
 
+/** The last attempt of this exchange that was closed; 0 when none was. */
+std::uint32_t lastClosed(KeyRecord &record, const ExchangeRef &attempt)
+{
+    const ExchangeRef *closed = closedOf(record, attempt);
+    const bool wasHolder
+        = record.state == RecordState::Closed && attempt.isSameExchange(record.holder);
+    return std::max(closed ? closed->attempt : 0, wasHolder ? record.holder.attempt : 0);
+}
+
 KeyState stateOf(const KeyRecord &record, bool isHolderAlive)
 {
     switch (record.state) {
@@ -177,11 +184,10 @@
                                   const Standing &standing, Instant now)
 {
     const ExchangeRef attempt = refOf(request.attempt);
-    const ExchangeRef *closed = closedOf(record, attempt);
     // A request that the network held back until its exchange had gone on: its entry has given this
     // attempt up and may have told its caller "not run". Granting it would let a second attempt run
     // beside a later one, so it is refused for good.
-    if (closed && attempt.attempt <= closed->attempt)
+    if (attempt.attempt <= lastClosed(record, attempt))
         return record.state == RecordState::Closed ? GrantVerdict::OutcomeUnknown
                                                    : verdictOf(record);
     // Only a report is known: it says nothing of what a life before this one granted.
@@ -206,8 +212,9 @@
 {
     // Without room to remember that this exchange closed the key, a late duplicate could be
     // granted.
-    if (record.closed.size() >= m_limits.closedExchanges
-        && !closedOf(record, refOf(request.attempt))) {
+    const ExchangeRef attempt = refOf(request.attempt);
+    const bool isRemembered = closedOf(record, attempt) || attempt.isSameExchange(record.holder);
+    if (record.closed.size() >= m_limits.closedExchanges && !isRemembered) {
         this->record(HomesEvent::TooManyExchanges, request.key, "");
         return GrantVerdict::Full;
     }
@@ -254,12 +261,11 @@
 void KeyHome::apply(const OutcomeReport &report, KeyRecord &record, Instant now)
 {
     const ExchangeRef attempt = refOf(report.attempt);
-    const ExchangeRef *closed = closedOf(record, attempt);
-    const bool isOld = closed && attempt.attempt <= closed->attempt;
     const bool isHolder
         = attempt.isSameExchange(record.holder) && attempt.attempt >= record.holder.attempt;
-    const bool isUnheard = !record.isIdentified && record.closed.empty();
-    if (isOld)
+    const bool isUnheard
+        = !record.isIdentified && record.closed.empty() && record.state == RecordState::Closed;
+    if (attempt.attempt <= lastClosed(record, attempt))
         return;
     record.touched = now;
     if (isUnheard)
@@ -278,16 +284,19 @@
 
 void KeyHome::close(KeyRecord &record, const ExchangeRef &attempt)
 {
+    // Nothing is granted any more, so there is nothing to refuse a late copy.
+    if (record.state == RecordState::Answered || record.state == RecordState::Unknown)
+        return;
     if (ExchangeRef *closed = closedOf(record, attempt))
         closed->attempt = std::max(closed->attempt, attempt.attempt);
     else if (record.closed.size() < m_limits.closedExchanges)
         record.closed.push_back(attempt); // A full list refuses every exchange that isn't in it.
     // An attempt of the holder's exchange after the granted one exists only because the granted one
     // was proved not run.
-    const bool endsHolder
-        = attempt.isSameExchange(record.holder) && attempt.attempt >= record.holder.attempt;
-    if (record.state == RecordState::Granted && endsHolder)
-        record.state = RecordState::Closed;
+    if (!attempt.isSameExchange(record.holder) || attempt.attempt < record.holder.attempt)
+        return;
+    record.holder.attempt = attempt.attempt;
+    record.state = RecordState::Closed;
 }
 
 void KeyHome::handle(const MemberId &from, const KeyQuery &query, Instant now, Outbox &out) const
--- a/packages/homes/apricothook/homes/apricothook_key_home.hpp
+++ b/packages/homes/apricothook/homes/apricothook_key_home.hpp
@@ -15,17 +15,19 @@
     Duration window = Policy().deduplicationWindow;
     std::size_t keptKeys = Policy().keptKeys;
     /** Exchanges per key whose closed attempts are remembered. */
-    std::size_t closedExchanges = 8;
+    std::size_t closedExchanges = 32;
     auto operator<=>(const KeyHomeLimits &) const = default;
 };
 
 /**
  * The home of keys: grants the dispatch of each key once; the proof is in docs/AT-MOST-ONCE.md.
  *
- * What an entry must keep to: it dispatches an attempt at most once, and only after every home that
- * it asked for this attempt replied Granted, naming all of them in each request; it asks for
- * attempt n + 1 of an exchange only after it proved that attempt n did not run; it never dispatches
- * an attempt that it reported; and it resends an OutcomeReport until it is acknowledged.
+ * What an entry must keep to: it numbers the attempts of an exchange from 1; it dispatches an
+ * attempt at most once, within its patience, which is shorter than the window, and only after every
+ * home that homesOf() or a WrongHome reply named for it replied Granted; in otherHomes it names
+ * only homes that it asks; it asks for attempt n + 1 of an exchange only after it proved that
+ * attempt n did not run; it never dispatches an attempt that it reported; and it resends an
+ * OutcomeReport until it is acknowledged.
  */
 class KeyHome
 {
--- a/packages/homes/apricothook/homes/apricothook_ticket_reader.cpp
+++ b/packages/homes/apricothook/homes/apricothook_ticket_reader.cpp
@@ -44,9 +44,7 @@
 {
     std::uint64_t number = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number, 16);
-    // Only the one spelling that the issuer writes: otherwise one ticket would have several texts.
-    if (error != std::errc() || end != text.data() + text.size()
-        || TicketCodec::hexOf(number) != text)
+    if (error != std::errc() || end != text.data() + text.size())
         return std::nullopt;
     return number;
 }
--- a/packages/homes/apricothook/homes/internal/apricothook_key_record.hpp
+++ b/packages/homes/apricothook/homes/internal/apricothook_key_record.hpp
@@ -42,7 +42,10 @@
     RecordState state = RecordState::Closed;
     /** False while only a report is known, which names neither customer nor fingerprint. */
     bool isIdentified = false;
-    /** For each exchange that closed this key: its last attempt; none up to it is granted again. */
+    /**
+     * For each exchange that closed an attempt: its last one; none up to it is granted again. While
+     * the key is closed, the holder stands for its exchange too.
+     */
     std::vector<ExchangeRef> closed;
 };
 
--- a/packages/homes/tests/apricothook_suspect_list_tests.cpp
+++ b/packages/homes/tests/apricothook_suspect_list_tests.cpp
@@ -78,7 +78,15 @@
         }
     }
 
-    TEST_CASE("News from another entry shows that a request did not explain both crashes alone")
+    TEST_CASE("A target that crashes twice under the same request may itself be broken")
+{
+    Fixture f;
+    f.crash("t1", {Innocent});
+    f.crash("t1", {Innocent});
+    CHECK_FALSE(f.isRefused(Innocent));
+}
+
+TEST_CASE("News from another entry shows that a request did not explain both crashes alone")
     {
         Fixture f;
         f.crash("t1", {Innocent});
