--- a/packages/configuration/apricothook/configuration/apricothook_load_schedule.cpp
+++ b/packages/configuration/apricothook/configuration/apricothook_load_schedule.cpp
@@ -33,6 +33,7 @@
     }
     std::sort(weighted.begin(), weighted.end());
     std::vector<Load> sorted;
+    sorted.reserve(weighted.size());
     for (auto &[weight, load] : weighted)
         sorted.push_back(std::move(load));
     return sorted;
