--- /dev/null
+++ b/packages/daemon/apricothook/daemon/apricothook_system_clock.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <apricothook/model/apricothook_time.hpp>
+
+namespace Apricothook {
+
+/** The machine's clocks. */
+class SystemClock : public Clock
+{
+public:
+    Instant now() const override;
+    std::uint64_t wallMilliseconds() const override;
+};
+
+} // namespace Apricothook
