--- a/packages/testing/apricothook/testing/apricothook_engine_stand_in.cpp
+++ b/packages/testing/apricothook/testing/apricothook_engine_stand_in.cpp
@@ -2,7 +2,7 @@
 
 #include <apricothook/testing/apricothook_stand_in_json.hpp>
 
-#include <cstring>
+#include <algorithm>
 
 namespace Apricothook {
 
@@ -60,7 +60,7 @@
                 return Broken;
         }
         count = std::min<std::uint64_t>(count, size);
-        std::memcpy(buffer, m_stream->bytes.data() + at, count);
+        std::copy_n(m_stream->bytes.data() + at, count, buffer);
         return static_cast<std::ptrdiff_t>(count);
     }
 
--- a/packages/testing/apricothook/testing/apricothook_http_host.cpp
+++ b/packages/testing/apricothook/testing/apricothook_http_host.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr std::size_t ThreadStackBytes = 256 * 1024;
-constexpr std::size_t StreamBlockBytes = 16 * 1024;
+constexpr std::size_t ThreadStackBytes = 256UL * 1024;
+constexpr std::size_t StreamBlockBytes = 16UL * 1024;
 constexpr unsigned ConnectionLimit = 4000;
 
 std::string lowerCase(std::string text)
--- a/packages/testing/apricothook/testing/apricothook_link_stand_in.cpp
+++ b/packages/testing/apricothook/testing/apricothook_link_stand_in.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr int PollMilliseconds = 10;
-constexpr std::size_t BufferBytes = 64 * 1024;
+constexpr std::size_t BufferBytes = 64UL * 1024;
 
 /** Two connections whose bytes go over to each other. */
 struct TcpPair
--- a/packages/testing/apricothook/testing/apricothook_site_target.cpp
+++ b/packages/testing/apricothook/testing/apricothook_site_target.cpp
@@ -33,6 +33,7 @@
     take(document, "kvTokens", target.engine.kvTokens);
     take(document, "prefillTokensPerSecond", target.engine.prefillRate);
     take(document, "decodeTokensPerSecond", target.engine.decodeRate);
+    take(document, "checksSender", target.checksSender);
     take(document, "checksFencing", target.engine.checksFencing);
     for (const Json::Value &model : document["models"])
         target.engine.models.insert(model.asString());
--- a/packages/testing/apricothook/testing/apricothook_site_target.hpp
+++ b/packages/testing/apricothook/testing/apricothook_site_target.hpp
@@ -15,6 +15,8 @@
     std::string vm;
     Endpoint address;
     bool isEngine = false;
+    /** Takes orders only from whoever knows the token that the stand-in was started with. */
+    bool checksSender = false;
     /** Its id and, for an engine, its speed. */
     EngineOptions engine;
 };
--- a/packages/testing/programs/standin_main.cpp
+++ b/packages/testing/programs/standin_main.cpp
@@ -61,6 +61,7 @@
         for (const SiteTarget &target : siteTargets(text))
             vms.insert(target.vm);
         std::vector<PublishedVm> published;
+        published.reserve(vms.size());
         for (const std::string &vm : vms)
             published.push_back({vm, false});
         m_platform.publishVms(std::move(published));
@@ -119,14 +120,15 @@
     options.cacheEventLag = std::chrono::milliseconds(flags["cache-lag-ms"].as<int>());
     options.cacheEventGap = flags["cache-gap"].as<double>();
     options.waitingLimit = flags["waiting"].as<std::uint32_t>();
-    options.senderToken = flags["sender-token"].as<std::string>();
     options.crashMarker = flags["crash-marker"].as<std::string>();
 }
 
-void addEngine(StandIns &standIns, EngineOptions options, std::uint16_t port,
+void addEngine(StandIns &standIns, EngineOptions options, std::uint16_t port, bool checksSender,
                const cxxopts::ParseResult &flags)
 {
     applyCommon(options, flags);
+    if (checksSender)
+        options.senderToken = flags["sender-token"].as<std::string>();
     EngineFaults faults;
     faults.straggler = flags["straggler"].as<double>();
     faults.killChance = flags["kill-chance"].as<double>();
@@ -150,7 +152,7 @@
 {
     for (const SiteTarget &target : siteTargets(contentOf(flags["fleet"].as<std::string>()))) {
         if (target.isEngine)
-            addEngine(standIns, target.engine, target.address.port, flags);
+            addEngine(standIns, target.engine, target.address.port, target.checksSender, flags);
         else
             addPlain(standIns, target.engine.id, target.address.port, flags);
     }
@@ -161,7 +163,7 @@
     const std::vector<std::uint16_t> ports = portsOf(flags);
     if (kind == "engine") {
         for (const std::uint16_t port : ports)
-            addEngine(standIns, engineOptions(flags, port), port, flags);
+            addEngine(standIns, engineOptions(flags, port), port, true, flags);
     } else if (kind == "plain") {
         for (const std::uint16_t port : ports)
             addPlain(standIns, "plain-" + std::to_string(port), port, flags);
--- a/packages/testing/tests/apricothook_engine_stand_in_tests.cpp
+++ b/packages/testing/tests/apricothook_engine_stand_in_tests.cpp
@@ -48,7 +48,7 @@
         const CompletionRequest request {"m", history + "more", 1};
         complete(engine.port(), "s1", request);
         const ClientAnswer answer = complete(engine.port(), "s2", request);
-        CHECK(answer.body == expectedAnswer(request, 10 * PrefixBlockTokens));
+        CHECK(answer.body == expectedAnswer(request, 10UL * PrefixBlockTokens));
         CHECK(engine.counts()["prefillTokens"].asDouble() == doctest::Approx(2561 + 1));
     }
 
--- a/packages/testing/tests/apricothook_stand_in_client.hpp
+++ b/packages/testing/tests/apricothook_stand_in_client.hpp
@@ -27,7 +27,10 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+    if (::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
+        ::close(socket);
+        return {};
+    }
     const std::string request = method + " " + path
         + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + headers
         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
