--- a/packages/cli/apricothook/cli/apricothook_entry_commands.cpp
+++ b/packages/cli/apricothook/cli/apricothook_entry_commands.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr std::size_t MaximumDetailBytes = 400;
+
 ExitCode exitCodeOf(EntryFailureKind kind)
 {
     switch (kind) {
@@ -28,8 +30,8 @@
 ExitCode show(const EntryAnswer &answer, OutputShape shape, CommandStreams streams)
 {
     if (!answer) {
-        streams.errors << nameOf(answer.error().kind) << ": " << printable(answer.error().detail)
-                       << '\n';
+        streams.errors << nameOf(answer.error().kind) << ": "
+                       << printable(answer.error().detail, MaximumDetailBytes) << '\n';
         return exitCodeOf(answer.error().kind);
     }
     if (shape == OutputShape::Json)
