--- a/packages/text/apricothook/text/internal/apricothook_text_document.cpp
+++ b/packages/text/apricothook/text/internal/apricothook_text_document.cpp
@@ -27,8 +27,26 @@
     return std::unique_ptr<Json::CharReader>(builder.newCharReader());
 }
 
+/**
+ * The line as editors count it, by line feeds. JsonCpp counts a lone carriage return as a line's
+ * end too, so that an error after one would be told at a line that the file may not even have.
+ */
+int lineOfReaderLine(std::string_view text, int readerLine)
+{
+    int line = 1;
+    int passed = 1;
+    for (std::size_t offset = 0; offset < text.size() && passed < readerLine; ++offset) {
+        const bool isPair = text.substr(offset, 2) == "\r\n";
+        if (text[offset] == '\n')
+            ++line;
+        if (text[offset] == '\n' || (text[offset] == '\r' && !isPair))
+            ++passed;
+    }
+    return line;
+}
+
 /** JsonCpp tells errors as "* Line 3, Column 5\n  What is wrong\n"; the first is the cause. */
-TextError errorOfReader(std::string_view told)
+TextError errorOfReader(std::string_view text, std::string_view told)
 {
     constexpr std::string_view lineMark = "Line ";
     TextError error {1, "$", TextRule::Syntax, {}};
@@ -36,6 +54,7 @@
     if (mark != std::string_view::npos) {
         const char *digits = told.data() + mark + lineMark.size();
         std::from_chars(digits, told.data() + told.size(), error.line);
+        error.line = lineOfReaderLine(text, error.line);
     }
     const std::size_t firstEnd = std::min(told.find('\n'), told.size());
     const std::string_view rest = told.substr(firstEnd);
@@ -72,7 +91,7 @@
     std::string told;
     try {
         if (!makeReader()->parse(text.data(), text.data() + text.size(), &root, &told))
-            return errorOfReader(told);
+            return errorOfReader(text, told);
     } catch (const Json::Exception &) {
         // JsonCpp throws when it meets its stack limit, and only then.
         return tooDeep();
--- a/packages/text/tests/apricothook_bad_texts_tests.cpp
+++ b/packages/text/tests/apricothook_bad_texts_tests.cpp
@@ -106,6 +106,20 @@
     }));
 }
 
+TEST_CASE("Lines are counted by line feeds, as editors do")
+{
+    // Found by the fuzz test: a stray carriage return in a name made the reader tell a missing
+    // comma one line too far down, past the end of a short file.
+    for (const char *end : {"\n", "\r\n"}) {
+        const std::string text
+            = std::string("{\"a\rb\": 1,") + end + "\"c\": 2" + end + "\"d\": 3}";
+        const auto refused = parseFleetText(text);
+        REQUIRE(refused.has_error());
+        CHECK(refused.error().front().rule == TextRule::Syntax);
+        CHECK(refused.error().front().line == 3);
+    }
+}
+
 TEST_CASE("Details show nothing that could steer a terminal")
 {
     const auto refused = parseFleetText("{\"\\u001b[2Jx\": 1}");
