--- a/packages/homes/apricothook/homes/apricothook_suspect_list.cpp
+++ b/packages/homes/apricothook/homes/apricothook_suspect_list.cpp
@@ -23,16 +23,15 @@
 void SuspectList::noteCrash(const TargetCrash &crash, Instant now, Outbox &out)
 {
     forgetOld(now);
+    for (const Fingerprint fingerprint : crash.running)
+        learn(fingerprint, crash.target, now);
+    judge({crash.target}, now);
     for (const Fingerprint fingerprint : crash.running) {
-        Suspect *known = learn(fingerprint, crash.target, now) ? &m_suspects[fingerprint] : nullptr;
+        // One that has crashed more targets than are remembered isn't listed at this one.
         const auto found = m_suspects.find(fingerprint);
-        // A trial that ends in a crash on a target it had crashed before is a crash all the same.
-        if (!known && found != m_suspects.end() && found->second.trialUntil) {
-            found->second.trialUntil.reset();
-            found->second.until = now + m_limits.quarantine;
-        }
+        if (found != m_suspects.end() && !contains(found->second.crashed, crash.target))
+            judgeOne(fingerprint, found->second, now);
     }
-    judge({crash.target}, now);
     for (const Fingerprint fingerprint : crash.running)
         spread(fingerprint, now, out);
 }
@@ -90,7 +89,10 @@
         suspect.until.reset();
         return;
     }
-    if (suspect.until && !suspect.trialUntil)
+    // Each daemon gives out a trial of its own. If news of a failed one didn't renew the quarantine
+    // elsewhere, every entry's trial would cost a target.
+    const bool isItsCrash = suspect.lastCrash == now;
+    if (suspect.until && !isItsCrash)
         return;
     suspect.trialUntil.reset();
     suspect.until = now + m_limits.quarantine;
--- a/packages/homes/apricothook/homes/apricothook_suspect_list.hpp
+++ b/packages/homes/apricothook/homes/apricothook_suspect_list.hpp
@@ -19,7 +19,7 @@
     Duration trial = std::chrono::minutes(2);
     std::size_t suspects = 1024;
     /** Targets remembered for one suspect. */
-    std::size_t targets = 8;
+    std::size_t targets = 16;
     /** Members that a piece of news is sent to, at its source and once at each who learns it. */
     std::size_t fanOut = 3;
     auto operator<=>(const SuspectLimits &) const = default;
--- a/packages/homes/tests/apricothook_suspect_list_tests.cpp
+++ b/packages/homes/tests/apricothook_suspect_list_tests.cpp
@@ -79,14 +79,14 @@
     }
 
     TEST_CASE("A target that crashes twice under the same request may itself be broken")
-{
-    Fixture f;
-    f.crash("t1", {Innocent});
-    f.crash("t1", {Innocent});
-    CHECK_FALSE(f.isRefused(Innocent));
-}
+    {
+        Fixture f;
+        f.crash("t1", {Innocent});
+        f.crash("t1", {Innocent});
+        CHECK_FALSE(f.isRefused(Innocent));
+    }
 
-TEST_CASE("News from another entry shows that a request did not explain both crashes alone")
+    TEST_CASE("News from another entry shows that a request did not explain both crashes alone")
     {
         Fixture f;
         f.crash("t1", {Innocent});
@@ -115,6 +115,24 @@
             f.crash("t3", {Poison}, 610);
             CHECK(f.isRefused(Poison, 1209));
         }
+        SUBCASE("a crash of one target more than are remembered: refused again")
+        {
+            for (std::size_t i = 3; i < 3 + f.limits.targets; ++i)
+                f.crash("t" + std::to_string(i), {Poison}, 610 + static_cast<double>(i));
+            CHECK(f.list.excludedFor(Poison).size() == f.limits.targets);
+            CHECK(f.isRefused(Poison, 611 + static_cast<double>(f.limits.targets) + 599));
+        }
+        SUBCASE("news of a crash at another entry's trial: refused again")
+        {
+            const SuspectNotice notice {Poison, {TargetId("t3")}, true, {}};
+            f.list.handle(MemberId("b"), notice, at(610), f.out);
+            CHECK(f.isRefused(Poison, 1209));
+        }
+        SUBCASE("another's crash on the same targets: nothing changes")
+        {
+            f.crash("t1", {Innocent}, 700);
+            CHECK(f.list.check(Poison, at(720)) == SuspectVerdict::Trial);
+        }
         SUBCASE("an answer: free")
         {
             f.list.noteAnswered(Poison, at(610));
