--- a/packages/platform/apricothook/platform/apricothook_peer_rpc_client.cpp
+++ b/packages/platform/apricothook/platform/apricothook_peer_rpc_client.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /** A manifest of a megabyte's pieces, or one call's pieces in base64, with room to spare. */
-constexpr std::size_t MaximumTextReply = 512 * 1024;
+constexpr std::size_t MaximumTextReply = 512UL * 1024;
 constexpr std::size_t MaximumAnswerReply = 16U << 20U;
 
 } // namespace
--- a/packages/platform/apricothook/platform/apricothook_text_pieces.hpp
+++ b/packages/platform/apricothook/platform/apricothook_text_pieces.hpp
@@ -11,8 +11,8 @@
 constexpr std::size_t MaximumTextBytes = 1U << 20U;
 
 /** Sizes of the pieces in which a text is pulled; the mean is near 4 KB. */
-constexpr std::size_t MinimumPieceBytes = 2 * 1024;
-constexpr std::size_t MaximumPieceBytes = 8 * 1024;
+constexpr std::size_t MinimumPieceBytes = 2UL * 1024;
+constexpr std::size_t MaximumPieceBytes = 8UL * 1024;
 constexpr std::size_t MaximumPieces = MaximumTextBytes / MinimumPieceBytes + 1;
 
 /**
--- a/packages/platform/apricothook/platform/internal/apricothook_http_rpc_connector.cpp
+++ b/packages/platform/apricothook/platform/internal/apricothook_http_rpc_connector.cpp
@@ -17,8 +17,8 @@
 constexpr unsigned MaximumPerAddress = 8;
 constexpr unsigned IdleSeconds = 10;
 /** Calls name a text's pieces or a key; only answers are long. */
-constexpr std::size_t MaximumCallBytes = 64 * 1024;
-constexpr std::size_t ConnectionMemory = 16 * 1024;
+constexpr std::size_t MaximumCallBytes = 64UL * 1024;
+constexpr std::size_t ConnectionMemory = 16UL * 1024;
 
 struct Call
 {
