--- a/packages/target/apricothook/target/internal/apricothook_transfer_loop.cpp
+++ b/packages/target/apricothook/target/internal/apricothook_transfer_loop.cpp
@@ -59,7 +59,9 @@
 void TransferLoop::turn()
 {
     m_isScanDue = m_waker->takeDue();
-    takeOrders();
+    // Whoever puts an order wakes the loop; a look at the empty ring costs two system calls.
+    if (m_isScanDue)
+        takeOrders();
     // Bytes go before deadlines: after a pause of the process the clock has jumped, but what came
     // meanwhile lies in the sockets, and its target wasn't silent.
     moveBytes();
