Show what a wrong answer began with

Cause: main-job reported wrong bytes without what they were. Change: the violation names the status, the answer's beginning and whether the body was another one.

--- a/packages/testing/apricothook/testing/load/apricothook_load_ledger.cpp
+++ b/packages/testing/apricothook/testing/load/apricothook_load_ledger.cpp
@@ -114,7 +114,11 @@
     for (const auto &[key, record] : m_records) {
         for (const Attempt &attempt : record.attempts) {
             if (attempt.end == AttemptEnd::WrongBytes)
-                violations.push_back({key, "wrong bytes in an answer"});
+                violations.push_back(
+                    {key,
+                     "wrong bytes in an answer"
+                         + std::string(attempt.isConflict ? " to another body" : "") + ", status "
+                         + std::to_string(attempt.status) + ": " + attempt.wrongBeginning});
         }
     }
     return violations;
--- a/packages/testing/apricothook/testing/load/apricothook_load_ledger.hpp
+++ b/packages/testing/apricothook/testing/load/apricothook_load_ledger.hpp
@@ -28,6 +28,8 @@
     std::string reason;
     /** "not-run", "unknown" or "" where there was no refusal. */
     std::string outcome;
+    /** The beginning of an answer that is wrong. */
+    std::string wrongBeginning;
     Duration firstByte {};
     Duration whole {};
     std::vector<Duration> betweenTokens;
--- a/packages/testing/apricothook/testing/load/apricothook_load_run.cpp
+++ b/packages/testing/apricothook/testing/load/apricothook_load_run.cpp
@@ -15,6 +15,7 @@
 constexpr Duration ResendPause = std::chrono::milliseconds(700);
 constexpr Duration ProbeDelay = std::chrono::milliseconds(300);
 constexpr int MostResends = 5;
+constexpr std::size_t ShownBytes = 120;
 
 Instant now()
 {
@@ -50,6 +51,7 @@
     } else {
         attempt.end = request.isExpectedBeginning(answer.body) ? AttemptEnd::Broken
                                                                : AttemptEnd::WrongBytes;
+        attempt.wrongBeginning = answer.body.substr(0, ShownBytes);
     }
     return attempt;
 }
