Let the first text set a home's window, also a shorter one

Cause: a home starts with the default window of 600 s before it has a text; a text with 60 s was taken for a shortening, so a restarted home refused keys without a ticket for 600 s. Change: the first limits replace the constructor's; later ones only lengthen the window. Measured: a test with 60 s, which the home's memory now takes; all 38 cases pass. Conclusion: a short window in the text shortens the wait after a start.

--- a/packages/homes/apricothook/homes/apricothook_key_home.cpp
+++ b/packages/homes/apricothook/homes/apricothook_key_home.cpp
@@ -53,7 +53,9 @@
 
 void KeyHome::setLimits(const KeyHomeLimits &limits, Instant now)
 {
-    const Duration window = std::max(m_limits.window, limits.window);
+    const bool isFirst = !m_isConfigured;
+    m_isConfigured = true;
+    const Duration window = isFirst ? limits.window : std::max(m_limits.window, limits.window);
     // Under the shorter window some records are gone already that the longer one would have kept.
     if (window > m_limits.window)
         m_forgottenBefore = std::max(m_forgottenBefore, now - m_limits.window);
--- a/packages/homes/apricothook/homes/apricothook_key_home.hpp
+++ b/packages/homes/apricothook/homes/apricothook_key_home.hpp
@@ -35,7 +35,10 @@
     KeyHome(const HomeMap &map, const MemberView &members, EventSink &events, KeyHomeLimits limits,
             Instant startedAt);
 
-    /** A longer window holds at once; a shorter one only for a later life, as it was promised. */
+    /**
+     * The first call takes the place of the constructor's limits. After it a longer window holds at
+     * once; a shorter one only for a later life, as the longer one was promised.
+     */
     void setLimits(const KeyHomeLimits &limits, Instant now);
 
     void handle(const MemberId &from, const GrantRequest &request, Instant now, Outbox &out);
@@ -82,6 +85,7 @@
     EventSink &m_events;
     KeyHomeLimits m_limits;
     Instant m_startedAt;
+    bool m_isConfigured = false;
     /** Tickets from before this moment may have keys whose records are gone. */
     Instant m_forgottenBefore = Instant::min();
     KeyStore m_store;
--- a/packages/homes/tests/apricothook_key_home_tests.cpp
+++ b/packages/homes/tests/apricothook_key_home_tests.cpp
@@ -228,6 +228,14 @@
             f.now = at(Window);
             CHECK(f.ask("f", 1) == GrantVerdict::Granted);
         }
+        SUBCASE("or the shorter window of the first text, which later ones can't shorten")
+        {
+            f.home.setLimits({std::chrono::seconds(60), 100, 8}, f.now);
+            f.home.setLimits({std::chrono::seconds(10), 100, 8}, f.now);
+            CHECK(f.home.untilMemoryWhole(f.now) == std::chrono::seconds(60));
+            f.now = at(60);
+            CHECK(f.ask("f", 1) == GrantVerdict::Granted);
+        }
         SUBCASE("also when a report of the earlier life's attempt came")
         {
             CHECK(f.report("e", 1, 1, KeyEnd::NotRun));
