--- a/packages/steward/tests/apricothook_floor_tests.cpp
+++ b/packages/steward/tests/apricothook_floor_tests.cpp
@@ -86,6 +86,25 @@
         }
     }
 
+    TEST_CASE("A raise that arrives late doesn't undo a newer one")
+    {
+        // The network keeps a copy of the first step and delivers it after the last. The raiser
+        // counts on the last step; going back would open tiers at this steward that the raiser
+        // believes shut.
+        StewardFleet fleet(1);
+        fill(fleet);
+        for (int count = 0; count < 4; ++count)
+            fleet.request(0, 1, 10s);
+        fleet.request(0, 2, 3s);
+        REQUIRE(fleet.network.size() == 1);
+        const auto late = fleet.network.front();
+        fleet.deliverAll();
+        REQUIRE(fleet.floorOf(1) == Tier(2));
+        fleet.network.push_back(late);
+        fleet.deliverAll();
+        CHECK(fleet.floorOf(1) == Tier(2));
+    }
+
     TEST_CASE("A floor falls one tier at a time, only after a calm time")
     {
         // Falling at once would let the lowest tier in at one steward while another, that hasn't
