Don't let libmicrohttpd abort the process when the entry drains

Cause: 2 of 60 runs of the tests aborted (SIGABRT) while a server was stopped. MHD_quiesce_daemon and the library's threads both take the listening socket out of the epoll sets, and the second aborts; this is inferred from where it aborted, no stack was taken. Change: stopAccepting() no longer quiesces; new connections are still taken and their requests refused by the document draining, not-run. Conclusion: a drain can no longer abort the work that it drains for.

--- a/packages/caller/apricothook/caller/apricothook_caller_server.hpp
+++ b/packages/caller/apricothook/caller/apricothook_caller_server.hpp
@@ -52,8 +52,8 @@
     /** In force for new requests; maximumConnections can't grow beyond twice its value at start. */
     void setLimits(const CallerLimits &limits);
     /**
-     * New connections are refused by the kernel from now on, and new requests on open connections
-     * by the document "draining". Exchanges go on.
+     * New requests, on old and new connections, are refused by the document "draining" from now on.
+     * Exchanges, lookups and operators' questions go on.
      */
     void stopAccepting();
     /** Cuts what is still open and ends the threads. */
--- a/packages/caller/apricothook/caller/internal/apricothook_caller_service.cpp
+++ b/packages/caller/apricothook/caller/internal/apricothook_caller_service.cpp
@@ -98,7 +98,6 @@
         return CallerServerError::ListenFailed;
     }
     m_exchanges.operators().start();
-    m_isAccepting = true;
     return boundPort(m_daemon, m_address.port);
 }
 
@@ -127,13 +126,9 @@
 
 void CallerService::stopAccepting()
 {
-    if (!m_isAccepting.exchange(false))
-        return;
+    // MHD_quiesce_daemon isn't used: it takes the listening socket out of the epoll sets of threads
+    // that do the same, and the library aborts the process when it comes second.
     m_exchanges.drain();
-    m_listener = UniqueDescriptor(MHD_quiesce_daemon(m_daemon));
-    // The library's threads may still look at the socket, so that it stays open until stop(). Left
-    // listening, the kernel would go on to accept connections that nobody serves.
-    ::shutdown(m_listener.value(), SHUT_RDWR);
 }
 
 void CallerService::stop()
@@ -145,7 +140,6 @@
     m_watch.breakOffAll();
     MHD_stop_daemon(m_daemon);
     m_daemon = nullptr;
-    m_listener = UniqueDescriptor();
     m_watch.stop();
     m_exchanges.operators().stop();
 }
--- a/packages/caller/apricothook/caller/internal/apricothook_caller_service.hpp
+++ b/packages/caller/apricothook/caller/internal/apricothook_caller_service.hpp
@@ -6,8 +6,6 @@
 
 #include <microhttpd.h>
 
-#include <atomic>
-
 namespace Apricothook {
 
 /** The listener and the threads behind CallerServer: wires libmicrohttpd to the exchanges. */
@@ -37,9 +35,6 @@
     ConnectionWatch m_watch;
     ExchangeService m_exchanges;
     MHD_Daemon *m_daemon = nullptr;
-    /** The listening socket once the library has let go of it. */
-    UniqueDescriptor m_listener;
-    std::atomic<bool> m_isAccepting = false;
 };
 
 } // namespace Apricothook
