Mend the linter's findings in the target adapter

Cause: clang-tidy found widening multiplications, a memcpy and an unused result. Change: long constants, copy_n, an explicit cast. Conclusion: no change of behaviour.

--- a/packages/target/apricothook/target/internal/apricothook_engine_documents.hpp
+++ b/packages/target/apricothook/target/internal/apricothook_engine_documents.hpp
@@ -17,7 +17,7 @@
 };
 
 /** Longest document read from an engine; 500 cache events are about 40 KB. */
-constexpr std::size_t MaximumDocumentBytes = 128 * 1024;
+constexpr std::size_t MaximumDocumentBytes = 128UL * 1024;
 
 /** Reads the answer of GET /v1/load; target and isReachable are filled in. */
 Result<LoadReport, DocumentError> parseLoad(const TargetId &target, std::string_view text);
--- a/packages/target/apricothook/target/internal/apricothook_http_exchange.cpp
+++ b/packages/target/apricothook/target/internal/apricothook_http_exchange.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstring>
 #include <string_view>
 
 #include <strings.h>
@@ -12,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t MaximumHeadBytes = 64 * 1024;
+constexpr std::size_t MaximumHeadBytes = 64UL * 1024;
 constexpr int FirstFinalStatus = 200;
 
 /** Set by this adapter alone: a caller's own would change the framing or the deduplication. */
@@ -43,7 +42,7 @@
 {
     curl_slist *longer = curl_slist_append(list.get(), line.c_str());
     if (longer != nullptr && longer != list.get()) {
-        list.release();
+        static_cast<void>(list.release()); // Its memory is the longer list's now.
         list.reset(longer);
     }
 }
@@ -212,7 +211,7 @@
     if (!m_request.body)
         return 0;
     const std::size_t count = std::min(size, m_request.body->size() - m_bodyOffset);
-    std::memcpy(to, m_request.body->data() + m_bodyOffset, count);
+    std::copy_n(m_request.body->data() + m_bodyOffset, count, to);
     m_bodyOffset += count;
     m_owner.onSent();
     return count;
