--- a/packages/steward/tests/apricothook_fairness_tests.cpp
+++ b/packages/steward/tests/apricothook_fairness_tests.cpp
@@ -1,5 +1,7 @@
 #include "apricothook_steward_fakes.hpp"
 
+#include <apricothook/steward/internal/apricothook_fair_queue.hpp>
+
 #include <doctest/doctest.h>
 
 #include <map>
@@ -123,55 +125,33 @@
     {
         // A steady flow of small requests takes each slot as it becomes free, while a big one waits
         // for memory. Without a bound it would wait for good.
-        Bench bench(fleet(1, 4, 1));
-        std::vector<ReserveRequest> running;
-        for (int count = 0; count < 4; ++count) {
-            running.push_back(patient(bench.request(1, "small", 49000, 100)));
-            bench.ask(running.back());
-        }
-        const ReserveRequest big = patient(bench.request(1, "big", 190000, 100));
-        CHECK(bench.ask(big)->verdict == ReserveVerdict::Queued);
-        std::vector<ReserveRequest> flow;
-        for (int count = 0; count < 40; ++count) {
-            flow.push_back(patient(bench.request(1, "small", 400, 100)));
-            bench.ask(flow.back());
-        }
+        const auto make = [](std::uint64_t number, const std::string &customer) {
+            WaitingRequest waiting;
+            waiting.request.attempt = Bench::attempt(number);
+            waiting.request.customer = CustomerId(customer);
+            waiting.candidates = 1;
+            waiting.cost = 100;
+            return waiting;
+        };
+        FairQueue queue;
+        WaitingRequest big = make(0, "big");
+        queue.push(big, 1);
+        std::list<WaitingRequest> flow;
+        for (std::uint64_t number = 1; number <= 40; ++number)
+            queue.push(flow.emplace_back(make(number, "small")), 1);
         int passed = 0;
-        for (int count = 0; count < 60 && bench.verdict(big.attempt) != ReserveVerdict::Reserved;
-             ++count) {
-            std::vector<ReserveRequest> still;
-            bench.now += 20s;
-            bool hasReleased = false;
-            for (const auto *list : {&running, &flow}) {
-                for (const ReserveRequest &request : *list) {
-                    const bool isReserved
-                        = bench.verdict(request.attempt) == ReserveVerdict::Reserved;
-                    if (isReserved && !hasReleased) {
-                        bench.release(request.attempt);
-                        hasReleased = true;
-                    } else if (list == &running || !isReserved) {
-                        still.push_back(request);
-                    }
-                }
-            }
-            passed = 0;
-            for (const ReserveRequest &request : flow)
-                passed += bench.verdict(request.attempt) == ReserveVerdict::Reserved ? 1 : 0;
-            if (!hasReleased)
-                break;
-            // Each release is sent once only: drop the released from the lists.
-            for (auto *list : {&running, &flow}) {
-                for (ReserveRequest &request : *list) {
-                    if (bench.verdict(request.attempt) == ReserveVerdict::Reserved && hasReleased) {
-                        request = list->back();
-                        list->pop_back();
-                        hasReleased = false;
-                        break;
-                    }
-                }
-            }
-        }
-        CHECK(bench.verdict(big.attempt) == ReserveVerdict::Reserved);
-        CHECK(passed <= 9);
+        bool fits = false;
+        const auto place = [&](WaitingRequest &waiting, TargetMask) {
+            const bool isBig = &waiting == &big;
+            passed += isBig ? 0 : 1;
+            return !isBig || fits;
+        };
+        queue.serve(1, {8, 8}, place);
+        CHECK(passed == 8);
+        queue.serve(1, {8, 8}, place);
+        CHECK(passed == 8);
+        fits = true;
+        queue.serve(1, {8, 8}, place);
+        CHECK(queue.size() == 0);
     }
 }
