--- a/packages/steward/apricothook/steward/internal/apricothook_shard_ledger_upkeep.cpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_shard_ledger_upkeep.cpp
@@ -1,4 +1,4 @@
-// What a shard's ledger does when time passes or the fleet changes; requests are in
+// What a shard's ledger does when reports come, time passes or the fleet changes; requests are in
 // apricothook_shard_ledger.cpp.
 #include <apricothook/steward/internal/apricothook_shard_ledger.hpp>
 
@@ -47,6 +47,46 @@
     record(StewardEvent::HandOverEnded, "running=" + std::to_string(m_reservations.size()));
 }
 
+void ShardLedger::handle(const InFlightReport &message, Instant now, Outbox &out)
+{
+    if (isDead(message.entry))
+        return;
+    for (const InFlight &running : message.running) {
+        const auto known = m_reservations.find(running.attempt);
+        if (known != m_reservations.end())
+            known->second.leaseUntil = now + m_context.policy.reservationLease;
+        else if (!m_ended.contains(running.attempt))
+            adopt(running, now);
+    }
+    if (m_awaited.erase(message.entry.member) > 0 && m_awaited.empty())
+        endHandOver();
+    serve(now, out);
+}
+
+void ShardLedger::adopt(const InFlight &running, Instant now)
+{
+    const std::optional<std::size_t> index = m_placement.indexOf(running.target);
+    if (!index)
+        return;
+    dropWaiting(running.attempt);
+    TargetLedger &target = m_placement.at(*index);
+    ReserveRequest request;
+    request.promptTokens = running.promptTokens;
+    request.outputTokens = running.outputTokens;
+    Reservation reservation;
+    reservation.target = running.target;
+    reservation.index = *index;
+    reservation.promptTokens = running.promptTokens;
+    reservation.outputTokens = running.outputTokens;
+    reservation.batch = target.running() + 1;
+    reservation.reservedAt = now - running.age;
+    reservation.leaseUntil = now + m_context.policy.reservationLease;
+    reservation.prediction = target.predict(request, 0, now);
+    target.add(reservation);
+    target.belief().used(running.prefixes, now);
+    m_reservations.emplace(running.attempt, reservation);
+}
+
 void ShardLedger::setLeaving(const std::set<VmId> &vms, Instant now, Outbox &out)
 {
     for (TargetLedger &target : m_placement.targets())
