--- a/packages/peers/tests/apricothook_peer_codec_tests.cpp
+++ b/packages/peers/tests/apricothook_peer_codec_tests.cpp
@@ -123,8 +123,9 @@
     // A FloorRaise with tier 0, an OutcomeReport with an end that isn't defined.
     CHECK(errorOf(bytesOf({0x82, 0x15, 0x82, 0x60, 0x00})) == CodecError::OutOfRange);
     CHECK(errorOf(bytesOf({0x82, 0x0b, 0x83, 0x80, 0x60, 0x03})) == CodecError::OutOfRange);
-    CHECK(errorOf(encode(KeyQuery {1, RequestKey(std::string(2000, 'k')), {}}))
-          == CodecError::TooLong);
+    KeyQuery query;
+    query.key = RequestKey(std::string(2000, 'k'));
+    CHECK(errorOf(encode(query)) == CodecError::TooLong);
     VmList list;
     list.leaving.resize(5000);
     CHECK(errorOf(encode(list)) == CodecError::TooLong);
