--- a/packages/steward/apricothook/steward/internal/apricothook_fair_queue.cpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_fair_queue.cpp
@@ -141,9 +141,11 @@
 
 WaitingRequest *FairQueue::leastEntitled() const
 {
+    const auto debt
+        = [](const Flow &flow) { return static_cast<double>(flow.work.count()) / flow.weight; };
     const Flow *most = nullptr;
     for (const Flow *flow : m_order) {
-        if (!most || flow->work.count() / flow->weight > most->work.count() / most->weight)
+        if (!most || debt(*flow) > debt(*most))
             most = flow;
     }
     if (!most)
