Keep a model loaded while any entry still uses it

Cause: the order to unload asked only this daemon's own requests, while other entries' work with the model ran on; and an engine that came back from a restart wasn't given its orders again. Change: the steward's ledger knows each reservation's model, in-flight reports carry it, and the orders ask the ledger; the first load report after silence makes an engine's orders due again. Conclusion: what concerns a target is asked of its steward.

--- a/packages/core/apricothook/core/apricothook_core.cpp
+++ b/packages/core/apricothook/core/apricothook_core.cpp
@@ -179,6 +179,8 @@
 
 void Core::Turn::take(const LoadReport &report, Instant now)
 {
+    if (m_poller.isBack(report))
+        m_parts.orders.targetMayHaveRestarted(report.target);
     m_parts.steward.loadReported(report, now);
 }
 
@@ -217,7 +219,7 @@
 
 void Core::Turn::take(const KeptAnswerArrived &arrived, Instant now)
 {
-    m_parts.flow.handle(arrived, now, m_results.outbox);
+    m_parts.flow.handle(arrived, now);
 }
 
 void Core::Turn::take(const OperatorAsked &asked, Instant now)
@@ -286,7 +288,7 @@
 
 bool Core::Turn::isInUse(const TargetId &target, const ModelId &model) const
 {
-    return m_parts.flow.usesModel(target, model);
+    return m_parts.steward.isInUse(target, model);
 }
 
 void Core::Turn::sendOrders(Instant now)
--- a/packages/core/apricothook/core/internal/apricothook_target_poller.cpp
+++ b/packages/core/apricothook/core/internal/apricothook_target_poller.cpp
@@ -29,6 +29,14 @@
     }
 }
 
+bool TargetPoller::isBack(const LoadReport &report)
+{
+    if (report.isReachable)
+        return m_unreachable.erase(report.target) > 0;
+    m_unreachable.insert(report.target);
+    return false;
+}
+
 void TargetPoller::learn(const CacheEvents &events)
 {
     for (const CacheEvent &event : events.events)
--- a/packages/core/apricothook/core/internal/apricothook_target_poller.hpp
+++ b/packages/core/apricothook/core/internal/apricothook_target_poller.hpp
@@ -6,6 +6,7 @@
 #include <apricothook/steward/apricothook_steward.hpp>
 
 #include <map>
+#include <set>
 
 namespace Apricothook {
 
@@ -19,6 +20,8 @@
     }
     void tick(const FleetText &text, Instant now);
     void learn(const CacheEvents &events);
+    /** Notes whether the engine can be reached; true when it couldn't be before. */
+    bool isBack(const LoadReport &report);
     Instant nextDue() const { return m_due; }
 
 private:
@@ -27,6 +30,7 @@
     Instant m_due {};
     /** The last cache event that was seen of each engine. */
     std::map<TargetId, std::uint64_t> m_seen;
+    std::set<TargetId> m_unreachable;
 };
 
 } // namespace Apricothook
--- a/packages/model/apricothook/model/apricothook_peer_message.hpp
+++ b/packages/model/apricothook/model/apricothook_peer_message.hpp
@@ -458,11 +458,12 @@
     std::uint32_t outputTokens = 0;
     Duration age {};
     std::vector<PrefixHash> prefixes;
+    ModelId model;
     template <typename A, typename S>
     static void fields(A &a, S &s)
     {
         a(s.attempt, s.target, s.tier, s.customer, s.promptTokens, s.outputTokens, s.age,
-          s.prefixes);
+          s.prefixes, s.model);
     }
     auto operator<=>(const InFlight &) const = default;
 };
--- a/packages/requests/apricothook/requests/internal/apricothook_in_flight_reporter.cpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_in_flight_reporter.cpp
@@ -59,6 +59,8 @@
         running.target = exchange.reservation->target;
         running.tier = exchange.requestClass.tier;
         running.customer = exchange.customer;
+        running.model = exchange.request.sketch.model;
+        running.prefixes = exchange.request.sketch.prefixes;
         running.promptTokens = exchange.request.sketch.promptTokens;
         running.outputTokens = exchange.outputTokens;
         running.age = now - exchange.arrived;
--- a/packages/steward/apricothook/steward/apricothook_steward.cpp
+++ b/packages/steward/apricothook/steward/apricothook_steward.cpp
@@ -329,6 +329,13 @@
     return ids;
 }
 
+bool Steward::isInUse(const TargetId &target, const ModelId &model) const
+{
+    const std::optional<ShardId> shard = m_map ? m_map->shardOf(target) : std::nullopt;
+    const auto held = shard ? m_held.find(*shard) : m_held.end();
+    return held != m_held.end() && held->second->ledger.isInUse(target, model);
+}
+
 std::vector<ShardSnapshot> Steward::snapshot(Instant now) const
 {
     std::vector<ShardSnapshot> snapshots;
--- a/packages/steward/apricothook/steward/apricothook_steward.hpp
+++ b/packages/steward/apricothook/steward/apricothook_steward.hpp
@@ -58,6 +58,11 @@
     /** Shards whose ledger is here: their targets are to be polled by this daemon. */
     std::vector<ShardId> shards() const;
     std::vector<ShardSnapshot> snapshot(Instant now) const;
+    /**
+     * Whether any entry holds room on the target for work with the model; false for targets whose
+     * ledger isn't here. A model that is in use must not be unloaded.
+     */
+    bool isInUse(const TargetId &target, const ModelId &model) const;
 
 private:
     struct Held;
--- a/packages/steward/apricothook/steward/internal/apricothook_reservation.hpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_reservation.hpp
@@ -18,6 +18,7 @@
 struct Reservation
 {
     TargetId target;
+    ModelId model;
     /** Place of the target in its shard's ledger. */
     std::size_t index = 0;
     std::uint32_t promptTokens = 0;
--- a/packages/steward/apricothook/steward/internal/apricothook_shard_ledger.cpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_shard_ledger.cpp
@@ -178,6 +178,7 @@
     TargetLedger &target = m_placement.at(choice.index);
     Reservation reservation;
     reservation.target = target.id();
+    reservation.model = request.model;
     reservation.index = choice.index;
     reservation.promptTokens = request.promptTokens;
     reservation.outputTokens = request.outputTokens;
--- a/packages/steward/apricothook/steward/internal/apricothook_shard_ledger.hpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_shard_ledger.hpp
@@ -69,6 +69,8 @@
     std::size_t waiting() const { return m_waiting.size(); }
     ShardSummary summary(Instant now) const;
     ShardSnapshot snapshot(Instant now) const;
+    /** Whether any entry holds room on the target for work with the model. */
+    bool isInUse(const TargetId &target, const ModelId &model) const;
 
 private:
     using Reservations = std::unordered_map<AttemptId, Reservation, AttemptHash>;
--- a/packages/steward/apricothook/steward/internal/apricothook_shard_ledger_upkeep.cpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_shard_ledger_upkeep.cpp
@@ -75,6 +75,7 @@
     request.outputTokens = running.outputTokens;
     Reservation reservation;
     reservation.target = running.target;
+    reservation.model = running.model;
     reservation.index = *index;
     reservation.promptTokens = running.promptTokens;
     reservation.outputTokens = running.outputTokens;
@@ -87,6 +88,13 @@
     m_reservations.emplace(running.attempt, reservation);
 }
 
+bool ShardLedger::isInUse(const TargetId &target, const ModelId &model) const
+{
+    return std::ranges::any_of(m_reservations, [&](const auto &entry) {
+        return entry.second.target == target && entry.second.model == model;
+    });
+}
+
 void ShardLedger::setLeaving(const std::set<VmId> &vms, Instant now, Outbox &out)
 {
     for (TargetLedger &target : m_placement.targets())
--- a/packages/steward/tests/apricothook_ledger_tests.cpp
+++ b/packages/steward/tests/apricothook_ledger_tests.cpp
@@ -211,4 +211,18 @@
             CHECK(bench.running() == 1);
         }
     }
+
+    // An operator takes a model from a target while another entry still runs a request with it. The
+    // steward sends the order to unload; it must not go out before that request has ended.
+    TEST_CASE("A model is in use as long as any entry holds room for work with it")
+    {
+        Bench bench(fleet(1, 2));
+        ReserveRequest request = bench.request(1);
+        const std::optional<ReserveReply> reply = bench.ask(request);
+        REQUIRE(reply);
+        CHECK(bench.steward.isInUse(reply->target, request.model));
+        CHECK_FALSE(bench.steward.isInUse(reply->target, ModelId("other")));
+        bench.release(request.attempt);
+        CHECK_FALSE(bench.steward.isInUse(reply->target, request.model));
+    }
 }
