Split the request flow: keys that may have run before go into EarlierRun

Change: ExchangeBook keeps the open exchanges and their ends, EarlierRun everything about keys that may have run before; the configuration's index moves into FlowContext. No behaviour changes. The files that check-format named are formatted. Conclusion: room, grant and run can be read without the inquiries.

--- a/packages/platform/apricothook/platform/internal/apricothook_platform_exchange.cpp
+++ b/packages/platform/apricothook/platform/internal/apricothook_platform_exchange.cpp
@@ -60,14 +60,15 @@
 {
 }
 
-Result<HttpAnswer, HttpError> PlatformExchange::fetch(const std::string &url, const HttpBounds &bounds)
+Result<HttpAnswer, HttpError> PlatformExchange::fetch(const std::string &url,
+                                                      const HttpBounds &bounds)
 {
     curl_easy_reset(m_curl.get());
     return perform(url, bounds);
 }
 
-Result<HttpAnswer, HttpError> PlatformExchange::post(const std::string &url, const std::string &body,
-                                                 const HttpBounds &bounds)
+Result<HttpAnswer, HttpError>
+PlatformExchange::post(const std::string &url, const std::string &body, const HttpBounds &bounds)
 {
     curl_easy_reset(m_curl.get());
     const std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers(
@@ -82,7 +83,7 @@
 }
 
 Result<HttpAnswer, HttpError> PlatformExchange::perform(const std::string &url,
-                                                    const HttpBounds &bounds)
+                                                        const HttpBounds &bounds)
 {
     CURL *curl = m_curl.get();
     Receiver receiver {{}, bounds.maximumBytes, false};
--- a/packages/requests/apricothook/requests/apricothook_request_admission.cpp
+++ b/packages/requests/apricothook/requests/apricothook_request_admission.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 Result<RequestLife, Refusal> admitRequest(CallerRequest request, const ConfigurationIndex *index,
-                                       Instant now)
+                                          Instant now)
 {
     if (index == nullptr)
         return Refusal {RefusalReason::NotConfigured, Outcome::NotRun, NotConfiguredRetry};
--- a/packages/requests/apricothook/requests/apricothook_request_admission.hpp
+++ b/packages/requests/apricothook/requests/apricothook_request_admission.hpp
@@ -12,6 +12,6 @@
  * while none is in force. The key of the exchange is set only where the caller gave one.
  */
 Result<RequestLife, Refusal> admitRequest(CallerRequest request, const ConfigurationIndex *index,
-                                       Instant now);
+                                          Instant now);
 
 } // namespace Apricothook
--- a/packages/requests/apricothook/requests/apricothook_request_flow.hpp
+++ b/packages/requests/apricothook/requests/apricothook_request_flow.hpp
@@ -1,21 +1,20 @@
 #pragma once
 
 #include <apricothook/ports/apricothook_core_event.hpp>
-#include <apricothook/requests/apricothook_configuration_index.hpp>
-#include <apricothook/requests/apricothook_request_life.hpp>
 #include <apricothook/requests/apricothook_output_estimate.hpp>
+#include <apricothook/requests/apricothook_request_life.hpp>
 #include <apricothook/requests/apricothook_retry_budget.hpp>
+#include <apricothook/requests/internal/apricothook_earlier_run.hpp>
+#include <apricothook/requests/internal/apricothook_exchange_book.hpp>
 #include <apricothook/requests/internal/apricothook_flow_context.hpp>
 #include <apricothook/requests/internal/apricothook_grant_step.hpp>
 #include <apricothook/requests/internal/apricothook_in_flight_reporter.hpp>
-#include <apricothook/requests/internal/apricothook_inquiry_step.hpp>
 #include <apricothook/requests/internal/apricothook_reserve_step.hpp>
 #include <apricothook/requests/internal/apricothook_run_step.hpp>
 
 #include <memory>
 #include <optional>
 #include <set>
-#include <unordered_map>
 #include <vector>
 
 namespace Apricothook {
@@ -41,7 +40,7 @@
     void handle(const KeyLookup &lookup, Instant now, Outbox &out);
     void handle(const DispatchStarted &started, Instant now);
     void handle(const DispatchEnded &ended, Instant now, Outbox &out);
-    void handle(const KeptAnswerArrived &arrived, Instant now, Outbox &out);
+    void handle(const KeptAnswerArrived &arrived, Instant now);
     void handle(const MemberId &from, const ReserveReply &reply, Instant now, Outbox &out);
     void handle(const MemberId &from, const GrantReply &reply, Instant now, Outbox &out);
     void handle(const MemberId &from, const KeyQueryReply &reply, Instant now, Outbox &out);
@@ -53,47 +52,34 @@
 
     /** Refuses new requests from now on; those admitted go on to their end. */
     void close() { m_isClosed = true; }
-    std::size_t activeExchanges() const { return m_exchanges.size(); }
-    /** Whether a request of this entry that needs the model holds room at the target. */
-    bool usesModel(const TargetId &target, const ModelId &model) const;
+    std::size_t activeExchanges() const { return m_book.size(); }
     /** Reports of outcomes that homes haven't acknowledged yet. */
     std::size_t pendingReports() const { return m_context.outcomes.pending(); }
-    const ConfigurationIndex *index() const { return m_index.get(); }
+    const ConfigurationIndex *index() const { return m_context.index.get(); }
 
 private:
-    RequestLife *find(ExchangeId id);
     void start(RequestLife &exchange, Instant now, Outbox &out);
     void reserve(RequestLife &exchange, Instant now, Outbox &out);
-    void advance(RequestLife &exchange, const ReserveStep::Advance &advance, Instant now, Outbox &out);
+    void advance(RequestLife &exchange, const ReserveStep::Advance &advance, Instant now,
+                 Outbox &out);
     void grant(RequestLife &exchange, Instant now, Outbox &out);
-    void advance(RequestLife &exchange, const GrantStep::Advance &advance, Instant now, Outbox &out);
+    void advance(RequestLife &exchange, const GrantStep::Advance &advance, Instant now,
+                 Outbox &out);
     void dispatch(RequestLife &exchange, Instant now, Outbox &out);
     void runFailed(RequestLife &exchange, const DispatchEnded &ended, Instant now, Outbox &out);
     void tryAgain(RequestLife &exchange, const DispatchEnded &ended, Instant now, Outbox &out);
-    void await(RequestLife &exchange, Instant now, Outbox &out);
-    void answerAwaited(RequestLife &exchange, const InquiryStep::Advance &advance, Instant now,
-                       Outbox &out);
-    void answerLookup(RequestLife &exchange, const InquiryStep::Advance &advance, Instant now,
-                      Outbox &out);
-    void takeOver(RequestLife &exchange, const TargetId &target, Instant now, Outbox &out);
     void due(RequestLife &exchange, Instant now, Outbox &out);
     void patienceOver(RequestLife &exchange, Instant now, Outbox &out);
 
-    void giveUp(RequestLife &exchange, const Refusal &refusal, Instant now, Outbox &out);
-    void finish(RequestLife &exchange, std::optional<Refusal> refusal, Instant now);
-    void erase(const RequestLife &exchange);
-
     FlowContext m_context;
     ReserveStep m_reserve;
     GrantStep m_grant;
     RunStep m_run;
-    InquiryStep m_inquiry;
+    ExchangeBook m_book;
+    EarlierRun m_earlier;
     InFlightReporter m_inFlight;
     OutputEstimate m_output;
     RetryBudget m_retries;
-    std::unique_ptr<ConfigurationIndex> m_index;
-    ExchangeTable m_exchanges;
-    std::unordered_map<DispatchId, ExchangeId> m_dispatches;
     std::set<VmId> m_leavingVms;
     bool m_isClosed = false;
 };
--- a/packages/requests/apricothook/requests/internal/apricothook_grant_step.hpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_grant_step.hpp
@@ -27,8 +27,8 @@
     };
 
     Advance begin(RequestLife &exchange, Instant now, Outbox &out);
-    Advance replied(RequestLife &exchange, const MemberId &from, const GrantReply &reply, Instant now,
-                    Outbox &out);
+    Advance replied(RequestLife &exchange, const MemberId &from, const GrantReply &reply,
+                    Instant now, Outbox &out);
     void due(RequestLife &exchange, Instant now, Outbox &out);
     /** Gives back what homes may have granted for an attempt that was never sent. */
     void withdraw(RequestLife &exchange, Instant now, Outbox &out);
--- a/packages/requests/apricothook/requests/internal/apricothook_inquiry_step.cpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_inquiry_step.cpp
@@ -41,8 +41,9 @@
     exchange.homes.clear();
     for (const MemberId &home : homes.value()) {
         exchange.homes.push_back({home, false, false});
-        out.push_back({home, KeyQuery {sequence, exchange.key, exchange.customer,
-                                       exchange.request.sketch.fingerprint}});
+        out.push_back({home,
+                       KeyQuery {sequence, exchange.key, exchange.customer,
+                                 exchange.request.sketch.fingerprint}});
     }
     ++exchange.sends;
     const Instant due = now + resendDelay(exchange.sends);
--- a/packages/requests/apricothook/requests/internal/apricothook_reserve_step.cpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_reserve_step.cpp
@@ -72,8 +72,8 @@
 
 } // namespace
 
-ReserveStep::Advance ReserveStep::begin(RequestLife &exchange, std::uint32_t outputTokens, Instant now,
-                                        Outbox &out)
+ReserveStep::Advance ReserveStep::begin(RequestLife &exchange, std::uint32_t outputTokens,
+                                        Instant now, Outbox &out)
 {
     exchange.step = ExchangeStep::Reserving;
     exchange.outputTokens = outputTokens;
--- a/packages/requests/tests/apricothook_request_flow_tests.cpp
+++ b/packages/requests/tests/apricothook_request_flow_tests.cpp
@@ -195,7 +195,7 @@
         REQUIRE(f.fakes.fetched.size() == 1);
         const KeptAnswer kept {{200, {}}, "first"};
         f.flow.handle(KeptAnswerArrived {ExchangeId(1), std::make_shared<const KeptAnswer>(kept)},
-                      f.now, f.out);
+                      f.now);
         CHECK(answer->state() == AnswerStream::State::Finished);
         CHECK(f.fakes.orders.empty());
     }
