--- /dev/null
+++ b/packages/core/tests/apricothook_fault_bench.cpp
@@ -0,0 +1,626 @@
+#include <apricothook_fault_bench.hpp>
+
+#include <apricothook/homes/apricothook_home_map.hpp>
+#include <apricothook/model/apricothook_hashing.hpp>
+#include <apricothook/model/apricothook_member_view.hpp>
+#include <apricothook/steward/apricothook_shard_map.hpp>
+
+#include <algorithm>
+
+namespace Apricothook {
+
+namespace {
+
+constexpr std::uint16_t FirstPort = 1000;
+constexpr Duration WarmUpStep = std::chrono::milliseconds(250);
+// A shed is a broken promise when lower work begins this soon after it; floors fall later.
+constexpr Duration ShedMemory = std::chrono::seconds(1);
+const char *const CustomerName = "lin";
+
+const std::vector<TicketKey> &peerKeys()
+{
+    static const std::vector<TicketKey> keys {{1, "a secret of the test's peers"}};
+    return keys;
+}
+
+Target targetOf(const char *id, const char *service, ServiceKind kind)
+{
+    Target target;
+    target.id = TargetId(id);
+    target.service = ServiceId(service);
+    target.address = {"127.0.0.1", 1};
+    target.vm = VmId(std::string("vm-") + id);
+    target.dataCentre = DataCentreId("dc");
+    target.slots = 2;
+    if (kind == ServiceKind::Engine) {
+        target.kvTokens = 100000;
+        target.prefillRate = 10000;
+        target.decodeRate = 1000;
+    }
+    return target;
+}
+
+RequestClass classOf(const char *id, std::uint8_t tier, Duration patience)
+{
+    RequestClass requestClass;
+    requestClass.id = ClassId(id);
+    requestClass.tier = Tier(tier);
+    requestClass.patience = patience;
+    requestClass.expectedTokens = 10;
+    return requestClass;
+}
+
+FleetText firstText(std::size_t daemons)
+{
+    FleetText text;
+    text.policy.deduplicationWindow = std::chrono::seconds(30);
+    text.policy.lookupKeep = std::chrono::seconds(2);
+    text.dataCentres = {{DataCentreId("dc"), RegionId("r")}};
+    for (std::size_t i = 0; i < daemons; ++i)
+        text.roster.push_back(
+            {MemberId(std::string(1, static_cast<char>('a' + i))), DataCentreId("dc")});
+    text.services = {{ServiceId("booking"), ServiceKind::Plain, {}},
+                     {ServiceId("chat"), ServiceKind::Engine, {}},
+                     {ServiceId("bare"), ServiceKind::Plain, {}}};
+    text.targets = {targetOf("p1", "booking", ServiceKind::Plain),
+                    targetOf("p2", "booking", ServiceKind::Plain),
+                    targetOf("e1", "chat", ServiceKind::Engine),
+                    targetOf("e2", "chat", ServiceKind::Engine)};
+    Customer customer;
+    customer.id = CustomerId(CustomerName);
+    customer.keyHashes = {"token"};
+    customer.requestsPerSecond = 1000;
+    customer.burst = 1000;
+    customer.homeRegion = RegionId("r");
+    text.customers = {customer};
+    text.classes = {classOf("default", 1, std::chrono::seconds(8)),
+                    classOf("low", 3, std::chrono::seconds(8))};
+    return text;
+}
+
+/** The live daemons as all of them see each other once views have settled. */
+struct SettledView : MemberView
+{
+    MemberLife none;
+    std::vector<MemberUpdate> members;
+    const MemberLife &self() const override { return none; }
+    const std::vector<MemberUpdate> &live() const override { return members; }
+    std::optional<MemberUpdate> find(const MemberId &) const override { return std::nullopt; }
+    std::uint64_t version() const override { return 1; }
+    double visibleShare() const override { return 1; }
+};
+
+} // namespace
+
+// ---- Ports.
+
+bool BenchPorts::order(TargetOrder order)
+{
+    return bench->targets.order(daemon, bench->m_daemons[daemon].life, std::move(order),
+                                bench->m_now);
+}
+
+void BenchPorts::send(const MemberId &, const Endpoint &address, const PeerMessage &message)
+{
+    bench->send(daemon, address, message);
+}
+
+void BenchPorts::setWatching(bool isWatching, Generation after)
+{
+    bench->m_daemons[daemon].isWatching = isWatching;
+    bench->m_daemons[daemon].seen = std::max(bench->m_daemons[daemon].seen, after);
+}
+
+void BenchPorts::readOnce(Generation after)
+{
+    bench->giveReading(daemon, after);
+}
+
+void BenchPorts::fetchText(const Endpoint &peer, Generation generation, std::uint64_t)
+{
+    const std::optional<std::size_t> holder = bench->daemonAt(peer);
+    if (holder && bench->isLinked(daemon, *holder) && generation <= bench->published())
+        bench->m_events.push_back({daemon, bench->m_daemons[daemon].life,
+                                   ConfigurationArrived {bench->m_texts[generation.value() - 1],
+                                                         std::make_shared<std::string>()}});
+}
+
+void BenchPorts::fetchAnswer(const Endpoint &peer, const RequestKey &key, ExchangeId exchange)
+{
+    FaultBench &to = *bench;
+    const std::size_t reader = daemon;
+    const std::optional<std::size_t> holder = to.daemonAt(peer);
+    if (holder && to.isLinked(reader, *holder))
+        to.m_later.push_back([&to, reader, holder = *holder, key, exchange] {
+            to.fetchAnswer(reader, holder, key, exchange);
+        });
+    else
+        to.m_events.push_back(
+            {reader, to.m_daemons[reader].life, KeptAnswerArrived {exchange, {}}});
+}
+
+void BenchPorts::ended(const RequestSummary &summary)
+{
+    if (summary.refusal && summary.refusal->reason == RefusalReason::Shed)
+        bench->m_sheds.push_back({bench->m_now, summary.tier});
+}
+
+std::uint64_t BenchPorts::next()
+{
+    constexpr std::uint64_t Multiplier = 6364136223846793005ULL;
+    random = random * Multiplier + daemon + 1;
+    return random >> 16;
+}
+
+// ---- Daemons.
+
+FaultBench::FaultBench(std::size_t daemons) : m_text(firstText(daemons))
+{
+    m_daemons.resize(daemons);
+    for (std::size_t i = 0; i < daemons; ++i) {
+        m_daemons[i].id = m_text.roster[i].id;
+        m_daemons[i].address = {"127.0.0.1", static_cast<std::uint16_t>(FirstPort + i)};
+    }
+    publish();
+    for (std::size_t i = 0; i < daemons; ++i)
+        start(i);
+    // Until the window of the text has passed, homes refuse keys that an earlier life may know.
+    advance(m_text.policy.deduplicationWindow + std::chrono::seconds(2), WarmUpStep);
+}
+
+void FaultBench::start(std::size_t index)
+{
+    Daemon &daemon = m_daemons[index];
+    ++daemon.life;
+    daemon.isPaused = false;
+    daemon.isWatching = false;
+    daemon.seen = daemon.highest = Generation();
+    daemon.ports = std::make_unique<BenchPorts>();
+    daemon.ports->bench = this;
+    daemon.ports->daemon = index;
+    CoreIdentity identity;
+    identity.settings.id = daemon.id;
+    identity.settings.dataCentre = DataCentreId("dc");
+    identity.settings.region = RegionId("r");
+    identity.settings.peerAddress = daemon.address;
+    for (const Daemon &other : m_daemons)
+        identity.settings.seeds.push_back(other.address);
+    identity.incarnation = Incarnation(daemon.life);
+    identity.keys = peerKeys();
+    BenchPorts &ports = *daemon.ports;
+    daemon.core = std::make_unique<Core>(
+        identity, CorePortsSet {ports, ports, ports, ports, ports, ports}, m_now);
+}
+
+void FaultBench::kill(std::size_t index)
+{
+    Daemon &daemon = m_daemons[index];
+    daemon.core.reset();
+    daemon.isWatching = false;
+    targets.forgetDaemon(index);
+    for (Call &call : m_calls) {
+        const AnswerStream::State state = call.answer->state();
+        const bool isOpen
+            = state == AnswerStream::State::Waiting || state == AnswerStream::State::Open;
+        call.isConnectionLost = call.isConnectionLost || (call.daemon == index && isOpen);
+    }
+}
+
+void FaultBench::wake(std::size_t daemon)
+{
+    m_daemons[daemon].isPaused = false;
+    settle();
+}
+
+std::size_t FaultBench::replace(std::size_t daemon)
+{
+    Daemon next;
+    next.id = m_daemons[daemon].id;
+    next.life = m_daemons[daemon].life;
+    next.address = {"127.0.0.1", static_cast<std::uint16_t>(FirstPort + m_daemons.size())};
+    m_daemons.push_back(std::move(next));
+    start(m_daemons.size() - 1);
+    return m_daemons.size() - 1;
+}
+
+std::size_t FaultBench::joinAsSteward(const std::string &service)
+{
+    std::vector<MemberId> members;
+    for (const Daemon &daemon : m_daemons)
+        members.push_back(daemon.id);
+    members.emplace_back();
+    for (int i = 0; stewardWith(service, members) != members.back(); ++i)
+        members.back() = MemberId("new" + std::to_string(i));
+    Daemon next;
+    next.id = members.back();
+    next.address = {"127.0.0.1", static_cast<std::uint16_t>(FirstPort + m_daemons.size())};
+    m_daemons.push_back(std::move(next));
+    start(m_daemons.size() - 1);
+    return m_daemons.size() - 1;
+}
+
+MemberId FaultBench::stewardWith(const std::string &service,
+                                 const std::vector<MemberId> &members) const
+{
+    SettledView view;
+    for (const MemberId &id : members) {
+        MemberUpdate member;
+        member.life = {id, Incarnation(1)};
+        member.dataCentre = DataCentreId("dc");
+        member.region = RegionId("r");
+        view.members.push_back(member);
+    }
+    const ShardMap map(m_texts.back()->text);
+    return map.stewardOf({ServiceId(service), RegionId("r"), 0}, view);
+}
+
+std::size_t FaultBench::stewardOf(const std::string &service) const
+{
+    std::vector<MemberId> members;
+    for (const Daemon &daemon : m_daemons) {
+        if (daemon.core)
+            members.push_back(daemon.id);
+    }
+    const MemberId steward = stewardWith(service, members);
+    return static_cast<std::size_t>(std::ranges::find(m_daemons, steward, &Daemon::id)
+                                    - m_daemons.begin());
+}
+
+std::string FaultBench::keyAt(std::size_t home, std::size_t next) const
+{
+    Configuration without = *m_texts.back();
+    std::erase_if(without.text.roster,
+                  [&](const RosterEntry &entry) { return entry.id == m_daemons[home].id; });
+    HomeMap now(MemberId("test"), TicketReader(peerKeys()));
+    HomeMap later(MemberId("test"), TicketReader(peerKeys()));
+    now.apply(*m_texts.back(), m_now);
+    later.apply(without, m_now);
+    for (int i = 0;; ++i) {
+        const std::string text = "k" + std::to_string(i);
+        const RequestKey key(text + "@" + CustomerName);
+        const CustomerId customer(CustomerName);
+        const bool isUsed = std::ranges::find(m_calls, text, &Call::key) != m_calls.end();
+        if (!isUsed && now.homesOf(key, customer, m_now).value().homes.front() == m_daemons[home].id
+            && later.homesOf(key, customer, m_now).value().homes.front() == m_daemons[next].id)
+            return text;
+    }
+}
+
+std::string FaultBench::ticketKeyAt(std::size_t home)
+{
+    const auto answer = std::make_shared<AnswerStream>();
+    core(home).handle(EntriesLookup {answer}, m_now);
+    std::string document(answer->written(), ' ');
+    answer->read(document.data(), document.size());
+    const std::string name = "\"ticket\":\"";
+    const std::size_t begin = document.find(name) + name.size();
+    return document.substr(begin, document.find('"', begin) - begin) + ".k"
+        + std::to_string(m_calls.size());
+}
+
+// ---- Messages.
+
+void FaultBench::send(std::size_t from, const Endpoint &to, const PeerMessage &message)
+{
+    if (const auto *request = std::get_if<GrantRequest>(&message))
+        grantedTarget = request->target;
+    const Mail mail {{m_daemons[from].id, Incarnation(m_daemons[from].life)}, from, to, message};
+    const auto rule = m_rules.find(message.index());
+    const bool isRuled = rule != m_rules.end() && rule->second.left > 0;
+    if (isRuled)
+        --rule->second.left;
+    if (!isRuled || rule->second.rule == LinkRule::Double)
+        m_wire.push_back(mail);
+    if (isRuled && rule->second.rule == LinkRule::Double)
+        m_wire.push_back(mail);
+    if (isRuled && rule->second.rule == LinkRule::Hold)
+        m_held.push_back(mail);
+}
+
+void FaultBench::release()
+{
+    m_rules.clear();
+    std::ranges::move(m_held, std::back_inserter(m_wire));
+    m_held.clear();
+    settle();
+}
+
+void FaultBench::releaseFirst()
+{
+    m_wire.push_back(m_held.front());
+    m_held.erase(m_held.begin());
+    settle();
+}
+
+void FaultBench::mend()
+{
+    m_sides.clear();
+    m_cutLink.clear();
+}
+
+bool FaultBench::isLinked(std::size_t from, std::size_t to) const
+{
+    const bool isCutLink = from != to && m_cutLink.contains(from) && m_cutLink.contains(to);
+    return m_daemons[to].core && !isCutLink && m_sides.contains(from) == m_sides.contains(to);
+}
+
+std::optional<std::size_t> FaultBench::daemonAt(const Endpoint &address) const
+{
+    const auto found = std::ranges::find(m_daemons, address, &Daemon::address);
+    if (found == m_daemons.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(found - m_daemons.begin());
+}
+
+void FaultBench::deliver(const Mail &mail)
+{
+    const std::optional<std::size_t> to = daemonAt(mail.to);
+    if (to && isLinked(mail.source, *to))
+        give(*to, PeerArrived {mail.from, m_daemons[mail.source].address, mail.message});
+}
+
+void FaultBench::give(std::size_t daemon, CoreEvent event)
+{
+    m_events.push_back({daemon, m_daemons[daemon].life, std::move(event)});
+}
+
+void FaultBench::settle()
+{
+    std::deque<EventFor> kept;
+    while (!m_wire.empty() || !m_events.empty() || !m_later.empty() || !targets.events.empty()) {
+        if (!m_wire.empty()) {
+            const Mail mail = std::move(m_wire.front());
+            m_wire.pop_front();
+            deliver(mail);
+        }
+        std::ranges::move(targets.events, std::back_inserter(m_events));
+        targets.events.clear();
+        if (!m_later.empty()) {
+            m_later.front()();
+            m_later.pop_front();
+        }
+        if (m_events.empty())
+            continue;
+        EventFor next = std::move(m_events.front());
+        m_events.pop_front();
+        const Daemon &daemon = m_daemons[next.daemon];
+        if (daemon.isPaused)
+            kept.push_back(std::move(next));
+        else if (daemon.core && daemon.life == next.life)
+            daemon.core->handle(std::move(next.event), m_now);
+    }
+    m_events = std::move(kept);
+    noteEnds();
+}
+
+// ---- Time.
+
+void FaultBench::advance(Duration duration, Duration step)
+{
+    for (const Instant end = m_now + duration; m_now < end;) {
+        m_now += step;
+        readPlatform();
+        targets.advance(m_now);
+        settle();
+        for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+            if (!m_daemons[i].core || m_daemons[i].isPaused)
+                continue;
+            m_daemons[i].core->tick(m_now);
+            settle();
+            if (m_daemons[i].core->isDone())
+                kill(i);
+        }
+        noteGenerations();
+    }
+}
+
+void FaultBench::noteGenerations()
+{
+    for (Daemon &daemon : m_daemons) {
+        if (!daemon.core)
+            continue;
+        if (daemon.core->generation() < daemon.highest)
+            m_broken.push_back("the generation fell at " + daemon.id.text());
+        daemon.highest = daemon.core->generation();
+    }
+}
+
+void FaultBench::noteEnds()
+{
+    for (std::size_t i = 0; i < m_calls.size(); ++i) {
+        if (m_calls[i].endedAt == Instant::max() && endOf(i) != CallEnd::Open)
+            m_calls[i].endedAt = m_now;
+    }
+}
+
+// ---- Callers.
+
+std::size_t FaultBench::call(std::size_t daemon, const std::string &key, const std::string &body,
+                             const std::string &service, const std::string &requestClass)
+{
+    Call call {daemon,
+               key,
+               body,
+               service,
+               requestClass,
+               ExchangeId(m_calls.size() + 1),
+               std::make_shared<AnswerStream>(),
+               !isAlive(daemon),
+               false,
+               m_now};
+    CallerRequest request;
+    request.exchange = call.exchange;
+    request.tokenHash = "token";
+    request.service = ServiceId(service);
+    request.method = "POST";
+    request.path = "/";
+    request.requestClass = ClassId(requestClass);
+    request.key = RequestKey(key);
+    request.body = std::make_shared<const std::string>(body);
+    request.sketch.promptTokens = 10;
+    request.sketch.fingerprint = Fingerprint(hashOf(body));
+    request.answer = call.answer;
+    m_calls.push_back(call);
+    if (isAlive(daemon))
+        give(daemon, std::move(request));
+    settle();
+    return m_calls.size() - 1;
+}
+
+void FaultBench::leave(std::size_t index)
+{
+    Call &call = m_calls[index];
+    call.hasLeft = true;
+    call.answer->abandon();
+    give(call.daemon, CallerGone {call.exchange});
+    settle();
+}
+
+CallEnd FaultBench::endOf(std::size_t index) const
+{
+    const Call &call = m_calls[index];
+    if (call.isConnectionLost)
+        return CallEnd::ConnectionLost;
+    switch (call.answer->state()) {
+    case AnswerStream::State::Finished:
+        return CallEnd::Answered;
+    case AnswerStream::State::Cut:
+        return CallEnd::Cut;
+    case AnswerStream::State::Refused:
+        return call.answer->refusal()->outcome == Outcome::NotRun ? CallEnd::NotRun
+                                                                  : CallEnd::Unknown;
+    default:
+        return CallEnd::Open;
+    }
+}
+
+std::string FaultBench::bytesOf(std::size_t index)
+{
+    std::string &bytes = m_bytes[index];
+    char buffer[256];
+    while (const std::size_t taken = m_calls[index].answer->read(buffer, sizeof buffer))
+        bytes.append(buffer, taken);
+    return bytes;
+}
+
+// ---- Platform.
+
+void FaultBench::publish()
+{
+    auto next = std::make_shared<Configuration>();
+    next->generation = Generation(m_texts.size() + 1);
+    next->textHash = m_texts.size() + 1;
+    next->text = m_text;
+    m_texts.push_back(std::move(next));
+}
+
+void FaultBench::giveText(std::size_t daemon)
+{
+    give(daemon, ConfigurationArrived {m_texts.back(), std::make_shared<std::string>()});
+    settle();
+}
+
+void FaultBench::setLeavingVms(const std::vector<VmId> &vms)
+{
+    m_vms = {m_vms.revision + 1, vms};
+    for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+        if (m_daemons[i].core && m_daemons[i].isWatching && isPlatformUp)
+            give(i, VmsArrived {m_vms});
+    }
+    settle();
+}
+
+void FaultBench::giveReading(std::size_t daemon, Generation after)
+{
+    const Generation newest = staleAt.value_or(published());
+    if (isPlatformUp && newest > after) {
+        m_daemons[daemon].seen = newest;
+        give(daemon,
+             ConfigurationArrived {m_texts[newest.value() - 1], std::make_shared<std::string>()});
+    }
+    give(daemon, PlatformReachability {isPlatformUp});
+}
+
+void FaultBench::readPlatform()
+{
+    for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+        const Daemon &daemon = m_daemons[i];
+        const bool hasNews = !isPlatformUp || staleAt.value_or(published()) > daemon.seen;
+        if (daemon.core && daemon.isWatching && tellsWatchers && hasNews)
+            giveReading(i, daemon.seen);
+    }
+}
+
+void FaultBench::fetchAnswer(std::size_t reader, std::size_t holder, const RequestKey &key,
+                             ExchangeId exchange)
+{
+    KeptAnswerAsked asked {key,
+                           std::make_shared<std::promise<std::shared_ptr<const KeptAnswer>>>()};
+    std::shared_ptr<const KeptAnswer> kept;
+    if (m_daemons[holder].core && !m_daemons[holder].isPaused) {
+        auto answer = asked.answer->get_future();
+        core(holder).handle(asked, m_now);
+        kept = answer.get();
+    }
+    give(reader, KeptAnswerArrived {exchange, kept});
+}
+
+// ---- Promises.
+
+std::string FaultBench::keyOf(const Call &call) const
+{
+    return call.key.empty() ? call.answer->key().text() : call.key;
+}
+
+void FaultBench::checkCall(std::size_t index, std::vector<std::string> &broken)
+{
+    const Call &call = m_calls[index];
+    const CallEnd end = endOf(index);
+    const std::string name = "call " + std::to_string(index);
+    const std::string key = keyOf(call);
+    const std::string whole = FakeTargets::answerTo(call.body);
+    const std::string bytes = bytesOf(index);
+    if (end == CallEnd::Open && isAlive(call.daemon) && !call.hasLeft)
+        broken.push_back(name + " has no end");
+    if (end == CallEnd::Answered && !call.hasLeft && bytes != whole)
+        broken.push_back(name + " was answered with '" + bytes + "'");
+    if (whole.substr(0, bytes.size()) != bytes)
+        broken.push_back(name + " got bytes of another answer");
+    const bool isConflict
+        = end == CallEnd::NotRun && call.answer->refusal()->reason == RefusalReason::KeyConflict;
+    if (end == CallEnd::NotRun && !key.empty() && hasRunOfEarlierCall(call, isConflict))
+        broken.push_back(name + " was told 'not run' of a key that ran");
+}
+
+bool FaultBench::hasRunOfEarlierCall(const Call &refused, bool isConflict) const
+{
+    // What was sent after the refusal is another matter: it may run.
+    return std::ranges::any_of(targets.runs, [&](const FakeTargets::Run &run) {
+        const auto call
+            = std::ranges::find(m_calls, run.readers.front().order.answer, &Call::answer);
+        return run.key == keyOf(refused) && call->sentAt <= refused.endedAt
+            && (!isConflict || run.body == refused.body);
+    });
+}
+
+std::vector<std::string> FaultBench::brokenPromises()
+{
+    std::vector<std::string> broken = m_broken;
+    for (const FakeTargets::Run &run : targets.runs) {
+        if (targets.runsOf(run.key) > 1)
+            broken.push_back("key " + run.key + " ran more than once");
+        const auto call = std::ranges::find_if(
+            m_calls, [&](const Call &candidate) { return keyOf(candidate) == run.key; });
+        const std::uint8_t tier = call->requestClass == "low" ? 3 : 1;
+        for (const Shed &shed : m_sheds) {
+            if (shed.tier.isAbove(Tier(tier)) && run.began > shed.at
+                && run.began < shed.at + ShedMemory)
+                broken.push_back("key " + run.key + " began after higher work was shed");
+        }
+    }
+    for (std::size_t i = 0; i < m_calls.size(); ++i)
+        checkCall(i, broken);
+    return broken;
+}
+
+} // namespace Apricothook
