Tell a witness where a caller's run went, and read its stream when the entry dies

Cause: a key with a ticket has the entry itself as its home. When that daemon died the resend was told the truth, "unknown", though the engine still worked on the answer and could give the stream to anybody: a planner's answer was lost. Ruled out: a copy of every grant that is waited for (a round trip per request, and a second home in all but name); asking every engine (grows with targets). Change: after a dispatch of a caller's key to an engine the entry tells one member in another data centre; when a home is gone or has forgotten, two candidates are asked and the stream is read, never run. Fingerprints must match. A forgotten key now reads home-lost-memory, as documented, not outcome-lost. One message for each keyed request to an engine, none for minted keys. Conclusion: hints may be lost and only cost an answer; grants don't change.

--- a/packages/core/apricothook/core/apricothook_core.cpp
+++ b/packages/core/apricothook/core/apricothook_core.cpp
@@ -157,8 +157,13 @@
 void Core::Turn::take(const EntriesLookup &lookup, Instant now)
 {
     const LookupAnswer answer = m_parts.lookup.answer(lookupKeep());
+    // A ticket is used for as long as the answer is kept. One that is given while leaving would
+    // outlive this process: keys made with it would have a home that is gone, and their requests
+    // would be refused after a drain that cut nothing.
+    const bool isLeaving = m_drain.stage() != DrainPlan::Stage::Serving;
+    const std::string ticket = isLeaving ? std::string() : m_parts.issuer.issue(now);
     lookup.answer->begin({200, {{"Content-Type", "application/json"}}});
-    lookup.answer->append(entriesDocument(answer, m_parts.issuer.issue(now)));
+    lookup.answer->append(entriesDocument(answer, ticket));
     lookup.answer->finish();
 }
 
--- a/packages/core/apricothook/core/internal/apricothook_configuration_applier.cpp
+++ b/packages/core/apricothook/core/internal/apricothook_configuration_applier.cpp
@@ -27,6 +27,7 @@
     setLimits(configuration.text, now);
     m_parts.steward.applyConfiguration(action.configuration, now, out);
     m_parts.router.configurationApplied();
+    m_parts.homes.configurationApplied(configuration.text);
     m_parts.flow.applyConfiguration(action.configuration);
     m_parts.flow.membersChanged(now, out);
     m_parts.orders.applied(action.configuration, action.isFleetNew, now);
--- a/packages/core/apricothook/core/internal/apricothook_core_parts.hpp
+++ b/packages/core/apricothook/core/internal/apricothook_core_parts.hpp
@@ -9,6 +9,7 @@
 #include <apricothook/core/internal/apricothook_entry_homes.hpp>
 #include <apricothook/core/internal/apricothook_entry_router.hpp>
 #include <apricothook/homes/apricothook_key_home.hpp>
+#include <apricothook/homes/apricothook_run_hints.hpp>
 #include <apricothook/membership/apricothook_lookup.hpp>
 #include <apricothook/membership/apricothook_membership.hpp>
 #include <apricothook/requests/apricothook_request_flow.hpp>
@@ -31,6 +32,7 @@
     TicketIssuer issuer;
     HomeMap homeMap;
     KeyHome keyHome;
+    RunHints hints;
     AnswerKeeper keptAnswers;
     SuspectList suspects;
     CustomerLimits limits;
--- a/packages/core/apricothook/core/internal/apricothook_entry_homes.cpp
+++ b/packages/core/apricothook/core/internal/apricothook_entry_homes.cpp
@@ -1,5 +1,7 @@
 #include <apricothook/core/internal/apricothook_entry_homes.hpp>
 
+#include <apricothook/homes/apricothook_run_hints.hpp>
+
 namespace Apricothook {
 
 namespace {
@@ -34,4 +36,21 @@
     return m_issuer.mint(m_now, m_random);
 }
 
+std::vector<MemberId> EntryHomes::witnessesOf(const RequestKey &key, const CustomerId &customer,
+                                              Instant now)
+{
+    const Result<HomeChoice, HomeError> choice = m_map.homesOf(key, customer, now);
+    if (!choice)
+        return {};
+    const MemberId &home = choice.value().homes.front();
+    return Apricothook::witnessesOf(key, {home, m_dataCentres[home]}, m_members);
+}
+
+void EntryHomes::configurationApplied(const FleetText &text)
+{
+    m_dataCentres.clear();
+    for (const RosterEntry &entry : text.roster)
+        m_dataCentres[entry.id] = entry.dataCentre;
+}
+
 } // namespace Apricothook
--- a/packages/core/apricothook/core/internal/apricothook_entry_homes.hpp
+++ b/packages/core/apricothook/core/internal/apricothook_entry_homes.hpp
@@ -5,6 +5,8 @@
 #include <apricothook/model/apricothook_member_view.hpp>
 #include <apricothook/requests/apricothook_home_directory.hpp>
 
+#include <unordered_map>
+
 namespace Apricothook {
 
 /** Homes of keys by ticket or roster; a ticket of a life that is gone has no home. */
@@ -20,6 +22,9 @@
     Result<std::vector<MemberId>, KeyProblem>
     homesOf(const RequestKey &key, const CustomerId &customer, Instant now) override;
     RequestKey mint() override;
+    std::vector<MemberId> witnessesOf(const RequestKey &key, const CustomerId &customer,
+                                      Instant now) override;
+    void configurationApplied(const FleetText &text);
     void setNow(Instant now) { m_now = now; }
 
 private:
@@ -28,6 +33,8 @@
     const TicketIssuer &m_issuer;
     RandomSource &m_random;
     Instant m_now {};
+    /** From the roster, as a member that is gone isn't in the view. */
+    std::unordered_map<MemberId, DataCentreId> m_dataCentres;
 };
 
 } // namespace Apricothook
--- a/packages/core/apricothook/core/internal/apricothook_peer_dispatcher.cpp
+++ b/packages/core/apricothook/core/internal/apricothook_peer_dispatcher.cpp
@@ -75,6 +75,11 @@
                    [&](const SuspectNotice &m) { p.suspects.handle(from, m, now, out); },
                    [&](const LimitDemand &m) { p.limits.handle(from, m, now, out); },
                    [&](const LimitShare &m) { p.limits.handle(from, m, now); },
+                   [&](const RunHint &m) { p.hints.keep(m, now); },
+                   [&](const HintQuery &m) {
+                       out.push_back({from, p.hints.answer(m, now)});
+                   },
+                   [&](const HintReply &m) { toFlow(m); },
                },
                arrived.message);
 }
--- a/packages/core/tests/apricothook_fake_targets.cpp
+++ b/packages/core/tests/apricothook_fake_targets.cpp
@@ -21,8 +21,10 @@
 
 bool FakeTargets::order(std::size_t daemon, std::uint64_t life, TargetOrder order, Instant now)
 {
-    if (isRingFull)
+    if (isRingFull) {
+        ++refusedOrders;
         return false;
+    }
     if (auto *dispatched = std::get_if<DispatchOrder>(&order))
         dispatch(daemon, life, std::move(*dispatched), now);
     else if (const auto *cancelled = std::get_if<CancelOrder>(&order))
--- a/packages/core/tests/apricothook_fault_bench.cpp
+++ b/packages/core/tests/apricothook_fault_bench.cpp
@@ -15,6 +15,8 @@
 constexpr Duration WarmUpStep = std::chrono::milliseconds(250);
 // A shed is a broken promise when lower work begins this soon after it; floors fall later.
 constexpr Duration ShedMemory = std::chrono::seconds(1);
+// Three attempts of each of two calls; more would spend the retries of other requests.
+constexpr int MaximumRefusedOrders = 6;
 const char *const CustomerName = "lin";
 
 const std::vector<TicketKey> &peerKeys()
@@ -606,6 +608,9 @@
 std::vector<std::string> FaultBench::brokenPromises()
 {
     std::vector<std::string> broken = m_broken;
+    if (targets.refusedOrders > MaximumRefusedOrders)
+        broken.push_back("a full ring was tried " + std::to_string(targets.refusedOrders)
+                         + " times");
     for (const FakeTargets::Run &run : targets.runs) {
         if (targets.runsOf(run.key) > 1)
             broken.push_back("key " + run.key + " ran more than once");
--- a/packages/core/tests/apricothook_fault_matrix.hpp
+++ b/packages/core/tests/apricothook_fault_matrix.hpp
@@ -15,7 +15,7 @@
     Granted,         ///< The home granted it; the reply is under way.
     BeforeFirstByte, ///< The target works on it.
     Streaming,       ///< Half of the answer is at the caller.
-    Finishing,       ///< Answered; the report to the home is under way.
+    Finishing,       ///< Answered, but the home hasn't heard so; the caller will send it again.
     Answered,        ///< Done; the caller will send it again.
     Confirming,      ///< No target serves it; the home's word for "not run" is under way.
 };
@@ -55,6 +55,7 @@
     MessageLate,
     EntryAndHomeCut,
     EntryAndHomeCutShort,
+    EntryAndHomeCutLong,
     EntryAndStewardCut,
     HalvesCutWithHome,
     HalvesCutWithSteward,
--- a/packages/core/tests/apricothook_fault_matrix_names.cpp
+++ b/packages/core/tests/apricothook_fault_matrix_names.cpp
@@ -6,7 +6,7 @@
 {
     static constexpr std::string_view Names[Steps]
         = {"arriving",         "waiting for room",   "room, no grant", "one of two grants",
-           "grant under way",  "before first byte",  "streaming",      "report under way",
+           "grant under way",  "before first byte",  "streaming",      "answered, no report",
            "answered, resent", "refused, confirming"};
     return Names[static_cast<std::size_t>(step)];
 }
@@ -57,6 +57,7 @@
         "message under way is late",
         "entry and home cut off",
         "entry and home cut off for 2 s",
+        "entry and home cut off for a minute",
         "entry and steward cut off",
         "fleet in halves, entry with home",
         "fleet in halves, entry with steward",
--- a/packages/core/tests/apricothook_fault_scenario.cpp
+++ b/packages/core/tests/apricothook_fault_scenario.cpp
@@ -13,6 +13,7 @@
 constexpr Duration PastLease = seconds(5);
 constexpr Duration PastPatience = seconds(12);
 constexpr Duration ShortCut = seconds(2);
+constexpr Duration LongCut = seconds(60);
 constexpr Duration ToTheEnd = seconds(10);
 const char *const Body = "charge 5 dollars";
 
@@ -336,6 +337,13 @@
         bench.advance(ShortCut);
         bench.mend();
         return true;
+    case Fault::EntryAndHomeCutLong:
+        bench.cutLink(m_entry, m_home);
+        proceed();
+        bench.advance(LongCut);
+        bench.mend();
+        bench.advance(LongCut / 2);
+        return true;
     case Fault::EntryAndStewardCut:
         bench.cutLink(m_entry, m_steward);
         return true;
@@ -416,7 +424,7 @@
     bench.advance(ToTheEnd);
     const bool wantsAnswer
         = std::ranges::none_of(m_calls, [this](std::size_t call) { return isAnswered(call); });
-    if ((wantsAnswer && !bench.callAt(m_calls.front()).hasLeft) || m_step == Step::Answered) {
+    if ((wantsAnswer && !bench.callAt(m_calls.front()).hasLeft) || isDoneAtStep()) {
         resend(m_other);
         bench.advance(ToTheEnd);
     }
@@ -427,7 +435,7 @@
 Expected FaultScenario::observed()
 {
     const bool hasLeft = bench.callAt(m_calls.front()).hasLeft;
-    if (m_step != Step::Answered && !hasLeft && isAnswered(m_calls.front()))
+    if (!isDoneAtStep() && !hasLeft && isAnswered(m_calls.front()))
         return bench.targets.notRun[m_key] > 0 ? Expected::AnsweredAfterNotRun
                                                : Expected::AnsweredOnce;
     const bool isAnsweredLater = std::any_of(m_calls.begin() + 1, m_calls.end(),
--- a/packages/core/tests/apricothook_fault_scenario.hpp
+++ b/packages/core/tests/apricothook_fault_scenario.hpp
@@ -30,6 +30,8 @@
     void changeRosterAndHalfGrant();
     void call();
     void resend(std::size_t daemon);
+    /** The caller has its answer and sends the key again all the same. */
+    bool isDoneAtStep() const { return m_step == Step::Finishing || m_step == Step::Answered; }
     bool isAnswered(std::size_t call) const { return bench.endOf(call) == CallEnd::Answered; }
 
     bool injectDaemonFault(Fault fault);
--- a/packages/model/apricothook/model/apricothook_peer_message.hpp
+++ b/packages/model/apricothook/model/apricothook_peer_message.hpp
@@ -577,13 +577,63 @@
     auto operator<=>(const LimitShare &) const = default;
 };
 
+// ---- Hints of runs ----------------------------------------------------------------------------
+
+/**
+ * Where an engine works on a key that a caller chose. The entry that dispatched it tells a witness
+ * in another data centre, so that the stream can be found when the entry dies and the home with it.
+ */
+struct RunHint
+{
+    RequestKey key;
+    Fingerprint fingerprint;
+    TargetId target;
+    /** How long the hint is of use. */
+    Duration left {};
+    template <typename A, typename S>
+    static void fields(A &a, S &s)
+    {
+        a(s.key, s.fingerprint, s.target, s.left);
+    }
+    auto operator<=>(const RunHint &) const = default;
+};
+
+/** Asks a possible witness where a key's run went. */
+struct HintQuery
+{
+    std::uint64_t sequence = 0;
+    RequestKey key;
+    Fingerprint fingerprint;
+    template <typename A, typename S>
+    static void fields(A &a, S &s)
+    {
+        a(s.sequence, s.key, s.fingerprint);
+    }
+    auto operator<=>(const HintQuery &) const = default;
+};
+
+/** An empty target: the witness knows of no such run. */
+struct HintReply
+{
+    std::uint64_t sequence = 0;
+    RequestKey key;
+    TargetId target;
+    template <typename A, typename S>
+    static void fields(A &a, S &s)
+    {
+        a(s.sequence, s.key, s.target);
+    }
+    auto operator<=>(const HintReply &) const = default;
+};
+
 /** Kinds are numbered on the wire by their place: append only. */
 using PeerMessage
     = std::variant<Probe, ProbeReply, IndirectProbe, MemberListRequest, MemberList, VmList,
                    VmListRequest, DigestRequest, DigestReply, GrantRequest, GrantReply,
                    OutcomeReport, OutcomeAcknowledged, KeyQuery, KeyQueryReply, ReserveRequest,
                    ReserveReply, ReserveCancel, Release, InFlightReport, ShardSummary, FloorRaise,
-                   FloorAcknowledged, SuspectNotice, LimitDemand, LimitShare>;
+                   FloorAcknowledged, SuspectNotice, LimitDemand, LimitShare, RunHint, HintQuery,
+                   HintReply>;
 
 /** A message on its way to a member. */
 struct Outgoing
--- a/packages/peers/apricothook/peers/apricothook_peer_codec.cpp
+++ b/packages/peers/apricothook/peers/apricothook_peer_codec.cpp
@@ -36,7 +36,7 @@
     "GrantReply",     "OutcomeReport", "OutcomeAcknowledged", "KeyQuery",          "KeyQueryReply",
     "ReserveRequest", "ReserveReply",  "ReserveCancel",       "Release",           "InFlightReport",
     "ShardSummary",   "FloorRaise",    "FloorAcknowledged",   "SuspectNotice",     "LimitDemand",
-    "LimitShare"};
+    "LimitShare",     "RunHint",       "HintQuery",           "HintReply"};
 
 static_assert(!KindNames.back().empty(), "Each kind of message has a name for the metrics.");
 
--- a/packages/requests/apricothook/requests/apricothook_home_directory.hpp
+++ b/packages/requests/apricothook/requests/apricothook_home_directory.hpp
@@ -21,6 +21,13 @@
     /** All must grant. Never empty on success. */
     virtual Result<std::vector<MemberId>, KeyProblem>
     homesOf(const RequestKey &key, const CustomerId &customer, Instant now) = 0;
+    /**
+     * Members that hold hints of the key's run for the case that its home is gone; the one that is
+     * told first in front. Empty where there is nobody else.
+     */
+    virtual std::vector<MemberId> witnessesOf(const RequestKey &key, const CustomerId &customer,
+                                              Instant now)
+        = 0;
     /** A new key whose home is this daemon. */
     virtual RequestKey mint() = 0;
 };
--- a/packages/requests/apricothook/requests/apricothook_request_flow.cpp
+++ b/packages/requests/apricothook/requests/apricothook_request_flow.cpp
@@ -60,9 +60,8 @@
         exchange.key = m_context.ports.homes.mint();
     answer->setKey(callerKeyOf(exchange.key));
     m_context.record(RequestsEvent::Accepted, exchange,
-                     "service=" + exchange.request.service.text()
-                         + " customer=" + exchange.customer.text()
-                         + " class=" + exchange.requestClass.id.text()
+                     "service=" + exchange.request.service.text() + " customer="
+                         + exchange.customer.text() + " class=" + exchange.requestClass.id.text()
                          + " tier=" + std::to_string(exchange.requestClass.tier.rank()));
     start(exchange, now, out);
 }
@@ -81,13 +80,21 @@
     m_retries.firstAttempt();
     // A request that is sent again finds its answer without waiting for room.
     if (exchange.isKeyGiven && !m_earlier.ask(exchange, now, out)) {
-        const GrantStep::Advance advance = m_grant.begin(exchange, now, out);
-        m_book.finish(exchange, advance.refusal, now);
+        withoutHome(exchange, now, out);
         return;
     }
     reserve(exchange, now, out);
 }
 
+void RequestFlow::withoutHome(RequestLife &exchange, Instant now, Outbox &out)
+{
+    const GrantStep::Advance advance = m_grant.begin(exchange, now, out);
+    if (advance.refusal && advance.refusal->reason == RefusalReason::HomeLostMemory)
+        m_earlier.forgotten(exchange, now, out);
+    else
+        m_book.finish(exchange, advance.refusal, now);
+}
+
 void RequestFlow::handle(const CallerGone &gone, Instant now, Outbox &out)
 {
     RequestLife *exchange = m_book.find(gone.exchange);
@@ -217,6 +224,7 @@
         return;
     }
     m_book.bindDispatch(exchange);
+    m_run.hint(exchange, now, out);
 }
 
 void RequestFlow::handle(const DispatchStarted &started, Instant)
@@ -315,6 +323,11 @@
         reserve(*m_book.find(ExchangeId(reply.sequence)), now, out);
 }
 
+void RequestFlow::handle(const MemberId &from, const HintReply &reply, Instant now, Outbox &)
+{
+    m_earlier.replied(from, reply, now);
+}
+
 void RequestFlow::handle(const KeptAnswerArrived &arrived, Instant now)
 {
     m_earlier.arrived(arrived, now);
--- a/packages/requests/apricothook/requests/apricothook_request_flow.hpp
+++ b/packages/requests/apricothook/requests/apricothook_request_flow.hpp
@@ -44,6 +44,7 @@
     void handle(const MemberId &from, const ReserveReply &reply, Instant now, Outbox &out);
     void handle(const MemberId &from, const GrantReply &reply, Instant now, Outbox &out);
     void handle(const MemberId &from, const KeyQueryReply &reply, Instant now, Outbox &out);
+    void handle(const MemberId &from, const HintReply &reply, Instant now, Outbox &out);
     void handle(const MemberId &from, const OutcomeAcknowledged &message);
 
     void membersChanged(Instant now, Outbox &out);
@@ -59,6 +60,7 @@
 
 private:
     void start(RequestLife &exchange, Instant now, Outbox &out);
+    void withoutHome(RequestLife &exchange, Instant now, Outbox &out);
     void reserve(RequestLife &exchange, Instant now, Outbox &out);
     void advance(RequestLife &exchange, const ReserveStep::Advance &advance, Instant now,
                  Outbox &out);
--- a/packages/requests/apricothook/requests/apricothook_request_life.hpp
+++ b/packages/requests/apricothook/requests/apricothook_request_life.hpp
@@ -17,6 +17,7 @@
     Granting,       ///< Has room; waits for every home's grant.
     Running,        ///< Handed to the target adapter.
     AwaitingAnswer, ///< Was granted before; waits for the answer of that run.
+    AskingWitness,  ///< Its home is gone or has forgotten; asks where its run went.
     Confirming,     ///< Will be refused; asks the homes whether it ran before.
     Lookup,         ///< GET /v1/requests/KEY.
 };
--- a/packages/requests/apricothook/requests/apricothook_requests_event.hpp
+++ b/packages/requests/apricothook/requests/apricothook_requests_event.hpp
@@ -4,7 +4,7 @@
 
 /** Events about single requests at their entry daemon. */
 enum class RequestsEvent : int {
-    Accepted = 201, ///< info: a request was admitted to the entry; customer, class, tier, patience.
+    Accepted = 201, ///< info: a request was admitted to the entry; service, customer, class, tier.
                     ///< Operator: none.
     Refused = 202,  ///< info: a request got a refusal; reason and outcome. Operator: see the reason
                     ///< in docs/CALLERS.md.
--- a/packages/requests/apricothook/requests/internal/apricothook_earlier_run.cpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_earlier_run.cpp
@@ -4,6 +4,7 @@
 #include <apricothook/requests/internal/apricothook_exchange_book.hpp>
 #include <apricothook/requests/internal/apricothook_flow_context.hpp>
 #include <apricothook/requests/internal/apricothook_key_state_document.hpp>
+#include <apricothook/requests/internal/apricothook_resend_delay.hpp>
 #include <apricothook/requests/internal/apricothook_reserve_step.hpp>
 #include <apricothook/requests/internal/apricothook_run_step.hpp>
 
@@ -15,10 +16,12 @@
 
 constexpr Duration ConfirmPatience = std::chrono::milliseconds(500);
 constexpr Duration LookupPatience = std::chrono::seconds(1);
+constexpr Duration WitnessPatience = std::chrono::milliseconds(500);
 constexpr Duration AwaitPoll = std::chrono::milliseconds(250);
 constexpr Duration RunningRetryAfter = std::chrono::seconds(1);
 
 const Refusal OutcomeLost {RefusalReason::OutcomeLost, Outcome::Unknown, {}};
+const Refusal MemoryLost {RefusalReason::HomeLostMemory, Outcome::Unknown, {}};
 const Refusal AnswerGone {RefusalReason::AnswerGone, Outcome::Unknown, {}};
 
 /** These are about this very request, whatever became of the key before. */
@@ -106,11 +109,11 @@
             return Next::Nothing;
         m_reserve.cancel(*exchange, out);
         exchange->step = ExchangeStep::AwaitingAnswer;
-        return answerAwaited(*exchange, advance, now);
+        return answerAwaited(*exchange, advance, now, out);
     case ExchangeStep::AwaitingAnswer:
-        return answerAwaited(*exchange, advance, now);
+        return answerAwaited(*exchange, advance, now, out);
     case ExchangeStep::Confirming:
-        return confirmed(*exchange, advance, now);
+        return confirmed(*exchange, advance, now, out);
     case ExchangeStep::Lookup:
         answerLookup(*exchange, advance, now);
         return Next::Nothing;
@@ -120,20 +123,21 @@
 }
 
 EarlierRun::Next EarlierRun::confirmed(RequestLife &exchange, const InquiryStep::Advance &advance,
-                                       Instant now)
+                                       Instant now, Outbox &out)
 {
     if (advance.progress != InquiryStep::Progress::NotRun)
         exchange.pendingRefusal->outcome = Outcome::Unknown;
     const bool isBetterKnown = advance.progress == InquiryStep::Progress::Answered
         || advance.progress == InquiryStep::Progress::Conflict;
     if (isBetterKnown)
-        return answerAwaited(exchange, advance, now);
+        return answerAwaited(exchange, advance, now, out);
     m_book.finish(exchange, exchange.pendingRefusal, now);
     return Next::Nothing;
 }
 
 EarlierRun::Next EarlierRun::answerAwaited(RequestLife &exchange,
-                                           const InquiryStep::Advance &advance, Instant now)
+                                           const InquiryStep::Advance &advance, Instant now,
+                                           Outbox &out)
 {
     switch (advance.progress) {
     case InquiryStep::Progress::Waiting:
@@ -147,6 +151,9 @@
     case InquiryStep::Progress::Unknown:
         takeOver(exchange, advance.target, now);
         break;
+    case InquiryStep::Progress::Forgotten:
+        forgotten(exchange, now, out);
+        break;
     case InquiryStep::Progress::Conflict:
         m_book.finish(exchange, Refusal {RefusalReason::KeyConflict, Outcome::NotRun, {}}, now);
         break;
@@ -157,6 +164,57 @@
     return Next::Nothing;
 }
 
+void EarlierRun::forgotten(RequestLife &exchange, Instant now, Outbox &out)
+{
+    exchange.homes.clear();
+    if (exchange.serviceKind == ServiceKind::Engine) {
+        for (const MemberId &witness :
+             m_context.ports.homes.witnessesOf(exchange.key, exchange.customer, now))
+            exchange.homes.push_back({witness, false, false});
+    }
+    if (exchange.homes.empty()) {
+        m_book.finish(exchange, MemoryLost, now);
+        return;
+    }
+    exchange.step = ExchangeStep::AskingWitness;
+    exchange.sends = 0;
+    exchange.deadline = std::min(exchange.deadline, now + WitnessPatience);
+    askWitnesses(exchange, now, out);
+}
+
+void EarlierRun::askWitnesses(RequestLife &exchange, Instant now, Outbox &out)
+{
+    const HintQuery query {exchange.request.exchange.value(), exchange.key,
+                           exchange.request.sketch.fingerprint};
+    for (const HomeAnswer &witness : exchange.homes) {
+        if (!witness.isAnswered)
+            out.push_back({witness.home, query});
+    }
+    ++exchange.sends;
+    m_context.due.set(exchange.request.exchange,
+                      std::min(now + resendDelay(exchange.sends), exchange.deadline));
+}
+
+void EarlierRun::replied(const MemberId &from, const HintReply &reply, Instant now)
+{
+    RequestLife *exchange = m_book.find(ExchangeId(reply.sequence));
+    if (exchange == nullptr || exchange->step != ExchangeStep::AskingWitness
+        || exchange->key != reply.key)
+        return;
+    if (!reply.target.isEmpty()) {
+        // Only the stream is read: whatever the witness believes, nothing runs twice.
+        exchange->deadline = exchange->arrived + exchange->requestClass.patience;
+        takeOver(*exchange, reply.target, now);
+        return;
+    }
+    const auto witness = std::ranges::find(exchange->homes, from, &HomeAnswer::home);
+    if (witness == exchange->homes.end())
+        return;
+    witness->isAnswered = true;
+    if (std::ranges::all_of(exchange->homes, &HomeAnswer::isAnswered))
+        m_book.finish(*exchange, MemoryLost, now);
+}
+
 void EarlierRun::give(RequestLife &exchange, Instant now)
 {
     if (m_inquiry.giveKept(exchange, now)) {
@@ -216,6 +274,10 @@
 
 void EarlierRun::due(RequestLife &exchange, Instant now, Outbox &out)
 {
+    if (exchange.step == ExchangeStep::AskingWitness) {
+        askWitnesses(exchange, now, out);
+        return;
+    }
     if (!m_inquiry.ask(exchange, now, out))
         m_book.finish(exchange, OutcomeLost, now);
 }
@@ -228,6 +290,9 @@
                       Refusal {RefusalReason::AlreadyRunning, Outcome::Unknown, RunningRetryAfter},
                       now);
         return;
+    case ExchangeStep::AskingWitness:
+        m_book.finish(exchange, MemoryLost, now);
+        return;
     case ExchangeStep::Confirming:
         // A home that doesn't answer may have granted the key to another entry.
         exchange.pendingRefusal->outcome = Outcome::Unknown;
--- a/packages/requests/apricothook/requests/internal/apricothook_earlier_run.hpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_earlier_run.hpp
@@ -37,11 +37,17 @@
     void arrived(const KeptAnswerArrived &arrived, Instant now);
     /** No home has answered in time: asks again. */
     void due(RequestLife &exchange, Instant now, Outbox &out);
+    /** The home is gone or has forgotten: looks for the run's stream, then tells the truth. */
+    void forgotten(RequestLife &exchange, Instant now, Outbox &out);
+    void replied(const MemberId &from, const HintReply &reply, Instant now);
     void patienceOver(RequestLife &exchange, Instant now);
 
 private:
-    Next confirmed(RequestLife &exchange, const InquiryStep::Advance &advance, Instant now);
-    Next answerAwaited(RequestLife &exchange, const InquiryStep::Advance &advance, Instant now);
+    Next confirmed(RequestLife &exchange, const InquiryStep::Advance &advance, Instant now,
+                   Outbox &out);
+    Next answerAwaited(RequestLife &exchange, const InquiryStep::Advance &advance, Instant now,
+                       Outbox &out);
+    void askWitnesses(RequestLife &exchange, Instant now, Outbox &out);
     void give(RequestLife &exchange, Instant now);
     void answerLookup(RequestLife &exchange, const InquiryStep::Advance &advance, Instant now);
     void takeOver(RequestLife &exchange, const TargetId &target, Instant now);
--- a/packages/requests/apricothook/requests/internal/apricothook_inquiry_step.cpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_inquiry_step.cpp
@@ -23,8 +23,9 @@
         return InquiryStep::Progress::Answered;
     case KeyState::Conflict:
         return InquiryStep::Progress::Conflict;
-    case KeyState::Unknown:
     case KeyState::LostMemory:
+        return InquiryStep::Progress::Forgotten;
+    case KeyState::Unknown:
         break;
     }
     return InquiryStep::Progress::Unknown;
--- a/packages/requests/apricothook/requests/internal/apricothook_inquiry_step.hpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_inquiry_step.hpp
@@ -23,7 +23,8 @@
         Running,
         Answered, ///< `exchange.holder` keeps the answer.
         Unknown,
-        Conflict, ///< The key belongs to another request.
+        Forgotten, ///< The home lost its memory and can't say.
+        Conflict,  ///< The key belongs to another request.
     };
     struct Advance
     {
--- a/packages/requests/apricothook/requests/internal/apricothook_run_step.cpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_run_step.cpp
@@ -16,6 +16,8 @@
 // Silence for longer than this between bytes means that the connection is lost, not that the
 // engine is slow: the slowest engine's pace is a small part of it.
 constexpr Duration SilenceBetweenBytes = std::chrono::seconds(3);
+// Engines keep a stream's bytes this long (docs/ENGINE-PROTOCOL.md).
+constexpr Duration StreamKeptAfterEnd = std::chrono::seconds(60);
 constexpr std::uint64_t StreamIdSeed = 0x9e3779b97f4a7c15ULL;
 
 /** 128 bits of the key, so that any daemon can name the stream of a key. */
@@ -60,6 +62,20 @@
     return true;
 }
 
+void RunStep::hint(const RequestLife &exchange, Instant now, Outbox &out) const
+{
+    if (!exchange.isKeyGiven || exchange.serviceKind != ServiceKind::Engine)
+        return;
+    const std::vector<MemberId> witnesses
+        = m_context.ports.homes.witnessesOf(exchange.key, exchange.customer, now);
+    if (witnesses.empty())
+        return;
+    const Duration left = exchange.deadline - now + StreamKeptAfterEnd;
+    out.push_back({witnesses.front(),
+                   RunHint {exchange.key, exchange.request.sketch.fingerprint,
+                            exchange.reservation->target, left}});
+}
+
 void RunStep::cancel(const RequestLife &exchange)
 {
     // When the ring is full the run goes on until its deadline: a cost, not a broken promise.
--- a/packages/requests/apricothook/requests/internal/apricothook_run_step.hpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_run_step.hpp
@@ -16,6 +16,8 @@
     bool dispatch(RequestLife &exchange, const Target &target, Instant now);
     /** Fetches the stream of a run that another daemon dispatched before it died. */
     bool takeOver(RequestLife &exchange, const Target &target, Instant now);
+    /** Tells a witness where the run of a caller's key went, if its stream could be resumed. */
+    void hint(const RequestLife &exchange, Instant now, Outbox &out) const;
     void cancel(const RequestLife &exchange);
     /** Tells the steward; `ended` is what the adapter said. */
     void release(const RequestLife &exchange, const DispatchEnded &ended, Outbox &out) const;
--- a/packages/requests/tests/apricothook_flow_fixture.hpp
+++ b/packages/requests/tests/apricothook_flow_fixture.hpp
@@ -26,6 +26,7 @@
     std::map<ShardId, MemberId> stewards;
     std::vector<MemberId> homeMembers {MemberId("home")};
     bool isHomeGone = false;
+    std::vector<MemberId> witnesses {MemberId("w1"), MemberId("w2")};
     bool isSuspect = false;
     std::optional<Refusal> limit;
     std::map<RequestKey, std::shared_ptr<const KeptAnswer>> kept;
@@ -63,6 +64,10 @@
             return KeyProblem::HomeGone;
         return homeMembers;
     }
+    std::vector<MemberId> witnessesOf(const RequestKey &, const CustomerId &, Instant) override
+    {
+        return witnesses;
+    }
     RequestKey mint() override { return RequestKey("minted-" + std::to_string(++minted)); }
     std::optional<Refusal> admit(const CustomerId &, Instant) override { return limit; }
     bool isQuarantined(Fingerprint, Instant) override { return isSuspect; }
--- a/packages/requests/tests/apricothook_request_flow_tests.cpp
+++ b/packages/requests/tests/apricothook_request_flow_tests.cpp
@@ -257,11 +257,55 @@
         CHECK(*answer->refusal() == Refusal {RefusalReason::Shed, Outcome::NotRun, {}});
     }
 
+    // The entry died, and with it the home of the key, which was the same daemon. The caller sends
+    // the key again elsewhere. Witnesses are asked; one knows the target, and the stream is read.
+    TEST_CASE("A witness finds the stream of a run whose entry and home died")
+    {
+        FlowFixture f;
+        f.fakes.isHomeGone = true;
+        const std::shared_ptr<AnswerStream> answer = f.call(1, "k");
+        CHECK(f.sent<HintQuery>().size() == 2);
+        f.flow.handle(MemberId("w1"), HintReply {1, RequestKey("k@mulgara"), {}}, f.now, f.out);
+        CHECK(answer->state() == AnswerStream::State::Waiting);
+        f.flow.handle(MemberId("w2"), HintReply {1, RequestKey("k@mulgara"), TargetId("t2")}, f.now,
+                      f.out);
+        REQUIRE(f.fakes.orders.size() == 1);
+        CHECK(f.lastDispatch().resumesOnly);
+        CHECK(f.lastDispatch().target == TargetId("t2"));
+    }
+
+    TEST_CASE("A run of a caller's key at an engine is told to one witness")
+    {
+        FlowFixture f;
+        f.call(1, "k");
+        f.homeSays(1, "k", KeyState::Unheard);
+        f.reserved(1);
+        f.granted(1);
+        const auto hints = f.sent<RunHint>();
+        REQUIRE(hints.size() == 1);
+        CHECK(hints.front().target == TargetId("t1"));
+        CHECK(hints.front().fingerprint == Fingerprint(5));
+        f.call(2);
+        f.reserved(2);
+        f.granted(2);
+        CHECK(f.sent<RunHint>().empty());
+    }
+
     TEST_CASE("A key whose home is gone may have run")
     {
         FlowFixture f;
         f.fakes.isHomeGone = true;
         const std::shared_ptr<AnswerStream> answer = f.call(1, "k");
+        f.flow.handle(MemberId("w1"), HintReply {1, RequestKey("k@mulgara"), {}}, f.now, f.out);
+        SUBCASE("no witness knows of it")
+        {
+            f.flow.handle(MemberId("w2"), HintReply {1, RequestKey("k@mulgara"), {}}, f.now, f.out);
+        }
+        SUBCASE("a witness doesn't answer")
+        {
+            f.advance(600ms);
+        }
+        REQUIRE(answer->refusal());
         CHECK(*answer->refusal() == Refusal {RefusalReason::HomeLostMemory, Outcome::Unknown, {}});
         CHECK(f.sent<ReserveRequest>().empty());
     }
