Give a suspected steward's shards to its deputy at once

Cause: a steward that was killed kept its shards until its death was certain. Change: suspects aren't chosen as stewards while others of the region are there. Conclusion: the gap is now the time to a suspicion; two stewards may fill the same slots meanwhile.

--- a/packages/steward/apricothook/steward/apricothook_shard_map.cpp
+++ b/packages/steward/apricothook/steward/apricothook_shard_map.cpp
@@ -60,12 +60,23 @@
     return best ? best->life.member : MemberId();
 }
 
-MemberId chooseSteward(const ShardId &id, const std::vector<MemberUpdate> &members)
+/** `left`: a member that isn't taken unless there is no other. */
+MemberId chooseSteward(const ShardId &id, const std::vector<MemberUpdate> &members,
+                       const MemberId &left = MemberId())
 {
     const std::uint64_t seed = seedOf(id);
-    const auto stays = [](const MemberUpdate &m) { return m.state != MemberState::Leaving; };
+    const auto stays = [&](const MemberUpdate &m) {
+        return m.state != MemberState::Leaving && m.life.member != left;
+    };
     const auto isNear = [&](const MemberUpdate &m) { return stays(m) && m.region == id.region; };
-    MemberId steward = rendezvous(members, seed, isNear);
+    // A steward that died would keep its shard until its death is certain, and a service with one
+    // shard would serve nobody for that long. One that is suspected wrongly is asked again as soon
+    // as it has refuted; until then two may fill the same slots, which costs time only.
+    const auto answers
+        = [&](const MemberUpdate &m) { return isNear(m) && m.state != MemberState::Suspect; };
+    MemberId steward = rendezvous(members, seed, answers);
+    if (steward.isEmpty())
+        steward = rendezvous(members, seed, isNear);
     if (steward.isEmpty())
         steward = rendezvous(members, seed, stays);
     if (steward.isEmpty())
@@ -174,4 +185,9 @@
     return m_stewards.emplace(id, chooseSteward(id, view.live())).first->second;
 }
 
+MemberId ShardMap::deputyOf(const ShardId &id, const MemberView &view) const
+{
+    return chooseSteward(id, view.live(), stewardOf(id, view));
+}
+
 } // namespace Apricothook
--- a/packages/steward/apricothook/steward/apricothook_shard_map.hpp
+++ b/packages/steward/apricothook/steward/apricothook_shard_map.hpp
@@ -42,10 +42,13 @@
 
     /**
      * The member that keeps the shard's ledger: rendezvous over the members of the shard's region
-     * that don't leave; over all that don't leave where the region has none; over all members where
-     * all leave. Worked out once for each version of the view.
+     * that neither leave nor are suspected; over its suspects where it has no other; over all that
+     * don't leave where it has none; over all members where all leave. Worked out once for each
+     * version of the view.
      */
     MemberId stewardOf(const ShardId &id, const MemberView &view) const;
+    /** The steward in the eyes of members that take this one's steward for dead. */
+    MemberId deputyOf(const ShardId &id, const MemberView &view) const;
 
 private:
     struct IndexKey
--- a/packages/steward/apricothook/steward/apricothook_steward.cpp
+++ b/packages/steward/apricothook/steward/apricothook_steward.cpp
@@ -102,6 +102,7 @@
 {
     if (!m_map)
         return;
+    expectDeputies(now);
     takeShards(now, out);
     for (auto &[id, held] : m_held)
         held->ledger.membersChanged(now, out);
@@ -161,10 +162,25 @@
     return *state;
 }
 
-bool Steward::isLive(const MemberId &member) const
+MemberState Steward::memberState(const MemberId &member) const
 {
     const std::optional<MemberUpdate> update = m_members.find(member);
-    return update && update->state != MemberState::Dead;
+    return update ? update->state : MemberState::Dead;
+}
+
+/**
+ * Others that suspected this daemon have asked the deputies of its shards, and go on until they
+ * hear the refutation. The deputies must know of a floor before this steward sheds a tier, or they
+ * would still serve lower ones.
+ */
+void Steward::expectDeputies(Instant now)
+{
+    const std::optional<MemberUpdate> self = m_members.find(m_members.self().member);
+    if (!self || self->refutation == m_refutation)
+        return;
+    m_refutation = self->refutation;
+    for (const auto &[id, held] : m_held)
+        stateOf(id.service).peers[m_map->deputyOf(id, m_members)] = now + m_policy.stewardGrace;
 }
 
 void Steward::updatePeers(const ServiceId &service, ServiceState &state, Instant now)
@@ -176,8 +192,12 @@
     for (const ShardId &shard : m_map->shardsOf(service))
         state.peers[m_map->stewardOf(shard, m_members)] = Instant::max();
     state.peers.erase(m_members.self().member);
-    std::erase_if(state.peers,
-                  [&](const auto &entry) { return now >= entry.second || !isLive(entry.first); });
+    // A suspect may still serve those who haven't heard of the suspicion; it is waited for until
+    // it is dead or has been heard.
+    std::erase_if(state.peers, [&](const auto &peer) {
+        const MemberState is = memberState(peer.first);
+        return is == MemberState::Dead || (now >= peer.second && is != MemberState::Suspect);
+    });
     std::vector<MemberId> peers;
     for (const auto &[member, until] : state.peers)
         peers.push_back(member);
--- a/packages/steward/apricothook/steward/apricothook_steward.hpp
+++ b/packages/steward/apricothook/steward/apricothook_steward.hpp
@@ -74,11 +74,12 @@
     void takeShards(Instant now, Outbox &out);
     void take(const Shard &shard, Instant now);
     ServiceState &stateOf(const ServiceId &service);
+    void expectDeputies(Instant now);
     void updatePeers(const ServiceId &service, ServiceState &state, Instant now);
     void settle(const ServiceId &service, Instant now, Outbox &out);
     void tellSummary(const MemberId &to, Held &held, Instant now, Outbox &out) const;
     void recordFloor(const ServiceId &service, Tier before, Tier after);
-    bool isLive(const MemberId &member) const;
+    MemberState memberState(const MemberId &member) const;
 
     const MemberView &m_members;
     EventSink &m_events;
@@ -90,6 +91,7 @@
     std::unique_ptr<ShardMap> m_map;
     Tier m_lowestTier {LowestTierRank};
     std::set<VmId> m_leaving;
+    std::uint64_t m_refutation = 0;
     std::map<ServiceId, std::unique_ptr<ServiceState>> m_services;
     std::map<ShardId, std::unique_ptr<Held>> m_held;
 };
--- a/packages/steward/tests/apricothook_floor_tests.cpp
+++ b/packages/steward/tests/apricothook_floor_tests.cpp
@@ -86,6 +86,34 @@
         }
     }
 
+    TEST_CASE("A steward that was suspected sheds only once its deputy has shut the lower tiers")
+    {
+        // The steward was paused. Some entries took it for dead and ask its deputy, which serves
+        // tier 5. The steward wakes, refutes, and has to refuse tier 2: it doesn't know from its
+        // own view that the deputy serves, and would shed tier 2 while tier 5 goes on there.
+        StewardFleet fleet(1);
+        fill(fleet);
+        const auto &[name, shard] = fleet.keepers[0];
+        FleetText text = Testing::fleet(2, 1);
+        text.policy.shardTargets = 1;
+        const MemberId deputy = ShardMap(text).deputyOf(shard, *fleet.views.at(name));
+        REQUIRE(deputy.text() != fleet.keepers[1].first);
+        Outbox out;
+        fleet.views.at(name)->refuteSelf();
+        fleet.stewards.at(name)->membersChanged(fleet.now, out);
+        for (int count = 0; count < 4; ++count)
+            fleet.request(0, 1, 10s);
+        const AttemptId held = fleet.request(0, 2, 3s);
+        fleet.stopped.insert(deputy.text());
+        std::erase_if(fleet.network, [&](const auto &sent) { return sent.second.to == deputy; });
+        fleet.pass(500ms);
+        CHECK(fleet.verdict(held) == ReserveVerdict::Queued);
+        fleet.stopped.clear();
+        fleet.pass(500ms);
+        CHECK(fleet.verdict(held) == ReserveVerdict::Shed);
+        CHECK_FALSE(brokenPromise(fleet.trace));
+    }
+
     TEST_CASE("A raise that arrives late doesn't undo a newer one")
     {
         // The network keeps a copy of the first step and delivers it after the last. The raiser
--- a/packages/steward/tests/apricothook_shard_chooser_tests.cpp
+++ b/packages/steward/tests/apricothook_shard_chooser_tests.cpp
@@ -120,4 +120,24 @@
             CHECK((after == steward) == (steward != leaving));
         }
     }
+
+    TEST_CASE("A suspected steward's shard goes to its deputy and comes back")
+    {
+        // The only steward of a service dies. Lookups of 2 s patience fail until it has another:
+        // when its death was certain, that took 9.5 s at 9 daemons, and half of it since suspects
+        // lose their shards. Where all members are suspects, one of them keeps the shard.
+        const ShardMap map(fleet(4, 4));
+        const ShardId shard = map.shards().begin()->first;
+        FakeMembers view("m9", {"m1", "m2", "m3"});
+        const MemberId steward = map.stewardOf(shard, view);
+        const MemberId deputy = map.deputyOf(shard, view);
+        CHECK(deputy != steward);
+        view.set(steward.text(), MemberState::Suspect);
+        CHECK(map.stewardOf(shard, view) == deputy);
+        view.set(steward.text(), MemberState::Alive);
+        CHECK(map.stewardOf(shard, view) == steward);
+        for (const std::string name : {"m1", "m2", "m3"})
+            view.set(name, MemberState::Suspect);
+        CHECK(map.stewardOf(shard, view) == steward);
+    }
 }
--- a/packages/steward/tests/apricothook_steward_fakes.hpp
+++ b/packages/steward/tests/apricothook_steward_fakes.hpp
@@ -40,6 +40,13 @@
         std::sort(m_live.begin(), m_live.end());
         ++m_version;
     }
+    /** As after a suspicion that this daemon heard of and refuted. */
+    void refuteSelf()
+    {
+        for (MemberUpdate &update : m_live)
+            update.refutation += update.life == m_self ? 1 : 0;
+        ++m_version;
+    }
     void setShare(double share) { m_share = share; }
 
     const MemberLife &self() const override { return m_self; }
