Let a link drop the datagrams of chosen senders

Change: blockSenders() and the control call of the same name; effective for the next datagram. Conclusion: a link before each daemon makes partitions between real processes.

--- a/packages/testing/apricothook/testing/apricothook_link_stand_in.cpp
+++ b/packages/testing/apricothook/testing/apricothook_link_stand_in.cpp
@@ -111,7 +111,8 @@
     }
 
     /** Waits shortly for traffic; the bytes that went over. */
-    std::uint64_t pass(LinkState state, std::atomic<std::uint64_t> &dropped)
+    std::uint64_t pass(LinkState state, const BlockedSenders &blocked,
+                       std::atomic<std::uint64_t> &dropped)
     {
         std::vector<pollfd> polled {{m_listener, POLLIN, 0}, {m_datagrams, POLLIN, 0}};
         for (const auto &[from, socket] : m_senders)
@@ -126,14 +127,15 @@
         std::uint64_t bytes = 0;
         for (const pollfd &entry : polled) {
             if (entry.revents != 0)
-                bytes += handle(entry.fd, state, dropped);
+                bytes += handle(entry.fd, state, blocked, dropped);
         }
         closeBroken();
         return bytes;
     }
 
 private:
-    std::uint64_t handle(int socket, LinkState state, std::atomic<std::uint64_t> &dropped)
+    std::uint64_t handle(int socket, LinkState state, const BlockedSenders &blocked,
+                         std::atomic<std::uint64_t> &dropped)
     {
         if (socket == m_listener) {
             acceptOne(state);
@@ -145,7 +147,7 @@
             if (pair.far == socket)
                 return passStream(pair, pair.far, pair.near);
         }
-        return passDatagram(socket, state, dropped);
+        return passDatagram(socket, state, blocked, dropped);
     }
 
     void acceptOne(LinkState state)
@@ -176,7 +178,8 @@
     }
 
     /** From the outside to the target, or an answer back to whom its socket stands for. */
-    std::uint64_t passDatagram(int socket, LinkState state, std::atomic<std::uint64_t> &dropped)
+    std::uint64_t passDatagram(int socket, LinkState state, const BlockedSenders &blocked,
+                               std::atomic<std::uint64_t> &dropped)
     {
         sockaddr_in from {};
         socklen_t size = sizeof from;
@@ -184,7 +187,8 @@
                                          reinterpret_cast<sockaddr *>(&from), &size);
         if (count < 0)
             return 0;
-        if (state != LinkState::Open) {
+        const bool isBlocked = socket == m_datagrams && blocked.contains(ntohs(from.sin_port));
+        if (state != LinkState::Open || isBlocked) {
             ++dropped;
             return 0;
         }
@@ -249,7 +253,7 @@
         }
         if (m_state == LinkState::Cut)
             sockets.closeAll();
-        m_forwarded += sockets.pass(m_state, m_dropped);
+        m_forwarded += sockets.pass(m_state, m_blocked, m_dropped);
     }
 }
 
@@ -270,6 +274,12 @@
                                       : LinkState::Held);
     if (document["silenceOpen"].asBool())
         silenceOpen();
+    if (document["blockSenders"].isArray()) {
+        std::set<std::uint16_t> ports;
+        for (const Json::Value &port : document["blockSenders"])
+            ports.insert(static_cast<std::uint16_t>(port.asUInt()));
+        blockSenders(std::move(ports));
+    }
     Json::Value counts;
     counts["kind"] = "link";
     counts["forwardedBytes"] = Json::UInt64(m_forwarded);
--- a/packages/testing/apricothook/testing/apricothook_link_stand_in.hpp
+++ b/packages/testing/apricothook/testing/apricothook_link_stand_in.hpp
@@ -6,7 +6,9 @@
 #include <atomic>
 #include <cstdint>
 #include <mutex>
+#include <set>
 #include <thread>
+#include <utility>
 
 namespace Apricothook {
 
@@ -16,6 +18,26 @@
     Held, ///< Connections stay open and nothing passes; datagrams are dropped.
 };
 
+/** Ports whose datagrams a link drops; may change while the link passes others. */
+class BlockedSenders
+{
+public:
+    void set(std::set<std::uint16_t> ports)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_ports = std::move(ports);
+    }
+    bool contains(std::uint16_t port) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_ports.contains(port);
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::set<std::uint16_t> m_ports;
+};
+
 /** A way between two processes on loopback, TCP and UDP, that can be cut or fall silent. */
 class LinkStandIn : public HttpHandler
 {
@@ -29,6 +51,11 @@
     void setState(LinkState state) { m_state = state; }
     /** Connections that are open now never pass a byte again; new ones work. Returns when done. */
     void silenceOpen();
+    /**
+     * Datagrams from these ports are dropped. With a link before each daemon, two groups that
+     * block each other's ports are in a partition, and each group goes on among itself.
+     */
+    void blockSenders(std::set<std::uint16_t> ports) { m_blocked.set(std::move(ports)); }
     std::uint64_t forwardedBytes() const { return m_forwarded; }
     std::uint64_t droppedDatagrams() const { return m_dropped; }
 
@@ -45,6 +72,7 @@
     std::atomic<bool> m_stopping = false;
     std::atomic<std::uint64_t> m_forwarded = 0;
     std::atomic<std::uint64_t> m_dropped = 0;
+    BlockedSenders m_blocked;
     std::unique_ptr<HttpHost> m_control;
     std::thread m_worker;
 };
--- a/packages/testing/tests/apricothook_service_stand_in_tests.cpp
+++ b/packages/testing/tests/apricothook_service_stand_in_tests.cpp
@@ -4,12 +4,67 @@
 #include <apricothook/testing/apricothook_plain_stand_in.hpp>
 #include <apricothook/testing/apricothook_platform_stand_in.hpp>
 
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <future>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace Apricothook;
 using namespace std::chrono_literals;
 
+namespace {
+
+sockaddr_in loopback(std::uint16_t port)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+/** A bound UDP socket of one member. */
+class DatagramPeer
+{
+public:
+    DatagramPeer()
+    {
+        const sockaddr_in address = loopback(0);
+        ::bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+    }
+    DatagramPeer(const DatagramPeer &) = delete;
+    DatagramPeer &operator=(const DatagramPeer &) = delete;
+    ~DatagramPeer() { ::close(m_socket); }
+
+    std::uint16_t port() const
+    {
+        sockaddr_in address {};
+        socklen_t size = sizeof address;
+        ::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
+        return ntohs(address.sin_port);
+    }
+
+    void send(std::uint16_t port, char letter) const
+    {
+        const sockaddr_in to = loopback(port);
+        ::sendto(m_socket, &letter, 1, 0, reinterpret_cast<const sockaddr *>(&to), sizeof to);
+    }
+
+    /** Waits for the next datagram. */
+    char receive() const
+    {
+        char letter = '-';
+        ::recv(m_socket, &letter, 1, 0);
+        return letter;
+    }
+
+private:
+    int m_socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+};
+
+} // namespace
+
 TEST_SUITE("[plain-stand-in]")
 {
     TEST_CASE("A call that ran without an answer is counted as run")
@@ -91,4 +146,22 @@
         CHECK(silent.get().status == 0);
         CHECK(callStandIn(link.port(), "GET", "/x").status == 0);
     }
+
+    TEST_CASE("A link drops the datagrams of blocked senders and passes those of others")
+    {
+        // A partition: members of the other side can't be heard, those of the own side can. The
+        // blocked datagram was sent first, so it would have been received first.
+        const DatagramPeer other;
+        const DatagramPeer own;
+        const DatagramPeer receiver;
+        LinkStandIn link({"127.0.0.1", receiver.port()});
+        link.blockSenders({other.port()});
+        other.send(link.port(), 'a');
+        own.send(link.port(), 'b');
+        CHECK(receiver.receive() == 'b');
+        CHECK(link.droppedDatagrams() == 1);
+        link.blockSenders({});
+        other.send(link.port(), 'c');
+        CHECK(receiver.receive() == 'c');
+    }
 }
