Let a daemon listen elsewhere than where its peers send

Cause: nothing could stand between two daemons, neither a network address translation nor a link of a test, as a daemon bound the address that it tells the others. Change: the setting peerListenAddress; peerAddress where it isn't given. Refused where it is the callers' or the metrics' address.

--- a/packages/daemon/apricothook/daemon/apricothook_daemon_process.cpp
+++ b/packages/daemon/apricothook/daemon/apricothook_daemon_process.cpp
@@ -100,7 +100,8 @@
     , m_answers(m_coreThread)
     , m_platform({m_coreThread, m_checker, m_seal, m_shelf, m_clock, events, m_platformCounters},
                  settings.platformAddress, m_random.next())
-    , m_rpc({m_seal, m_shelf, m_answers, m_clock, events, m_platformCounters}, settings.peerAddress)
+    , m_rpc({m_seal, m_shelf, m_answers, m_clock, events, m_platformCounters},
+            settings.peerListenAddress)
     , m_targets(m_coreThread, m_clock)
     , m_callers(settings.callerAddress, callerLimitsOf(Policy()), m_clock, m_coreThread, events)
 {
@@ -111,7 +112,7 @@
     // Every process of a member has a larger incarnation than those before: the wall clock moves on
     // by more than a restart takes. One that is behind finds out from the others and leaves.
     const MemberLife self {m_settings.id, Incarnation(m_clock.wallMilliseconds())};
-    auto peers = PeerTransport::open(self, m_settings.peerAddress, m_keys, m_coreThread);
+    auto peers = PeerTransport::open(self, m_settings.peerListenAddress, m_keys, m_coreThread);
     if (!peers || !m_rpc.start())
         return DaemonFailure::PeerAddressInUse;
     m_peers = std::move(peers.value());
--- a/packages/model/apricothook/model/apricothook_settings.hpp
+++ b/packages/model/apricothook/model/apricothook_settings.hpp
@@ -27,6 +27,8 @@
     /** Empty: log to standard error. */
     std::string logFolder;
     int logLevel = 0;
+    /** Where this daemon listens for others; peerAddress unless addresses are translated. */
+    Endpoint peerListenAddress;
     auto operator<=>(const Settings &) const = default;
 };
 
--- a/packages/text/apricothook/text/apricothook_settings_parser.cpp
+++ b/packages/text/apricothook/text/apricothook_settings_parser.cpp
@@ -42,6 +42,18 @@
         root.refuse(key, TextRule::DuplicateEndpoint, "the same as " + std::string(otherKey));
 }
 
+/** Where addresses are translated, others send elsewhere than where this daemon listens. */
+void readPeerListenAddress(ObjectReader &root, Settings &settings)
+{
+    constexpr std::string_view Key = "peerListenAddress";
+    if (!root.readEndpoint(Key, settings.peerListenAddress, Need::Optional)) {
+        settings.peerListenAddress = settings.peerAddress;
+        return;
+    }
+    refuseSame(root, Key, settings.peerListenAddress, "callerAddress", settings.callerAddress);
+    refuseSame(root, Key, settings.peerListenAddress, "metricsAddress", settings.metricsAddress);
+}
+
 void readAddresses(ObjectReader &root, Settings &settings)
 {
     readReachable(root, "callerAddress", settings.callerAddress);
@@ -53,6 +65,7 @@
                settings.callerAddress);
     refuseSame(root, "metricsAddress", settings.metricsAddress, "peerAddress",
                settings.peerAddress);
+    readPeerListenAddress(root, settings);
 }
 
 /**
--- a/packages/text/tests/apricothook_examples_tests.cpp
+++ b/packages/text/tests/apricothook_examples_tests.cpp
@@ -74,4 +74,21 @@
     CHECK(settings.value().id == MemberId("entry-1"));
     CHECK(settings.value().seeds.size() == 3);
     CHECK(settings.value().peerAddress == Endpoint {"127.0.0.1", 20201});
+    CHECK(settings.value().peerListenAddress == settings.value().peerAddress);
+}
+
+TEST_CASE("A daemon may listen elsewhere than where others send, but not where callers connect")
+{
+    std::string text = readTestFile("examples/daemon-settings.json");
+    const auto withListen = [&text](const std::string &address) {
+        std::string changed = text;
+        changed.insert(changed.rfind('}'), ", \"peerListenAddress\": \"" + address + "\"");
+        return parseSettings(changed);
+    };
+    const auto translated = withListen("0.0.0.0:9000");
+    REQUIRE(translated);
+    CHECK(translated.value().peerListenAddress == Endpoint {"0.0.0.0", 9000});
+    const auto same = withListen("127.0.0.1:20101");
+    REQUIRE_FALSE(same);
+    CHECK(same.error().front().rule == TextRule::DuplicateEndpoint);
 }
