Partition the daemons of a fleet run, and check tiers on each side alone

Cause: daemons couldn't be cut off from each other; and the tier check compared the two sides of a partition, of which each agrees on its own (docs/SHEDDING.md). Change: a link before each daemon, the faults 'partition' and 'deaf daemon', and splits left out of the tier check for pairs on unlike sides.

--- a/tools/scripts/fleetrun/checks.py
+++ b/tools/scripts/fleetrun/checks.py
@@ -5,6 +5,8 @@
 # A reservation is logged by the entry a message after the steward gave it, and a raise by each
 # steward; on a busy machine this much later.
 LogSlackSeconds = 0.5
+# Within this time after a split the members hear of each other's floors again.
+HealSeconds = 8
 
 
 class GenerationWatch:
@@ -68,6 +70,12 @@
     return total
 
 
+def wereSplit(site, one, other, moment):
+    """Whether the two couldn't hear each other then or shortly before."""
+    return any(began <= moment <= ended + HealSeconds and (one in group) != (other in group)
+               for began, ended, group in site.splits)
+
+
 def wasPaused(daemon, moment):
     return any(began - 1 <= moment <= ended + 2 for began, ended in daemon.pauses)
 
@@ -86,7 +94,8 @@
     """Lower tiers that were reserved while a higher one of the same service was shed.
 
     From the moment when an entry tells that a request of a tier was shed until the first steward
-    tells that the service's floor fell, no entry may be given room for a lower tier.
+    tells that the service's floor fell, no entry may be given room for a lower tier. Each side of a
+    partition agrees on its own, so entries of two sides aren't compared.
     """
     tierOf, classService, shedAt, broken = {}, {}, {}, []
     for at, daemon, event in gather(site):
@@ -95,7 +104,7 @@
             classService[event.key] = event.details["class"]
         elif event.number == logs.Refused and event.details["reason"] == "shed" and event.key in tierOf:
             service = site.serviceOfClass(classService[event.key])
-            shedAt.setdefault(service, {})[tierOf[event.key]] = at
+            shedAt.setdefault(service, {})[tierOf[event.key]] = (at, daemon)
         elif event.number == logs.FloorFell:
             shedAt.pop(event.details["service"], None)
         elif event.number == logs.Reserved and event.key in tierOf:
@@ -109,8 +118,9 @@
         return []
     return [f"{service}: tier {tier} reserved at {daemon.id}, tier {shed} was shed "
             f"{event.at - at:.2f} s before: {event.key}"
-            for shed, at in shedAt.get(service, {}).items()
-            if shed < tier and event.at - at > LogSlackSeconds]
+            for shed, (at, by) in shedAt.get(service, {}).items()
+            if shed < tier and event.at - at > LogSlackSeconds
+            and not wereSplit(site, daemon, by, event.at)]
 
 
 def countOf(site, *numbers):
--- a/tools/scripts/fleetrun/faults.py
+++ b/tools/scripts/fleetrun/faults.py
@@ -10,6 +10,7 @@
 ReplaceSeconds = (1, 8)
 PauseSeconds = (1, 20)
 LinkSeconds = (1, 8)
+PartitionSeconds = (4, 25)
 PlatformSeconds = (3, 15)
 GapSeconds = (1.5, 5)
 
@@ -29,7 +30,7 @@
         self.kinds = [
             (4, self.killDaemon), (2, self.drainDaemon), (3, self.pauseDaemon), (3, self.cutLink),
             (6, self.engineFault), (2, self.plainFault), (2, self.platformFault),
-            (3, self.publish), (1, self.leavingVm)]
+            (3, self.publish), (1, self.leavingVm), (2, self.partition), (1, self.deafDaemon)]
 
     def run(self, seconds):
         limit = time.monotonic() + seconds
@@ -43,14 +44,15 @@
         for thread in self.threads:
             thread.join()
 
-    def begin(self, name, subject, action):
+    def begin(self, name, told, action, subject=None):
         """Runs the action on its own thread unless the subject has a fault already."""
+        subject = subject or told
         with self.lock:
             if subject in self.busy:
                 return
             self.busy.add(subject)
             self.counts[name] = self.counts.get(name, 0) + 1
-        self.say(f"fault: {name} {subject}")
+        self.say(f"fault: {name} {told}")
 
         def whole():
             try:
@@ -110,6 +112,37 @@
             calls.control(address, state="open")
         self.begin(f"link {kind}", f"link {address}", act)
 
+    def partition(self, draw):
+        """One data centre, or any group, is cut off from the rest; both sides go on serving."""
+        daemons = self.site.daemons
+        if draw.random() < 0.5:
+            centre = draw.choice(daemons).dataCentre
+            group = [d for d in daemons if d.dataCentre == centre]
+        else:
+            group = draw.sample(daemons, draw.randint(1, len(daemons) // 2))
+        seconds = draw.uniform(*PartitionSeconds)
+
+        def act():
+            began = time.time()
+            self.site.partition(group)
+            time.sleep(seconds)
+            self.site.partition([])
+            self.site.splits.append((began, time.time(), group))
+        self.begin("partition", f"peers of {[d.id for d in group]}", act, subject="peers")
+
+    def deafDaemon(self, draw):
+        """Nothing reaches one daemon from its peers, but it is heard."""
+        daemon = draw.choice(self.site.daemons)
+        seconds = draw.uniform(*LinkSeconds)
+
+        def act():
+            began = time.time()
+            calls.control(daemon.peerLink, state="cut")
+            time.sleep(seconds)
+            calls.control(daemon.peerLink, state="open")
+            self.site.splits.append((began, time.time(), [daemon]))
+        self.begin("deaf daemon", f"peer link of {daemon.id}", act)
+
     def targetFault(self, draw, isEngine, choices):
         target = draw.choice([t for t in self.site.targets if self.site.isEngine(t) == isEngine])
         address = self.site.targets[target]["address"]
--- a/tools/scripts/fleetrun/site.py
+++ b/tools/scripts/fleetrun/site.py
@@ -14,8 +14,8 @@
 # "A few seconds": how long a target on a leaving VM may still be given new work.
 LeavingSeconds = 5
 # Offsets from the site's first port.
-Platform, Targets, TargetLinks, PlatformLinks, Callers, Peers, Metrics = (
-    1, 100, 150, 200, 300, 400, 500)
+Platform, Targets, TargetLinks, PlatformLinks, Callers, Peers, Metrics, PeerLinks = (
+    1, 100, 150, 200, 300, 400, 500, 600)
 
 
 def readText(file):
@@ -33,7 +33,9 @@
         self.id = member["id"]
         self.dataCentre = member["dataCentre"]
         self.caller = site.address(Callers + index)
-        self.peer = site.address(Peers + index)
+        self.listen = site.address(Peers + index)
+        self.peer = site.address(PeerLinks + 2 * index)
+        self.peerLink = site.address(PeerLinks + 2 * index + 1)
         self.metrics = site.address(Metrics + index)
         self.process = None
         self.lives = []
@@ -50,7 +52,8 @@
         return {
             "id": self.id, "vm": f"vm-of-{self.id}", "dataCentre": self.dataCentre,
             "region": self.site.regions[self.dataCentre], "callerAddress": self.caller,
-            "peerAddress": self.peer, "metricsAddress": self.metrics,
+            "peerAddress": self.peer, "peerListenAddress": self.listen,
+            "metricsAddress": self.metrics,
             "platformAddress": self.platformAddress(), "seeds": seeds,
             "peerKeyFile": str(self.site.folder / "peer-keys"), "logFolder": "", "logLevel": 0}
 
@@ -104,6 +107,7 @@
         self.document = readText(repository / "examples" / f"{name}.json")
         self.regions = {d["id"]: d["region"] for d in self.document["dataCentres"]}
         self.mix = {}
+        self.splits = []
         self.targets = {}
         self.links = {}
         self.placeTargets(linked)
@@ -189,7 +193,13 @@
         return self.address(PlatformLinks + 2 * daemon.index + 1)
 
     def startDaemons(self):
-        """Whether all became ready; prints those that didn't."""
+        """Whether all became ready behind their links; prints those that didn't."""
+        for daemon in self.daemons:
+            port = self.firstPort + PeerLinks + 2 * daemon.index
+            self.startLink(f"peer-link-{daemon.id}", port, daemon.listen)
+        if not all(await_(lambda d=d: calls.isOk(d.peerLink, "/"), ReadySeconds)
+                   for d in self.daemons):
+            return False
         for daemon in self.daemons:
             daemon.start()
         late = [d.id for d in self.daemons if not await_(d.isReady, ReadySeconds)]
@@ -197,6 +207,14 @@
             print(f"fleet-run: not ready after {ReadySeconds} s: {late}", flush=True)
         return not late
 
+    def partition(self, group):
+        """Datagrams between the group and the others are dropped; an empty group ends that."""
+        for daemon in self.daemons:
+            isIn = daemon in group
+            blocked = [int(other.listen.split(":")[1]) for other in self.daemons
+                       if group and (other in group) != isIn]
+            calls.control(daemon.peerLink, blockSenders=blocked)
+
     def publish(self, note=0):
         """Publishes the text anew; the platform's revision afterwards."""
         calls.control(self.platform, text=self.text(note))
