Move the core's turn into files of its own

Change: CoreTurn (parts and delivery), its take() members, and the public face are three files; the lines are the same (compared sorted), only the class's name and its includes differ. Conclusion: no behaviour changes.

--- a/packages/core/apricothook/core/apricothook_core.hpp
+++ b/packages/core/apricothook/core/apricothook_core.hpp
@@ -7,7 +7,7 @@
 
 namespace Apricothook {
 
-struct CoreParts;
+class CoreTurn;
 
 /**
  * The decision core of one daemon: every event goes in here, every decision comes out through the
@@ -35,8 +35,7 @@
     std::size_t activeExchanges() const;
 
 private:
-    class Turn;
-    std::unique_ptr<Turn> m_turn;
+    std::unique_ptr<CoreTurn> m_turn;
 };
 
 } // namespace Apricothook
