--- a/packages/daemon/programs/apricothookd.cpp
+++ b/packages/daemon/programs/apricothookd.cpp
@@ -90,7 +90,7 @@
     const sigset_t signals = blockStopSignals();
     const LogSession session("apricothookd", settings.logFolder, settings.logLevel);
     SystemClock clock;
-    LogSink log(clock);
+    LogSink log(clock, settings.logLinesPerSecond);
     Metrics metrics;
     MetricsObserver observer(metrics);
     DaemonProcess daemon(settings, keys.value(), log, observer);
--- a/packages/model/apricothook/model/apricothook_settings.hpp
+++ b/packages/model/apricothook/model/apricothook_settings.hpp
@@ -3,6 +3,7 @@
 #include <apricothook/model/apricothook_endpoint.hpp>
 #include <apricothook/model/apricothook_identifiers.hpp>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
     /** Empty: log to standard error. */
     std::string logFolder;
     int logLevel = 0;
+    /** Most lines that one event number gets in a second; the others are counted. */
+    std::uint32_t logLinesPerSecond = 20;
     /** Where this daemon listens for others; peerAddress unless addresses are translated. */
     Endpoint peerListenAddress;
     auto operator<=>(const Settings &) const = default;
--- a/packages/observe/apricothook/observe/apricothook_log_sink.cpp
+++ b/packages/observe/apricothook/observe/apricothook_log_sink.cpp
@@ -46,7 +46,7 @@
         budget.since = now;
         budget.written = 0;
     }
-    if (budget.written >= LinesPerSecond) {
+    if (budget.written >= m_linesPerSecond) {
         ++budget.leftOut;
         return std::nullopt;
     }
--- a/packages/observe/apricothook/observe/apricothook_log_sink.hpp
+++ b/packages/observe/apricothook/observe/apricothook_log_sink.hpp
@@ -24,7 +24,10 @@
 public:
     static constexpr std::uint32_t LinesPerSecond = 20;
 
-    explicit LogSink(const Clock &clock) : m_clock(clock) { }
+    explicit LogSink(const Clock &clock, std::uint32_t linesPerSecond = LinesPerSecond)
+        : m_clock(clock), m_linesPerSecond(linesPerSecond)
+    {
+    }
     void record(const DecisionEvent &event) override;
 
 private:
@@ -39,6 +42,7 @@
     std::optional<std::uint64_t> takeLine(int number);
 
     const Clock &m_clock;
+    const std::uint32_t m_linesPerSecond;
     std::mutex m_mutex;
     std::unordered_map<int, Budget> m_budgets;
 };
--- a/packages/observe/tests/apricothook_observe_tests.cpp
+++ b/packages/observe/tests/apricothook_observe_tests.cpp
@@ -109,6 +109,16 @@
         CHECK(contains(log.lines.back(), "left-out=980"));
     }
 
+    TEST_CASE("A check that needs every event gets every line up to the limit that it set")
+    {
+        HandClock clock;
+        LineCollector log;
+        LogSink sink(clock, 500);
+        for (int event = 0; event < 600; ++event)
+            sink.record(DecisionEvent {402, RequestKey(), ""});
+        CHECK(log.lines.size() == 500);
+    }
+
     TEST_CASE("A detail can't forge a line")
     {
         CHECK(eventLine(DecisionEvent {402, RequestKey(), "a\nE404 b"}, 0)
--- a/packages/text/apricothook/text/apricothook_settings_parser.cpp
+++ b/packages/text/apricothook/text/apricothook_settings_parser.cpp
@@ -12,6 +12,7 @@
 
 /** The severities of glog: info, warning, error, fatal. */
 constexpr Bounds<std::uint64_t> LogLevelBounds {0, 3};
+constexpr Bounds<std::uint64_t> LogLinesBounds {1, 1'000'000};
 
 bool isControlCharacter(char character)
 {
@@ -103,6 +104,8 @@
     readFileName(root, "peerKeyFile", settings.peerKeyFile, Need::Required);
     readFileName(root, "logFolder", settings.logFolder, Need::Optional);
     root.readWhole("logLevel", settings.logLevel, LogLevelBounds, Need::Optional);
+    root.readWhole("logLinesPerSecond", settings.logLinesPerSecond, LogLinesBounds,
+                   Need::Optional);
     return settings;
 }
 
