--- a/packages/testing/apricothook/testing/apricothook_engine_stand_in.cpp
+++ b/packages/testing/apricothook/testing/apricothook_engine_stand_in.cpp
@@ -171,6 +171,8 @@
     document["boot"] = Json::UInt64(m_work.boot());
     document["prefillTokens"] = m_work.prefill();
     document["wastedPrefillTokens"] = m_work.wastedPrefill();
+    for (const auto &[key, tokens] : m_work.prefillByKey())
+        document["prefillByKey"][key] = tokens;
     document["cachedTokens"] = Json::UInt64(m_work.cachedTokens());
     document["appliedOrders"] = Json::UInt64(m_appliedOrders);
     document["refusedOrders"] = Json::UInt64(m_refusedOrders);
--- a/packages/testing/apricothook/testing/apricothook_engine_work.cpp
+++ b/packages/testing/apricothook/testing/apricothook_engine_work.cpp
@@ -102,6 +102,7 @@
         stream->prefillLeft -= read;
         stream->prefillDone += read;
         m_prefill += read;
+        m_prefillByKey[stream->key] += read;
         if (stream->prefillLeft > 0)
             break;
         publish(m_cache.store(stream->blocks), now);
--- a/packages/testing/apricothook/testing/apricothook_engine_work.hpp
+++ b/packages/testing/apricothook/testing/apricothook_engine_work.hpp
@@ -7,6 +7,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -90,6 +91,8 @@
     /** Tokens read for requests that ended without a whole answer. */
     double wastedPrefill() const { return m_wastedPrefill; }
     double prefill() const { return m_prefill; }
+    /** Tokens read for each idempotency key, all its runs together. */
+    const std::map<std::string, double> &prefillByKey() const { return m_prefillByKey; }
     std::uint64_t cachedTokens() const { return m_cachedTokens; }
 
 private:
@@ -119,6 +122,7 @@
     bool m_crashWish = false;
     double m_wastedPrefill = 0;
     double m_prefill = 0;
+    std::map<std::string, double> m_prefillByKey;
     std::uint64_t m_cachedTokens = 0;
 };
 
--- a/packages/testing/apricothook/testing/load/apricothook_load_client.cpp
+++ b/packages/testing/apricothook/testing/load/apricothook_load_client.cpp
@@ -93,6 +93,8 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, exchange->headers);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max(1L, milliseconds));
+    curl_easy_setopt(easy, CURLOPT_MAX_RECV_SPEED_LARGE,
+                     static_cast<curl_off_t>(exchange->call.bytesPerSecond));
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, Exchange::onBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, exchange.get());
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, Exchange::onHeader);
--- a/packages/testing/apricothook/testing/load/apricothook_load_client.hpp
+++ b/packages/testing/apricothook/testing/load/apricothook_load_client.hpp
@@ -2,6 +2,7 @@
 
 #include <apricothook/model/apricothook_time.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,6 +20,8 @@
     std::string body;
     /** The call ends after this time, answered or not. */
     Duration giveUpAfter = std::chrono::seconds(5);
+    /** The answer is read no faster than this; 0: as it comes. */
+    std::uint32_t bytesPerSecond = 0;
 };
 
 struct LoadAnswer
--- a/packages/testing/apricothook/testing/load/apricothook_load_mix.cpp
+++ b/packages/testing/apricothook/testing/load/apricothook_load_mix.cpp
@@ -104,6 +104,7 @@
     take(document, "resendShare", mix.resendShare);
     take(document, "conflictShare", mix.conflictShare);
     take(document, "goneShare", mix.goneShare);
+    take(document, "slowShare", mix.slowShare);
     take(document, "waitShare", mix.waitShare);
     if (mix.kinds.empty())
         return std::nullopt;
@@ -163,6 +164,7 @@
     request.isResent = chance(m_mix.resendShare);
     request.isConflicting = chance(m_mix.conflictShare);
     request.isAbandoned = chance(m_mix.goneShare);
+    request.isSlow = m_mix.slowShare > 0 && chance(m_mix.slowShare);
     return request;
 }
 
--- a/packages/testing/apricothook/testing/load/apricothook_load_mix.hpp
+++ b/packages/testing/apricothook/testing/load/apricothook_load_mix.hpp
@@ -49,6 +49,8 @@
     double conflictShare = 0;
     /** Share of callers that go away before the answer. */
     double goneShare = 0;
+    /** Callers that read their answer slowly. */
+    double slowShare = 0;
     /** Share that shortens the patience by "Prefer: wait". */
     double waitShare = 0;
 };
@@ -64,6 +66,7 @@
     bool isResent = false;
     bool isConflicting = false;
     bool isAbandoned = false;
+    bool isSlow = false;
 
     Duration patience() const;
     bool isExpectedAnswer(std::string_view answer) const;
--- a/packages/testing/apricothook/testing/load/apricothook_load_run.cpp
+++ b/packages/testing/apricothook/testing/load/apricothook_load_run.cpp
@@ -16,6 +16,7 @@
 constexpr Duration ProbeDelay = std::chrono::milliseconds(300);
 constexpr int MostResends = 5;
 constexpr std::size_t ShownBytes = 120;
+constexpr std::uint32_t SlowBytesPerSecond = 2048;
 
 Instant now()
 {
@@ -138,6 +139,7 @@
     const bool isAbandoned = request.isAbandoned && plan.number == 0;
     call.giveUpAfter
         = isAbandoned ? Duration(50000 + m_random() % 900000) : request.patience() + GiveUpMargin;
+    call.bytesPerSecond = request.isSlow ? SlowBytesPerSecond : 0;
     ++m_open;
     m_client.start(std::move(call),
                    [=, this](const LoadAnswer &answer) { onAnswer(plan, answer, isAbandoned); });
--- a/packages/testing/programs/load_main.cpp
+++ b/packages/testing/programs/load_main.cpp
@@ -91,6 +91,7 @@
 {
     std::map<std::string, RunCount> runs;
     double prefill = 0;
+    std::map<std::string, double> prefillByKey;
     double wastedPrefill = 0;
     double cachedTokens = 0;
     std::size_t unread = 0;
@@ -106,6 +107,10 @@
     counts.prefill += document["prefillTokens"].asDouble();
     counts.wastedPrefill += document["wastedPrefillTokens"].asDouble();
     counts.cachedTokens += document["cachedTokens"].asDouble();
+    if (document["prefillByKey"].isObject()) {
+        for (const std::string &key : document["prefillByKey"].getMemberNames())
+            counts.prefillByKey[key] += document["prefillByKey"][key].asDouble();
+    }
     for (const std::string &key : document["keys"].getMemberNames()) {
         const Json::Value &row = document["keys"][key];
         RunCount &count = counts.runs[key];
@@ -133,11 +138,30 @@
     return counts;
 }
 
-void printCounts(const SiteCounts &counts, std::size_t violations)
+/**
+ * Prompt tokens read for answers that no caller got whole within its patience, and those of runs
+ * beyond the first one of a key. The targets' own count misses answers that were produced whole
+ * after their caller had gone.
+ */
+double thrownAwayPrefill(const SiteCounts &counts, const LoadLedger &ledger)
+{
+    double thrownAway = 0;
+    for (const auto &[key, tokens] : counts.prefillByKey) {
+        const auto record = ledger.records().find(key);
+        const bool isGood = record != ledger.records().end() && record->second.isGood();
+        const auto runs = counts.runs.find(key);
+        const double times = runs == counts.runs.end() ? 1 : std::max(1U, runs->second.runs);
+        thrownAway += isGood ? tokens * (times - 1) / times : tokens;
+    }
+    return thrownAway;
+}
+
+void printCounts(const SiteCounts &counts, const LoadLedger &ledger, std::size_t violations)
 {
     Json::Value line;
     line["prefillTokens"] = counts.prefill;
     line["wastedPrefillTokens"] = counts.wastedPrefill;
+    line["thrownAwayPrefillTokens"] = thrownAwayPrefill(counts, ledger);
     line["cachedTokens"] = counts.cachedTokens;
     line["unreadTargets"] = Json::UInt64(counts.unread);
     line["violations"] = Json::UInt64(violations);
@@ -158,7 +182,7 @@
             violations.push_back({"-", "some targets' counts couldn't be read"});
     }
     run.ledger().printJson(std::cout);
-    printCounts(counts, violations.size());
+    printCounts(counts, run.ledger(), violations.size());
     if (!isQuiet)
         run.ledger().printTable(std::cout);
     for (std::size_t i = 0; i < std::min(violations.size(), PrintedViolations); ++i)
