Guess an answer's length from its maximum where that is the better guess

Cause: the expected length was the mean of the class, cut at the caller's maximum. A long answer taken for the mean was placed on a slow target, missed its patience there and its prefill was thrown away. Change: OutputEstimate keeps the mean and the share of the maximum, and takes what missed by less lately.

--- a/packages/requests/apricothook/requests/apricothook_request_flow.cpp
+++ b/packages/requests/apricothook/requests/apricothook_request_flow.cpp
@@ -255,7 +255,8 @@
     m_run.release(exchange, ended, out);
     m_run.report(exchange, KeyEnd::Answered, now, out);
     if (ended.outputTokens > 0)
-        m_output.learn(exchange.requestClass.id, ended.outputTokens);
+        m_output.learn(exchange.requestClass.id, ended.outputTokens,
+                       exchange.request.sketch.maximumTokens);
     if (const std::shared_ptr<const KeptAnswer> kept = exchange.request.answer->retained())
         m_context.ports.answers.keep(exchange.key, kept, now);
     m_context.record(RequestsEvent::Answered, exchange,
