Find the home of a key without a ticket at constant cost

Cause: rendezvous over the roster's region hashed every member for each request: linear in daemons. Change: a table of places that the members fill in turn, made anew with each roster.

--- a/packages/homes/apricothook/homes/apricothook_home_map.cpp
+++ b/packages/homes/apricothook/homes/apricothook_home_map.cpp
@@ -1,7 +1,5 @@
 #include <apricothook/homes/apricothook_home_map.hpp>
 
-#include <apricothook/model/apricothook_hashing.hpp>
-
 #include <algorithm>
 
 namespace Apricothook {
@@ -31,16 +29,23 @@
     std::map<DataCentreId, RegionId> regions;
     for (const DataCentre &dataCentre : text.dataCentres)
         regions[dataCentre.id] = dataCentre.region;
-    Version version;
+    std::map<RegionId, std::vector<MemberId>> rosters;
+    std::vector<MemberId> all;
     for (const RosterEntry &entry : text.roster) {
-        version.byRegion[regions[entry.dataCentre]].push_back(entry.id);
-        version.all.push_back(entry.id);
+        rosters[regions[entry.dataCentre]].push_back(entry.id);
+        all.push_back(entry.id);
     }
-    for (auto &[region, members] : version.byRegion)
+    for (auto &[region, members] : rosters)
         std::sort(members.begin(), members.end());
-    std::sort(version.all.begin(), version.all.end());
-    if (!m_versions.empty() && m_versions.back().byRegion == version.byRegion)
+    const auto isSame = [](const auto &table, const auto &roster) {
+        return table.first == roster.first && table.second.members() == roster.second;
+    };
+    if (!m_versions.empty() && std::ranges::equal(m_versions.back().byRegion, rosters, isSame))
         return false;
+    Version version;
+    for (auto &[region, members] : rosters)
+        version.byRegion.emplace(region, HomeTable(std::move(members)));
+    version.all = HomeTable(std::move(all));
     const bool isChange = !m_versions.empty();
     if (isChange)
         closeVersion(now);
@@ -97,7 +102,7 @@
         return HomeError::BadTicket;
     if (ticket.value())
         return HomeChoice {{ticket.value()->home.member}, ticket.value()->home.incarnation};
-    if (m_versions.empty() || m_versions.back().all.empty())
+    if (m_versions.empty() || m_versions.back().all.isEmpty())
         return HomeError::NotConfigured;
     const auto regions = m_regions.find(customer);
     // A customer who was taken out of the text still has requests in flight, which end under the
@@ -118,14 +123,14 @@
 {
     std::vector<MemberId> homes;
     for (const Version &version : m_versions) {
-        if (version.all.empty())
+        if (version.all.isEmpty())
             continue;
         for (const CustomerRegion &region : regions) {
             // The members that had the old region learn the new one with the same generation as
             // this daemon; the longest need covers one that lags.
             if (region.replacedAt && now >= longestNeed(*region.replacedAt))
                 continue;
-            const MemberId &home = best(key, version, region.region);
+            const MemberId &home = tableOf(version, region.region).homeOf(key);
             if (isNeeded(version, home, now))
                 homes.push_back(home);
         }
@@ -167,16 +172,10 @@
     std::erase_if(m_regions, [](const auto &entry) { return entry.second.empty(); });
 }
 
-const MemberId &HomeMap::best(const RequestKey &key, const Version &version, const RegionId &region)
+const HomeTable &HomeMap::tableOf(const Version &version, const RegionId &region)
 {
     const auto found = version.byRegion.find(region);
-    const std::vector<MemberId> &members
-        = found == version.byRegion.end() ? version.all : found->second;
-    return *std::max_element(members.begin(), members.end(),
-                             [&key](const MemberId &left, const MemberId &right) {
-                                 return rendezvousWeight(key.text(), left.text())
-                                     < rendezvousWeight(key.text(), right.text());
-                             });
+    return found == version.byRegion.end() ? version.all : found->second;
 }
 
 } // namespace Apricothook
--- a/packages/homes/apricothook/homes/apricothook_home_map.hpp
+++ b/packages/homes/apricothook/homes/apricothook_home_map.hpp
@@ -2,6 +2,7 @@
 
 #include <apricothook/homes/apricothook_home_choice.hpp>
 #include <apricothook/homes/apricothook_ticket_reader.hpp>
+#include <apricothook/homes/internal/apricothook_home_table.hpp>
 #include <apricothook/model/apricothook_failure.hpp>
 #include <apricothook/model/apricothook_fleet_text.hpp>
 
@@ -13,8 +14,8 @@
 /**
  * Says which daemons are the homes of a key; the proof is in docs/AT-MOST-ONCE.md.
  *
- * A key with a ticket has the ticket's life as its home. Any other key has one home by rendezvous
- * hashing over the roster in force within the customer's home region, and beside it the homes under
+ * A key with a ticket has the ticket's life as its home. Any other key has one home by the
+ * table over the roster in force within the customer's home region, and beside it the homes under
  * older rosters until those are known to have learned the change a deduplication window ago.
  */
 class HomeMap
@@ -38,13 +39,13 @@
     std::size_t versions() const { return m_versions.size(); }
 
 private:
-    using RegionRosters = std::map<RegionId, std::vector<MemberId>>;
+    using RegionTables = std::map<RegionId, HomeTable>;
 
     /** Members by region, as one or more generations in a row had them. */
     struct Version
     {
-        RegionRosters byRegion;
-        std::vector<MemberId> all;
+        RegionTables byRegion;
+        HomeTable all;
         /** The generation that replaced it, and when it came into force here. */
         Generation successor;
         std::optional<Instant> replacedAt;
@@ -68,8 +69,7 @@
     std::vector<MemberId> rosterHomes(const RequestKey &key,
                                       const std::vector<CustomerRegion> &regions,
                                       Instant now) const;
-    static const MemberId &best(const RequestKey &key, const Version &version,
-                                const RegionId &region);
+    static const HomeTable &tableOf(const Version &version, const RegionId &region);
 
     MemberId m_self;
     TicketReader m_reader;
