Answer lookups at constant cost

Cause: each answer copied and sorted all live members. Change: candidates by distance are kept for each version of the view, and 12 of them are compared. Measured: instructions for one lookup at 36/320/640 daemons, before 45,971/385,733/754,452, after 9,291/11,929/11,836 (callgrind); the tests of the spread by load hold unchanged. Conclusion: a lookup no longer grows with the fleet.

--- a/packages/membership/apricothook/membership/apricothook_lookup.hpp
+++ b/packages/membership/apricothook/membership/apricothook_lookup.hpp
@@ -3,6 +3,8 @@
 #include <apricothook/model/apricothook_member_view.hpp>
 #include <apricothook/model/apricothook_time.hpp>
 
+#include <array>
+#include <optional>
 #include <vector>
 
 namespace Apricothook {
@@ -23,6 +25,8 @@
     /** Entries in one answer: three near ones, and one of another data centre. */
     static constexpr std::size_t NearEntries = 3;
     static constexpr std::size_t OtherEntries = 1;
+    /** Candidates whose loads are compared for one draw, whatever the size of the fleet. */
+    static constexpr std::size_t SampleSize = 12;
 
     Lookup(const MemberView &members, RandomSource &random);
 
@@ -30,10 +34,19 @@
     LookupAnswer answer(Duration keep);
 
 private:
-    std::vector<MemberUpdate> draw(std::vector<MemberUpdate> candidates, std::size_t count);
+    /** Places in live(). */
+    using Places = std::vector<std::size_t>;
+
+    void refresh();
+    /** Draws without replacement; the weight falls with the load. */
+    void draw(const Places &candidates, std::size_t count, std::vector<Endpoint> &entries);
+    Places sample(const Places &candidates);
 
     const MemberView &m_members;
     RandomSource &m_random;
+    /** Who takes new work, by distance, in the view of this version. */
+    std::array<Places, 3> m_candidates;
+    std::optional<std::uint64_t> m_version;
 };
 
 /** Until the news that a member is leaving has reached every daemon that answers lookups. */
