Don't plan unloads in quadratic time

Cause: for each target and model the schedule went through all turns. Change: the end of each model's turns is kept.

--- a/packages/configuration/apricothook/configuration/apricothook_load_schedule.cpp
+++ b/packages/configuration/apricothook/configuration/apricothook_load_schedule.cpp
@@ -74,6 +74,11 @@
         m_end += loadTime(findModel(current, load.model)->weightBytes, current.policy);
         m_turns[load] = {start, m_end};
     }
+    m_ends.clear();
+    for (const auto &[load, turn] : m_turns) {
+        Instant &end = m_ends.try_emplace(load.model, turn.end).first->second;
+        end = std::max(end, turn.end);
+    }
 }
 
 std::optional<Instant> LoadSchedule::turnOf(const Load &load) const
@@ -84,12 +89,8 @@
 
 std::optional<Instant> LoadSchedule::endOf(const ModelId &model) const
 {
-    std::optional<Instant> end;
-    for (const auto &[load, turn] : m_turns) {
-        if (load.model == model)
-            end = std::max(end, std::optional(turn.end));
-    }
-    return end;
+    const auto end = m_ends.find(model);
+    return end == m_ends.end() ? std::nullopt : std::optional(end->second);
 }
 
 } // namespace Apricothook
--- a/packages/configuration/apricothook/configuration/apricothook_load_schedule.hpp
+++ b/packages/configuration/apricothook/configuration/apricothook_load_schedule.hpp
@@ -53,6 +53,8 @@
     };
 
     std::map<Load, Turn> m_turns;
+    /** Asked for each model at each target: without it a text took quadratic time to apply. */
+    std::map<ModelId, Instant> m_ends;
     Instant m_end {};
 };
 
