Start waiting requests where their prefix is, and believe a prefix only once it is read

Cause: a free target took the oldest waiting request, so a long chat met its history by chance, was read in full and drove out another. A prefix counted as cached when its prompt was sent, so that prompts that came together were predicted too short and too many were started, which then missed their patience. Prefill of others, known only as believed, was learned as the target's speed. A request that no idle target could finish within the margin waited and had the lower tiers shut. Retry-After of a shut tier told the queue's wait, half a second. Change: look-ahead of eight in a lane, counted as passing; a prefix counts from its predicted end of reading; prefill rates are learned where the prefill was the request's own; patience-too-short at once by the margin; Retry-After covers the steps that the floor must fall.

--- a/packages/steward/apricothook/steward/apricothook_steward_policy.hpp
+++ b/packages/steward/apricothook/steward/apricothook_steward_policy.hpp
@@ -29,6 +29,9 @@
     Duration shortWait = std::chrono::milliseconds(50);
     /** Times that others may overtake a request that doesn't fit yet. */
     std::uint32_t bypassLimit = 8;
+    /** Requests of one customer and lane that are looked at for one whose prefix is cached there.
+     */
+    std::size_t lookAhead = 8;
     /** Customers of a tier that are tried for one free slot. */
     std::size_t tryLimit = 8;
     /** One of so many slots is kept for the upper half of the tiers. */
--- a/packages/steward/apricothook/steward/internal/apricothook_fair_queue.cpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_fair_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <iterator>
 
 namespace Apricothook {
 
@@ -76,42 +77,53 @@
         m_order.insert(&flow);
 }
 
-std::vector<WaitingRequest *> FairQueue::heads(const Limits &limits) const
+std::vector<WaitingRequest *> FairQueue::heads(TargetMask open, const Limits &limits,
+                                               const FitsWell &fitsWell) const
 {
     std::vector<WaitingRequest *> heads;
+    std::size_t flows = 0;
     for (const Flow *flow : m_order) {
-        if (heads.size() >= limits.tries)
+        if (flows++ >= limits.tries)
             break;
-        WaitingRequest *longOne = flow->longOnes.empty() ? nullptr : flow->longOnes.front();
-        WaitingRequest *shortOne = flow->shortOnes.empty() ? nullptr : flow->shortOnes.front();
-        const bool isLongFirst = longOne
-            && (!shortOne || longOne->bypassed >= limits.bypasses
-                || longOne->arrived <= shortOne->arrived);
-        for (WaitingRequest *head :
-             {isLongFirst ? longOne : shortOne, isLongFirst ? shortOne : longOne}) {
-            if (head)
-                heads.push_back(head);
+        const auto first = static_cast<std::ptrdiff_t>(heads.size());
+        for (const auto *lane : {&flow->longOnes, &flow->shortOnes}) {
+            const std::size_t count = std::min(lane->size(), limits.lookAhead);
+            std::copy_n(lane->begin(), count, std::back_inserter(heads));
         }
+        const auto isOverdue
+            = [&](const WaitingRequest *r) { return r->bypassed >= limits.bypasses; };
+        const auto isFirst = [&](const WaitingRequest *r) {
+            return isOverdue(r) || !fitsWell || fitsWell(*r, open);
+        };
+        std::stable_sort(heads.begin() + first, heads.end(),
+                         [](const auto *a, const auto *b) { return a->arrived < b->arrived; });
+        const auto rest = std::stable_partition(heads.begin() + first, heads.end(), isFirst);
+        std::stable_partition(heads.begin() + first, rest, isOverdue);
     }
     return heads;
 }
 
-bool FairQueue::serveOne(TargetMask &open, const Limits &limits, const Place &place)
+bool FairQueue::serveOne(TargetMask &open, const Limits &limits, const Place &place,
+                         const FitsWell &fitsWell)
 {
-    std::vector<WaitingRequest *> passed;
-    for (WaitingRequest *head : heads(limits)) {
+    const std::vector<WaitingRequest *> offered = heads(open, limits, fitsWell);
+    for (std::size_t index = 0; index < offered.size(); ++index) {
+        WaitingRequest *head = offered[index];
         const TargetMask usable = head->candidates & open;
         if (usable != 0 && place(*head, usable)) {
             const double cost = head->cost;
             const CustomerId customer = head->request.customer;
             const double weight = m_flows.at(customer).weight;
+            for (std::size_t other = 0; other < offered.size(); ++other) {
+                const bool isOlder = offered[other]->request.customer == customer
+                    && offered[other]->arrived <= head->arrived;
+                if (other != index && (other < index || isOlder))
+                    ++offered[other]->bypassed;
+            }
             remove(*head);
             charge(customer, weight, cost);
-            for (WaitingRequest *other : passed)
-                ++other->bypassed;
             return true;
         }
-        passed.push_back(head);
         // Small requests may take what a large one can't use yet, but only so often: without a
         // bound a steady flow of small ones would starve the large one for good.
         if (head->bypassed >= limits.bypasses)
@@ -120,10 +132,11 @@
     return false;
 }
 
-TargetMask FairQueue::serve(TargetMask open, const Limits &limits, const Place &place)
+TargetMask FairQueue::serve(TargetMask open, const Limits &limits, const Place &place,
+                            const FitsWell &fitsWell)
 {
     TargetMask mine = open;
-    while (m_size > 0 && (mine & m_candidates) != 0 && serveOne(mine, limits, place)) { }
+    while (m_size > 0 && (mine & m_candidates) != 0 && serveOne(mine, limits, place, fitsWell)) { }
     // Whatever still waits here goes before lower tiers on the targets that it could use.
     return open & ~m_candidates;
 }
--- a/packages/steward/apricothook/steward/internal/apricothook_fair_queue.hpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_fair_queue.hpp
@@ -21,10 +21,14 @@
 public:
     /** Tries to place a request on one of `open`; true when it did. */
     using Place = std::function<bool(WaitingRequest &, TargetMask open)>;
+    /** Whether a request loses nothing by starting on one of `open` and not elsewhere. */
+    using FitsWell = std::function<bool(const WaitingRequest &, TargetMask open)>;
     struct Limits
     {
         std::size_t tries = 8;
         std::uint32_t bypasses = 8;
+        /** Requests of a lane that are looked at for one that fits well. */
+        std::size_t lookAhead = 1;
     };
 
     void push(WaitingRequest &request, double weight);
@@ -32,7 +36,8 @@
     /** Counts a request that was placed without waiting, so that it pays its share too. */
     void charge(const CustomerId &customer, double weight, double cost);
     /** Offers requests in order until none fits; returns the targets still open to lower tiers. */
-    TargetMask serve(TargetMask open, const Limits &limits, const Place &place);
+    TargetMask serve(TargetMask open, const Limits &limits, const Place &place,
+                     const FitsWell &fitsWell = {});
 
     std::size_t size() const { return m_size; }
     /** Union of the candidates of all that wait. */
@@ -66,9 +71,11 @@
 
     Flow &flowOf(const CustomerId &customer, double weight);
     void account(const WaitingRequest &request, bool isAdded);
-    std::vector<WaitingRequest *> heads(const Limits &limits) const;
+    std::vector<WaitingRequest *> heads(TargetMask open, const Limits &limits,
+                                        const FitsWell &fitsWell) const;
     /** Places one request; false when none fits. May take targets out of `open`. */
-    bool serveOne(TargetMask &open, const Limits &limits, const Place &place);
+    bool serveOne(TargetMask &open, const Limits &limits, const Place &place,
+                  const FitsWell &fitsWell);
     void prune();
 
     std::unordered_map<CustomerId, Flow> m_flows;
--- a/packages/steward/apricothook/steward/internal/apricothook_placement.cpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_placement.cpp
@@ -112,6 +112,20 @@
     return m_targets[index].belief().cachedTokens(request.prefixes, m_expiry, now);
 }
 
+std::uint32_t Placement::cacheLoss(const ReserveRequest &request, TargetMask candidates,
+                                   TargetMask open, Instant now) const
+{
+    std::uint32_t best = 0;
+    std::uint32_t bestOpen = 0;
+    forEach(candidates, [&](std::size_t index) {
+        const std::uint32_t cached = cachedTokens(index, request, now);
+        best = std::max(best, cached);
+        if ((open & bitOf(index)) != 0)
+            bestOpen = std::max(bestOpen, cached);
+    });
+    return best - bestOpen;
+}
+
 bool Placement::isTrunkKept(const ReserveRequest &request, const Room &room, Instant now) const
 {
     // Work of the top tiers often has short patience and can't wait for a slot. A few slots that
--- a/packages/steward/apricothook/steward/internal/apricothook_placement.hpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_placement.hpp
@@ -50,6 +50,9 @@
     std::uint32_t freeSlots(TargetMask mask, const Room &room, Instant now) const;
     std::uint32_t usableSlots(const Room &room, Instant now) const;
     /** The best target that finishes the request within `left`; nothing when none has room. */
+    /** Cached tokens that are given up by choosing among `open` and not among all `candidates`. */
+    std::uint32_t cacheLoss(const ReserveRequest &request, TargetMask candidates, TargetMask open,
+                            Instant now) const;
     std::optional<Choice> choose(const ReserveRequest &request, TargetMask mask, Duration left,
                                  const Room &room, Instant now) const;
     /** Shortest time on an idle candidate; without straggler factors where `isBase`. */
--- a/packages/steward/apricothook/steward/internal/apricothook_prefix_belief.cpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_prefix_belief.cpp
@@ -1,5 +1,6 @@
 #include <apricothook/steward/internal/apricothook_prefix_belief.hpp>
 
+#include <algorithm>
 #include <iterator>
 
 namespace Apricothook {
@@ -19,19 +20,19 @@
     shrink();
 }
 
-void PrefixBelief::used(const std::vector<PrefixHash> &prefixes, Instant now)
+void PrefixBelief::used(const std::vector<PrefixHash> &prefixes, Instant readAt, Instant now)
 {
     // Longest first, so that the shortest is the most recent: an engine evicts from the end.
     for (std::size_t index = prefixes.size(); index-- > 0;) {
         const std::uint64_t below = index == 0 ? 0 : coveredTokens(index - 1);
-        touch(prefixes[index], coveredTokens(index) - below, now);
+        touch({prefixes[index], coveredTokens(index) - below, now, readAt});
     }
     shrink();
 }
 
 void PrefixBelief::stored(PrefixHash prefix, Instant now)
 {
-    touch(prefix, BlockTokens, now);
+    touch({prefix, BlockTokens, now, now});
     shrink();
 }
 
@@ -58,7 +59,7 @@
     while (known < above) {
         const std::size_t middle = (known + above) / 2;
         const auto found = m_index.find(prefixes[middle]);
-        if (found == m_index.end()) {
+        if (found == m_index.end() || found->second->cachedFrom > now) {
             above = middle;
             continue;
         }
@@ -72,17 +73,18 @@
     return static_cast<std::uint32_t>(tokens);
 }
 
-void PrefixBelief::touch(PrefixHash prefix, std::uint64_t tokens, Instant now)
+void PrefixBelief::touch(const Entry &touched)
 {
-    const auto found = m_index.find(prefix);
+    const auto found = m_index.find(touched.prefix);
     if (found != m_index.end()) {
-        found->second->at = now;
+        found->second->at = touched.at;
+        found->second->cachedFrom = std::min(found->second->cachedFrom, touched.cachedFrom);
         m_entries.splice(m_entries.begin(), m_entries, found->second);
         return;
     }
-    m_entries.push_front(Entry {prefix, tokens, now});
-    m_index.emplace(prefix, m_entries.begin());
-    m_tokens += tokens;
+    m_entries.push_front(touched);
+    m_index.emplace(touched.prefix, m_entries.begin());
+    m_tokens += touched.tokens;
 }
 
 void PrefixBelief::erase(Entries::iterator entry)
--- a/packages/steward/apricothook/steward/internal/apricothook_prefix_belief.hpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_prefix_belief.hpp
@@ -24,8 +24,11 @@
     /** `capacity` in tokens; 0: nothing is ever believed. */
     explicit PrefixBelief(std::uint64_t capacity) : m_capacity(capacity) { }
     void setCapacity(std::uint64_t capacity);
-    /** A prompt with these prefixes was sent to the engine. */
-    void used(const std::vector<PrefixHash> &prefixes, Instant now);
+    /**
+     * A prompt with these prefixes was sent to the engine, which will have read it at `readAt`.
+     * Until then a second prompt with the prefix finds nothing in the cache and is read in full.
+     */
+    void used(const std::vector<PrefixHash> &prefixes, Instant readAt, Instant now);
     /** The engine says that it stored a block; it may be one that no request asks for. */
     void stored(PrefixHash prefix, Instant now);
     void evicted(PrefixHash prefix);
@@ -42,10 +45,11 @@
         PrefixHash prefix;
         std::uint64_t tokens = 0;
         Instant at;
+        Instant cachedFrom;
     };
     using Entries = std::list<Entry>;
 
-    void touch(PrefixHash prefix, std::uint64_t tokens, Instant now);
+    void touch(const Entry &touched);
     void erase(Entries::iterator entry);
     void shrink();
 
--- a/packages/steward/apricothook/steward/internal/apricothook_shard_ledger.cpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_shard_ledger.cpp
@@ -10,6 +10,8 @@
 
 /** A wait is predicted from means; only one beyond the slack by this factor counts as a miss. */
 constexpr double DoomMargin = 1.5;
+/** A prompt that would lose less than one in so many of its tokens fits well. */
+constexpr std::uint32_t LeastLossShare = 8;
 constexpr double SlotTimeWeight = 0.1;
 constexpr Duration FirstSlotTime = std::chrono::seconds(1);
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(500);
@@ -43,7 +45,7 @@
     if (isDead(request.attempt.entry) || repeat(request, now, out))
         return;
     if (request.tier > m_gate.floor()) {
-        refuse(request.attempt, ReserveVerdict::Shed, now, out);
+        refuse(request, ReserveVerdict::Shed, now, out);
         return;
     }
     admit(request, now, out);
@@ -73,12 +75,14 @@
 {
     WaitingRequest waiting = describe(request, now);
     if (waiting.candidates == 0) {
-        refuse(request.attempt, ReserveVerdict::NoTarget, now, out);
+        refuse(request, ReserveVerdict::NoTarget, now, out);
         return;
     }
     const Duration idle = m_placement.idleTime(request, waiting.candidates, true, now);
-    if (idle > request.patienceLeft) {
-        refuse(request.attempt, ReserveVerdict::PatienceTooShort, now, out);
+    // Nothing is placed beyond the margin. Such a request would wait in vain, press on the floor
+    // and have the lower tiers shut for something that more room can't help.
+    if (idle > scaled(request.patienceLeft, m_context.policy.patienceMargin)) {
+        refuse(request, ReserveVerdict::PatienceTooShort, now, out);
         return;
     }
     if (!waiting.isLong)
@@ -189,7 +193,7 @@
     reservation.prediction = choice.prediction;
     reservation.isLong = choice.isLong;
     target.add(reservation);
-    target.belief().used(request.prefixes, now);
+    target.belief().used(request.prefixes, reservation.prefillEnd(), now);
     m_slotTime += scaled(choice.prediction.end - m_slotTime, SlotTimeWeight);
     m_reservations.emplace(request.attempt, reservation);
     reply(request.attempt, reservation, now, out);
@@ -228,9 +232,13 @@
     out.push_back({attempt.entry.member, refusal(attempt, verdict, now)});
 }
 
-void ShardLedger::refuse(const AttemptId &attempt, ReserveVerdict verdict, Instant now, Outbox &out)
+void ShardLedger::refuse(const ReserveRequest &request, ReserveVerdict verdict, Instant now,
+                         Outbox &out)
 {
-    const ReserveReply reply = refusal(attempt, verdict, now);
+    const AttemptId &attempt = request.attempt;
+    ReserveReply reply = refusal(attempt, verdict, now);
+    if (verdict == ReserveVerdict::Shed)
+        reply.retryAfter = std::max(reply.retryAfter, timeToAdmit(request.tier));
     dropWaiting(attempt);
     m_ended.add(attempt, reply, now);
     out.push_back({attempt.entry.member, reply});
@@ -289,7 +297,8 @@
     if (m_waiting.empty())
         return;
     const Room room = this->room(now);
-    const FairQueue::Limits limits {m_context.policy.tryLimit, m_context.policy.bypassLimit};
+    const FairQueue::Limits limits {m_context.policy.tryLimit, m_context.policy.bypassLimit,
+                                    m_context.policy.lookAhead};
     std::vector<AttemptId> placed;
     const auto place = [&](WaitingRequest &waiting, TargetMask open) {
         const Duration left = between(now, waiting.deadline);
@@ -301,11 +310,16 @@
         placed.push_back(waiting.request.attempt);
         return true;
     };
+    const auto fitsWell = [&](const WaitingRequest &waiting, TargetMask free) {
+        const ReserveRequest &request = waiting.request;
+        return m_placement.cacheLoss(request, waiting.candidates, free, now)
+            <= request.promptTokens / LeastLossShare;
+    };
     TargetMask open = m_placement.open(room, now);
     const std::size_t lastRank = isReady(now) ? LowestTierRank : 1;
     for (std::size_t rank = 1; rank <= lastRank && open != 0; ++rank) {
         if (m_queues[rank].size() > 0)
-            open = m_queues[rank].serve(open, limits, place);
+            open = m_queues[rank].serve(open, limits, place, fitsWell);
     }
     for (const AttemptId &attempt : placed) {
         m_doomed.erase(attempt);
@@ -317,7 +331,7 @@
 {
     for (std::size_t rank = LowestTierRank; rank > m_gate.floor().rank(); --rank) {
         while (WaitingRequest *last = m_queues[rank].leastEntitled())
-            refuse(AttemptId(last->request.attempt), ReserveVerdict::Shed, now, out);
+            refuse(ReserveRequest(last->request), ReserveVerdict::Shed, now, out);
     }
     std::vector<AttemptId> shed;
     for (const AttemptId &attempt : m_doomed) {
@@ -328,7 +342,7 @@
             m_gate.press(tier, now);
     }
     for (const AttemptId &attempt : shed)
-        refuse(attempt, ReserveVerdict::Shed, now, out);
+        refuse(ReserveRequest(m_waiting.at(attempt).request), ReserveVerdict::Shed, now, out);
 }
 
 Duration ShardLedger::expectedWait(Tier tier, const CustomerId &customer, Instant now) const
--- a/packages/steward/apricothook/steward/internal/apricothook_shard_ledger.hpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_shard_ledger.hpp
@@ -86,7 +86,9 @@
     void reply(const AttemptId &attempt, const Reservation &reservation, Instant now, Outbox &out);
     void answer(const AttemptId &attempt, ReserveVerdict verdict, Instant now, Outbox &out) const;
     /** Ends a waiting request with this verdict; remembered for those who send again. */
-    void refuse(const AttemptId &attempt, ReserveVerdict verdict, Instant now, Outbox &out);
+    void refuse(const ReserveRequest &request, ReserveVerdict verdict, Instant now, Outbox &out);
+    /** Time until the floor can have fallen to the tier, when the pressure ends now. */
+    Duration timeToAdmit(Tier tier) const;
     ReserveReply refusal(const AttemptId &attempt, ReserveVerdict verdict, Instant now) const;
     void dropWaiting(const AttemptId &attempt);
     void free(Reservations::iterator reservation, Instant now);
--- a/packages/steward/apricothook/steward/internal/apricothook_shard_ledger_upkeep.cpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_shard_ledger_upkeep.cpp
@@ -84,7 +84,7 @@
     reservation.leaseUntil = now + m_context.policy.reservationLease;
     reservation.prediction = target.predict(request, 0, now);
     target.add(reservation);
-    target.belief().used(running.prefixes, now);
+    target.belief().used(running.prefixes, reservation.prefillEnd(), now);
     m_reservations.emplace(running.attempt, reservation);
 }
 
@@ -121,7 +121,7 @@
             stranded.push_back(waiting->request.attempt);
     }
     for (const AttemptId &attempt : stranded)
-        refuse(attempt, ReserveVerdict::NoTarget, now, out);
+        refuse(ReserveRequest(m_waiting.at(attempt).request), ReserveVerdict::NoTarget, now, out);
 }
 
 void ShardLedger::loadReported(const LoadReport &report, Instant now)
@@ -212,7 +212,15 @@
     const ReserveVerdict verdict = isShed ? ReserveVerdict::Shed : ReserveVerdict::PatienceOver;
     if (!isShed)
         m_gate.press(tier, now);
-    refuse(AttemptId(request.request.attempt), verdict, now, out);
+    refuse(ReserveRequest(request.request), verdict, now, out);
+}
+
+Duration ShardLedger::timeToAdmit(Tier tier) const
+{
+    // A shut tier opens after one calm time for each step of the floor down to it. The queue alone
+    // would say "at once", as what was shed doesn't stand in it, and all would be refused again.
+    const Tier floor = m_gate.floor();
+    return tier > floor ? m_context.policy.floorCalm * (tier.rank() - floor.rank()) : Duration();
 }
 
 ShardSummary ShardLedger::summary(Instant now) const
--- a/packages/steward/apricothook/steward/internal/apricothook_speed.cpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_speed.cpp
@@ -93,7 +93,9 @@
         m_callTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(call));
         return;
     }
-    if (sample.prefillTokens >= LeastPrefillTokens && first > 0) {
+    // Prefill of others that was wrongly believed to be cached, or not to be, would be taken for a
+    // slower or faster engine, and then too little or too much would be sent there.
+    if (sample.isOwnPrefill && sample.prefillTokens >= LeastPrefillTokens && first > 0) {
         const double rate = static_cast<double>(sample.prefillTokens) / first;
         m_prefillRate = std::clamp(moved(m_prefillRate, rate, RateWeight),
                                    m_prefillHint / RateBound, m_prefillHint * RateBound);
--- a/packages/steward/apricothook/steward/internal/apricothook_speed.hpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_speed.hpp
@@ -12,6 +12,8 @@
 {
     /** Prompt tokens worked on until the first byte, those queued before it included. */
     std::uint64_t prefillTokens = 0;
+    /** Little of them was others' prefill, which is only known as it was believed. */
+    bool isOwnPrefill = true;
     std::uint32_t outputTokens = 0;
     std::uint32_t batch = 1;
     Duration firstByte {};
--- a/packages/steward/apricothook/steward/internal/apricothook_target_ledger.cpp
+++ b/packages/steward/apricothook/steward/internal/apricothook_target_ledger.cpp
@@ -8,6 +8,8 @@
 
 /** Work of others that a report shows is counted this long. */
 constexpr Duration ForeignLife = std::chrono::seconds(2);
+/** Prefill of others is little when it is less than one in so many of the own tokens. */
+constexpr std::uint32_t LeastAheadShare = 4;
 constexpr double OverdueRatio = 2.0;
 constexpr Duration OverdueSlack = std::chrono::seconds(1);
 
@@ -193,6 +195,8 @@
     SpeedSample sample;
     const std::uint32_t cached = std::min(release.cachedTokens, release.promptTokens);
     sample.prefillTokens = release.promptTokens - cached + reservation.prefillAhead;
+    sample.isOwnPrefill
+        = reservation.prefillAhead <= (release.promptTokens - cached) / LeastAheadShare;
     sample.outputTokens = release.outputTokens;
     sample.batch = std::max(reservation.batch, m_running);
     sample.firstByte = release.firstByte;
--- a/packages/steward/tests/apricothook_placement_tests.cpp
+++ b/packages/steward/tests/apricothook_placement_tests.cpp
@@ -182,4 +182,63 @@
             CHECK(moved <= 1 + targets / 20);
         }
     }
+
+    TEST_CASE("A prefix counts as cached only once it has been read")
+    {
+        // Two prompts with one beginning come together. The engine looks into its cache when it
+        // takes a prompt, and reads the second in full as well. Believed to be cached, it would be
+        // predicted to end early, and too much would be sent there.
+        Bench bench(fleet(1, 4));
+        ReserveRequest first = bench.request(1, "c", 8000, 50);
+        for (int index = 0; index < 5; ++index)
+            first.prefixes.emplace_back(100 + index);
+        ReserveRequest second = first;
+        second.attempt = bench.request(1).attempt;
+        ReserveRequest third = first;
+        third.attempt = bench.request(1).attempt;
+        bench.ask(first);
+        CHECK(bench.ask(second)->cachedTokens == 0);
+        bench.pass(5s);
+        CHECK(bench.ask(third)->cachedTokens == 4096);
+    }
+
+    TEST_CASE("A free target takes the waiting request whose prefix it has, but not for ever")
+    {
+        // Two targets, each with the prefix of another history, are full, and requests of both
+        // histories wait. In order of arrival each would start where the other's prefix is, read
+        // its prompt in full and drive out what the next one needs.
+        Bench bench(fleet(2, 1));
+        const auto ask = [&](std::uint64_t history) {
+            ReserveRequest request = bench.request(1, "c", 1000, 50);
+            for (int index = 0; index < 3; ++index)
+                request.prefixes.emplace_back(history * 100 + index);
+            bench.ask(request);
+            return request.attempt;
+        };
+        const AttemptId runsA = ask(1);
+        const AttemptId runsB = ask(2);
+        const TargetId targetB = bench.lastReply(runsB)->target;
+        bench.pass(1s);
+        const AttemptId waitsA = ask(1);
+        const AttemptId waitsB = ask(2);
+        bench.release(runsB);
+        CHECK(bench.verdict(waitsA) == ReserveVerdict::Queued);
+        REQUIRE(bench.verdict(waitsB) == ReserveVerdict::Reserved);
+        CHECK(bench.lastReply(waitsB)->target == targetB);
+        CHECK(bench.lastReply(waitsB)->cachedTokens == 1000);
+        // Others of history 2 may pass the one that waits eight times in all, and then no more.
+        AttemptId running = waitsB;
+        for (int count = 0; count < 7; ++count) {
+            bench.pass(1s);
+            const AttemptId next = ask(2);
+            bench.release(running);
+            REQUIRE(bench.verdict(next) == ReserveVerdict::Reserved);
+            running = next;
+        }
+        bench.pass(1s);
+        const AttemptId last = ask(2);
+        bench.release(running);
+        CHECK(bench.verdict(last) == ReserveVerdict::Queued);
+        CHECK(bench.verdict(waitsA) == ReserveVerdict::Reserved);
+    }
 }
--- a/packages/steward/tests/apricothook_pressure_tests.cpp
+++ b/packages/steward/tests/apricothook_pressure_tests.cpp
@@ -98,4 +98,38 @@
             CHECK((wasted > 0) == isCancelling);
         }
     }
+
+    TEST_CASE("A shed request is told to come back when its tier can be open again")
+    {
+        // The top tier fills the only target and waits, so all below are shut. The queue ahead of a
+        // request of tier 4 is short; by it alone the caller would come back after half a second,
+        // and be refused again each time until the floor has fallen to its tier.
+        const StewardPolicy policy;
+        Bench bench(fleet(1, 1), policy);
+        bench.ask(bench.request(1));
+        ReserveRequest pressed = bench.request(1);
+        pressed.patienceLeft = 1500ms;
+        bench.ask(pressed);
+        const std::optional<ReserveReply> shed = bench.ask(bench.request(4));
+        REQUIRE(shed);
+        CHECK(shed->verdict == ReserveVerdict::Shed);
+        CHECK(shed->retryAfter >= 3 * policy.floorCalm);
+        CHECK(shed->retryAfter < 10 * policy.floorCalm);
+    }
+
+    TEST_CASE("A request that no target can finish within the margin doesn't shut the lower tiers")
+    {
+        // The answer takes 1.1 s on an idle target and the caller waits 1.2 s. It is never placed,
+        // as that is beyond the margin. If it waited, it would press on the floor, and every tier
+        // below would be refused for seconds though all targets are free.
+        Bench bench(fleet(2, 4));
+        ReserveRequest tight = bench.request(2);
+        tight.patienceLeft = 1200ms;
+        const std::optional<ReserveReply> reply = bench.ask(tight);
+        REQUIRE(reply);
+        CHECK(reply->verdict == ReserveVerdict::PatienceTooShort);
+        const ReserveRequest low = bench.request(5);
+        bench.ask(low);
+        CHECK(bench.verdict(low.attempt) == ReserveVerdict::Reserved);
+    }
 }
