--- a/packages/steward/tests/apricothook_placement_tests.cpp
+++ b/packages/steward/tests/apricothook_placement_tests.cpp
@@ -241,4 +241,24 @@
         CHECK(bench.verdict(last) == ReserveVerdict::Queued);
         CHECK(bench.verdict(waitsA) == ReserveVerdict::Reserved);
     }
+
+    TEST_CASE("Prefill of others that wasn't as believed isn't taken for another speed")
+    {
+        // A prompt of 400 tokens is believed to wait until another of 1,000 is read. In truth the
+        // other was cached, unknown to the steward, and the answer to this one begins after its own
+        // 100 ms. Taken for a faster engine, the target would be sent more than it can read in
+        // time.
+        Bench bench(fleet(1, 4));
+        const double before = bench.target("t0").prefillRate;
+        for (int pair = 0; pair < 20; ++pair) {
+            const ReserveRequest first = bench.request(1, "c", 1000, 50);
+            const ReserveRequest second = bench.request(1, "c", 400, 50);
+            bench.ask(first);
+            bench.ask(second);
+            bench.release(second.attempt, RunEnd::Answered, 100ms);
+            bench.release(first.attempt, RunEnd::Cancelled);
+            bench.pass(1s);
+        }
+        CHECK(bench.target("t0").prefillRate == doctest::Approx(before));
+    }
 }
