Tell prefixes of running work to new stewards alone

Cause: reports that renew leases carried up to 16 prefix hashes a request every three seconds: 144 bytes each, some 5.8 KB/s of a daemon's 28 at 120 open answers, for stewards that knew them. Change: a renewal names the request; only the report to a steward that took a shard over holds the prefixes. Conclusion: the budget's largest single item was waste.

--- a/packages/requests/apricothook/requests/internal/apricothook_in_flight_reporter.cpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_in_flight_reporter.cpp
@@ -14,7 +14,7 @@
     if (now < m_due)
         return;
     m_due = now + ReportPeriod;
-    for (auto &[shard, report] : collect(exchanges, now)) {
+    for (auto &[shard, report] : collect(exchanges, Extent::Renewal, now)) {
         const MemberId steward = m_context.ports.router.stewardOf(shard);
         out.push_back({steward, std::move(report)});
     }
@@ -22,7 +22,7 @@
 
 void InFlightReporter::membersChanged(const ExchangeTable &exchanges, Instant now, Outbox &out)
 {
-    Reports reports = collect(exchanges, now);
+    Reports reports = collect(exchanges, Extent::Whole, now);
     std::map<ShardId, MemberId> stewards;
     for (const ShardId &shard : m_context.ports.router.shards()) {
         const MemberId steward = m_context.ports.router.stewardOf(shard);
@@ -44,7 +44,7 @@
     return m_due;
 }
 
-InFlightReporter::Reports InFlightReporter::collect(const ExchangeTable &exchanges,
+InFlightReporter::Reports InFlightReporter::collect(const ExchangeTable &exchanges, Extent extent,
                                                     Instant now) const
 {
     Reports reports;
@@ -60,7 +60,9 @@
         running.tier = exchange.requestClass.tier;
         running.customer = exchange.customer;
         running.model = exchange.request.sketch.model;
-        running.prefixes = exchange.request.sketch.prefixes;
+        // A steward that knows the request knows its prefixes, and they are most of the bytes.
+        if (extent == Extent::Whole)
+            running.prefixes = exchange.request.sketch.prefixes;
         running.promptTokens = exchange.request.sketch.promptTokens;
         running.outputTokens = exchange.outputTokens;
         running.age = now - exchange.arrived;
--- a/packages/requests/apricothook/requests/internal/apricothook_in_flight_reporter.hpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_in_flight_reporter.hpp
@@ -26,7 +26,9 @@
 
 private:
     using Reports = std::map<ShardId, InFlightReport>;
-    Reports collect(const ExchangeTable &exchanges, Instant now) const;
+    /** What a report holds of each request: all that a ledger needs, or what renews a lease. */
+    enum class Extent { Renewal, Whole };
+    Reports collect(const ExchangeTable &exchanges, Extent extent, Instant now) const;
 
     FlowContext &m_context;
     Instant m_due {};
