Read an engine's stream again when the daemon that kept the answer is gone

Cause: The matrix showed "unknown" to a caller whose request an engine had answered, when the entry died before the key was sent again: the home knew of the answer but not where, so nobody asked the engine, which may still have the stream. And a request that waited at a shard which a new text cut away asked for it until its patience ended, beside shards with room. Change: A home also names the target of an answered key; an entry that can't fetch the kept answer resumes the stream there, which runs nothing. A request whose shard is gone turns to the shards of the new text as a new attempt. Conclusion: An engine's answer is lost only when its entry is gone and the engine has dropped the stream. A plain service's answer still dies with its entry.

--- a/packages/homes/apricothook/homes/apricothook_key_home.cpp
+++ b/packages/homes/apricothook/homes/apricothook_key_home.cpp
@@ -316,7 +316,7 @@
         reply.state = stateOf(*known, isHolderAlive(*known));
         reply.holder = m_lives.valueOf(known->holder.entry);
         // A holder that reported an unknown end has cancelled or lost the stream for good.
-        if (known->state == RecordState::Granted)
+        if (known->state == RecordState::Granted || known->state == RecordState::Answered)
             reply.target = m_targets.valueOf(known->target);
     } else if (known && !known->isIdentified && known->state != RecordState::Closed) {
         // Only the report of a run is known, from before this life. "Unheard" would send the entry
--- a/packages/requests/apricothook/requests/apricothook_request_flow.cpp
+++ b/packages/requests/apricothook/requests/apricothook_request_flow.cpp
@@ -348,9 +348,12 @@
 
 void RequestFlow::membersChanged(Instant now, Outbox &out)
 {
+    const std::vector<ShardId> shards = m_context.ports.router.shards();
     for (auto &[id, exchange] : m_book.all()) {
-        if (exchange.step == ExchangeStep::Reserving)
-            m_reserve.membersChanged(exchange, now, out);
+        if (exchange.step != ExchangeStep::Reserving)
+            continue;
+        m_reserve.membersChanged(exchange, now, out);
+        m_reserve.shardsChanged(exchange, shards, now);
     }
     m_inFlight.membersChanged(m_book.all(), now, out);
 }
--- a/packages/requests/apricothook/requests/apricothook_request_life.hpp
+++ b/packages/requests/apricothook/requests/apricothook_request_life.hpp
@@ -55,6 +55,7 @@
     std::vector<ShardId> shards;
     std::size_t shardIndex = 0;
     bool isLastResort = false;
+    bool isShardGone = false; ///< A new configuration has no such shard any more.
     bool isQueued = false;
     MemberId askedSteward;
     std::vector<TargetId> excluded;
@@ -70,6 +71,8 @@
     std::optional<DispatchEnded> ended;
     Instant dispatched {};
     MemberLife holder;
+    /** Where the run went that a home told of; empty where it isn't known. */
+    TargetId runTarget;
     bool isTakenOver = false; ///< The stream of a run that another daemon dispatched.
     Duration queued {};       ///< From arrival until room was reserved.
     std::optional<Refusal> pendingRefusal;
--- a/packages/requests/apricothook/requests/internal/apricothook_earlier_run.cpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_earlier_run.cpp
@@ -166,6 +166,7 @@
         m_book.finish(exchange, Refusal {RefusalReason::KeyConflict, Outcome::NotRun, {}}, now);
         break;
     case InquiryStep::Progress::Answered:
+        exchange.runTarget = advance.target;
         give(exchange, now);
         break;
     }
@@ -229,10 +230,21 @@
         m_context.record(RequestsEvent::AnswerFound, exchange, "holder=self");
         m_book.finish(exchange, {}, now);
     } else if (!m_inquiry.fetch(exchange, now)) {
-        m_book.finish(exchange, AnswerGone, now);
+        readAgain(exchange, now);
     }
 }
 
+void EarlierRun::readAgain(RequestLife &exchange, Instant now)
+{
+    // The entry that kept the answer is gone. An engine may still have the stream; reading it runs
+    // nothing.
+    const bool isEngine = exchange.serviceKind == ServiceKind::Engine;
+    if (isEngine && !exchange.runTarget.isEmpty())
+        takeOver(exchange, exchange.runTarget, now);
+    else
+        m_book.finish(exchange, AnswerGone, now);
+}
+
 void EarlierRun::answerLookup(RequestLife &exchange, const InquiryStep::Advance &advance,
                               Instant now)
 {
@@ -257,7 +269,10 @@
         && exchange->step != ExchangeStep::Confirming)
         return;
     if (arrived.answer == nullptr) {
-        m_book.finish(*exchange, AnswerGone, now);
+        if (isLookup)
+            m_book.finish(*exchange, AnswerGone, now);
+        else
+            readAgain(*exchange, now);
         return;
     }
     replay(*arrived.answer, *exchange->request.answer);
--- a/packages/requests/apricothook/requests/internal/apricothook_earlier_run.hpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_earlier_run.hpp
@@ -49,6 +49,8 @@
                        Outbox &out);
     void askWitnesses(RequestLife &exchange, Instant now, Outbox &out);
     void give(RequestLife &exchange, Instant now);
+    /** For a run whose answer nobody keeps: its stream, where the target may still have it. */
+    void readAgain(RequestLife &exchange, Instant now);
     void answerLookup(RequestLife &exchange, const InquiryStep::Advance &advance, Instant now);
     void takeOver(RequestLife &exchange, const TargetId &target, Instant now);
 
--- a/packages/requests/apricothook/requests/internal/apricothook_reserve_step.cpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_reserve_step.cpp
@@ -82,6 +82,7 @@
         = m_context.ports.router.shardsFor(exchange.request.service, exchange.request.sketch, now);
     exchange.sends = 0;
     exchange.isQueued = false;
+    exchange.isShardGone = false;
     exchange.shardIndex = 0;
     exchange.isLastResort = isLast(exchange);
     if (exchange.shards.empty())
@@ -117,6 +118,11 @@
 
 ReserveStep::Advance ReserveStep::due(RequestLife &exchange, Instant now, Outbox &out)
 {
+    if (exchange.isShardGone) {
+        cancel(exchange, out);
+        ++exchange.attempt;
+        return begin(exchange, exchange.outputTokens, now, out);
+    }
     if (exchange.sends >= SendsPerSteward && !exchange.isQueued && exchange.shards.size() > 1) {
         m_context.record(RequestsEvent::StewardSilent, exchange,
                          "steward=" + exchange.askedSteward.text());
@@ -127,6 +133,17 @@
     return {};
 }
 
+void ReserveStep::shardsChanged(RequestLife &exchange, const std::vector<ShardId> &shards,
+                                Instant now)
+{
+    // Nobody keeps a shard that a new configuration has cut away: the request would ask for it
+    // until its patience ends, beside other shards that may have room.
+    if (std::ranges::find(shards, shardOf(exchange)) != shards.end())
+        return;
+    exchange.isShardGone = true;
+    m_context.due.set(exchange.request.exchange, now);
+}
+
 void ReserveStep::membersChanged(RequestLife &exchange, Instant now, Outbox &out)
 {
     if (m_context.ports.router.stewardOf(shardOf(exchange)) == exchange.askedSteward)
--- a/packages/requests/apricothook/requests/internal/apricothook_reserve_step.hpp
+++ b/packages/requests/apricothook/requests/internal/apricothook_reserve_step.hpp
@@ -27,6 +27,8 @@
                     Instant now, Outbox &out);
     /** The reply didn't come in time. */
     Advance due(RequestLife &exchange, Instant now, Outbox &out);
+    /** Turns to other shards, at the next due time, where the present one isn't in `shards`. */
+    void shardsChanged(RequestLife &exchange, const std::vector<ShardId> &shards, Instant now);
     /** Another daemon may have become the steward: ask it at once. */
     void membersChanged(RequestLife &exchange, Instant now, Outbox &out);
     /** Gives the room back, or the place in the queue. */
