--- a/packages/requests/tests/apricothook_request_flow_tests.cpp
+++ b/packages/requests/tests/apricothook_request_flow_tests.cpp
@@ -68,6 +68,25 @@
     CHECK(std::holds_alternative<ReserveCancel>(std::prev(asked)->message));
 }
 
+// The caller waits in a shard's queue. A new text has fewer targets and no such shard; whoever kept
+// it answers that it isn't the steward. The request turns to a shard that there is, as a new
+// attempt, rather than to ask for the old one until its patience ends.
+TEST_CASE("A request leaves a shard that a new configuration cut away")
+{
+    FlowFixture f;
+    f.fakes.shardList = {{ServiceId("engines"), RegionId("r"), 1}};
+    f.call(1);
+    f.refusedBySteward(1, ReserveVerdict::Queued);
+    f.sent<ReserveRequest>();
+    f.fakes.shardList = {{ServiceId("engines"), RegionId("r"), 0}};
+    f.flow.membersChanged(f.now, f.out);
+    f.advance(1ms);
+    const auto asked = f.sent<ReserveRequest>();
+    REQUIRE(asked.size() == 1);
+    CHECK(asked.front().shard.index == 0);
+    CHECK(asked.front().attempt == f.attempt(1, 2));
+}
+
 // The daemon is paused between the reservation and the grant and wakes after the lease: its room
 // may have been given away. Nothing is sent; it asks for room again, as the attempt after.
 TEST_CASE("A grant that comes after the reservation lapsed is not used")
