Let a leaving entry give its ticket again

Cause: without a ticket callers use keys without one; their homes come from the roster, and a home that was replaced refuses such keys as unknown for a whole window. In a rolling restart that is nearly every home. Change: back to a ticket in every lookup.

--- a/packages/core/apricothook/core/internal/apricothook_core_turn_events.cpp
+++ b/packages/core/apricothook/core/internal/apricothook_core_turn_events.cpp
@@ -31,13 +31,11 @@
 void CoreTurn::take(const EntriesLookup &lookup, Instant now)
 {
     const LookupAnswer answer = m_parts.lookup.answer(lookupKeep());
-    // A ticket is used for as long as the answer is kept. One that is given while leaving would
-    // outlive this process: keys made with it would have a home that is gone, and their requests
-    // would be refused after a drain that cut nothing.
-    const bool isLeaving = m_drain.stage() != DrainPlan::Stage::Serving;
-    const std::string ticket = isLeaving ? std::string() : m_parts.issuer.issue(now);
+    // Also while leaving: keys without a ticket are refused for a whole window by every home that
+    // was replaced, which in a rolling restart is nearly all of them. A ticket that outlives this
+    // process costs few: the keys made with it after the drain has ended.
     lookup.answer->begin({200, {{"Content-Type", "application/json"}}});
-    lookup.answer->append(entriesDocument(answer, ticket));
+    lookup.answer->append(entriesDocument(answer, m_parts.issuer.issue(now)));
     lookup.answer->finish();
 }
 
--- /dev/null
+++ b/packages/testsupport/apricothook/testsupport/apricothook_gathering_inbox.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <apricothook/ports/apricothook_core_inbox.hpp>
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace Apricothook {
+
+/** In the core's place: keeps what adapters give, and waits a bounded time for what a test needs.
+ */
+class GatheringInbox : public CoreInbox
+{
+public:
+    bool tryGive(CoreEvent event) override
+    {
+        give(std::move(event));
+        return true;
+    }
+    void give(CoreEvent event) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_events.push_back(std::move(event));
+        m_arrived.notify_all();
+    }
+    /** All events of a kind so far. */
+    template <typename T>
+    std::vector<T> all() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return select<T>();
+    }
+    /** The `count`-th event of a kind; nothing when it doesn't come. */
+    template <typename T>
+    std::optional<T> wait(std::size_t count = 1) const
+    {
+        std::unique_lock lock(m_mutex);
+        m_arrived.wait_for(lock, Patience, [&] { return select<T>().size() >= count; });
+        const std::vector<T> found = select<T>();
+        return found.size() >= count ? std::optional(found[count - 1]) : std::nullopt;
+    }
+    /** The kinds of all events so far, as places in the variant. */
+    std::vector<std::size_t> kinds() const
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<std::size_t> kinds;
+        for (const CoreEvent &event : m_events)
+            kinds.push_back(event.index());
+        return kinds;
+    }
+
+private:
+    // For a test that hangs; no verdict depends on it.
+    static constexpr auto Patience = std::chrono::seconds(20);
+
+    template <typename T>
+    std::vector<T> select() const
+    {
+        std::vector<T> found;
+        for (const CoreEvent &event : m_events) {
+            if (const T *typed = std::get_if<T>(&event))
+                found.push_back(*typed);
+        }
+        return found;
+    }
+
+    mutable std::mutex m_mutex;
+    mutable std::condition_variable m_arrived;
+    std::vector<CoreEvent> m_events;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/testsupport/apricothook/testsupport/apricothook_hand_clock.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <apricothook/model/apricothook_time.hpp>
+
+#include <atomic>
+
+namespace Apricothook {
+
+/** Stands still unless the test moves it; may be read by other threads. */
+class HandClock : public Clock
+{
+public:
+    /** Not zero at its start, so that a time left at its default is told apart. */
+    static constexpr Duration Start = std::chrono::seconds(1000);
+
+    Instant now() const override { return Instant(Duration(m_microseconds)); }
+    std::uint64_t wallMilliseconds() const override { return m_microseconds / 1000; }
+    void advance(Duration by) { m_microseconds += by.count(); }
+
+private:
+    std::atomic<std::int64_t> m_microseconds = Start.count();
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/testsupport/apricothook/testsupport/apricothook_repeatable_random.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <apricothook/model/apricothook_time.hpp>
+
+namespace Apricothook {
+
+/** SplitMix64: repeatable from its seed. */
+class SeededRandom : public RandomSource
+{
+public:
+    explicit SeededRandom(std::uint64_t seed = 1) : m_state(seed) { }
+    std::uint64_t next() override
+    {
+        std::uint64_t z = (m_state += 0x9E3779B97F4A7C15ULL);
+        z = (z ^ (z >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+        z = (z ^ (z >> 27U)) * 0x94D049BB133111EBULL;
+        return z ^ (z >> 31U);
+    }
+
+private:
+    std::uint64_t m_state;
+};
+
+} // namespace Apricothook
