--- a/tools/scripts/fleetrun/site.py
+++ b/tools/scripts/fleetrun/site.py
@@ -11,6 +11,8 @@
 
 ReadySeconds = 30
 LongestSeconds = 1800
+# The checks need every event; the daemon's limit on lines a second is far above what happens here.
+EveryLine = 1_000_000
 # "A few seconds": how long a target on a leaving VM may still be given new work.
 LeavingSeconds = 5
 # Offsets from the site's first port.
@@ -55,7 +57,8 @@
             "peerAddress": self.peer, "peerListenAddress": self.listen,
             "metricsAddress": self.metrics,
             "platformAddress": self.platformAddress(), "seeds": seeds,
-            "peerKeyFile": str(self.site.folder / "peer-keys"), "logFolder": "", "logLevel": 0}
+            "peerKeyFile": str(self.site.folder / "peer-keys"), "logFolder": "", "logLevel": 0,
+            "logLinesPerSecond": EveryLine}
 
     def start(self):
         file = self.site.folder / f"{self.id}.json"
