--- a/packages/requests/tests/apricothook_request_flow_tests.cpp
+++ b/packages/requests/tests/apricothook_request_flow_tests.cpp
@@ -87,6 +87,23 @@
     CHECK(asked.front().attempt == f.attempt(1, 2));
 }
 
+// The request's first target refuses it, and its second attempt waits for room. A copy of the
+// question that it asked at the start reaches the home late, which names the first attempt as
+// running. The request doesn't wait for that "run", which is its own and was proved not to have been.
+TEST_CASE("A late copy of a question doesn't take the request's own attempt for another's run")
+{
+    FlowFixture f;
+    f.call(1, "k");
+    f.homeSays(1, "k", KeyState::Unheard);
+    f.reserved(1);
+    f.granted(1);
+    f.ended(RunEnd::Refused, true);
+    f.homeSays(1, "k", KeyState::Running);
+    f.sent<GrantRequest>();
+    f.reserved(1, "t2", 2);
+    CHECK(f.sent<GrantRequest>().size() == 1);
+}
+
 // The daemon is paused between the reservation and the grant and wakes after the lease: its room
 // may have been given away. Nothing is sent; it asks for room again, as the attempt after.
 TEST_CASE("A grant that comes after the reservation lapsed is not used")
