--- a/packages/steward/tests/apricothook_shard_chooser_tests.cpp
+++ b/packages/steward/tests/apricothook_shard_chooser_tests.cpp
@@ -102,6 +102,7 @@
     {
         const ShardMap map(fleet(600, 4));
         std::vector<std::string> names;
+        names.reserve(160);
         for (int index = 0; index < 160; ++index)
             names.push_back("m" + std::to_string(index));
         FakeMembers view("m0", names);
--- a/packages/target/tests/apricothook_engine_call_tests.cpp
+++ b/packages/target/tests/apricothook_engine_call_tests.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-ScriptedTarget::Script answersWith(RequestLog &log, std::function<std::string(std::string)> answer)
+ScriptedTarget::Script answersWith(RequestLog &log,
+                                   const std::function<std::string(std::string)> &answer)
 {
     return [&log, answer](ScriptedConnection &connection, int) {
         for (std::string request; !(request = connection.readRequest()).empty();) {
@@ -158,7 +159,7 @@
         const std::string body
             = "data: {\"token\":\"a\"}\n\ndata: {\"token\":\"data: [DONE]\"}\n\n"
               "data: {\"usage\":{\"promptTokens\":9,\"cachedTokens\":41}}\n\ndata: [DONE]\n\n";
-        rc::check([&](std::vector<std::uint8_t> cuts) {
+        rc::check([&](const std::vector<std::uint8_t> &cuts) {
             EventScanner scanner;
             std::size_t at = 0;
             for (const std::uint8_t cut : cuts) {
--- a/packages/target/tests/apricothook_resume_tests.cpp
+++ b/packages/target/tests/apricothook_resume_tests.cpp
@@ -19,7 +19,8 @@
 }
 
 /** Does as told with the POST; each GET gets the rest of the stream. */
-ScriptedTarget::Script engine(RequestLog &log, std::function<void(ScriptedConnection &)> onPost,
+ScriptedTarget::Script engine(RequestLog &log,
+                              const std::function<void(ScriptedConnection &)> &onPost,
                               const std::string &boot = "1")
 {
     return [&log, onPost, boot](ScriptedConnection &connection, int) {
--- a/packages/target/tests/apricothook_scripted_target.cpp
+++ b/packages/target/tests/apricothook_scripted_target.cpp
@@ -26,7 +26,7 @@
     bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(bound);
     const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    bind(listener, reinterpret_cast<sockaddr *>(&bound), size);
+    static_cast<void>(bind(listener, reinterpret_cast<sockaddr *>(&bound), size));
     listen(listener, 64);
     getsockname(listener, reinterpret_cast<sockaddr *>(&bound), &size);
     address = Endpoint {"127.0.0.1", ntohs(bound.sin_port)};
@@ -43,7 +43,7 @@
         if (end != std::string::npos) {
             const std::size_t size = end + 4 + bodyBytes(m_buffer.substr(0, end));
             if (m_buffer.size() >= size) {
-                const std::string request = m_buffer.substr(0, size);
+                std::string request = m_buffer.substr(0, size);
                 m_buffer.erase(0, size);
                 return request;
             }
--- a/packages/testing/tests/apricothook_service_stand_in_tests.cpp
+++ b/packages/testing/tests/apricothook_service_stand_in_tests.cpp
@@ -31,7 +31,8 @@
     DatagramPeer()
     {
         const sockaddr_in address = loopback(0);
-        ::bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        static_cast<void>(
+            ::bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof address));
     }
     DatagramPeer(const DatagramPeer &) = delete;
     DatagramPeer &operator=(const DatagramPeer &) = delete;
--- a/packages/text/apricothook/text/apricothook_settings_parser.cpp
+++ b/packages/text/apricothook/text/apricothook_settings_parser.cpp
@@ -104,8 +104,7 @@
     readFileName(root, "peerKeyFile", settings.peerKeyFile, Need::Required);
     readFileName(root, "logFolder", settings.logFolder, Need::Optional);
     root.readWhole("logLevel", settings.logLevel, LogLevelBounds, Need::Optional);
-    root.readWhole("logLinesPerSecond", settings.logLinesPerSecond, LogLinesBounds,
-                   Need::Optional);
+    root.readWhole("logLinesPerSecond", settings.logLinesPerSecond, LogLinesBounds, Need::Optional);
     return settings;
 }
 
--- a/packages/text/apricothook/text/internal/apricothook_circular_dependencies.cpp
+++ b/packages/text/apricothook/text/internal/apricothook_circular_dependencies.cpp
@@ -73,18 +73,18 @@
 
 std::vector<DependencyCircle> circularDependenciesOf(const std::vector<Service> &services)
 {
-    constexpr std::size_t notWalked = 0;
+    constexpr std::size_t NotWalked = 0;
     const Edges edges = edgesOf(services);
     const std::vector<bool> left = leadIntoCircle(edges);
-    std::vector<std::size_t> walkOf(edges.size(), notWalked);
+    std::vector<std::size_t> walkOf(edges.size(), NotWalked);
     std::vector<DependencyCircle> circles;
     for (std::size_t start = 0; start < edges.size(); ++start) {
-        if (!left[start] || walkOf[start] != notWalked)
+        if (!left[start] || walkOf[start] != NotWalked)
             continue;
         const std::size_t walk = start + 1;
         std::vector<std::size_t> steps;
         std::size_t index = start;
-        for (; walkOf[index] == notWalked; index = nextOf(index, edges, left)) {
+        for (; walkOf[index] == NotWalked; index = nextOf(index, edges, left)) {
             walkOf[index] = walk;
             steps.push_back(index);
         }
