Follow the belief's new time of reading in the bench

Cause: PrefixBelief::used() got a further argument; the bench no longer compiled. Change: its prompts count as read at once, as before. Conclusion: the belief cases compare expiry as they did.

--- a/packages/bench/apricothook/bench/apricothook_belief_cases.cpp
+++ b/packages/bench/apricothook/bench/apricothook_belief_cases.cpp
@@ -85,8 +85,8 @@
         m_lost += isLost;
         if (auto *stepped = dynamic_cast<SteppedExpiry *>(m_expiry.get()))
             stepped->learn(isWrong, isLost);
-        m_engine.used({prompt}, m_now);
-        m_belief.used({prompt}, m_now);
+        m_engine.used({prompt}, m_now, m_now);
+        m_belief.used({prompt}, m_now, m_now);
     }
     std::vector<BenchFigure> figures() const override
     {
