Name the answering daemon first in a lookup's answer

Change: the answering daemon stands first unless it leaves or has clearly more work than its neighbours; callers use the first, and the load generator does so for seven of eight calls. The draw's test looks at the others now, with the same bounds. What is left are resends of keys whose home was stopped or cut off, which nobody else may grant. Conclusion: kept for the messages it saves; it doesn't mend a stopped home.

--- a/packages/membership/apricothook/membership/apricothook_lookup.cpp
+++ b/packages/membership/apricothook/membership/apricothook_lookup.cpp
@@ -7,6 +7,14 @@
 
 namespace Apricothook {
 
+namespace {
+
+// A daemon with more work than this, beside the mean of its data centre, sends callers elsewhere.
+constexpr double UsualLoad = 8;
+constexpr double UsualRatio = 1.5;
+
+} // namespace
+
 Lookup::Lookup(const MemberView &members, RandomSource &random)
     : m_members(members), m_random(random)
 {
@@ -17,14 +25,30 @@
     constexpr std::size_t Entries = NearEntries + OtherEntries;
     refresh();
     LookupAnswer answer {{}, keep};
+    if (const std::optional<MemberUpdate> self = selfIfFree())
+        answer.entries.push_back(self->callerAddress);
     draw(m_candidates[0], NearEntries, answer.entries);
-    draw(m_candidates[1], Entries - answer.entries.size(), answer.entries);
+    draw(m_candidates[1], Entries, answer.entries);
     // Across the region link only where nobody nearer takes work: it costs each call a round trip.
     if (answer.entries.empty())
         draw(m_candidates[2], Entries, answer.entries);
     return answer;
 }
 
+std::optional<MemberUpdate> Lookup::selfIfFree()
+{
+    const std::optional<MemberUpdate> self = m_members.find(m_members.self().member);
+    if (!self || self->life != m_members.self() || self->state != MemberState::Alive)
+        return std::nullopt;
+    double mean = 0;
+    const Places near = sample(m_candidates[0]);
+    for (const std::size_t place : near)
+        mean
+            += static_cast<double>(m_members.live()[place].load) / static_cast<double>(near.size());
+    const bool isFree = self->load <= UsualLoad + mean * UsualRatio;
+    return isFree ? self : std::nullopt;
+}
+
 void Lookup::refresh()
 {
     if (m_version == m_members.version())
@@ -74,8 +98,12 @@
         order.emplace_back(-std::log(uniform) / weight, place);
     }
     std::sort(order.begin(), order.end());
-    for (std::size_t i = 0; i < std::min(count, order.size()); ++i)
-        entries.push_back(live[order[i].second].callerAddress);
+    const std::size_t wanted = std::max(count, entries.size());
+    for (std::size_t i = 0; i < order.size() && entries.size() < wanted; ++i) {
+        const Endpoint &address = live[order[i].second].callerAddress;
+        if (std::find(entries.begin(), entries.end(), address) == entries.end())
+            entries.push_back(address);
+    }
 }
 
 Duration drainWaitFor(Duration keep)
--- a/packages/membership/apricothook/membership/apricothook_lookup.hpp
+++ b/packages/membership/apricothook/membership/apricothook_lookup.hpp
@@ -22,7 +22,8 @@
 class Lookup
 {
 public:
-    /** Entries in one answer: three near ones, and one of another data centre. */
+    /** Entries in one answer: three near ones, this daemon among them, and one of another data
+     * centre. */
     static constexpr std::size_t NearEntries = 3;
     static constexpr std::size_t OtherEntries = 1;
     /** Candidates whose loads are compared for one draw, whatever the size of the fleet. */
@@ -30,15 +31,21 @@
 
     Lookup(const MemberView &members, RandomSource &random);
 
-    /** Drawn anew each time, so that callers spread. Empty only when nobody takes new work. */
+    /**
+     * This daemon first, as the answer's ticket makes it the home of the caller's keys: where entry
+     * and home are one, a grant costs no message and no other daemon's death can hold it up. Then
+     * others, drawn anew each time, so that callers spread. Empty only when nobody takes new work.
+     */
     LookupAnswer answer(Duration keep);
 
 private:
     /** Places in live(). */
     using Places = std::vector<std::size_t>;
 
+    /** This daemon, unless it leaves, was replaced, or has clearly more work than those near it. */
+    std::optional<MemberUpdate> selfIfFree();
     void refresh();
-    /** Draws without replacement; the weight falls with the load. */
+    /** Draws until there are `count` entries; the weight falls with the load. */
     void draw(const Places &candidates, std::size_t count, std::vector<Endpoint> &entries);
     Places sample(const Places &candidates);
 
--- a/packages/membership/tests/apricothook_lookup_tests.cpp
+++ b/packages/membership/tests/apricothook_lookup_tests.cpp
@@ -30,6 +30,7 @@
         m_live.push_back(member);
         m_self = m_live.front().life;
     }
+    void setSelf(int number) { m_self.member = MemberId("entry-" + std::to_string(number)); }
     const MemberLife &self() const override { return m_self; }
     const std::vector<MemberUpdate> &live() const override { return m_live; }
     std::optional<MemberUpdate> find(const MemberId &member) const override
@@ -99,6 +100,8 @@
     FakeView view;
     for (int i = 0; i < 12; ++i)
         view.add(i, "a", "north", MemberState::Alive, i == 0 ? 0 : (i == 1 ? 400 : 100));
+    // The answering daemon stands first in each answer; the draw is among the others.
+    view.setSelf(11);
     const auto counts = countAnswers(view, 4000);
     const double usual = counts.at("10.0.0.5");
     CHECK(counts.at("10.0.0.1") < 0.7 * usual);
@@ -182,3 +185,45 @@
 }
 
 TEST_SUITE_END();
+
+// The ticket of an answer makes the answering daemon the home of the caller's keys. A caller who is
+// sent to another entry needs both of them alive for each request; when the home dies its requests
+// wait their whole patience and end as unknown.
+TEST_CASE("The answering daemon stands first unless it has clearly more work than its neighbours")
+{
+    FakeView view;
+    std::uint32_t ownLoad = 10;
+    SUBCASE("usual load")
+    {
+        SUBCASE("alone") { }
+        SUBCASE("with others")
+        {
+            for (int i = 1; i < 6; ++i)
+                view.add(i, "a", "north", MemberState::Alive, 10);
+        }
+        view.add(0, "a", "north", MemberState::Alive, ownLoad);
+        view.setSelf(0);
+        SeededRandom random(7);
+        Lookup lookup(view, random);
+        for (int i = 0; i < 100; ++i) {
+            const std::vector<Endpoint> entries = lookup.answer(seconds(30)).entries;
+            REQUIRE_FALSE(entries.empty());
+            CHECK(entries.front().address == "10.0.0.0");
+            CHECK(std::set<Endpoint>(entries.begin(), entries.end()).size() == entries.size());
+        }
+    }
+    SUBCASE("three times the others' load")
+    {
+        ownLoad = 60;
+        for (int i = 1; i < 6; ++i)
+            view.add(i, "a", "north", MemberState::Alive, 10);
+        view.add(0, "a", "north", MemberState::Alive, ownLoad);
+        view.setSelf(0);
+        SeededRandom random(7);
+        Lookup lookup(view, random);
+        int first = 0;
+        for (int i = 0; i < 100; ++i)
+            first += lookup.answer(seconds(30)).entries.front().address == "10.0.0.0" ? 1 : 0;
+        CHECK(first < 50);
+    }
+}
--- a/packages/requests/tests/apricothook_request_flow_tests.cpp
+++ b/packages/requests/tests/apricothook_request_flow_tests.cpp
@@ -425,3 +425,24 @@
     CHECK(f.fakes.orders.empty());
     CHECK(*answer->refusal() == Refusal {RefusalReason::KeyConflict, Outcome::NotRun, {}});
 }
+
+// Reports renew leases every three seconds for as long as a request runs. Its prompt's prefixes are
+// most of its bytes, and only a steward that took the shard over lacks them.
+TEST_CASE("Prefixes are told to new stewards, not in each renewal")
+{
+    FlowFixture f;
+    f.call(1);
+    f.reserved(1);
+    f.granted(1);
+    f.flow.membersChanged(f.now, f.out);
+    f.out.clear();
+    f.advance(4s);
+    const auto renewals = f.sent<InFlightReport>();
+    REQUIRE(renewals.size() == 1);
+    CHECK(renewals.front().running.at(0).prefixes.empty());
+    f.fakes.stewards[f.fakes.shardList.front()] = MemberId("other");
+    f.flow.membersChanged(f.now, f.out);
+    const auto whole = f.sent<InFlightReport>();
+    REQUIRE(whole.size() == 1);
+    CHECK(whole.front().running.at(0).prefixes.size() == 2);
+}
--- a/packages/testing/apricothook/testing/load/apricothook_load_router.cpp
+++ b/packages/testing/apricothook/testing/load/apricothook_load_router.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr std::uint32_t OtherEntryEvery = 8;
 constexpr Duration LoadPollInterval = std::chrono::milliseconds(500);
 constexpr Duration FailedLookupPause = std::chrono::milliseconds(500);
 
@@ -23,7 +24,9 @@
     const Caller &caller = m_callers[index];
     if (caller.entries.empty())
         return {};
-    const std::string &entry = caller.entries[m_random() % caller.entries.size()];
+    // The first is the ticket's home, as docs/CALLERS.md says; the others are tried now and then.
+    const bool isOther = m_random() % OtherEntryEvery == 0;
+    const std::string &entry = caller.entries[isOther ? m_random() % caller.entries.size() : 0];
     return {"http://" + entry + "/v1/services/" + kind.service + kind.path, caller.ticket,
             static_cast<int>(index)};
 }
