--- a/packages/requests/tests/apricothook_request_flow_tests.cpp
+++ b/packages/requests/tests/apricothook_request_flow_tests.cpp
@@ -89,7 +89,8 @@
 
 // The request's first target refuses it, and its second attempt waits for room. A copy of the
 // question that it asked at the start reaches the home late, which names the first attempt as
-// running. The request doesn't wait for that "run", which is its own and was proved not to have been.
+// running. The request doesn't wait for that "run", which is its own and was proved not to have
+// been.
 TEST_CASE("A late copy of a question doesn't take the request's own attempt for another's run")
 {
     FlowFixture f;
--- a/packages/target/apricothook/target/apricothook_target_options.hpp
+++ b/packages/target/apricothook/target/apricothook_target_options.hpp
@@ -14,7 +14,7 @@
     std::string engineOrderToken;
     /** Orders that wait for the adapter's thread; more are refused by order(). */
     std::size_t ringCapacity = 1024;
-    /** Dispatches on the wire, as many as callers' connections; more end at once, proven not run. */
+    /** Dispatches on the wire, as many as connections; more end at once, proven not run. */
     std::size_t maximumDispatches = 12000;
     /** Polls, engine orders and cancels on the wire. */
     std::size_t maximumCalls = 64;
