--- a/packages/bench/apricothook/bench/apricothook_belief_cases.cpp
+++ b/packages/bench/apricothook/bench/apricothook_belief_cases.cpp
@@ -97,7 +97,7 @@
 
 private:
     static constexpr std::size_t Prompts = 2000;
-    static constexpr std::uint64_t Nominal = 1000 * BlockTokens;
+    static constexpr std::uint64_t Nominal = 1000 * std::uint64_t {BlockTokens};
 
     double uniform() { return (static_cast<double>(m_random.next() >> 11) + 1) / 0x1p53; }
     PrefixHash draw()
--- a/packages/bench/apricothook/bench/apricothook_bench_core.cpp
+++ b/packages/bench/apricothook/bench/apricothook_bench_core.cpp
@@ -44,7 +44,7 @@
 
 BenchCore::~BenchCore() = default;
 
-void BenchCore::applyConfiguration(std::shared_ptr<const Configuration> configuration)
+void BenchCore::applyConfiguration(const std::shared_ptr<const Configuration> &configuration)
 {
     m_digest = {configuration->generation, configuration->textHash, 0};
     m_core->handle(ConfigurationArrived {configuration, std::make_shared<const std::string>()},
--- a/packages/bench/apricothook/bench/apricothook_bench_core.hpp
+++ b/packages/bench/apricothook/bench/apricothook_bench_core.hpp
@@ -37,7 +37,7 @@
     void pass(Duration time);
     /** From now on answers begin and never end. */
     void hold() { m_isHolding = true; }
-    void applyConfiguration(std::shared_ptr<const Configuration> configuration);
+    void applyConfiguration(const std::shared_ptr<const Configuration> &configuration);
     const BenchTraffic &traffic() const { return m_traffic; }
     Generation generation() const { return m_core->generation(); }
 
--- a/packages/bench/apricothook/bench/apricothook_steward_cases.cpp
+++ b/packages/bench/apricothook/bench/apricothook_steward_cases.cpp
@@ -16,7 +16,7 @@
 class StewardSubject : public BenchSubject
 {
 public:
-    StewardSubject(const BenchScale &scale, std::shared_ptr<Configuration> configuration)
+    StewardSubject(const BenchScale &scale, const std::shared_ptr<Configuration> &configuration)
         : m_members(scale), m_map(configuration->text)
     {
         m_shard = m_map.shards().begin()->first;
@@ -93,19 +93,20 @@
 class PlacementSubject : public StewardSubject
 {
 public:
-    PlacementSubject(const BenchScale &scale, std::shared_ptr<Configuration> configuration)
+    PlacementSubject(const BenchScale &scale, const std::shared_ptr<Configuration> &configuration)
         : StewardSubject(scale, configuration)
     {
         const std::size_t slots = 16 * m_map.find(m_shard)->targets.size();
         const std::int64_t before = allocationsNow().liveBytes;
-        for (std::size_t i = 0; i < slots / 2; ++i) {
+        const std::size_t taken = slots / 2;
+        for (std::size_t i = 0; i < taken; ++i) {
             give(request(1 + i % 5));
             for (const ReserveReply &reply : reserved())
                 m_held.push_back(reply);
             m_out.clear();
         }
-        m_bytes = static_cast<double>(allocationsNow().liveBytes - before)
-            / static_cast<double>(slots / 2);
+        m_bytes
+            = static_cast<double>(allocationsNow().liveBytes - before) / static_cast<double>(taken);
     }
     void prepare() override
     {
--- a/packages/bench/programs/apricothook_bench_wire.cpp
+++ b/packages/bench/programs/apricothook_bench_wire.cpp
@@ -229,6 +229,7 @@
     std::mt19937_64 random(number);
     std::exponential_distribution<double> gap(rate > 0 ? rate : 1);
     std::vector<int> sockets;
+    sockets.reserve(urls.size());
     for (const Url &url : urls)
         sockets.push_back(connectTo(url.port));
     Clock::time_point due = Clock::now();
--- a/packages/core/tests/apricothook_fault_bench.cpp
+++ b/packages/core/tests/apricothook_fault_bench.cpp
@@ -221,7 +221,7 @@
     now.apply(*m_texts.back(), m_now);
     later.apply(without, m_now);
     for (int i = 0;; ++i) {
-        const std::string text = "k" + std::to_string(i);
+        std::string text = "k" + std::to_string(i);
         const RequestKey key(text + "@" + CustomerName);
         const CustomerId customer(CustomerName);
         const bool isUsed = std::ranges::find(m_calls, text, &Call::key) != m_calls.end();
--- a/packages/daemon/tests/apricothook_daemon_site.cpp
+++ b/packages/daemon/tests/apricothook_daemon_site.cpp
@@ -15,7 +15,8 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    ::bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+    // A failure shows as port 0, which nothing can listen on.
+    (void)::bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address);
     socklen_t length = sizeof address;
     ::getsockname(socket, reinterpret_cast<sockaddr *>(&address), &length);
     ::close(socket);
--- a/packages/platform/tests/apricothook_peer_rpc_tests.cpp
+++ b/packages/platform/tests/apricothook_peer_rpc_tests.cpp
@@ -157,7 +157,8 @@
 TEST_CASE("A kept answer comes with all its bytes, or not at all")
 {
     ServingMember holder(testKeys());
-    std::string body = "\0\x01\xff binary";
+    using namespace std::string_literals;
+    std::string body = "\0\x01\xff binary"s;
     body += std::string(300'000, '\xfe');
     holder.answers.kept = RequestKey("key-1");
     holder.answers.answer = std::make_shared<const KeptAnswer>(
