Don't say not-run of a caller's key when the entry is too busy to ask

Cause: an entry with a full inbox, too many connections or in its drain refused with "not-run" before anybody was asked about the key. A resend whose first run goes on would be taken for never run, sent under a new key and done twice. Change: with a caller's key these say "unknown", as the core's own early refusals do; a minted key stays "not-run". The granted event is recorded. Conclusion: no way out of the entry says not-run of an unasked key.

--- a/packages/caller/apricothook/caller/internal/apricothook_exchange_service.cpp
+++ b/packages/caller/apricothook/caller/internal/apricothook_exchange_service.cpp
@@ -277,8 +277,12 @@
 void ExchangeService::refuse(Exchange &exchange, RefusalReason reason) const
 {
     Refusal refusal {reason, Outcome::NotRun, {}};
-    if (helpsToRetry(reason))
+    if (helpsToRetry(reason)) {
         refusal.retryAfter = OverloadPause;
+        // A caller's key may have run before, and nobody was asked. "Not run" would let the caller
+        // send the same work under a new key and have it done twice.
+        refusal.outcome = exchange.headers.key.isEmpty() ? Outcome::NotRun : Outcome::Unknown;
+    }
     exchange.refusal = refusal;
     exchange.body->drop();
     exchange.closesConnection
--- a/packages/caller/tests/apricothook_caller_server_tests.cpp
+++ b/packages/caller/tests/apricothook_caller_server_tests.cpp
@@ -265,6 +265,9 @@
         CHECK(answer.starts_with("HTTP/1.1 503"));
         CHECK(contains(answer, R"("outcome":"not-run","reason":"overloaded")"));
         CHECK(contains(answer, "Retry-After: 1"));
+        RawCaller again(fixture.port);
+        again.send(postRequest(Ask, "body", "Idempotency-Key: used\r\n"));
+        CHECK(contains(again.readAnswer(), R"("outcome":"unknown","reason":"overloaded")"));
         CHECK(fixture.sink.has(746));
         fixture.inbox.isFull = false;
         caller.send(getRequest(Ask));
--- a/packages/requests/apricothook/requests/apricothook_request_flow.cpp
+++ b/packages/requests/apricothook/requests/apricothook_request_flow.cpp
@@ -197,6 +197,9 @@
     case GrantStep::Progress::Waiting:
         return;
     case GrantStep::Progress::Granted:
+        m_context.record(RequestsEvent::Granted, exchange,
+                         "target=" + exchange.reservation->target.text()
+                             + " attempt=" + std::to_string(exchange.attempt));
         dispatch(exchange, now, out);
         return;
     case GrantStep::Progress::RanBefore:
