--- a/packages/text/apricothook/text/apricothook_text_difference.cpp
+++ b/packages/text/apricothook/text/apricothook_text_difference.cpp
@@ -85,16 +85,16 @@
 
 void comparePolicy(ChangeList &list, const Policy &before, const Policy &after)
 {
-    constexpr ChangeEffect limits = ChangeEffect::ChangesLimits;
+    constexpr ChangeEffect Limits = ChangeEffect::ChangesLimits;
     KeyChanges changes;
     changes.compare("deduplicationWindowSeconds", before.deduplicationWindow,
                     after.deduplicationWindow);
     changes.compare("lookupKeepSeconds", before.lookupKeep, after.lookupKeep);
-    changes.compare("maximumBodyBytes", before.maximumBodyBytes, after.maximumBodyBytes, {limits});
+    changes.compare("maximumBodyBytes", before.maximumBodyBytes, after.maximumBodyBytes, {Limits});
     changes.compare("maximumConnections", before.maximumConnections, after.maximumConnections,
-                    {limits});
-    changes.compare("keptAnswerBytes", before.keptAnswerBytes, after.keptAnswerBytes, {limits});
-    changes.compare("keptKeys", before.keptKeys, after.keptKeys, {limits});
+                    {Limits});
+    changes.compare("keptAnswerBytes", before.keptAnswerBytes, after.keptAnswerBytes, {Limits});
+    changes.compare("keptKeys", before.keptKeys, after.keptKeys, {Limits});
     changes.compare("weightStoreBytesPerSecond", before.weightStoreBytesPerSecond,
                     after.weightStoreBytesPerSecond);
     changes.compare("shardTargets", before.shardTargets, after.shardTargets);
@@ -184,11 +184,11 @@
     /** A target that moves is another process: the old one drains as if it were removed. */
     static void compareKeys(KeyChanges &changes, const Target &before, const Target &after)
     {
-        constexpr ChangeEffect drains = ChangeEffect::Drains;
-        changes.compare("service", before.service, after.service, {drains});
-        changes.compare("address", before.address, after.address, {drains});
-        changes.compare("vm", before.vm, after.vm, {drains});
-        changes.compare("dataCentre", before.dataCentre, after.dataCentre, {drains});
+        constexpr ChangeEffect Drains = ChangeEffect::Drains;
+        changes.compare("service", before.service, after.service, {Drains});
+        changes.compare("address", before.address, after.address, {Drains});
+        changes.compare("vm", before.vm, after.vm, {Drains});
+        changes.compare("dataCentre", before.dataCentre, after.dataCentre, {Drains});
         changes.compare("hardwareGeneration", before.hardwareGeneration, after.hardwareGeneration);
         changes.compare("slots", before.slots, after.slots, {ChangeEffect::ChangesLimits});
         changes.compare("kvTokens", before.kvTokens, after.kvTokens, {ChangeEffect::ChangesLimits});
--- a/packages/text/apricothook/text/internal/apricothook_text_document.cpp
+++ b/packages/text/apricothook/text/internal/apricothook_text_document.cpp
@@ -48,11 +48,11 @@
 /** JsonCpp tells errors as "* Line 3, Column 5\n  What is wrong\n"; the first is the cause. */
 TextError errorOfReader(std::string_view text, std::string_view told)
 {
-    constexpr std::string_view lineMark = "Line ";
+    constexpr std::string_view LineMark = "Line ";
     TextError error {1, "$", TextRule::Syntax, {}};
-    const std::size_t mark = told.find(lineMark);
+    const std::size_t mark = told.find(LineMark);
     if (mark != std::string_view::npos) {
-        const char *digits = told.data() + mark + lineMark.size();
+        const char *digits = told.data() + mark + LineMark.size();
         std::from_chars(digits, told.data() + told.size(), error.line);
         error.line = lineOfReaderLine(text, error.line);
     }
--- a/packages/text/tests/apricothook_bad_texts_tests.cpp
+++ b/packages/text/tests/apricothook_bad_texts_tests.cpp
@@ -43,17 +43,18 @@
 /** The first lines of a bad text: "// expect LINE RULE PATH", one for each error. */
 std::vector<std::string> expectedErrors(const std::string &text)
 {
-    constexpr std::string_view mark = "// expect ";
+    constexpr std::string_view Mark = "// expect ";
     std::vector<std::string> expected;
     std::istringstream lines(text);
-    for (std::string line; std::getline(lines, line) && line.starts_with(mark);)
-        expected.push_back(line.substr(mark.size()));
+    for (std::string line; std::getline(lines, line) && line.starts_with(Mark);)
+        expected.push_back(line.substr(Mark.size()));
     return expected;
 }
 
 std::vector<std::string> foundErrors(const std::vector<TextError> &errors)
 {
     std::vector<std::string> found;
+    found.reserve(errors.size());
     for (const TextError &error : errors)
         found.push_back(std::to_string(error.line) + " " + std::string(nameOf(error.rule)) + " "
                         + error.path);
--- a/packages/text/tests/apricothook_text_fuzz_tests.cpp
+++ b/packages/text/tests/apricothook_text_fuzz_tests.cpp
@@ -147,9 +147,9 @@
 
     static void replaceWord(std::string &text, std::size_t place, std::string_view piece)
     {
-        constexpr std::string_view ends = " ,:[]{}\n";
-        const std::size_t start = text.find_last_of(ends, place) + 1;
-        const std::size_t end = std::min(text.find_first_of(ends, place), text.size());
+        constexpr std::string_view Ends = " ,:[]{}\n";
+        const std::size_t start = text.find_last_of(Ends, place) + 1;
+        const std::size_t end = std::min(text.find_first_of(Ends, place), text.size());
         text.replace(start, end - std::min(start, end), piece);
     }
 
