--- a/cmake/ApricothookPackage.cmake
+++ b/cmake/ApricothookPackage.cmake
@@ -17,7 +17,7 @@
     target_link_libraries(apricothook_${name} ${scope} ${PACKAGE_DEPENDS} ${PACKAGE_LIBRARIES})
 
     file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-    if(tests)
+    if(tests AND NOT APRICOTHOOK_DEPLOYMENT STREQUAL "platform")
         add_executable(apricothook_${name}_tests ${tests} ${CMAKE_SOURCE_DIR}/cmake/doctest_main.cpp)
         target_include_directories(apricothook_${name}_tests PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/tests)
         target_link_libraries(apricothook_${name}_tests PRIVATE apricothook_${name} apricothook_testsupport
--- a/packages/platform/apricothook/platform/apricothook_core_answer_source.cpp
+++ b/packages/configservice/apricothook/configservice/apricothook_core_answer_source.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/platform/apricothook_core_answer_source.hpp>
+#include <apricothook/configservice/apricothook_core_answer_source.hpp>
 
 #include <future>
 #include <utility>
--- a/packages/platform/apricothook/platform/apricothook_core_answer_source.hpp
+++ b/packages/configservice/apricothook/configservice/apricothook_core_answer_source.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <apricothook/platform/apricothook_kept_answer_source.hpp>
+#include <apricothook/configservice/apricothook_kept_answer_source.hpp>
 #include <apricothook/ports/apricothook_core_inbox.hpp>
 
 namespace Apricothook {
--- a/packages/platform/apricothook/platform/apricothook_peer_rpc_server.cpp
+++ b/packages/configservice/apricothook/configservice/apricothook_peer_rpc_server.cpp
@@ -1,8 +1,8 @@
-#include <apricothook/platform/apricothook_peer_rpc_server.hpp>
+#include <apricothook/configservice/apricothook_peer_rpc_server.hpp>
 
-#include <apricothook/platform/apricothook_platform_event.hpp>
-#include <apricothook/platform/internal/apricothook_http_rpc_connector.hpp>
-#include <apricothook/platform/internal/apricothook_rpc_documents.hpp>
+#include <apricothook/configservice/apricothook_platform_event.hpp>
+#include <apricothook/configservice/internal/apricothook_http_rpc_connector.hpp>
+#include <apricothook/configservice/internal/apricothook_rpc_documents.hpp>
 
 #include <jsonrpccpp/server/abstractserver.h>
 
--- a/packages/platform/apricothook/platform/apricothook_peer_rpc_server.hpp
+++ b/packages/configservice/apricothook/configservice/apricothook_peer_rpc_server.hpp
@@ -3,10 +3,10 @@
 #include <apricothook/model/apricothook_decision_event.hpp>
 #include <apricothook/model/apricothook_endpoint.hpp>
 #include <apricothook/model/apricothook_time.hpp>
-#include <apricothook/platform/apricothook_kept_answer_source.hpp>
-#include <apricothook/platform/apricothook_platform_counters.hpp>
-#include <apricothook/platform/apricothook_rpc_seal.hpp>
-#include <apricothook/platform/apricothook_text_shelf.hpp>
+#include <apricothook/configservice/apricothook_kept_answer_source.hpp>
+#include <apricothook/configservice/apricothook_platform_counters.hpp>
+#include <apricothook/configservice/apricothook_rpc_seal.hpp>
+#include <apricothook/configservice/apricothook_text_shelf.hpp>
 
 #include <memory>
 
--- a/packages/platform/apricothook/platform/apricothook_platform_client.cpp
+++ b/packages/configservice/apricothook/configservice/apricothook_platform_client.cpp
@@ -1,9 +1,9 @@
-#include <apricothook/platform/apricothook_platform_client.hpp>
+#include <apricothook/configservice/apricothook_platform_client.hpp>
 
-#include <apricothook/platform/internal/apricothook_answer_fetcher.hpp>
-#include <apricothook/platform/internal/apricothook_text_fetcher.hpp>
-#include <apricothook/platform/internal/apricothook_text_watch.hpp>
-#include <apricothook/platform/internal/apricothook_vm_watch.hpp>
+#include <apricothook/configservice/internal/apricothook_answer_fetcher.hpp>
+#include <apricothook/configservice/internal/apricothook_text_fetcher.hpp>
+#include <apricothook/configservice/internal/apricothook_text_watch.hpp>
+#include <apricothook/configservice/internal/apricothook_vm_watch.hpp>
 
 #include <utility>
 
--- a/packages/platform/apricothook/platform/apricothook_platform_pace.cpp
+++ b/packages/configservice/apricothook/configservice/apricothook_platform_pace.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/platform/apricothook_platform_pace.hpp>
+#include <apricothook/configservice/apricothook_platform_pace.hpp>
 
 #include <algorithm>
 #include <cstdint>
--- a/packages/platform/apricothook/platform/apricothook_rpc_seal.cpp
+++ b/packages/configservice/apricothook/configservice/apricothook_rpc_seal.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/platform/apricothook_rpc_seal.hpp>
+#include <apricothook/configservice/apricothook_rpc_seal.hpp>
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
--- a/packages/platform/apricothook/platform/apricothook_text_pieces.cpp
+++ b/packages/configservice/apricothook/configservice/apricothook_text_pieces.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/platform/apricothook_text_pieces.hpp>
+#include <apricothook/configservice/apricothook_text_pieces.hpp>
 
 #include <apricothook/model/apricothook_hashing.hpp>
 
--- a/packages/platform/apricothook/platform/apricothook_text_shelf.cpp
+++ b/packages/configservice/apricothook/configservice/apricothook_text_shelf.cpp
@@ -1,6 +1,6 @@
-#include <apricothook/platform/apricothook_text_shelf.hpp>
+#include <apricothook/configservice/apricothook_text_shelf.hpp>
 
-#include <apricothook/platform/apricothook_text_pieces.hpp>
+#include <apricothook/configservice/apricothook_text_pieces.hpp>
 
 #include <utility>
 
--- a/packages/platform/apricothook/platform/internal/apricothook_answer_fetcher.cpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_answer_fetcher.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/platform/internal/apricothook_answer_fetcher.hpp>
+#include <apricothook/configservice/internal/apricothook_answer_fetcher.hpp>
 
 #include <utility>
 
--- a/packages/platform/apricothook/platform/internal/apricothook_answer_fetcher.hpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_answer_fetcher.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <apricothook/platform/apricothook_peer_rpc_client.hpp>
-#include <apricothook/platform/apricothook_platform_client.hpp>
-#include <apricothook/platform/internal/apricothook_duty.hpp>
+#include <apricothook/configservice/apricothook_peer_rpc_client.hpp>
+#include <apricothook/configservice/apricothook_platform_client.hpp>
+#include <apricothook/configservice/internal/apricothook_duty.hpp>
 
 #include <cstddef>
 #include <deque>
--- a/packages/platform/apricothook/platform/internal/apricothook_http_rpc_connector.cpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_http_rpc_connector.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/platform/internal/apricothook_http_rpc_connector.hpp>
+#include <apricothook/configservice/internal/apricothook_http_rpc_connector.hpp>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/packages/platform/apricothook/platform/internal/apricothook_json_document.cpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_json_document.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/platform/internal/apricothook_json_document.hpp>
+#include <apricothook/configservice/internal/apricothook_json_document.hpp>
 
 #include <json/reader.h>
 #include <json/writer.h>
--- a/packages/platform/apricothook/platform/internal/apricothook_platform_answers.cpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_platform_answers.cpp
@@ -1,7 +1,7 @@
-#include <apricothook/platform/internal/apricothook_platform_answers.hpp>
+#include <apricothook/configservice/internal/apricothook_platform_answers.hpp>
 
-#include <apricothook/platform/apricothook_text_pieces.hpp>
-#include <apricothook/platform/internal/apricothook_json_document.hpp>
+#include <apricothook/configservice/apricothook_text_pieces.hpp>
+#include <apricothook/configservice/internal/apricothook_json_document.hpp>
 
 namespace Apricothook {
 
--- a/packages/platform/apricothook/platform/internal/apricothook_platform_exchange.cpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_platform_exchange.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/platform/internal/apricothook_platform_exchange.hpp>
+#include <apricothook/configservice/internal/apricothook_platform_exchange.hpp>
 
 #include <algorithm>
 
--- a/packages/platform/apricothook/platform/internal/apricothook_rpc_documents.hpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_rpc_documents.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <apricothook/platform/apricothook_rpc_seal.hpp>
-#include <apricothook/platform/apricothook_text_pieces.hpp>
+#include <apricothook/configservice/apricothook_rpc_seal.hpp>
+#include <apricothook/configservice/apricothook_text_pieces.hpp>
 #include <apricothook/ports/apricothook_answer_stream.hpp>
 
 #include <json/value.h>
--- a/packages/platform/apricothook/platform/internal/apricothook_rpc_envelope.cpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_rpc_envelope.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/platform/internal/apricothook_rpc_envelope.hpp>
+#include <apricothook/configservice/internal/apricothook_rpc_envelope.hpp>
 
 #include <jsonrpccpp/client/client.h>
 
--- a/packages/platform/apricothook/platform/internal/apricothook_text_delivery.cpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_text_delivery.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/platform/internal/apricothook_text_delivery.hpp>
+#include <apricothook/configservice/internal/apricothook_text_delivery.hpp>
 
 #include <apricothook/model/apricothook_hashing.hpp>
 
--- a/packages/platform/apricothook/platform/internal/apricothook_text_fetcher.cpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_text_fetcher.cpp
@@ -1,7 +1,7 @@
-#include <apricothook/platform/internal/apricothook_text_fetcher.hpp>
+#include <apricothook/configservice/internal/apricothook_text_fetcher.hpp>
 
-#include <apricothook/platform/apricothook_platform_event.hpp>
-#include <apricothook/platform/internal/apricothook_text_delivery.hpp>
+#include <apricothook/configservice/apricothook_platform_event.hpp>
+#include <apricothook/configservice/internal/apricothook_text_delivery.hpp>
 
 #include <utility>
 
--- a/packages/platform/apricothook/platform/internal/apricothook_text_watch.cpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_text_watch.cpp
@@ -1,8 +1,8 @@
-#include <apricothook/platform/internal/apricothook_text_watch.hpp>
+#include <apricothook/configservice/internal/apricothook_text_watch.hpp>
 
-#include <apricothook/platform/apricothook_text_pieces.hpp>
-#include <apricothook/platform/internal/apricothook_platform_answers.hpp>
-#include <apricothook/platform/internal/apricothook_text_delivery.hpp>
+#include <apricothook/configservice/apricothook_text_pieces.hpp>
+#include <apricothook/configservice/internal/apricothook_platform_answers.hpp>
+#include <apricothook/configservice/internal/apricothook_text_delivery.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/packages/platform/apricothook/platform/internal/apricothook_text_watch.hpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_text_watch.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <apricothook/platform/apricothook_platform_client.hpp>
-#include <apricothook/platform/apricothook_platform_event.hpp>
-#include <apricothook/platform/internal/apricothook_duty.hpp>
-#include <apricothook/platform/internal/apricothook_platform_exchange.hpp>
-#include <apricothook/platform/internal/apricothook_seeded_random.hpp>
+#include <apricothook/configservice/apricothook_platform_client.hpp>
+#include <apricothook/configservice/apricothook_platform_event.hpp>
+#include <apricothook/configservice/internal/apricothook_duty.hpp>
+#include <apricothook/configservice/internal/apricothook_platform_exchange.hpp>
+#include <apricothook/configservice/internal/apricothook_seeded_random.hpp>
 
 #include <mutex>
 #include <string>
--- a/packages/platform/apricothook/platform/internal/apricothook_vm_watch.cpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_vm_watch.cpp
@@ -1,7 +1,7 @@
-#include <apricothook/platform/internal/apricothook_vm_watch.hpp>
+#include <apricothook/configservice/internal/apricothook_vm_watch.hpp>
 
-#include <apricothook/platform/apricothook_platform_event.hpp>
-#include <apricothook/platform/internal/apricothook_platform_answers.hpp>
+#include <apricothook/configservice/apricothook_platform_event.hpp>
+#include <apricothook/configservice/internal/apricothook_platform_answers.hpp>
 
 #include <utility>
 
--- a/packages/platform/tests/apricothook_peer_rpc_tests.cpp
+++ b/packages/configservice/tests/apricothook_peer_rpc_tests.cpp
@@ -1,8 +1,8 @@
 #include "apricothook_platform_fakes.hpp"
 
-#include <apricothook/platform/apricothook_peer_rpc_client.hpp>
-#include <apricothook/platform/apricothook_text_pieces.hpp>
-#include <apricothook/platform/internal/apricothook_platform_exchange.hpp>
+#include <apricothook/configservice/apricothook_peer_rpc_client.hpp>
+#include <apricothook/configservice/apricothook_text_pieces.hpp>
+#include <apricothook/configservice/internal/apricothook_platform_exchange.hpp>
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/packages/platform/tests/apricothook_platform_client_tests.cpp
+++ b/packages/configservice/tests/apricothook_platform_client_tests.cpp
@@ -1,7 +1,7 @@
 #include "apricothook_platform_fakes.hpp"
 
-#include <apricothook/platform/apricothook_core_answer_source.hpp>
-#include <apricothook/platform/internal/apricothook_seeded_random.hpp>
+#include <apricothook/configservice/apricothook_core_answer_source.hpp>
+#include <apricothook/configservice/internal/apricothook_seeded_random.hpp>
 
 #include <doctest/doctest.h>
 
--- a/packages/daemon/apricothook/daemon/apricothook_strict_text_checker.hpp
+++ b/packages/daemon/apricothook/daemon/apricothook_strict_text_checker.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <apricothook/platform/apricothook_text_checker.hpp>
+#include <apricothook/configservice/apricothook_text_checker.hpp>
 
 namespace Apricothook {
 
--- a/packages/daemon/programs/apricothookd.cpp
+++ b/packages/daemon/programs/apricothookd.cpp
@@ -2,7 +2,7 @@
 #include <apricothook/daemon/apricothook_daemon_health.hpp>
 #include <apricothook/daemon/apricothook_daemon_process.hpp>
 #include <apricothook/daemon/apricothook_metrics_observer.hpp>
-#include <apricothook/daemon/apricothook_system_clock.hpp>
+#include <apricothook/ports/apricothook_system_clock.hpp>
 #include <apricothook/observe/apricothook_log_session.hpp>
 #include <apricothook/observe/apricothook_log_sink.hpp>
 #include <apricothook/observe/apricothook_metrics.hpp>
--- /dev/null
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -0,0 +1,176 @@
+#include <apricothook/dispatch/apricothook_dispatcher.hpp>
+
+#include <apricothook/model/apricothook_hashing.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace Apricothook {
+
+std::uint64_t serviceNumber(const ServiceId &service)
+{
+    return hashOf(service.text());
+}
+
+Instant Dispatcher::holdUntil(const WaitingWork &work)
+{
+    const Duration whole = work.deadline - work.arrived;
+    const auto part = std::chrono::duration_cast<Duration>(whole * LongestHoldPart);
+    return work.arrived + std::min<Duration>(part, LongestHold);
+}
+
+void Dispatcher::offer(WaitingWork work, Instant now)
+{
+    const WaitingWork newest = work;
+    Queue &queue = m_queues[work.service];
+    queue.push_back(std::move(work));
+    placeAll(queue, now);
+    const bool waits = std::ranges::find(queue, newest.exchange, &WaitingWork::exchange) != queue.end();
+    // Said at once: a request that waits in vain could have tried again elsewhere meanwhile.
+    if (!waits || now + expectedWait(newest, now) <= holdUntil(newest))
+        return;
+    withdraw(newest.exchange);
+    refuse(newest, now);
+}
+
+void Dispatcher::withdraw(ExchangeId exchange)
+{
+    for (auto &[service, queue] : m_queues)
+        std::erase_if(queue, [exchange](const WaitingWork &work) { return work.exchange == exchange; });
+}
+
+void Dispatcher::review(Instant now)
+{
+    for (auto &[service, queue] : m_queues) {
+        placeAll(queue, now);
+        refuseOverdue(queue, now);
+    }
+}
+
+bool Dispatcher::isLate(const WaitingWork &work, Instant now) const
+{
+    return now + m_targets.expectedFirstEvent(work.service, work.size) > work.arrived + work.objective;
+}
+
+std::size_t Dispatcher::mostUrgent(const Queue &queue, Instant now) const
+{
+    const auto urgency = [&](const WaitingWork &work) {
+        // What is late already is worth least, so it must not make others late too.
+        return std::tuple(isLate(work, now), work.tier, work.arrived + work.objective);
+    };
+    const auto best = std::ranges::min_element(queue, {}, urgency);
+    return static_cast<std::size_t>(best - queue.begin());
+}
+
+void Dispatcher::placeAll(Queue &queue, Instant now)
+{
+    while (!queue.empty()) {
+        const std::size_t next = mostUrgent(queue, now);
+        const WaitingWork work = queue[next];
+        if (!place(work, now))
+            return;
+        queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(next));
+    }
+}
+
+bool Dispatcher::place(const WaitingWork &work, Instant now)
+{
+    const std::uint32_t above = waitingOfOthersAbove(work.service, work.tier);
+    if (above > 0 && m_targets.room(work.service, now).free <= above)
+        return false;
+    const Target *target = m_targets.choose(work.service, work.size, work.excluded, now);
+    if (!target)
+        return false;
+    m_targets.started(target->entry.id, work.size);
+    m_listener.onPlaced(work.exchange, target->entry);
+    return true;
+}
+
+void Dispatcher::refuseOverdue(Queue &queue, Instant now)
+{
+    const auto overdue = std::stable_partition(queue.begin(), queue.end(), [now](const auto &work) {
+        return holdUntil(work) > now;
+    });
+    const Queue refused(overdue, queue.end());
+    queue.erase(overdue, queue.end());
+    for (const WaitingWork &work : refused)
+        refuse(work, now);
+}
+
+void Dispatcher::refuse(const WaitingWork &work, Instant now)
+{
+    const Duration left = std::max(work.deadline - now, Duration::zero());
+    const Duration wanted = std::max<Duration>(expectedWait(work, now), ShortestRetryAfter);
+    m_listener.onRefused(work.exchange, std::min(wanted, left / 3));
+}
+
+std::uint32_t Dispatcher::waitingOfOthersAbove(const ServiceId &service, Tier tier) const
+{
+    std::uint32_t above = 0;
+    const std::uint64_t number = serviceNumber(service);
+    for (const auto &[member, counts] : m_waitingOfMembers) {
+        for (const WaitingCount &count : counts) {
+            if (count.service == number && count.tier.isAbove(tier))
+                above += count.waiting;
+        }
+    }
+    return above;
+}
+
+Duration Dispatcher::expectedWait(const WaitingWork &work, Instant now) const
+{
+    const ServiceRoom room = m_targets.room(work.service, now);
+    if (room.free > 0)
+        return Duration::zero();
+    std::uint32_t ahead = 1 + waitingOfOthersAbove(work.service, work.tier);
+    const auto queue = m_queues.find(work.service);
+    if (queue != m_queues.end()) {
+        ahead += static_cast<std::uint32_t>(std::ranges::count_if(queue->second, [&](const auto &other) {
+            return !work.tier.isAbove(other.tier);
+        }));
+    }
+    const double slots = std::max<double>(room.slots, 1);
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(ahead * room.meanHold / slots));
+}
+
+void Dispatcher::setWaitingOfMember(std::uint64_t member, std::vector<WaitingCount> counts)
+{
+    if (counts.empty())
+        m_waitingOfMembers.erase(member);
+    else
+        m_waitingOfMembers[member] = std::move(counts);
+}
+
+std::vector<WaitingCount> Dispatcher::ownWaiting() const
+{
+    std::vector<WaitingCount> counts;
+    for (const auto &[service, queue] : m_queues) {
+        std::map<Tier, std::uint32_t> byTier;
+        for (const WaitingWork &work : queue)
+            ++byTier[work.tier];
+        for (const auto &[tier, waiting] : byTier)
+            counts.push_back({serviceNumber(service), tier, waiting});
+    }
+    return counts;
+}
+
+std::size_t Dispatcher::waiting() const
+{
+    std::size_t sum = 0;
+    for (const auto &[service, queue] : m_queues)
+        sum += queue.size();
+    return sum;
+}
+
+std::optional<Instant> Dispatcher::nextRefusal() const
+{
+    std::optional<Instant> next;
+    for (const auto &[service, queue] : m_queues) {
+        for (const WaitingWork &work : queue)
+            next = std::min(next.value_or(Instant::max()), holdUntil(work));
+    }
+    return next;
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <apricothook/dispatch/apricothook_target_table.hpp>
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace Apricothook {
+
+/** A request that wants a target. */
+struct WaitingWork
+{
+    ExchangeId exchange;
+    ServiceId service;
+    Tier tier;
+    WorkSize size;
+    Instant arrived {};
+    Duration objective {};
+    /** The final answer must be out by then. */
+    Instant deadline {};
+    /** Targets that had it already. */
+    std::set<TargetId> excluded;
+};
+
+/** Requests of one tier that wait for a service at one member; part of its beacon. */
+struct WaitingCount
+{
+    std::uint64_t service = 0; ///< serviceNumber() of the name.
+    Tier tier;
+    std::uint32_t waiting = 0;
+
+    auto operator<=>(const WaitingCount &) const = default;
+};
+
+std::uint64_t serviceNumber(const ServiceId &service);
+
+/** Is told where waiting requests go. onPlaced() must not call the dispatcher. */
+class DispatchListener
+{
+public:
+    virtual ~DispatchListener() = default;
+    virtual void onPlaced(ExchangeId exchange, const TargetEntry &target) = 0;
+    /** No target will have room in time; `retryAfter` is when one may. */
+    virtual void onRefused(ExchangeId exchange, Duration retryAfter) = 0;
+};
+
+/**
+ * Decides which waiting request goes to which target, and when.
+ *
+ * Engines serve first come first served, so a request that waits at an engine can't be overtaken by
+ * a more important one. Requests wait here instead, and go to a target only when one of its slots is
+ * believed free over all daemons. What other daemons do is known from their beacons, some tens of
+ * milliseconds old; two that take the same slot cost a short wait at the engine and nothing else.
+ */
+class Dispatcher
+{
+public:
+    /** Longest part of its time for which a request is held. */
+    static constexpr double LongestHoldPart = 0.33;
+    /** Longest time for which a request is held whatever its deadline. */
+    static constexpr std::chrono::milliseconds LongestHold {4000};
+    /** Shortest time after which a refused caller is asked to come back. */
+    static constexpr std::chrono::milliseconds ShortestRetryAfter {200};
+
+    Dispatcher(TargetTable &targets, DispatchListener &listener)
+        : m_targets(targets), m_listener(listener)
+    {
+    }
+
+    /** Places the request at once, keeps it waiting, or refuses it. */
+    void offer(WaitingWork work, Instant now);
+    /** The request no longer waits; nothing happens if it didn't. */
+    void withdraw(ExchangeId exchange);
+    /** Places what there is room for and refuses what has waited too long. */
+    void review(Instant now);
+    void setWaitingOfMember(std::uint64_t member, std::vector<WaitingCount> counts);
+    std::vector<WaitingCount> ownWaiting() const;
+    std::size_t waiting() const;
+    /** The earliest time at which review() may have to refuse something; nothing when none waits. */
+    std::optional<Instant> nextRefusal() const;
+
+private:
+    using Queue = std::vector<WaitingWork>;
+
+    bool isLate(const WaitingWork &work, Instant now) const;
+    std::size_t mostUrgent(const Queue &queue, Instant now) const;
+    bool place(const WaitingWork &work, Instant now);
+    void placeAll(Queue &queue, Instant now);
+    void refuseOverdue(Queue &queue, Instant now);
+    void refuse(const WaitingWork &work, Instant now);
+    std::uint32_t waitingOfOthersAbove(const ServiceId &service, Tier tier) const;
+    Duration expectedWait(const WaitingWork &work, Instant now) const;
+    static Instant holdUntil(const WaitingWork &work);
+
+    TargetTable &m_targets;
+    DispatchListener &m_listener;
+    std::map<ServiceId, Queue> m_queues;
+    std::map<std::uint64_t, std::vector<WaitingCount>> m_waitingOfMembers;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -0,0 +1,245 @@
+#include <apricothook/dispatch/apricothook_target_table.hpp>
+
+#include <apricothook/model/apricothook_hashing.hpp>
+
+#include <algorithm>
+
+namespace Apricothook {
+
+namespace {
+
+/** Milliseconds for each token until there are samples: 100 tokens a millisecond. */
+constexpr double DefaultFirstEvent = 0.01;
+/** Milliseconds between events until there are samples. */
+constexpr double DefaultGap = 25;
+/** Milliseconds of a plain answer, and of a stream's whole length, until there are samples. */
+constexpr double DefaultHold = 500;
+/** Part by which each running request slows an engine's others: 0.097 of 3.41 ms a step. */
+constexpr double SlowdownOfEach = 0.028;
+/** Milliseconds that a certain failure is worth avoiding. */
+constexpr double FailureCost = 2000;
+/** Milliseconds that a target in another data centre must be better by, for the bytes between. */
+constexpr double DistanceCost = 5;
+/** First time for which a target that can't be reached is avoided; doubles up to the last. */
+constexpr std::chrono::milliseconds FirstAvoidance {500};
+constexpr std::chrono::milliseconds LastAvoidance {8000};
+/** Failures in a row that aren't taken for chance. */
+constexpr std::uint32_t FailuresByChance = 3;
+/** Time for which a target that called itself full is left to work. */
+constexpr std::chrono::milliseconds FullPause {100};
+
+} // namespace
+
+std::uint64_t targetNumber(const TargetId &target)
+{
+    return hashOf(target.text());
+}
+
+void TargetTable::put(const TargetEntry &entry)
+{
+    m_targets[entry.id].entry = entry;
+    m_numbers[targetNumber(entry.id)] = entry.id;
+    Target &target = m_targets[entry.id];
+    target.requestsOfOthers = 0;
+    for (const auto &[member, loads] : m_loadsOfMembers) {
+        for (const TargetLoad &load : loads) {
+            if (load.target == targetNumber(entry.id))
+                target.requestsOfOthers += load.running;
+        }
+    }
+}
+
+void TargetTable::remove(const TargetId &target)
+{
+    m_targets.erase(target);
+    m_numbers.erase(targetNumber(target));
+}
+
+const Target *TargetTable::find(const TargetId &target) const
+{
+    const auto found = m_targets.find(target);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+Target *TargetTable::find(const TargetId &target)
+{
+    const auto found = m_targets.find(target);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+std::vector<const Target *> TargetTable::ofService(const ServiceId &service) const
+{
+    std::vector<const Target *> targets;
+    for (const auto &[id, target] : m_targets) {
+        if (target.entry.service == service)
+            targets.push_back(&target);
+    }
+    return targets;
+}
+
+void TargetTable::started(const TargetId &target, const WorkSize &work)
+{
+    if (Target *found = find(target)) {
+        ++found->ownRequests;
+        found->unreadTokens += work.promptTokens;
+    }
+}
+
+void TargetTable::firstEvent(const TargetId &target, const WorkSize &work, Duration took)
+{
+    if (Target *found = find(target)) {
+        found->unreadTokens -= std::min(found->unreadTokens, work.promptTokens);
+        found->speed.addFirstEvent(work.promptTokens, took);
+    }
+}
+
+void TargetTable::ended(const TargetId &target, const WorkSize &work, TargetOutcome outcome,
+                        Duration held, bool hadFirstEvent, Instant now)
+{
+    Target *found = find(target);
+    if (!found)
+        return;
+    found->ownRequests -= std::min(found->ownRequests, 1U);
+    if (!hadFirstEvent)
+        found->unreadTokens -= std::min(found->unreadTokens, work.promptTokens);
+    if (outcome == TargetOutcome::Withdrawn)
+        return;
+    if (outcome == TargetOutcome::Full) {
+        found->avoidedUntil = std::max(found->avoidedUntil, now + FullPause);
+        return;
+    }
+    found->speed.addEnd(held, outcome != TargetOutcome::Served);
+    if (outcome == TargetOutcome::Served)
+        found->failuresInRow = 0;
+    else
+        punish(*found, outcome, now);
+}
+
+void TargetTable::punish(Target &target, TargetOutcome outcome, Instant now)
+{
+    ++target.failuresInRow;
+    // An error may be the request's fault; a missing connection is the target's.
+    const std::uint32_t byChance = outcome == TargetOutcome::Unreachable ? 0 : FailuresByChance;
+    if (target.failuresInRow <= byChance)
+        return;
+    constexpr std::uint32_t MostDoublings = 4;
+    const std::uint32_t doublings = std::min(target.failuresInRow - byChance - 1, MostDoublings);
+    const auto pause = std::min(FirstAvoidance * (1U << doublings), LastAvoidance);
+    target.avoidedUntil = std::max(target.avoidedUntil, now + Duration(pause));
+}
+
+void TargetTable::setLoadOfMember(std::uint64_t member, const std::vector<TargetLoad> &loads)
+{
+    const auto change = [this](const std::vector<TargetLoad> &of, bool add) {
+        for (const TargetLoad &load : of) {
+            const auto number = m_numbers.find(load.target);
+            Target *target = number == m_numbers.end() ? nullptr : find(number->second);
+            if (!target)
+                continue;
+            target->requestsOfOthers = add
+                ? target->requestsOfOthers + load.running
+                : target->requestsOfOthers - std::min(target->requestsOfOthers, load.running);
+        }
+    };
+    std::vector<TargetLoad> &kept = m_loadsOfMembers[member];
+    change(kept, false);
+    kept = loads;
+    change(kept, true);
+    if (loads.empty())
+        m_loadsOfMembers.erase(member);
+}
+
+std::vector<TargetLoad> TargetTable::ownLoad() const
+{
+    std::vector<TargetLoad> loads;
+    for (const auto &[id, target] : m_targets) {
+        if (target.ownRequests > 0)
+            loads.push_back({targetNumber(id), target.ownRequests});
+    }
+    return loads;
+}
+
+TargetTable::UsualSpeed TargetTable::usualSpeed(const ServiceId &service) const
+{
+    struct Sum
+    {
+        double total = 0;
+        double count = 0;
+        void add(const std::optional<double> &value)
+        {
+            total += value.value_or(0);
+            count += value ? 1 : 0;
+        }
+        double meanOr(double otherwise) const { return count > 0 ? total / count : otherwise; }
+    };
+    Sum firstEvent;
+    Sum gap;
+    Sum hold;
+    for (const Target *target : ofService(service)) {
+        firstEvent.add(target->speed.firstEvent.value());
+        gap.add(target->speed.eventGap.value());
+        hold.add(target->speed.hold.value());
+    }
+    return {firstEvent.meanOr(DefaultFirstEvent), gap.meanOr(DefaultGap), hold.meanOr(DefaultHold)};
+}
+
+double TargetTable::cost(const Target &target, const WorkSize &work, const UsualSpeed &usual) const
+{
+    const double unread = static_cast<double>(work.promptTokens + target.unreadTokens);
+    const double first = target.speed.firstEvent.value().value_or(usual.firstEvent)
+        * (unread + FixedWorkTokens);
+    // A stream lasts as many gaps as the service's usual one does.
+    const double gaps = work.isStream ? usual.hold / usual.eventGap : 0;
+    const double slowdown = 1 + SlowdownOfEach * target.load();
+    const double rest = work.isStream
+        ? gaps * target.speed.eventGap.value().value_or(usual.eventGap) * slowdown
+        : target.speed.hold.value().value_or(usual.hold) * slowdown;
+    const double failure = FailureCost * target.speed.failures.value().value_or(0);
+    const double distance = target.entry.dataCentre == m_own ? 0 : DistanceCost;
+    return (work.isStream ? first : 0) + rest + failure + distance;
+}
+
+const Target *TargetTable::choose(const ServiceId &service, const WorkSize &work,
+                                  const std::set<TargetId> &excluded, Instant now) const
+{
+    const UsualSpeed usual = usualSpeed(service);
+    const Target *best = nullptr;
+    double bestCost = 0;
+    bool bestIsAvoided = true;
+    for (const Target *target : ofService(service)) {
+        if (target->entry.isDraining || !target->hasRoom() || excluded.contains(target->entry.id))
+            continue;
+        const bool isAvoided = target->avoidedUntil > now;
+        const double itsCost = cost(*target, work, usual);
+        if (!best || std::pair(isAvoided, itsCost) < std::pair(bestIsAvoided, bestCost)) {
+            best = target;
+            bestCost = itsCost;
+            bestIsAvoided = isAvoided;
+        }
+    }
+    return best;
+}
+
+ServiceRoom TargetTable::room(const ServiceId &service, Instant now) const
+{
+    ServiceRoom room;
+    for (const Target *target : ofService(service)) {
+        if (target->entry.isDraining || target->avoidedUntil > now)
+            continue;
+        room.slots += target->entry.slots;
+        room.free += target->entry.slots - std::min(target->entry.slots, target->load());
+    }
+    room.meanHold = usualSpeed(service).hold;
+    return room;
+}
+
+Duration TargetTable::expectedFirstEvent(const ServiceId &service, const WorkSize &work) const
+{
+    const UsualSpeed usual = usualSpeed(service);
+    const double milliseconds = work.isStream
+        ? usual.firstEvent * (static_cast<double>(work.promptTokens) + FixedWorkTokens)
+        : usual.hold;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <apricothook/dispatch/apricothook_serving_configuration.hpp>
+#include <apricothook/dispatch/apricothook_target_speed.hpp>
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace Apricothook {
+
+/** Requests that one member has at a target; part of its beacon. */
+struct TargetLoad
+{
+    std::uint64_t target = 0; ///< targetNumber() of the id.
+    std::uint32_t running = 0;
+
+    auto operator<=>(const TargetLoad &) const = default;
+};
+
+/** A short name of a target for messages between daemons. */
+std::uint64_t targetNumber(const TargetId &target);
+
+/** What a request asks of a target. */
+struct WorkSize
+{
+    std::uint64_t promptTokens = 0;
+    bool isStream = false;
+
+    auto operator<=>(const WorkSize &) const = default;
+};
+
+/** What became of a request at a target, as far as the target is to blame. */
+enum class TargetOutcome {
+    Served,
+    Failed,      ///< An error of its own, a broken or unreadable answer.
+    Unreachable, ///< No connection, or silence.
+    Full,        ///< It said that it had no room.
+    Withdrawn,   ///< Ended by this side; tells nothing of the target.
+};
+
+/** A target with what this daemon believes of it. */
+struct Target
+{
+    TargetEntry entry;
+    std::uint32_t ownRequests = 0;
+    std::uint32_t requestsOfOthers = 0;
+    /** Prompt tokens of own requests without a first event. */
+    std::uint64_t unreadTokens = 0;
+    TargetSpeed speed;
+    /** Chosen only where nothing else is left, until then. */
+    Instant avoidedUntil {};
+    std::uint32_t failuresInRow = 0;
+
+    std::uint32_t load() const { return ownRequests + requestsOfOthers; }
+    bool hasRoom() const { return load() < entry.slots; }
+};
+
+/** Sums over the targets of a service that take new requests. */
+struct ServiceRoom
+{
+    std::uint32_t slots = 0;
+    std::uint32_t free = 0;
+    /** Milliseconds for which a request holds a slot. */
+    double meanHold = 0;
+};
+
+/**
+ * The targets that this daemon knows, their load over all daemons and their speeds. Not safe for
+ * several threads.
+ */
+class TargetTable
+{
+public:
+    explicit TargetTable(DataCentreId own) : m_own(std::move(own)) { }
+
+    void put(const TargetEntry &entry);
+    void remove(const TargetId &target);
+    const Target *find(const TargetId &target) const;
+    Target *find(const TargetId &target);
+    std::vector<const Target *> ofService(const ServiceId &service) const;
+
+    void started(const TargetId &target, const WorkSize &work);
+    void firstEvent(const TargetId &target, const WorkSize &work, Duration took);
+    /** `hadFirstEvent`: firstEvent() was called for this request. */
+    void ended(const TargetId &target, const WorkSize &work, TargetOutcome outcome, Duration held,
+               bool hadFirstEvent, Instant now);
+    void setLoadOfMember(std::uint64_t member, const std::vector<TargetLoad> &loads);
+    std::vector<TargetLoad> ownLoad() const;
+
+    /**
+     * The target that will have answered soonest, among those with room that `excluded` doesn't
+     * name; null when there is none.
+     */
+    const Target *choose(const ServiceId &service, const WorkSize &work,
+                         const std::set<TargetId> &excluded, Instant now) const;
+    ServiceRoom room(const ServiceId &service, Instant now) const;
+    /** Expected time to the first event at an idle, usual target of the service. */
+    Duration expectedFirstEvent(const ServiceId &service, const WorkSize &work) const;
+
+private:
+    /** Usual values of a service's targets, for those that have no samples yet. */
+    struct UsualSpeed
+    {
+        double firstEvent = 0;
+        double eventGap = 0;
+        double hold = 0;
+    };
+
+    UsualSpeed usualSpeed(const ServiceId &service) const;
+    double cost(const Target &target, const WorkSize &work, const UsualSpeed &usual) const;
+    void punish(Target &target, TargetOutcome outcome, Instant now);
+
+    const DataCentreId m_own;
+    std::map<TargetId, Target> m_targets;
+    std::map<std::uint64_t, TargetId> m_numbers;
+    std::map<std::uint64_t, std::vector<TargetLoad>> m_loadsOfMembers;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/eventloop/apricothook/eventloop/apricothook_datagram_socket.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <apricothook/eventloop/apricothook_listener.hpp>
+
+#include <string_view>
+
+namespace Apricothook {
+
+/** A UDP socket on an event loop. */
+class DatagramSocket : private DescriptorEvents
+{
+public:
+    /** Largest datagram that is read; anything longer is cut and fails to parse. */
+    static constexpr std::size_t LargestBytes = 8192;
+    using Received = std::function<void(std::string_view bytes)>;
+
+    static Result<std::unique_ptr<DatagramSocket>, ListenError> open(EventLoop &loop,
+                                                                     const Endpoint &address,
+                                                                     Received received);
+    ~DatagramSocket() override;
+    DatagramSocket(const DatagramSocket &) = delete;
+    DatagramSocket &operator=(const DatagramSocket &) = delete;
+
+    /** A datagram that the kernel doesn't take is lost, as one on the way may be. */
+    void send(const Endpoint &to, std::string_view bytes);
+
+private:
+    DatagramSocket(EventLoop &loop, int descriptor, Received received);
+    void onReadable() override;
+    void onWritable() override { }
+
+    EventLoop &m_loop;
+    const int m_descriptor;
+    Received m_received;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
@@ -0,0 +1,185 @@
+#include <apricothook/eventloop/apricothook_event_loop.hpp>
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <limits>
+#include <stdexcept>
+#include <system_error>
+
+namespace Apricothook {
+
+namespace {
+
+int orThrow(int result, const char *call)
+{
+    if (result < 0)
+        throw std::system_error(errno, std::generic_category(), call);
+    return result;
+}
+
+} // namespace
+
+EventLoop::EventLoop(const Clock &clock)
+    : m_clock(clock)
+    , m_poll(orThrow(epoll_create1(EPOLL_CLOEXEC), "epoll_create1"))
+    , m_waker(orThrow(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd"))
+{
+    epoll_event event {};
+    event.events = EPOLLIN;
+    event.data.fd = m_waker;
+    orThrow(epoll_ctl(m_poll, EPOLL_CTL_ADD, m_waker, &event), "epoll_ctl");
+}
+
+EventLoop::~EventLoop()
+{
+    close(m_waker);
+    close(m_poll);
+}
+
+void EventLoop::watch(int descriptor, DescriptorEvents &events)
+{
+    m_watched[descriptor] = &events;
+    epoll_event event {};
+    event.events = EPOLLIN;
+    event.data.fd = descriptor;
+    orThrow(epoll_ctl(m_poll, EPOLL_CTL_ADD, descriptor, &event), "epoll_ctl");
+}
+
+void EventLoop::setInterest(int descriptor, bool readable, bool writable)
+{
+    epoll_event event {};
+    event.events = (readable ? EPOLLIN : 0U) | (writable ? EPOLLOUT : 0U);
+    event.data.fd = descriptor;
+    orThrow(epoll_ctl(m_poll, EPOLL_CTL_MOD, descriptor, &event), "epoll_ctl");
+}
+
+void EventLoop::unwatch(int descriptor)
+{
+    m_watched.erase(descriptor);
+    epoll_ctl(m_poll, EPOLL_CTL_DEL, descriptor, nullptr);
+}
+
+TimerId EventLoop::after(Duration delay, std::function<void()> action)
+{
+    const TimerId timer = ++m_lastTimer;
+    const Instant due = now() + std::max(delay, Duration::zero());
+    m_timers.emplace(std::pair(due, timer), std::move(action));
+    m_timerTimes.emplace(timer, due);
+    return timer;
+}
+
+void EventLoop::cancel(TimerId &timer)
+{
+    const auto found = m_timerTimes.find(std::exchange(timer, 0));
+    if (found == m_timerTimes.end())
+        return;
+    m_timers.erase({found->second, found->first});
+    m_timerTimes.erase(found);
+}
+
+void EventLoop::defer(std::function<void()> action)
+{
+    m_deferred.push_back(std::move(action));
+}
+
+bool EventLoop::post(std::function<void()> action)
+{
+    if (!m_posted.tryPut(std::move(action)))
+        return false;
+    m_hasPosted = true;
+    wake();
+    return true;
+}
+
+void EventLoop::run()
+{
+    while (!m_stopping) {
+        runDeferred();
+        runDueTimers();
+        runDeferred();
+        wait();
+    }
+}
+
+void EventLoop::stop()
+{
+    m_stopping = true;
+    wake();
+}
+
+void EventLoop::wake()
+{
+    const std::uint64_t one = 1;
+    // The counter is full only while a wake-up is pending anyway.
+    [[maybe_unused]] const ssize_t written = write(m_waker, &one, sizeof one);
+}
+
+void EventLoop::runDueTimers()
+{
+    const Instant present = now();
+    while (!m_timers.empty() && m_timers.begin()->first.first <= present) {
+        auto node = m_timers.extract(m_timers.begin());
+        m_timerTimes.erase(node.key().second);
+        node.mapped()();
+    }
+}
+
+void EventLoop::runDeferred()
+{
+    while (!m_deferred.empty()) {
+        const std::vector<std::function<void()>> actions = std::exchange(m_deferred, {});
+        for (const std::function<void()> &action : actions)
+            action();
+    }
+}
+
+void EventLoop::runPosted()
+{
+    if (!m_hasPosted.exchange(false))
+        return;
+    while (const std::optional<std::function<void()>> action = m_posted.tryTake())
+        (*action)();
+}
+
+int EventLoop::millisecondsToNextTimer() const
+{
+    if (!m_deferred.empty())
+        return 0;
+    if (m_timers.empty())
+        return -1;
+    // Rounded up, as a wait that ends before the timer is due would be repeated at once.
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(m_timers.begin()->first.first - now());
+    return static_cast<int>(
+        std::clamp<std::int64_t>(left.count(), 0, std::numeric_limits<int>::max()));
+}
+
+void EventLoop::wait()
+{
+    std::array<epoll_event, EventsPerWait> events;
+    const int count = epoll_wait(m_poll, events.data(), EventsPerWait, millisecondsToNextTimer());
+    for (int i = 0; i < count; ++i) {
+        const epoll_event &event = events[static_cast<std::size_t>(i)];
+        if (event.data.fd == m_waker) {
+            std::uint64_t ignored = 0;
+            [[maybe_unused]] const ssize_t got = read(m_waker, &ignored, sizeof ignored);
+            runPosted();
+            if (m_wakeAction)
+                m_wakeAction();
+            continue;
+        }
+        const auto report = [&](std::uint32_t bits, void (DescriptorEvents::*call)()) {
+            const auto found = m_watched.find(event.data.fd);
+            if ((event.events & bits) != 0 && found != m_watched.end())
+                (found->second->*call)();
+        };
+        report(EPOLLOUT, &DescriptorEvents::onWritable);
+        report(EPOLLIN | EPOLLHUP | EPOLLERR, &DescriptorEvents::onReadable);
+    }
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
@@ -0,0 +1,62 @@
+#include <apricothook/eventloop/apricothook_listener.hpp>
+
+#include <apricothook/model/apricothook_socket_address.hpp>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+namespace Apricothook {
+
+namespace {
+
+/** Callers of a whole site may come at once after a restart; a full queue costs them seconds. */
+constexpr int WaitingConnections = 1024;
+
+} // namespace
+
+Result<std::unique_ptr<Listener>, ListenError> Listener::open(EventLoop &loop,
+                                                              const Endpoint &address,
+                                                              Accepted accepted)
+{
+    const std::optional<sockaddr_storage> bound = socketAddressOf(address);
+    if (!bound)
+        return ListenError {address, EINVAL};
+    const int descriptor
+        = socket(bound->ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return ListenError {address, errno};
+    const int reuse = 1;
+    static_cast<void>(setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse));
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&*bound), sizeof(sockaddr_in)) < 0
+        || listen(descriptor, WaitingConnections) < 0) {
+        const ListenError error {address, errno};
+        ::close(descriptor);
+        return error;
+    }
+    return std::unique_ptr<Listener>(new Listener(loop, descriptor, std::move(accepted)));
+}
+
+Listener::Listener(EventLoop &loop, int descriptor, Accepted accepted)
+    : m_loop(loop), m_descriptor(descriptor), m_accepted(std::move(accepted))
+{
+    m_loop.watch(m_descriptor, *this);
+}
+
+Listener::~Listener()
+{
+    m_loop.unwatch(m_descriptor);
+    ::close(m_descriptor);
+}
+
+void Listener::onReadable()
+{
+    // One connection a round: a herd must not hold up the requests that are under way.
+    const int descriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor >= 0)
+        m_accepted(descriptor);
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <apricothook/eventloop/apricothook_event_loop.hpp>
+#include <apricothook/model/apricothook_endpoint.hpp>
+#include <apricothook/model/apricothook_failure.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace Apricothook {
+
+/** The system's error number of a listening address that can't be opened. */
+struct ListenError
+{
+    Endpoint address;
+    int errorNumber = 0;
+};
+
+/** Accepts connections at an address and hands over their descriptors. */
+class Listener : private DescriptorEvents
+{
+public:
+    using Accepted = std::function<void(int descriptor)>;
+
+    static Result<std::unique_ptr<Listener>, ListenError> open(EventLoop &loop,
+                                                               const Endpoint &address,
+                                                               Accepted accepted);
+    ~Listener() override;
+    Listener(const Listener &) = delete;
+    Listener &operator=(const Listener &) = delete;
+
+private:
+    Listener(EventLoop &loop, int descriptor, Accepted accepted);
+    void onReadable() override;
+    void onWritable() override { }
+
+    EventLoop &m_loop;
+    const int m_descriptor;
+    Accepted m_accepted;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.cpp
@@ -0,0 +1,228 @@
+#include <apricothook/eventloop/apricothook_stream_socket.hpp>
+
+#include <apricothook/model/apricothook_socket_address.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+
+namespace Apricothook {
+
+namespace {
+
+/** Seconds an idle connection stays unprobed, and between its probes; two unanswered end it. */
+constexpr int ProbeSeconds = 1;
+constexpr int UnansweredProbes = 2;
+
+void setOption(int descriptor, int level, int option, int value)
+{
+    // A socket without the option still works; it only notices silence later.
+    static_cast<void>(setsockopt(descriptor, level, option, &value, sizeof value));
+}
+
+void setOptions(int descriptor)
+{
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+              static_cast<int>(StreamSocket::SilenceLimit.count()));
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, ProbeSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, ProbeSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, UnansweredProbes);
+}
+
+bool isTemporary(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+} // namespace
+
+StreamSocket::StreamSocket(EventLoop &loop, StreamSocketEvents &events, int descriptor)
+    : m_loop(loop), m_events(events), m_descriptor(descriptor)
+{
+    setOptions(m_descriptor);
+    m_loop.watch(m_descriptor, *this);
+}
+
+StreamSocket::StreamSocket(EventLoop &loop, StreamSocketEvents &events, const Endpoint &to)
+    : m_loop(loop), m_events(events), m_connecting(true)
+{
+    const std::optional<sockaddr_storage> address = socketAddressOf(to);
+    if (address)
+        m_descriptor = socket(address->ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (m_descriptor >= 0) {
+        setOptions(m_descriptor);
+        const int result = connect(m_descriptor, reinterpret_cast<const sockaddr *>(&*address),
+                                   sizeof(sockaddr_in));
+        if (result == 0 || errno == EINPROGRESS) {
+            m_loop.watch(m_descriptor, *this);
+            updateInterest();
+            return;
+        }
+        ::close(m_descriptor);
+        m_descriptor = -1;
+    }
+    // Told later, as the owner isn't ready for calls while it makes the socket.
+    m_loop.defer([this, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired())
+            m_events.onEnd(SocketEnd::Broken);
+    });
+}
+
+StreamSocket::~StreamSocket()
+{
+    release();
+}
+
+void StreamSocket::release()
+{
+    if (m_descriptor < 0)
+        return;
+    m_loop.unwatch(m_descriptor);
+    ::close(m_descriptor);
+    m_descriptor = -1;
+}
+
+void StreamSocket::send(std::string_view bytes)
+{
+    if (m_descriptor < 0)
+        return;
+    if (unsentBytes() == 0 && !m_connecting) {
+        const ssize_t sent = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent >= 0)
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        // An error shows again when the socket is read, where the owner expects its end.
+    }
+    if (bytes.empty())
+        return;
+    m_unsent.append(bytes);
+    updateInterest();
+}
+
+void StreamSocket::setReading(bool reading)
+{
+    if (m_reading == reading)
+        return;
+    m_reading = reading;
+    updateInterest();
+}
+
+void StreamSocket::updateInterest()
+{
+    if (m_descriptor < 0)
+        return;
+    m_loop.setInterest(m_descriptor, m_reading && !m_connecting, m_connecting || unsentBytes() > 0);
+}
+
+void StreamSocket::finishSending()
+{
+    m_finishing = true;
+    shutDownIfSent();
+}
+
+void StreamSocket::shutDownIfSent()
+{
+    if (m_finishing && m_descriptor >= 0 && unsentBytes() == 0)
+        shutdown(m_descriptor, SHUT_WR);
+}
+
+void StreamSocket::close()
+{
+    if (m_descriptor >= 0 && unsentBytes() > 0)
+        flush();
+    release();
+}
+
+void StreamSocket::abort()
+{
+    if (m_descriptor < 0)
+        return;
+    const linger reset {1, 0};
+    static_cast<void>(setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof reset));
+    release();
+}
+
+void StreamSocket::end(SocketEnd how)
+{
+    release();
+    m_events.onEnd(how);
+}
+
+void StreamSocket::onReadable()
+{
+    if (m_connecting) {
+        finishConnect();
+        return;
+    }
+    const std::weak_ptr alive(m_alive);
+    std::array<char, ReadBytes> buffer;
+    // A full buffer means that more may wait; reading on saves a wait.
+    for (bool more = true; more;) {
+        const ssize_t got = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        if (got < 0 && isTemporary(errno))
+            return;
+        if (got <= 0) {
+            end(got == 0 ? SocketEnd::Finished : SocketEnd::Broken);
+            return;
+        }
+        more = static_cast<std::size_t>(got) == buffer.size();
+        m_events.onData({buffer.data(), static_cast<std::size_t>(got)});
+        if (alive.expired() || m_descriptor < 0 || !m_reading)
+            return;
+    }
+}
+
+void StreamSocket::onWritable()
+{
+    if (m_connecting) {
+        finishConnect();
+        return;
+    }
+    flush();
+    if (unsentBytes() > 0 || m_descriptor < 0)
+        return;
+    updateInterest();
+    shutDownIfSent();
+    m_events.onDrained();
+}
+
+void StreamSocket::finishConnect()
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+        end(SocketEnd::Broken);
+        return;
+    }
+    m_connecting = false;
+    flush();
+    updateInterest();
+    m_events.onConnected();
+}
+
+void StreamSocket::flush()
+{
+    if (unsentBytes() == 0)
+        return;
+    const std::string_view rest = std::string_view(m_unsent).substr(m_sentOfUnsent);
+    const ssize_t sent = ::send(m_descriptor, rest.data(), rest.size(), MSG_NOSIGNAL);
+    if (sent < 0 && !isTemporary(errno)) {
+        // Nothing more can be sent; the end of the connection is told when it is read.
+        m_unsent.clear();
+        m_sentOfUnsent = 0;
+        return;
+    }
+    m_sentOfUnsent += sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    if (unsentBytes() > 0)
+        return;
+    m_unsent.clear();
+    m_sentOfUnsent = 0;
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+namespace Apricothook {
+
+/** Events of what a serving daemon believes of the fleet. */
+enum class FleetviewEvent : int {
+    ProcessStarted = 851,     ///< info: the daemon listens; addresses, incarnation. Operator: none.
+    ProcessStopping = 852,    ///< info: a stop was asked for; open requests. Operator: none.
+    ProcessStopped = 853,     ///< info: the daemon ends; open requests left. Operator: none.
+    SettingsReread = 854,     ///< info: a reload was asked for; what changed. Operator: none.
+    SourceLost = 855,         ///< warning: the configuration service can't be read; state, revision.
+                              ///< Operator: look at the service; peers pass on what they hear.
+    SourceRegained = 856,     ///< info: the configuration service can be read again; revision.
+                              ///< Operator: none.
+    ConfigurationTaken = 857, ///< info: a configuration came into force; generation, revision.
+                              ///< Operator: none.
+    ItemRejected = 858,       ///< error: a published item can't be read and is passed over; key,
+                              ///< field. Operator: mend the item.
+    TargetChanged = 859,      ///< info: a target came, changed or left; target, state, revision.
+                              ///< Operator: none.
+    RemovalHeld = 860,        ///< info: a target's entry went while the service was away; the
+                              ///< target is kept until it had time to register. Operator: none.
+    MemberHeard = 861,        ///< info: a daemon's beacon came after silence; member, process.
+                              ///< Operator: none.
+    MemberSilent = 862,       ///< warning: a daemon's beacons stopped; member, age. Operator: look
+                              ///< at the member when it stays silent.
+    ItemsFromPeer = 863,      ///< info: a peer knew later items than this daemon; peer, revisions.
+                              ///< Operator: none.
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_replica.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <apricothook/model/apricothook_time.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Apricothook {
+
+/** A number that grows with each change of the published items. */
+using Revision = std::uint64_t;
+
+/** A published item as it was written, or its removal. */
+struct ItemChange
+{
+    std::string key;
+    /** Nothing when the item was removed. */
+    std::optional<std::string> value;
+    Revision revision = 0;
+
+    auto operator<=>(const ItemChange &) const = default;
+};
+
+/** What a source tells: changes, or everything that there is. */
+struct ItemUpdate
+{
+    std::vector<ItemChange> changes;
+    /** `changes` are all items; what isn't among them was removed. */
+    bool isWhole = false;
+    /** The revision up to which the source has told everything. */
+    Revision revision = 0;
+
+    auto operator<=>(const ItemUpdate &) const = default;
+};
+
+/**
+ * This daemon's copy of the published items. Sources may tell the same change twice or in any order;
+ * of each key the highest revision counts, and a removal is remembered so that an older copy of the
+ * item doesn't bring it back.
+ */
+class ItemReplica
+{
+public:
+    /** Changes that are kept for peers that ask what happened since a revision. */
+    static constexpr std::size_t KeptChanges = 1024;
+    using Changed = std::function<void(const ItemChange &)>;
+
+    /** `changed` is called for each change that is new. */
+    explicit ItemReplica(Changed changed) : m_changed(std::move(changed)) { }
+
+    void apply(const ItemUpdate &update);
+    Revision revision() const { return m_revision; }
+    /** What a peer that knows all up to `after` lacks; everything when that isn't known any more. */
+    ItemUpdate since(Revision after) const;
+
+private:
+    struct Item
+    {
+        std::optional<std::string> value;
+        Revision revision = 0;
+    };
+
+    void applyChange(const ItemChange &change);
+    void removeMissing(const ItemUpdate &whole);
+
+    Changed m_changed;
+    std::map<std::string, Item> m_items;
+    /** In the order in which they became known, which is that of revisions but for late ones. */
+    std::deque<ItemChange> m_history;
+    /** since() answers with changes for revisions from here on. */
+    Revision m_historyStart = 0;
+    Revision m_revision = 0;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
@@ -0,0 +1,99 @@
+#include <apricothook/fleetview/apricothook_item_watcher.hpp>
+
+#include <apricothook/fleetview/apricothook_blocking_http_client.hpp>
+
+namespace Apricothook {
+
+ItemWatcher::ItemWatcher(const Endpoint &source, const ItemProtocol &protocol, Updated updated,
+                         StateChanged stateChanged)
+    : m_protocol(protocol)
+    , m_updated(std::move(updated))
+    , m_stateChanged(std::move(stateChanged))
+    , m_client(std::make_unique<BlockingHttpClient>(source, ConnectTime, m_stopping))
+    , m_thread([this] { run(); })
+{
+}
+
+ItemWatcher::~ItemWatcher()
+{
+    m_stopping = true;
+    m_thread.join();
+}
+
+void ItemWatcher::run()
+{
+    while (!m_stopping) {
+        if (!(m_revision ? watchOnce() : readAll()))
+            pause();
+    }
+}
+
+void ItemWatcher::pause()
+{
+    std::this_thread::sleep_for(RetryPause);
+}
+
+void ItemWatcher::tell(SourceState state)
+{
+    if (m_state == state)
+        return;
+    m_state = state;
+    m_stateChanged(state);
+}
+
+bool ItemWatcher::readAll()
+{
+    ItemUpdate whole;
+    whole.isWhole = true;
+    std::optional<Revision> revision;
+    std::string after;
+    while (true) {
+        const std::optional<SourceAnswer> answer = m_client->get(m_protocol.pagePath(after), AnswerTime);
+        const Result<ItemPage, ItemProtocolError> page
+            = answer ? m_protocol.page(*answer) : Result<ItemPage, ItemProtocolError>(ItemProtocolError::Malformed);
+        if (!page) {
+            tell(answer ? SourceState::Refusing : SourceState::Unreachable);
+            return false;
+        }
+        const ItemUpdate &update = page.value().update;
+        // Pages are read one after the other: only what the first one shows is surely all there.
+        revision = revision.value_or(update.revision);
+        whole.changes.insert(whole.changes.end(), update.changes.begin(), update.changes.end());
+        if (!page.value().hasMore || update.changes.empty())
+            break;
+        after = update.changes.back().key;
+    }
+    whole.revision = *revision;
+    m_revision = revision;
+    tell(SourceState::Reachable);
+    m_updated(std::move(whole));
+    return true;
+}
+
+bool ItemWatcher::watchOnce()
+{
+    // After a failure a short wait shows soon whether the source is back.
+    const auto wait = m_state == SourceState::Reachable ? WatchTime : std::chrono::milliseconds(100);
+    const std::optional<SourceAnswer> answer
+        = m_client->get(m_protocol.watchPath(*m_revision, wait), wait + AnswerTime);
+    if (!answer) {
+        tell(SourceState::Unreachable);
+        return false;
+    }
+    Result<ItemUpdate, ItemProtocolError> update = m_protocol.watched(*answer);
+    if (!update) {
+        if (update.error() == ItemProtocolError::HistoryGone) {
+            m_revision.reset();
+            return true;
+        }
+        tell(SourceState::Refusing);
+        return false;
+    }
+    tell(SourceState::Reachable);
+    m_revision = std::max(*m_revision, update.value().revision);
+    if (!update.value().changes.empty())
+        m_updated(std::move(update).value());
+    return true;
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <apricothook/fleetview/apricothook_item_protocol.hpp>
+#include <apricothook/model/apricothook_endpoint.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <thread>
+
+namespace Apricothook {
+
+class BlockingHttpClient;
+
+/** What became of a watcher's last call. */
+enum class SourceState { Reachable, Unreachable, Refusing };
+
+/**
+ * Follows the published items at their source, in a thread of its own: reads everything once, then
+ * waits for changes, and reads everything again after a gap.
+ */
+class ItemWatcher
+{
+public:
+    /** How long the source may let a watch wait: bounds how late a silent connection shows. */
+    static constexpr std::chrono::milliseconds WatchTime {2000};
+    /** Longer than the wait by so much, a call has failed. */
+    static constexpr std::chrono::milliseconds AnswerTime {700};
+    static constexpr std::chrono::milliseconds ConnectTime {500};
+    /** Between calls that failed; the source's rate is shared by all daemons. */
+    static constexpr std::chrono::milliseconds RetryPause {150};
+
+    using Updated = std::function<void(ItemUpdate)>;
+    using StateChanged = std::function<void(SourceState)>;
+
+    /** Both are called on the watcher's thread. */
+    ItemWatcher(const Endpoint &source, const ItemProtocol &protocol, Updated updated,
+                StateChanged stateChanged);
+    ~ItemWatcher();
+    ItemWatcher(const ItemWatcher &) = delete;
+    ItemWatcher &operator=(const ItemWatcher &) = delete;
+
+private:
+    void run();
+    /** False when the call failed. */
+    bool readAll();
+    bool watchOnce();
+    void tell(SourceState state);
+    void pause();
+
+    const ItemProtocol &m_protocol;
+    const Updated m_updated;
+    const StateChanged m_stateChanged;
+    const std::unique_ptr<BlockingHttpClient> m_client;
+    std::optional<SourceState> m_state;
+    /** Nothing while everything must be read. */
+    std::optional<Revision> m_revision;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
@@ -0,0 +1,67 @@
+#include <apricothook/fleetview/apricothook_peer_item_fetcher.hpp>
+
+#include <apricothook/fleetview/apricothook_blocking_http_client.hpp>
+#include <apricothook/fleetview/apricothook_peer_item_protocol.hpp>
+
+namespace Apricothook {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+
+} // namespace
+
+PeerItemFetcher::PeerItemFetcher(Fetched fetched)
+    : m_fetched(std::move(fetched)), m_thread([this] { run(); })
+{
+}
+
+PeerItemFetcher::~PeerItemFetcher()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_ordered.notify_one();
+    m_thread.join();
+}
+
+void PeerItemFetcher::fetch(const Endpoint &peer, Revision after)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_busy)
+            return;
+        m_busy = true;
+        m_order = Order {peer, after};
+    }
+    m_ordered.notify_one();
+}
+
+void PeerItemFetcher::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_ordered.wait(lock, [this] { return m_stopping || m_order; });
+        if (m_stopping)
+            return;
+        const Order order = *std::exchange(m_order, std::nullopt);
+        lock.unlock();
+        carryOut(order);
+        lock.lock();
+        m_busy = false;
+    }
+}
+
+void PeerItemFetcher::carryOut(const Order &order)
+{
+    BlockingHttpClient client(order.peer, ConnectTime, m_stopping);
+    const std::optional<SourceAnswer> answer = client.get(peerItemsPath(order.after), AnswerTime);
+    if (!answer || answer->status != StatusOk)
+        return;
+    Result<ItemUpdate, ItemProtocolError> update = parseItemUpdate(answer->body);
+    if (update)
+        m_fetched(std::move(update).value());
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -0,0 +1,246 @@
+#include <apricothook/gateway/apricothook_caller_connection.hpp>
+
+#include <utility>
+
+namespace Apricothook {
+
+namespace {
+
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusRequestTimeout = 408;
+constexpr unsigned StatusTooLarge = 413;
+constexpr unsigned StatusHeadersTooLarge = 431;
+constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+unsigned statusOf(MessageError error)
+{
+    switch (error) {
+    case MessageError::HeadTooLarge:
+        return StatusHeadersTooLarge;
+    case MessageError::BodyTooLarge:
+        return StatusTooLarge;
+    case MessageError::Malformed:
+    case MessageError::Truncated:
+        break;
+    }
+    return StatusBadRequest;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(EventLoop &loop, CallerRequestHandler &handler, int descriptor,
+                                   Closed closed)
+    : m_loop(loop)
+    , m_handler(handler)
+    , m_closed(std::move(closed))
+    , m_reader(handler.messageLimits())
+    , m_socket(loop, *this, descriptor)
+{
+    setTimer(m_handler.idleTimeout(), &CallerConnection::onIdle);
+}
+
+CallerConnection::~CallerConnection()
+{
+    m_loop.cancel(m_timer);
+}
+
+void CallerConnection::setTimer(Duration delay, void (CallerConnection::*onTime)())
+{
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.after(delay, [this, onTime] {
+        m_timer = 0;
+        (this->*onTime)();
+    });
+}
+
+bool CallerConnection::isIdle() const
+{
+    return !m_answering && !m_lingering && m_early.empty() && !m_reader.hasStarted();
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (isIdle())
+        close();
+}
+
+void CallerConnection::close()
+{
+    m_loop.cancel(m_timer);
+    m_socket.close();
+    if (const Closed closed = std::exchange(m_closed, nullptr))
+        closed(*this);
+}
+
+void CallerConnection::onData(std::string_view bytes)
+{
+    if (m_lingering)
+        return;
+    m_early.append(bytes);
+    if (!m_answering)
+        readRequests();
+    else if (m_early.size() > MostEarlyBytes)
+        m_socket.setReading(false);
+}
+
+void CallerConnection::readRequests()
+{
+    // A request that is answered at once comes back here from finishAnswer().
+    if (std::exchange(m_inRead, true))
+        return;
+    while (!m_answering && !m_lingering && m_socket.isOpen() && !m_early.empty()) {
+        if (!readRequest())
+            break;
+    }
+    m_inRead = false;
+}
+
+bool CallerConnection::readRequest()
+{
+    if (!m_reader.hasStarted())
+        setTimer(m_handler.headTimeout(), &CallerConnection::onHeadLate);
+    const Result<std::size_t, MessageError> taken = m_reader.feed(m_early);
+    if (!taken) {
+        refuse(taken.error());
+        return false;
+    }
+    m_early.erase(0, taken.value());
+    if (m_reader.hasHead() && !std::exchange(m_headDone, true)) {
+        const std::optional<std::string_view> expect = m_reader.head().headers.find("Expect");
+        if (expect && equalsIgnoringCase(*expect, "100-continue") && !m_reader.isComplete())
+            m_socket.send(Continue);
+    }
+    if (m_headDone)
+        setTimer(m_handler.idleTimeout(), &CallerConnection::onBodyLate);
+    if (!m_reader.isComplete())
+        return false;
+    beginRequest();
+    return true;
+}
+
+void CallerConnection::beginRequest()
+{
+    m_loop.cancel(m_timer);
+    ReceivedRequest request {m_reader.head(), m_reader.takeBody()};
+    m_reader = RequestReader(m_handler.messageLimits());
+    m_headDone = false;
+    m_keeps = request.head.keepsConnection;
+    m_isHeadRequest = request.head.method == "HEAD";
+    m_answering = true;
+    m_request = &m_handler.begin(std::move(request), *this);
+    if (!m_answering)
+        endRequest();
+}
+
+void CallerConnection::endRequest()
+{
+    if (CallerRequestEvents *request = std::exchange(m_request, nullptr))
+        m_handler.release(*request);
+}
+
+void CallerConnection::sendHead(const ResponseHead &head, BodyFraming body)
+{
+    m_chunked = body.kind == BodyFraming::Kind::Chunked;
+    m_keeps = m_keeps && !m_handler.isLeaving();
+    if (m_keeps) {
+        m_socket.send(writeResponseHead(head, body));
+        return;
+    }
+    ResponseHead closing = head;
+    closing.headers.set("Connection", "close");
+    m_socket.send(writeResponseHead(closing, body));
+}
+
+void CallerConnection::sendBody(std::string_view bytes)
+{
+    if (m_isHeadRequest || bytes.empty())
+        return;
+    if (m_chunked)
+        m_socket.send(writeChunk(bytes));
+    else
+        m_socket.send(bytes);
+}
+
+void CallerConnection::finishAnswer()
+{
+    if (m_chunked && !m_isHeadRequest)
+        m_socket.send(LastChunk);
+    m_chunked = false;
+    m_answering = false;
+    endRequest();
+    if (!m_keeps) {
+        refuseAndLinger(0);
+        return;
+    }
+    awaitRequest();
+}
+
+void CallerConnection::awaitRequest()
+{
+    m_socket.setReading(true);
+    setTimer(m_handler.idleTimeout(), &CallerConnection::onIdle);
+    readRequests();
+}
+
+void CallerConnection::abortAnswer()
+{
+    m_answering = false;
+    endRequest();
+    m_loop.cancel(m_timer);
+    m_socket.abort();
+    close();
+}
+
+void CallerConnection::refuse(MessageError error)
+{
+    refuseAndLinger(statusOf(error));
+}
+
+void CallerConnection::refuseAndLinger(unsigned status)
+{
+    if (status != 0) {
+        ResponseHead head = m_handler.dialect().ownAnswer(status, RequestKey(), std::nullopt);
+        head.headers.set("Connection", "close");
+        m_socket.send(writeResponseHead(head, {BodyFraming::Kind::Sized, 0}));
+    }
+    // Closing with unread bytes resets the connection, and the caller would lose the answer.
+    m_lingering = true;
+    m_early.clear();
+    m_socket.finishSending();
+    m_socket.setReading(true);
+    setTimer(LingerTime, &CallerConnection::close);
+}
+
+void CallerConnection::onHeadLate()
+{
+    refuseAndLinger(StatusRequestTimeout);
+}
+
+void CallerConnection::onBodyLate()
+{
+    refuseAndLinger(StatusRequestTimeout);
+}
+
+void CallerConnection::onIdle()
+{
+    close();
+}
+
+void CallerConnection::onDrained()
+{
+    if (m_request)
+        m_request->onCallerDrained();
+}
+
+void CallerConnection::onEnd(SocketEnd)
+{
+    if (m_request) {
+        m_answering = false;
+        CallerRequestEvents *request = std::exchange(m_request, nullptr);
+        request->onCallerGone();
+        m_handler.release(*request);
+    }
+    close();
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/apricothook_channel_pool.cpp
@@ -0,0 +1,105 @@
+#include <apricothook/gateway/apricothook_channel_pool.hpp>
+
+#include <apricothook/gateway/apricothook_gateway_event.hpp>
+
+#include <algorithm>
+
+namespace Apricothook {
+
+namespace {
+
+constexpr std::chrono::seconds SweepPause {1};
+
+} // namespace
+
+ChannelPool::ChannelPool(EventLoop &loop, const WireDialect &dialect, LogWriter &log)
+    : m_loop(loop), m_dialect(dialect), m_log(log)
+{
+    scheduleSweep();
+}
+
+ChannelPool::~ChannelPool()
+{
+    m_loop.cancel(m_sweep);
+}
+
+void ChannelPool::scheduleSweep()
+{
+    m_sweep = m_loop.after(SweepPause, [this] {
+        closeOld();
+        scheduleSweep();
+    });
+}
+
+bool ChannelPool::isUsable(const TargetChannel &channel, bool mayRunAgain) const
+{
+    const Duration idle = m_loop.now() - channel.idleSince();
+    Duration limit = mayRunAgain ? Duration(IdleLimit) : Duration(FreshLimit);
+    if (channel.kept())
+        limit = std::min(limit, std::chrono::duration_cast<Duration>(*channel.kept() * TrustedPart));
+    return idle < limit;
+}
+
+TargetChannel &ChannelPool::acquire(const TargetEntry &target, bool mayRunAgain)
+{
+    std::vector<TargetChannel *> &idle = m_idle[target.id];
+    if (!idle.empty() && idle.back()->target().address == target.address
+        && isUsable(*idle.back(), mayRunAgain)) {
+        TargetChannel &channel = *idle.back();
+        idle.pop_back();
+        return channel;
+    }
+    TargetChannelOwner &owner = *this;
+    m_channels.push_back(std::make_unique<TargetChannel>(m_loop, m_dialect, owner, target));
+    return *m_channels.back();
+}
+
+void ChannelPool::forget(const TargetId &target)
+{
+    const auto found = m_idle.find(target);
+    if (found == m_idle.end())
+        return;
+    const std::vector<TargetChannel *> idle = std::move(found->second);
+    m_idle.erase(found);
+    for (TargetChannel *channel : idle)
+        channel->close();
+}
+
+void ChannelPool::closeOld()
+{
+    std::vector<TargetChannel *> old;
+    for (const auto &[target, idle] : m_idle) {
+        for (TargetChannel *channel : idle) {
+            if (!isUsable(*channel, true))
+                old.push_back(channel);
+        }
+    }
+    for (TargetChannel *channel : old)
+        channel->close();
+    std::erase_if(m_idle, [](const auto &entry) { return entry.second.empty(); });
+}
+
+void ChannelPool::onChannelIdle(TargetChannel &channel)
+{
+    m_idle[channel.target().id].push_back(&channel);
+}
+
+void ChannelPool::onChannelClosed(TargetChannel &channel)
+{
+    const auto idle = m_idle.find(channel.target().id);
+    if (idle != m_idle.end())
+        std::erase(idle->second, &channel);
+    const auto found = std::ranges::find(m_channels, &channel, &std::unique_ptr<TargetChannel>::get);
+    if (found == m_channels.end())
+        return;
+    // The channel is in the middle of one of its own calls; it goes when that is over.
+    m_loop.defer([gone = std::shared_ptr<TargetChannel>(std::move(*found))] {});
+    m_channels.erase(found);
+}
+
+void ChannelPool::onStrayAnswer(const TargetChannel &channel)
+{
+    m_log.write(LogEvent(GatewayEvent::AnswerDiscarded).with("target", channel.target().id.text()));
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/apricothook_event_stream_scanner.cpp
@@ -0,0 +1,58 @@
+#include <apricothook/gateway/apricothook_event_stream_scanner.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace Apricothook {
+
+namespace {
+
+std::string_view takeLine(std::string_view &text)
+{
+    const std::size_t end = std::min(text.find('\n'), text.size());
+    std::string_view line = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    return line;
+}
+
+std::optional<std::uint64_t> idOf(std::string_view line)
+{
+    constexpr std::string_view Field = "id:";
+    if (!line.starts_with(Field))
+        return std::nullopt;
+    line.remove_prefix(Field.size());
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    std::uint64_t id = 0;
+    const auto read = std::from_chars(line.data(), line.data() + line.size(), id);
+    return read.ec == std::errc() ? std::optional(id) : std::nullopt;
+}
+
+} // namespace
+
+WholeEvents EventStreamScanner::take(std::string_view bytes)
+{
+    m_rest.append(bytes);
+    WholeEvents whole;
+    std::string_view left = m_rest;
+    std::size_t end = 0;
+    std::optional<std::uint64_t> id;
+    while (left.find('\n') != std::string_view::npos) {
+        const std::string_view line = takeLine(left);
+        if (!line.empty()) {
+            const std::optional<std::uint64_t> read = idOf(line);
+            id = read ? read : id;
+            continue;
+        }
+        end = m_rest.size() - left.size();
+        ++whole.count;
+        whole.lastId = id ? id : whole.lastId;
+    }
+    whole.bytes = m_rest.substr(0, end);
+    m_rest.erase(0, end);
+    return whole;
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
@@ -0,0 +1,555 @@
+#include <apricothook/gateway/apricothook_exchange.hpp>
+
+#include <apricothook/gateway/apricothook_gateway_event.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricothook {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned FirstRedirect = 300;
+constexpr unsigned FirstServerError = 500;
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusUnauthorized = 401;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusTooManyRequests = 429;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+
+/** Sends of one request to any target, with those that a target refused. */
+constexpr unsigned MostSends = 4;
+/** Body of a plain answer that is kept whole, so that a broken one can be replaced. */
+constexpr std::size_t MostKeptBody = 1 << 20;
+/** Bytes that a slow caller may be behind before its target is no longer read. */
+constexpr std::size_t MostUnsentBytes = 1 << 18;
+/** A target stops at the deadline itself; its own answer is on its way then. */
+constexpr std::chrono::milliseconds AnswerOnItsWay {60};
+/** Least time left that makes another try worth it. */
+constexpr std::chrono::milliseconds LeastTimeToTry {100};
+/** Times the expected first event after which a target counts as silent. */
+constexpr int SilenceFactor = 3;
+/** Shortest silence within a stream after which another target goes on. */
+constexpr std::chrono::milliseconds ShortestStall {1000};
+/** The same in pauses that are still on time. */
+constexpr int StallFactor = 4;
+/** When there is nothing to reckon with: until the first configuration, or for a full customer. */
+constexpr std::chrono::milliseconds UsualRetryAfter {500};
+
+TargetOutcome outcomeOf(ChannelFailure failure)
+{
+    return failure == ChannelFailure::Malformed ? TargetOutcome::Failed : TargetOutcome::Unreachable;
+}
+
+std::string_view causeOf(ChannelFailure failure)
+{
+    switch (failure) {
+    case ChannelFailure::NotConnected:
+        return "not-connected";
+    case ChannelFailure::Broken:
+        return "broken";
+    case ChannelFailure::Malformed:
+        break;
+    }
+    return "malformed";
+}
+
+} // namespace
+
+std::string_view nameOf(ExchangeEnd end)
+{
+    switch (end) {
+    case ExchangeEnd::Answered:
+        return "answered";
+    case ExchangeEnd::NoConfiguration:
+        return "no-configuration";
+    case ExchangeEnd::Leaving:
+        return "leaving";
+    case ExchangeEnd::BadRequest:
+        return "bad-request";
+    case ExchangeEnd::NoRoute:
+        return "no-route";
+    case ExchangeEnd::UnknownKey:
+        return "unknown-key";
+    case ExchangeEnd::OverLimit:
+        return "over-limit";
+    case ExchangeEnd::NoRoom:
+        return "no-room";
+    case ExchangeEnd::TargetsRefused:
+        return "targets-refused";
+    case ExchangeEnd::TargetFailed:
+        return "target-failed";
+    case ExchangeEnd::TimedOut:
+        return "timed-out";
+    case ExchangeEnd::CallerGone:
+        break;
+    }
+    return "caller-gone";
+}
+
+Exchange::Exchange(GatewayContext &context, ExchangeId id, ReceivedRequest request,
+                   CallerResponder &responder)
+    : m_context(context)
+    , m_id(id)
+    , m_received(std::move(request))
+    , m_responder(responder)
+    , m_arrived(context.loop.now())
+    , m_routes(context.routes)
+{
+}
+
+Exchange::~Exchange()
+{
+    m_context.loop.cancel(m_deadlineTimer);
+    if (m_attempt)
+        m_context.loop.cancel(m_attempt->silence);
+}
+
+void Exchange::begin()
+{
+    if (!admit())
+        return;
+    m_deadlineTimer = m_context.loop.after(m_deadline - m_arrived, [this] {
+        m_deadlineTimer = 0;
+        onDeadline();
+    });
+    m_context.retriesOf(m_service).countRequest(m_arrived);
+    offer();
+}
+
+bool Exchange::admit()
+{
+    const Result<CallerRequest, CallerRequestError> request
+        = m_context.dialect.callerRequest(m_received.head);
+    if (!request) {
+        answerOwn(ExchangeEnd::BadRequest, StatusBadRequest, std::nullopt);
+        return false;
+    }
+    m_request = request.value();
+    m_lastEvent = m_request.lastEvent;
+    if (!m_routes) {
+        answerOwn(ExchangeEnd::NoConfiguration, StatusUnavailable, UsualRetryAfter);
+        return false;
+    }
+    if (m_context.refusesNew) {
+        answerOwn(ExchangeEnd::Leaving, StatusUnavailable, Duration::zero());
+        return false;
+    }
+    m_route = m_routes->route(m_request.host, m_request.path);
+    if (!m_route) {
+        answerOwn(ExchangeEnd::NoRoute, StatusNotFound, std::nullopt);
+        return false;
+    }
+    m_customer = m_routes->customerOfKey(m_request.customerKey);
+    if (!m_customer && m_routes->hasCustomers() && !m_route->isPublic) {
+        answerOwn(ExchangeEnd::UnknownKey, StatusUnauthorized, std::nullopt);
+        return false;
+    }
+    m_tier = m_customer && m_customer->tier ? *m_customer->tier : m_route->tier;
+    m_service = serviceOf(*m_route, m_context.random.next());
+    m_size = {m_request.promptTokens, m_route->isStream};
+    const Duration patience = m_request.patience.value_or(m_route->timeout);
+    m_deadline = m_arrived + std::min(patience, m_route->timeout);
+    if (m_customer && !takeLimit(*m_customer)) {
+        answerOwn(ExchangeEnd::OverLimit, StatusTooManyRequests, UsualRetryAfter);
+        return false;
+    }
+    return true;
+}
+
+bool Exchange::takeLimit(const CustomerRule &customer)
+{
+    const std::uint64_t tokens = m_request.totalTokens.value_or(customer.plainTokens);
+    const auto units = customer.unit == LimitUnit::Tokens ? static_cast<double>(tokens) : 1;
+    return m_context.customers.tryTake(customer, units, m_arrived);
+}
+
+void Exchange::offer()
+{
+    m_waiting = true;
+    const bool isFirst = m_sends == 0;
+    const Instant now = m_context.loop.now();
+    m_context.dispatcher.offer({.exchange = m_id,
+                                .service = m_service,
+                                .tier = m_tier,
+                                .size = m_size,
+                                .arrived = isFirst ? m_arrived : now,
+                                .objective = m_route->objective,
+                                .deadline = m_deadline,
+                                .excluded = m_tried},
+                               now);
+}
+
+void Exchange::refused(Duration retryAfter)
+{
+    m_waiting = false;
+    if (m_mayHaveRun || m_progress != Progress::Nothing || m_failedAnswer)
+        giveUp();
+    else
+        answerOwn(ExchangeEnd::NoRoom, StatusUnavailable, retryAfter);
+}
+
+void Exchange::placed(const TargetEntry &target)
+{
+    m_waiting = false;
+    const Instant now = m_context.loop.now();
+    const Target *believed = m_context.targets.find(target.id);
+    m_context.log.write(LogEvent(GatewayEvent::RequestPlaced)
+                            .isRoutine()
+                            .about(m_request.id)
+                            .with("target", target.id.text())
+                            .with("own_load", believed ? believed->ownRequests : 0)
+                            .with("others_load", believed ? believed->requestsOfOthers : 0)
+                            .with("slots", target.slots)
+                            .with("attempt", m_sends + 1)
+                            .with("waited_ms", now - m_arrived)
+                            .with("left_ms", m_deadline - now)
+                            .with("generation", m_routes->configuration().generation.value()));
+    send(target);
+}
+
+void Exchange::send(const TargetEntry &target)
+{
+    ++m_sends;
+    m_tried.insert(target.id);
+    const Instant now = m_context.loop.now();
+    const TargetRequestFields fields {
+        .patience = std::max(m_deadline - now, Duration::zero()),
+        .target = target.id,
+        .customer = m_customer ? m_customer->name : CustomerId(),
+        .lastEvent = m_lastEvent,
+    };
+    const RequestHead head = m_context.dialect.targetRequest(m_received.head, fields);
+    const bool hasBody = !m_received.body.empty()
+        || m_received.head.headers.find("Content-Length")
+        || m_received.head.headers.find("Transfer-Encoding");
+    const BodyFraming framing
+        = {hasBody ? BodyFraming::Kind::Sized : BodyFraming::Kind::None, m_received.body.size()};
+    m_scanner.clear();
+    m_attempt.emplace();
+    m_attempt->target = target;
+    m_attempt->started = now;
+    m_attempt->lastEvent = now;
+    m_attempt->channel = &m_context.channels.acquire(target, m_route->mayRunAgain());
+    m_attempt->channel->start(m_request.id, writeRequestHead(head, framing) + m_received.body,
+                              m_received.head.method == "HEAD", *this);
+    if (m_route->mayRunAgain())
+        watchSilence(firstEventLimit());
+}
+
+Duration Exchange::firstEventLimit() const
+{
+    const Duration expected = m_context.targets.expectedFirstEvent(m_service, m_size);
+    return std::max(m_route->objective, SilenceFactor * expected);
+}
+
+void Exchange::watchSilence(Duration limit)
+{
+    m_context.loop.cancel(m_attempt->silence);
+    m_attempt->silence = m_context.loop.after(limit, [this, limit] {
+        m_attempt->silence = 0;
+        // Without another target the request stays where it is: a late answer is still one.
+        if (!m_route->mayRunAgain() || m_runs + 1 >= m_route->maximumAttempts || !mayTryAgain()) {
+            watchSilence(limit);
+            return;
+        }
+        m_attempt->channel->cancel();
+        m_mayHaveRun = true;
+        ++m_runs;
+        endAttempt(TargetOutcome::Unreachable);
+        offer();
+    });
+}
+
+bool Exchange::isStreaming() const
+{
+    return m_route->isStream && m_attempt && m_attempt->head.status == StatusOk;
+}
+
+void Exchange::onAnswerHead(const ResponseHead &head, const TargetVerdict &verdict)
+{
+    m_attempt->hasHead = true;
+    m_attempt->head = head;
+    if (verdict.isOtherTarget || verdict.isNotRun) {
+        m_attempt->isNotRun = true;
+        return;
+    }
+    const bool isSuccess = head.status >= StatusOk && head.status < FirstRedirect;
+    if (isSuccess && (!verdict.isSigned || head.headers.find("Content-Encoding"))) {
+        m_attempt->channel->cancel();
+        m_mayHaveRun = true;
+        attemptFailed(TargetOutcome::Failed, "unsigned");
+    }
+}
+
+void Exchange::onAnswerBody(std::string_view bytes)
+{
+    if (m_attempt->isNotRun)
+        return;
+    if (isStreaming()) {
+        passEvents(bytes);
+        return;
+    }
+    m_attempt->body.append(bytes);
+    if (m_attempt->body.size() <= MostKeptBody || m_progress != Progress::Nothing)
+        return;
+    passOwnHead({BodyFraming::Kind::Chunked, 0});
+}
+
+void Exchange::passOwnHead(BodyFraming framing)
+{
+    m_progress = Progress::Head;
+    m_status = m_attempt->head.status;
+    m_firstAnswer = m_context.loop.now();
+    m_responder.sendHead(m_context.dialect.callerAnswer(m_attempt->head), framing);
+}
+
+void Exchange::passEvents(std::string_view bytes)
+{
+    const WholeEvents events = m_scanner.take(bytes);
+    if (events.count == 0)
+        return;
+    const Instant now = m_context.loop.now();
+    if (!std::exchange(m_attempt->hasFirstEvent, true)) {
+        m_context.targets.firstEvent(m_attempt->target.id, m_size, now - m_attempt->started);
+    } else if (Target *target = m_context.targets.find(m_attempt->target.id)) {
+        target->speed.addGap((now - m_attempt->lastEvent) / static_cast<int>(events.count));
+    }
+    m_attempt->lastEvent = now;
+    if (m_progress == Progress::Nothing)
+        passOwnHead({BodyFraming::Kind::Chunked, 0});
+    m_responder.sendBody(events.bytes);
+    m_lastEvent = events.lastId ? events.lastId : m_lastEvent;
+    if (m_responder.unsentBytes() > MostUnsentBytes)
+        m_attempt->channel->setReading(false);
+    if (m_route->mayRunAgain())
+        watchSilence(std::max<Duration>(ShortestStall, StallFactor * m_route->gapObjective));
+}
+
+void Exchange::onAnswerComplete()
+{
+    if (m_attempt->isNotRun)
+        attemptFailed(TargetOutcome::Full, "not-run");
+    else if (isStreaming())
+        completeStream();
+    else
+        completePlain();
+}
+
+void Exchange::completeStream()
+{
+    if (!m_scanner.rest().empty()) {
+        m_mayHaveRun = true;
+        attemptFailed(TargetOutcome::Failed, "cut-event");
+        return;
+    }
+    if (m_progress == Progress::Nothing)
+        passOwnHead({BodyFraming::Kind::Chunked, 0});
+    endAttempt(TargetOutcome::Served);
+    finish(ExchangeEnd::Answered);
+}
+
+void Exchange::completePlain()
+{
+    const bool isFailure = m_attempt->head.status >= FirstServerError;
+    if (isFailure && m_progress == Progress::Nothing) {
+        m_mayHaveRun = true;
+        m_failedAnswer = m_attempt;
+        attemptFailed(TargetOutcome::Failed, "error-status");
+        return;
+    }
+    if (m_progress == Progress::Nothing)
+        passOwnHead({BodyFraming::Kind::Sized, m_attempt->body.size()});
+    m_responder.sendBody(m_attempt->body);
+    endAttempt(TargetOutcome::Served);
+    finish(ExchangeEnd::Answered);
+}
+
+void Exchange::onAnswerFailed(ChannelFailure failure)
+{
+    if (m_attempt->isNotRun) {
+        attemptFailed(TargetOutcome::Full, "not-run");
+        return;
+    }
+    m_mayHaveRun |= failure != ChannelFailure::NotConnected;
+    attemptFailed(outcomeOf(failure), causeOf(failure));
+}
+
+void Exchange::attemptFailed(TargetOutcome outcome, std::string_view cause)
+{
+    const Instant now = m_context.loop.now();
+    m_context.log.write(LogEvent(GatewayEvent::AttemptFailed)
+                            .about(m_request.id)
+                            .with("target", m_attempt->target.id.text())
+                            .with("cause", std::string(cause))
+                            .with("status", m_attempt->head.status)
+                            .with("attempt", m_sends)
+                            .with("may_have_run", m_mayHaveRun)
+                            .with("took_ms", now - m_attempt->started)
+                            .with("left_ms", m_deadline - now));
+    // What never connected didn't arrive: it counts neither as a run nor as a repeated send.
+    const bool arrived = cause != causeOf(ChannelFailure::NotConnected);
+    m_runs += arrived && outcome != TargetOutcome::Full ? 1 : 0;
+    endAttempt(outcome);
+    if (arrived ? mayTryAgain() : m_sends < MostSends)
+        offer();
+    else
+        giveUp();
+}
+
+bool Exchange::mayTryAgain()
+{
+    const Instant now = m_context.loop.now();
+    const bool allowed = (!m_mayHaveRun || m_route->mayRunAgain()) && m_sends < MostSends
+        && m_runs < std::max(m_route->maximumAttempts, 1U) && m_deadline - now > LeastTimeToTry;
+    if (!allowed)
+        return false;
+    if (m_context.retriesOf(m_service).tryTake(now, m_context.members))
+        return true;
+    m_context.log.write(LogEvent(GatewayEvent::RetryDenied)
+                            .about(m_request.id)
+                            .with("service", m_service.text())
+                            .with("members", m_context.members));
+    return false;
+}
+
+void Exchange::endAttempt(TargetOutcome outcome)
+{
+    m_context.loop.cancel(m_attempt->silence);
+    const Instant now = m_context.loop.now();
+    m_context.targets.ended(m_attempt->target.id, m_size, outcome, now - m_attempt->started,
+                            m_attempt->hasFirstEvent, now);
+    m_attempt.reset();
+    m_context.roomFreed();
+}
+
+void Exchange::giveUp()
+{
+    if (m_progress != Progress::Nothing) {
+        abort(ExchangeEnd::TargetFailed);
+    } else if (m_failedAnswer) {
+        m_attempt = std::exchange(m_failedAnswer, std::nullopt);
+        passOwnHead({BodyFraming::Kind::Sized, m_attempt->body.size()});
+        m_responder.sendBody(m_attempt->body);
+        m_attempt.reset();
+        finish(ExchangeEnd::TargetFailed);
+    } else if (m_mayHaveRun) {
+        answerOwn(ExchangeEnd::TargetFailed, StatusBadGateway, std::nullopt);
+    } else {
+        answerOwn(ExchangeEnd::TargetsRefused, StatusUnavailable, UsualRetryAfter);
+    }
+}
+
+void Exchange::onDeadline()
+{
+    const Instant now = m_context.loop.now();
+    if (m_attempt && now < m_deadline + AnswerOnItsWay) {
+        m_deadlineTimer = m_context.loop.after(m_deadline + AnswerOnItsWay - now, [this] {
+            m_deadlineTimer = 0;
+            onDeadline();
+        });
+        return;
+    }
+    if (m_attempt) {
+        m_mayHaveRun = true;
+        m_attempt->channel->cancel();
+        endAttempt(m_attempt->hasFirstEvent ? TargetOutcome::Withdrawn : TargetOutcome::Unreachable);
+    }
+    if (std::exchange(m_waiting, false))
+        m_context.dispatcher.withdraw(m_id);
+    if (m_progress != Progress::Nothing)
+        abort(ExchangeEnd::TimedOut);
+    else if (m_mayHaveRun)
+        answerOwn(ExchangeEnd::TimedOut, StatusGatewayTimeout, std::nullopt);
+    else
+        answerOwn(ExchangeEnd::TimedOut, StatusUnavailable, Duration::zero());
+}
+
+void Exchange::onCallerGone()
+{
+    if (m_progress == Progress::Ended)
+        return;
+    if (std::exchange(m_waiting, false))
+        m_context.dispatcher.withdraw(m_id);
+    if (m_attempt) {
+        const bool wasSilent = !m_attempt->hasHead
+            && m_context.loop.now() - m_attempt->started > firstEventLimit();
+        m_attempt->channel->cancel();
+        endAttempt(wasSilent ? TargetOutcome::Unreachable : TargetOutcome::Withdrawn);
+    }
+    m_progress = Progress::Ended;
+    m_context.loop.cancel(m_deadlineTimer);
+    record(ExchangeEnd::CallerGone);
+}
+
+void Exchange::onCallerDrained()
+{
+    if (m_attempt)
+        m_attempt->channel->setReading(true);
+}
+
+void Exchange::answerOwn(ExchangeEnd end, unsigned status, std::optional<Duration> retryAfter)
+{
+    m_status = status;
+    m_responder.sendHead(m_context.dialect.ownAnswer(status, m_request.id, retryAfter),
+                         {BodyFraming::Kind::Sized, 0});
+    finish(end);
+}
+
+void Exchange::finish(ExchangeEnd end)
+{
+    m_progress = Progress::Ended;
+    m_context.loop.cancel(m_deadlineTimer);
+    record(end);
+    m_responder.finishAnswer();
+}
+
+void Exchange::abort(ExchangeEnd end)
+{
+    m_progress = Progress::Ended;
+    m_context.loop.cancel(m_deadlineTimer);
+    record(end);
+    m_responder.abortAnswer();
+}
+
+void Exchange::record(ExchangeEnd end)
+{
+    const Instant now = m_context.loop.now();
+    const bool notRun = !m_mayHaveRun && m_sends == 0;
+    GatewayEvent event = notRun ? GatewayEvent::RequestRefused : GatewayEvent::RequestFailed;
+    RequestResult result = notRun ? RequestResult::NotRun : RequestResult::Unknown;
+    if (end == ExchangeEnd::Answered) {
+        event = GatewayEvent::RequestAnswered;
+        result = RequestResult::Answered;
+    } else if (end == ExchangeEnd::CallerGone) {
+        event = GatewayEvent::CallerGone;
+        result = RequestResult::CallerLeft;
+    }
+    const RequestLabels labels {m_tier, m_route ? m_route->name : ClassId(),
+                                m_customer ? m_customer->name : CustomerId()};
+    m_context.metrics.requestEnded(labels, result, now - m_arrived);
+    if (m_firstAnswer)
+        m_context.metrics.firstToken(labels, *m_firstAnswer - m_arrived);
+    LogEvent line = LogEvent(event).about(m_request.id).with("end", std::string(nameOf(end)));
+    line = std::move(line)
+               .with("status", m_status)
+               .with("route", m_route ? m_route->name.text() : std::string())
+               .with("customer", m_customer ? m_customer->name.text() : std::string())
+               .with("service", m_service.text())
+               .with("tier", m_tier.rank())
+               .with("sends", m_sends)
+               .with("took_ms", now - m_arrived)
+               .with("left_ms", m_deadline - now)
+               .with("generation",
+                     m_routes ? m_routes->configuration().generation.value() : std::uint64_t());
+    if (m_firstAnswer)
+        line = std::move(line).with("first_ms", *m_firstAnswer - m_arrived);
+    if (end == ExchangeEnd::Answered)
+        line = std::move(line).isRoutine();
+    m_context.log.write(line);
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <apricothook/gateway/apricothook_caller_responder.hpp>
+#include <apricothook/gateway/apricothook_event_stream_scanner.hpp>
+#include <apricothook/gateway/apricothook_gateway_context.hpp>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace Apricothook {
+
+/** Why a request is refused or fails; the log and docs/OPERATIONS.md name it the same way. */
+enum class ExchangeEnd {
+    Answered,
+    NoConfiguration,
+    Leaving,
+    BadRequest,
+    NoRoute,
+    UnknownKey,
+    OverLimit,
+    NoRoom,
+    TargetsRefused,
+    TargetFailed,
+    TimedOut,
+    CallerGone,
+};
+
+std::string_view nameOf(ExchangeEnd end);
+
+/**
+ * One request of a caller on its way: admission, waiting for a target, the target's answer, and
+ * another target where the route allows it.
+ *
+ * "Not run" is said only while it is certain: no byte was sent, or every target that got the request
+ * stated that it didn't run it. After anything else the caller hears that it may have run.
+ */
+class Exchange : public CallerRequestEvents, private TargetAnswerEvents
+{
+public:
+    Exchange(GatewayContext &context, ExchangeId id, ReceivedRequest request,
+             CallerResponder &responder);
+    ~Exchange() override;
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    ExchangeId id() const { return m_id; }
+    void begin();
+    void placed(const TargetEntry &target);
+    void refused(Duration retryAfter);
+    void onCallerGone() override;
+    void onCallerDrained() override;
+
+private:
+    /** What the caller has of the answer. */
+    enum class Progress { Nothing, Head, Ended };
+
+    /** The send to one target that is under way. */
+    struct Attempt
+    {
+        TargetEntry target;
+        TargetChannel *channel = nullptr;
+        Instant started {};
+        Instant lastEvent {};
+        bool hasHead = false;
+        bool hasFirstEvent = false;
+        /** The target stated that it didn't run the request. */
+        bool isNotRun = false;
+        ResponseHead head;
+        std::string body;
+        TimerId silence = 0;
+    };
+
+    void onAnswerHead(const ResponseHead &head, const TargetVerdict &verdict) override;
+    void onAnswerBody(std::string_view bytes) override;
+    void onAnswerComplete() override;
+    void onAnswerFailed(ChannelFailure failure) override;
+
+    bool admit();
+    bool takeLimit(const CustomerRule &customer);
+    void offer();
+    void send(const TargetEntry &target);
+    void watchSilence(Duration limit);
+    Duration firstEventLimit() const;
+    bool isStreaming() const;
+    void passEvents(std::string_view bytes);
+    void passOwnHead(BodyFraming framing);
+    void completeStream();
+    void completePlain();
+    void attemptFailed(TargetOutcome outcome, std::string_view cause);
+    void endAttempt(TargetOutcome outcome);
+    bool mayTryAgain();
+    void giveUp();
+    void onDeadline();
+    void answerOwn(ExchangeEnd end, unsigned status, std::optional<Duration> retryAfter);
+    void abort(ExchangeEnd end);
+    void finish(ExchangeEnd end);
+    void record(ExchangeEnd end);
+
+    GatewayContext &m_context;
+    const ExchangeId m_id;
+    const ReceivedRequest m_received;
+    CallerResponder &m_responder;
+    const Instant m_arrived;
+    std::shared_ptr<const RouteTable> m_routes;
+    CallerRequest m_request;
+    const RouteRule *m_route = nullptr;
+    const CustomerRule *m_customer = nullptr;
+    ServiceId m_service;
+    Tier m_tier;
+    WorkSize m_size;
+    Instant m_deadline {};
+    TimerId m_deadlineTimer = 0;
+    Progress m_progress = Progress::Nothing;
+    bool m_waiting = false;
+    /** Some target may have run the request. */
+    bool m_mayHaveRun = false;
+    unsigned m_runs = 0;
+    unsigned m_sends = 0;
+    unsigned m_status = 0;
+    std::set<TargetId> m_tried;
+    std::optional<Attempt> m_attempt;
+    /** A failure of a target that is passed on if nothing better comes. */
+    std::optional<Attempt> m_failedAnswer;
+    EventStreamScanner m_scanner;
+    std::optional<std::uint64_t> m_lastEvent;
+    std::optional<Instant> m_firstAnswer;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -0,0 +1,164 @@
+#include <apricothook/gateway/apricothook_gateway.hpp>
+
+#include <algorithm>
+
+namespace Apricothook {
+
+Gateway::Gateway(EventLoop &loop, const WireDialect &dialect, RandomSource &random, LogWriter &log,
+                 Metrics &metrics, const FleetBounds &bounds, const DataCentreId &dataCentre)
+    : m_loop(loop)
+    , m_bounds(bounds)
+    , m_targets(dataCentre)
+    , m_dispatcher(m_targets, *this)
+    , m_channels(loop, dialect, log)
+    , m_context {.loop = loop,
+                 .dialect = dialect,
+                 .random = random,
+                 .log = log,
+                 .metrics = metrics,
+                 .bounds = m_bounds,
+                 .targets = m_targets,
+                 .dispatcher = m_dispatcher,
+                 .channels = m_channels,
+                 .customers = m_customers,
+                 .routes = nullptr,
+                 .members = 1,
+                 .refusesNew = false,
+                 .retries = {},
+                 .roomFreed = [this] { reviewSoon(); }}
+{
+}
+
+Gateway::~Gateway()
+{
+    m_loop.cancel(m_refusalTimer);
+}
+
+Result<void, ListenError> Gateway::listen(const Endpoint &address)
+{
+    Result<std::unique_ptr<Listener>, ListenError> opened
+        = Listener::open(m_loop, address, [this](int descriptor) { accept(descriptor); });
+    if (!opened)
+        return opened.error();
+    m_listener = std::move(opened).value();
+    return Outcomes::success();
+}
+
+void Gateway::accept(int descriptor)
+{
+    CallerRequestHandler &handler = *this;
+    m_connections.push_back(std::make_unique<CallerConnection>(
+        m_loop, handler, descriptor,
+        [this](CallerConnection &connection) { connectionClosed(connection); }));
+}
+
+void Gateway::connectionClosed(CallerConnection &connection)
+{
+    const auto found
+        = std::ranges::find(m_connections, &connection, &std::unique_ptr<CallerConnection>::get);
+    if (found == m_connections.end())
+        return;
+    // The connection is in the middle of one of its own calls; it goes when that is over.
+    m_loop.defer([gone = std::shared_ptr<CallerConnection>(std::move(*found))] {});
+    m_connections.erase(found);
+}
+
+void Gateway::setConfiguration(std::shared_ptr<const RouteTable> routes)
+{
+    m_context.routes = std::move(routes);
+}
+
+void Gateway::setMembers(std::size_t heard, std::size_t known)
+{
+    m_context.members = heard;
+    m_customers.setMembers(heard, known);
+}
+
+void Gateway::putTarget(const TargetEntry &target)
+{
+    m_targets.put(target);
+    if (target.isDraining)
+        m_channels.forget(target.id);
+    reviewSoon();
+}
+
+void Gateway::removeTarget(const TargetId &target)
+{
+    m_targets.remove(target);
+    m_channels.forget(target);
+}
+
+void Gateway::stopListening()
+{
+    m_listener.reset();
+    std::vector<CallerConnection *> connections;
+    for (const std::unique_ptr<CallerConnection> &connection : m_connections)
+        connections.push_back(connection.get());
+    for (CallerConnection *connection : connections)
+        connection->closeIfIdle();
+}
+
+CallerRequestEvents &Gateway::begin(ReceivedRequest request, CallerResponder &responder)
+{
+    const ExchangeId id(++m_lastExchange);
+    auto made = std::make_unique<Exchange>(m_context, id, std::move(request), responder);
+    Exchange &exchange = *made;
+    m_exchanges.emplace(id.value(), std::move(made));
+    exchange.begin();
+    return exchange;
+}
+
+void Gateway::release(CallerRequestEvents &events)
+{
+    const auto found = m_exchanges.find(static_cast<Exchange &>(events).id().value());
+    if (found == m_exchanges.end())
+        return;
+    m_loop.defer([gone = std::shared_ptr<Exchange>(std::move(found->second))] {});
+    m_exchanges.erase(found);
+}
+
+CallerLimits Gateway::limits() const
+{
+    return m_context.routes ? m_context.routes->configuration().limits : CallerLimits();
+}
+
+MessageLimits Gateway::messageLimits() const
+{
+    return {limits().headBytes, limits().bodyBytes};
+}
+
+void Gateway::onPlaced(ExchangeId exchange, const TargetEntry &target)
+{
+    const auto found = m_exchanges.find(exchange.value());
+    if (found != m_exchanges.end())
+        found->second->placed(target);
+    if (m_loadChanged)
+        m_loadChanged();
+}
+
+void Gateway::onRefused(ExchangeId exchange, Duration retryAfter)
+{
+    const auto found = m_exchanges.find(exchange.value());
+    if (found != m_exchanges.end())
+        found->second->refused(retryAfter);
+}
+
+void Gateway::reviewSoon()
+{
+    if (m_loadChanged)
+        m_loadChanged();
+    if (std::exchange(m_reviewPending, true))
+        return;
+    m_loop.defer([this] { review(); });
+}
+
+void Gateway::review()
+{
+    m_reviewPending = false;
+    m_dispatcher.review(m_loop.now());
+    m_loop.cancel(m_refusalTimer);
+    if (const std::optional<Instant> next = m_dispatcher.nextRefusal())
+        m_refusalTimer = m_loop.after(*next - m_loop.now(), [this] { reviewSoon(); });
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <apricothook/eventloop/apricothook_listener.hpp>
+#include <apricothook/gateway/apricothook_caller_connection.hpp>
+#include <apricothook/gateway/apricothook_exchange.hpp>
+
+#include <list>
+#include <memory>
+#include <unordered_map>
+
+namespace Apricothook {
+
+/** Serves callers: their connections, the requests on them and the channels to targets. */
+class Gateway : private CallerRequestHandler, private DispatchListener
+{
+public:
+    Gateway(EventLoop &loop, const WireDialect &dialect, RandomSource &random, LogWriter &log,
+            Metrics &metrics, const FleetBounds &bounds, const DataCentreId &dataCentre);
+    ~Gateway() override;
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    Result<void, ListenError> listen(const Endpoint &address);
+    void setConfiguration(std::shared_ptr<const RouteTable> routes);
+    void setMembers(std::size_t heard, std::size_t known);
+    /** Takes a target over as it now is. */
+    void putTarget(const TargetEntry &target);
+    void removeTarget(const TargetId &target);
+
+    /** From now on every answer ends its connection. */
+    void startLeaving() { m_leaving = true; }
+    /** New requests are refused as not run: they would outlive the process. */
+    void refuseNew() { m_context.refusesNew = true; }
+    /** No new connections; those that carry nothing are closed. */
+    void stopListening();
+    std::size_t openRequests() const { return m_exchanges.size(); }
+    std::size_t callerConnections() const { return m_connections.size(); }
+
+    TargetTable &targets() { return m_targets; }
+    Dispatcher &dispatcher() { return m_dispatcher; }
+    CustomerLimits &customers() { return m_customers; }
+    /** `changed` is called when this daemon's load or waiting requests have changed. */
+    void setLoadListener(std::function<void()> changed) { m_loadChanged = std::move(changed); }
+    /** Looks for room for what waits, after the present event. */
+    void reviewSoon();
+
+private:
+    CallerRequestEvents &begin(ReceivedRequest request, CallerResponder &responder) override;
+    void release(CallerRequestEvents &events) override;
+    MessageLimits messageLimits() const override;
+    Duration headTimeout() const override { return limits().headTimeout; }
+    Duration idleTimeout() const override { return limits().idleTimeout; }
+    const WireDialect &dialect() const override { return m_context.dialect; }
+    bool isLeaving() const override { return m_leaving; }
+
+    void onPlaced(ExchangeId exchange, const TargetEntry &target) override;
+    void onRefused(ExchangeId exchange, Duration retryAfter) override;
+
+    void accept(int descriptor);
+    void connectionClosed(CallerConnection &connection);
+    void review();
+    CallerLimits limits() const;
+
+    EventLoop &m_loop;
+    const FleetBounds m_bounds;
+    TargetTable m_targets;
+    CustomerLimits m_customers;
+    Dispatcher m_dispatcher;
+    ChannelPool m_channels;
+    GatewayContext m_context;
+    std::unique_ptr<Listener> m_listener;
+    std::list<std::unique_ptr<CallerConnection>> m_connections;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
+    std::uint64_t m_lastExchange = 0;
+    bool m_leaving = false;
+    bool m_reviewPending = false;
+    TimerId m_refusalTimer = 0;
+    std::function<void()> m_loadChanged;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <apricothook/dispatch/apricothook_customer_limits.hpp>
+#include <apricothook/dispatch/apricothook_dispatcher.hpp>
+#include <apricothook/dispatch/apricothook_retry_allowance.hpp>
+#include <apricothook/dispatch/apricothook_route_table.hpp>
+#include <apricothook/gateway/apricothook_channel_pool.hpp>
+#include <apricothook/observe/apricothook_metrics.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace Apricothook {
+
+/** What all requests of the gateway share; lives as long as the gateway. */
+struct GatewayContext
+{
+    EventLoop &loop;
+    const WireDialect &dialect;
+    RandomSource &random;
+    LogWriter &log;
+    Metrics &metrics;
+    const FleetBounds &bounds;
+    TargetTable &targets;
+    Dispatcher &dispatcher;
+    ChannelPool &channels;
+    CustomerLimits &customers;
+    /** Null until the first configuration is known. */
+    std::shared_ptr<const RouteTable> routes;
+    /** Daemons that are believed to serve, this one with them. */
+    std::size_t members = 1;
+    /** The process is about to end. */
+    bool refusesNew = false;
+    std::map<ServiceId, RetryAllowance> retries;
+    /** Called when a slot of a target may have become free. */
+    std::function<void()> roomFreed;
+
+    RetryAllowance &retriesOf(const ServiceId &service)
+    {
+        return retries.try_emplace(service, bounds).first->second;
+    }
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/http1/apricothook/http1/internal/apricothook_head_collector.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <apricothook/http1/apricothook_message_reader.hpp>
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <string>
+
+namespace Apricothook {
+
+namespace Http = boost::beast::http;
+
+/**
+ * Boost.Beast's incremental parser with its parts gathered into a head and a body. Beast needs a
+ * field as a whole, so bytes that it didn't take are kept and shown again.
+ */
+template <bool IsRequest, typename Head>
+class HeadCollector : public Http::basic_parser<IsRequest>
+{
+public:
+    Result<std::size_t, MessageError> feed(std::string_view bytes)
+    {
+        const std::size_t keptBefore = m_kept.size();
+        if (keptBefore > 0)
+            m_kept.append(bytes);
+        std::string_view input = keptBefore > 0 ? std::string_view(m_kept) : bytes;
+        const std::size_t whole = input.size();
+        boost::beast::error_code error;
+        while (!input.empty() && !this->is_done()) {
+            const std::size_t taken
+                = this->put(boost::asio::const_buffer(input.data(), input.size()), error);
+            input.remove_prefix(taken);
+            if (error == Http::error::need_more)
+                break;
+            if (error)
+                return errorOf(error);
+        }
+        if (this->is_done()) {
+            const std::size_t used = whole - input.size() - keptBefore;
+            m_kept.clear();
+            return used;
+        }
+        m_kept = std::string(input);
+        return bytes.size();
+    }
+
+    Head head;
+    std::string body;
+
+protected:
+    static MessageError errorOf(const boost::beast::error_code &error)
+    {
+        if (error == Http::error::header_limit)
+            return MessageError::HeadTooLarge;
+        if (error == Http::error::body_limit)
+            return MessageError::BodyTooLarge;
+        return MessageError::Malformed;
+    }
+
+private:
+    using Text = boost::beast::string_view;
+    using Code = boost::beast::error_code;
+
+    void on_field_impl(Http::field, Text name, Text value, Code &) override
+    {
+        head.headers.add({name.data(), name.size()}, {value.data(), value.size()});
+    }
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, Code &) override { }
+    std::size_t on_body_impl(Text bytes, Code &) override
+    {
+        body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, Text, Code &) override { }
+    std::size_t on_chunk_body_impl(std::uint64_t, Text bytes, Code &) override
+    {
+        body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+    void on_finish_impl(Code &) override { }
+
+    std::string m_kept;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/observe/apricothook/observe/apricothook_structured_log.cpp
@@ -0,0 +1,185 @@
+#include <apricothook/observe/apricothook_structured_log.hpp>
+
+#include <apricothook/observe/apricothook_event_names.hpp>
+
+#include <json/value.h>
+#include <json/writer.h>
+
+#include <unistd.h>
+
+#include <memory>
+#include <sstream>
+
+namespace Apricothook {
+
+namespace {
+
+constexpr double MicrosecondsPerMillisecond = 1000;
+
+Json::Value jsonOf(const LogEvent::Value &value)
+{
+    if (const auto *text = std::get_if<std::string>(&value))
+        return *text;
+    if (const auto *whole = std::get_if<std::int64_t>(&value))
+        return static_cast<Json::Int64>(*whole);
+    if (const auto *real = std::get_if<double>(&value))
+        return *real;
+    return std::get<bool>(value);
+}
+
+std::string compact(const Json::Value &value)
+{
+    static const Json::StreamWriterBuilder builder = [] {
+        Json::StreamWriterBuilder made;
+        made["indentation"] = "";
+        made["precision"] = 6;
+        return made;
+    }();
+    const std::unique_ptr<Json::StreamWriter> writer(builder.newStreamWriter());
+    std::ostringstream text;
+    writer->write(value, &text);
+    return text.str();
+}
+
+std::string_view levelOf(const EventName *name)
+{
+    // A number that isn't in the catalogue is a fault of ours; it must be seen.
+    if (!name || name->level == EventLevel::Error)
+        return "error";
+    return name->level == EventLevel::Warning ? "warning" : "info";
+}
+
+} // namespace
+
+LogEvent &&LogEvent::about(const RequestKey &request) &&
+{
+    m_request = request;
+    return std::move(*this);
+}
+
+LogEvent &&LogEvent::with(std::string_view name, std::string value) &&
+{
+    m_fields.push_back({name, std::move(value)});
+    return std::move(*this);
+}
+
+LogEvent &&LogEvent::with(std::string_view name, double value) &&
+{
+    m_fields.push_back({name, value});
+    return std::move(*this);
+}
+
+LogEvent &&LogEvent::with(std::string_view name, bool value) &&
+{
+    m_fields.push_back({name, value});
+    return std::move(*this);
+}
+
+LogEvent &&LogEvent::with(std::string_view name, Duration value) &&
+{
+    m_fields.push_back({name, static_cast<double>(value.count()) / MicrosecondsPerMillisecond});
+    return std::move(*this);
+}
+
+LogEvent &&LogEvent::isRoutine() &&
+{
+    m_routine = true;
+    return std::move(*this);
+}
+
+std::string structuredLine(const LogEvent &event, const std::string &machine,
+                           std::uint64_t wallMilliseconds, Instant now, std::uint64_t leftOut)
+{
+    const EventName *name = findEventName(event.number());
+    Json::Value line(Json::objectValue);
+    line["event"] = event.number();
+    line["name"] = name ? std::string(name->name) : "NotInCatalogue";
+    line["level"] = std::string(levelOf(name));
+    line["time"] = static_cast<Json::UInt64>(wallMilliseconds);
+    line["steady"] = static_cast<Json::Int64>(now.time_since_epoch().count());
+    line["machine"] = machine;
+    if (!event.request().isEmpty())
+        line["request"] = event.request().text();
+    for (const LogEvent::Field &field : event.fields())
+        line[std::string(field.name)] = jsonOf(field.value);
+    if (leftOut > 0)
+        line["left_out"] = static_cast<Json::UInt64>(leftOut);
+    return compact(line) + "\n";
+}
+
+StructuredLog::StructuredLog(const Clock &clock, std::string machine, int descriptor)
+    : m_clock(clock)
+    , m_machine(std::move(machine))
+    , m_descriptor(descriptor)
+    , m_writer([this] { writeOut(); })
+{
+}
+
+StructuredLog::~StructuredLog()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_closing = true;
+    }
+    m_filled.notify_one();
+    m_writer.join();
+}
+
+bool StructuredLog::hasRoom(const LogEvent &event, Budget &budget, Instant now) const
+{
+    if (now - budget.since >= std::chrono::seconds(1)) {
+        budget.since = now;
+        budget.written = 0;
+    }
+    const std::size_t limit = event.routine() ? BufferBytes / 2 : BufferBytes;
+    return budget.written < LinesPerSecond && m_buffer.size() < limit;
+}
+
+void StructuredLog::write(const LogEvent &event)
+{
+    const Instant now = m_clock.now();
+    const std::lock_guard lock(m_mutex);
+    Budget &budget = m_budgets[event.number()];
+    if (!hasRoom(event, budget, now)) {
+        ++budget.leftOut;
+        ++m_dropped;
+        return;
+    }
+    ++budget.written;
+    const bool wasEmpty = m_buffer.empty();
+    m_buffer += structuredLine(event, m_machine, m_clock.wallMilliseconds(), now,
+                               std::exchange(budget.leftOut, 0));
+    if (wasEmpty)
+        m_filled.notify_one();
+}
+
+std::uint64_t StructuredLog::dropped() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_dropped;
+}
+
+void StructuredLog::writeOut()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_filled.wait(lock, [this] { return m_closing || !m_buffer.empty(); });
+        if (!m_closing)
+            m_filled.wait_for(lock, FlushPause, [this] { return m_closing; });
+        const std::string lines = std::exchange(m_buffer, {});
+        const bool closing = m_closing;
+        lock.unlock();
+        for (std::size_t done = 0; done < lines.size();) {
+            const ssize_t written = ::write(m_descriptor, lines.data() + done, lines.size() - done);
+            // Nobody reads the log any more; there is no place left to tell it.
+            if (written <= 0)
+                break;
+            done += static_cast<std::size_t>(written);
+        }
+        if (closing)
+            return;
+        lock.lock();
+    }
+}
+
+} // namespace Apricothook
--- a/packages/platform/apricothook/platform/internal/apricothook_base64.cpp
+++ b/packages/peers/apricothook/peers/apricothook_base64.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/platform/internal/apricothook_base64.hpp>
+#include <apricothook/peers/apricothook_base64.hpp>
 
 #include <openssl/evp.h>
 
--- a/packages/peers/apricothook/peers/internal/apricothook_cbor_item.cpp
+++ b/packages/peers/apricothook/peers/apricothook_cbor_item.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/peers/internal/apricothook_cbor_item.hpp>
+#include <apricothook/peers/apricothook_cbor_item.hpp>
 
 #include <cbor.h>
 
--- a/packages/peers/apricothook/peers/internal/apricothook_cbor_reader.hpp
+++ b/packages/peers/apricothook/peers/apricothook_cbor_reader.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <apricothook/peers/internal/apricothook_cbor_bounds.hpp>
-#include <apricothook/peers/internal/apricothook_cbor_item.hpp>
-#include <apricothook/peers/internal/apricothook_endpoint_bytes.hpp>
-#include <apricothook/peers/internal/apricothook_known_enumerators.hpp>
+#include <apricothook/peers/apricothook_cbor_bounds.hpp>
+#include <apricothook/peers/apricothook_cbor_item.hpp>
+#include <apricothook/peers/apricothook_endpoint_bytes.hpp>
+#include <apricothook/peers/apricothook_known_enumerators.hpp>
 
 #include <cmath>
 #include <limits>
--- a/packages/peers/apricothook/peers/internal/apricothook_cbor_writer.hpp
+++ b/packages/peers/apricothook/peers/apricothook_cbor_writer.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <apricothook/model/apricothook_peer_message.hpp>
-#include <apricothook/peers/internal/apricothook_endpoint_bytes.hpp>
+#include <apricothook/peers/apricothook_endpoint_bytes.hpp>
 
 #include <cbor.h>
 
--- a/packages/peers/apricothook/peers/internal/apricothook_endpoint_bytes.cpp
+++ b/packages/peers/apricothook/peers/apricothook_endpoint_bytes.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/peers/internal/apricothook_endpoint_bytes.hpp>
+#include <apricothook/peers/apricothook_endpoint_bytes.hpp>
 
 #include <arpa/inet.h>
 
--- a/packages/peers/tests/apricothook_message_filler.hpp
+++ b/packages/peers/tests/apricothook_message_filler.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <apricothook/model/apricothook_peer_message.hpp>
-#include <apricothook/peers/internal/apricothook_known_enumerators.hpp>
+#include <apricothook/peers/apricothook_known_enumerators.hpp>
 
 #include <array>
 #include <random>
--- a/packages/daemon/apricothook/daemon/apricothook_system_clock.cpp
+++ b/packages/ports/apricothook/ports/apricothook_system_clock.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/daemon/apricothook_system_clock.hpp>
+#include <apricothook/ports/apricothook_system_clock.hpp>
 
 namespace Apricothook {
 
--- /dev/null
+++ b/packages/serving/apricothook/serving/apricothook_published_state.cpp
@@ -0,0 +1,135 @@
+#include <apricothook/serving/apricothook_published_state.hpp>
+
+#include <apricothook/fleetview/apricothook_fleetview_event.hpp>
+
+namespace Apricothook {
+
+PublishedState::PublishedState(EventLoop &loop, Gateway &gateway, const ItemDecoder &decoder,
+                               LogWriter &log)
+    : m_loop(loop)
+    , m_gateway(gateway)
+    , m_decoder(decoder)
+    , m_log(log)
+    , m_replica([this](const ItemChange &change) { onChange(change); })
+{
+}
+
+PublishedState::~PublishedState()
+{
+    for (auto &[target, timer] : m_held)
+        m_loop.cancel(timer);
+}
+
+void PublishedState::apply(const ItemUpdate &update)
+{
+    m_replica.apply(update);
+}
+
+void PublishedState::setSourceState(SourceState state)
+{
+    const bool wasAway = m_sourceState && *m_sourceState != SourceState::Reachable;
+    if (state == SourceState::Reachable && wasAway)
+        m_sourceBack = m_loop.now();
+    const bool isBack = state == SourceState::Reachable;
+    m_log.write(LogEvent(isBack ? FleetviewEvent::SourceRegained : FleetviewEvent::SourceLost)
+                    .with("state", std::string(isBack ? "reachable"
+                                                   : state == SourceState::Refusing ? "refusing"
+                                                                                    : "unreachable"))
+                    .with("revision", m_replica.revision()));
+    m_sourceState = state;
+}
+
+void PublishedState::onChange(const ItemChange &change)
+{
+    switch (m_decoder.kindOf(change.key)) {
+    case ItemKind::Configuration:
+        if (change.value)
+            takeConfiguration(change);
+        return;
+    case ItemKind::Target:
+        if (change.value)
+            takeTarget(change);
+        else
+            removeTarget(m_decoder.targetOfKey(change.key), change.revision);
+        return;
+    case ItemKind::Other:
+        return;
+    }
+}
+
+void PublishedState::takeConfiguration(const ItemChange &change)
+{
+    Result<ServingConfiguration, ItemFault> read = m_decoder.configuration(*change.value);
+    if (!read) {
+        reject(change, read.error());
+        return;
+    }
+    const Generation generation = read.value().generation;
+    if (m_generation && generation <= *m_generation)
+        return;
+    m_generation = generation;
+    m_log.write(LogEvent(FleetviewEvent::ConfigurationTaken)
+                    .with("generation", generation.value())
+                    .with("revision", change.revision)
+                    .with("routes", read.value().routes.size())
+                    .with("customers", read.value().customers.size()));
+    m_gateway.setConfiguration(std::make_shared<const RouteTable>(std::move(read).value()));
+}
+
+void PublishedState::takeTarget(const ItemChange &change)
+{
+    const Result<TargetEntry, ItemFault> read = m_decoder.target(change.key, *change.value);
+    if (!read) {
+        reject(change, read.error());
+        return;
+    }
+    const TargetEntry &target = read.value();
+    if (const auto held = m_held.find(target.id); held != m_held.end()) {
+        m_loop.cancel(held->second);
+        m_held.erase(held);
+    }
+    m_log.write(LogEvent(FleetviewEvent::TargetChanged)
+                    .with("target", target.id.text())
+                    .with("service", target.service.text())
+                    .with("address", target.address.text())
+                    .with("state", std::string(target.isDraining ? "draining" : "ready"))
+                    .with("revision", change.revision));
+    m_gateway.putTarget(target);
+}
+
+bool PublishedState::mayHaveLapsed(Instant now) const
+{
+    const bool isAway = m_sourceState && *m_sourceState != SourceState::Reachable;
+    return isAway || (m_sourceBack && now - *m_sourceBack < RegisterAgainTime);
+}
+
+void PublishedState::removeTarget(const TargetId &target, Revision revision)
+{
+    const Instant now = m_loop.now();
+    const Target *known = m_gateway.targets().find(target);
+    // A target that had announced its leaving has left.
+    const bool hold = known && !known->entry.isDraining && mayHaveLapsed(now);
+    m_log.write(LogEvent(hold ? FleetviewEvent::RemovalHeld : FleetviewEvent::TargetChanged)
+                    .with("target", target.text())
+                    .with("state", std::string("removed"))
+                    .with("revision", revision));
+    if (!hold) {
+        m_gateway.removeTarget(target);
+        return;
+    }
+    const Instant from = m_sourceState == SourceState::Reachable ? m_sourceBack.value_or(now) : now;
+    m_held[target] = m_loop.after(from + RegisterAgainTime - now, [this, target] {
+        m_held.erase(target);
+        m_gateway.removeTarget(target);
+    });
+}
+
+void PublishedState::reject(const ItemChange &change, const ItemFault &fault)
+{
+    m_log.write(LogEvent(FleetviewEvent::ItemRejected)
+                    .with("key", change.key)
+                    .with("field", fault.field)
+                    .with("revision", change.revision));
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -0,0 +1,179 @@
+#include <apricothook/serving/apricothook_serving_process.hpp>
+
+#include <apricothook/fleetview/apricothook_fleetview_event.hpp>
+#include <apricothook/fleetview/apricothook_peer_item_protocol.hpp>
+
+#include <utility>
+
+namespace Apricothook {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusUnavailable = 503;
+constexpr std::string_view MetricsPath = "/metrics";
+constexpr std::chrono::seconds RankPause {1};
+/** Between looks whether a stopping process has ended its requests. */
+constexpr std::chrono::milliseconds EndPause {50};
+
+SmallAnswer statusAlone(unsigned status)
+{
+    SmallAnswer answer;
+    answer.status = status;
+    return answer;
+}
+
+} // namespace
+
+ServingProcess::ServingProcess(const ServingSettings &settings, const ServingAdapters &adapters,
+                               const Clock &clock, RandomSource &random, LogWriter &log)
+    : m_settings(settings)
+    , m_adapters(adapters)
+    , m_incarnation(clock.wallMilliseconds())
+    , m_log(log)
+    , m_loop(clock)
+    , m_gateway(m_loop, adapters.wire, random, log, m_metrics, settings.bounds, settings.dataCentre)
+    , m_published(m_loop, m_gateway, adapters.decoder, log)
+    , m_beacons(m_loop, m_settings, m_incarnation, m_gateway, m_published, log)
+{
+}
+
+ServingProcess::~ServingProcess()
+{
+    // Its thread posts to the loop, which goes after it.
+    m_watcher.reset();
+}
+
+Result<void, ListenError> ServingProcess::start()
+{
+    const auto open = [this](std::unique_ptr<SmallHttpServer> &server, const Endpoint &address,
+                             SmallAnswer (ServingProcess::*answer)(const RequestHead &) const)
+        -> Result<void, ListenError> {
+        Result<std::unique_ptr<SmallHttpServer>, ListenError> opened = SmallHttpServer::open(
+            m_loop, address,
+            [this, answer](const RequestHead &request) { return (this->*answer)(request); });
+        if (!opened)
+            return opened.error();
+        server = std::move(opened).value();
+        return Outcomes::success();
+    };
+    BOOST_OUTCOME_TRY(open(m_control, m_settings.controlAddress, &ServingProcess::answerControl));
+    BOOST_OUTCOME_TRY(open(m_lookups, m_settings.lookupAddress, &ServingProcess::answerLookup));
+    BOOST_OUTCOME_TRY(open(m_readiness, m_settings.readinessAddress, &ServingProcess::answerReadiness));
+    BOOST_OUTCOME_TRY(m_beacons.start());
+    BOOST_OUTCOME_TRY(m_gateway.listen(m_settings.callerAddress));
+    m_gateway.setLoadListener([this] { m_beacons.noteChange(); });
+    watchItems();
+    rankCustomers();
+    m_log.write(LogEvent(FleetviewEvent::ProcessStarted)
+                    .with("callers", m_settings.callerAddress.text())
+                    .with("beacons", m_settings.beaconAddress.text())
+                    .with("source", m_settings.itemSource.text())
+                    .with("process", m_incarnation.value()));
+    return Outcomes::success();
+}
+
+void ServingProcess::watchItems()
+{
+    const auto updated = [this](ItemUpdate update) {
+        const auto apply = [this, update = std::move(update)] { m_published.apply(update); };
+        // The ring is full only while the loop is far behind; the update must not be lost.
+        while (!m_loop.post(apply))
+            std::this_thread::sleep_for(EndPause);
+    };
+    const auto changed = [this](SourceState state) {
+        m_loop.post([this, state] { m_published.setSourceState(state); });
+    };
+    m_watcher = std::make_unique<ItemWatcher>(m_settings.itemSource, m_adapters.items, updated, changed);
+}
+
+void ServingProcess::rankCustomers()
+{
+    m_metrics.rankCustomers(m_loop.now());
+    m_metrics.set(Level::LiveMembers, static_cast<double>(m_beacons.members().heardCount()));
+    m_metrics.set(Level::CallerConnections, static_cast<double>(m_gateway.callerConnections()));
+    m_metrics.set(Level::CallerExchanges, static_cast<double>(m_gateway.openRequests()));
+    m_metrics.set(Level::WaitingRequests, static_cast<double>(m_gateway.dispatcher().waiting()));
+    m_loop.after(RankPause, [this] { rankCustomers(); });
+}
+
+std::vector<LookupEntry> ServingProcess::readyEntries() const
+{
+    std::vector<LookupEntry> entries;
+    if (m_beacons.isReady())
+        entries.push_back({m_settings.callerAddress, m_settings.dataCentre});
+    for (const Member *member : m_beacons.members().heard()) {
+        if (member->last.isReady && !member->last.isLeaving)
+            entries.push_back({member->last.callerAddress, member->last.dataCentre});
+    }
+    return entries;
+}
+
+SmallAnswer ServingProcess::answerLookup(const RequestHead &request) const
+{
+    const std::optional<LookupQuestion> question = m_adapters.lookups.question(request);
+    if (!question)
+        return statusAlone(StatusNotFound);
+    const std::vector<Endpoint> entries
+        = nearEntries(readyEntries(), m_settings.regions, *question);
+    if (entries.empty())
+        return statusAlone(StatusUnavailable);
+    return m_adapters.lookups.answer({entries, LookupKeep});
+}
+
+SmallAnswer ServingProcess::answerReadiness(const RequestHead &request) const
+{
+    if (!m_adapters.lookups.asksReadiness(request))
+        return statusAlone(StatusNotFound);
+    return statusAlone(m_beacons.isReady() ? StatusOk : StatusUnavailable);
+}
+
+SmallAnswer ServingProcess::answerControl(const RequestHead &request) const
+{
+    if (request.target == MetricsPath)
+        return {.status = StatusOk, .contentType = "text/plain; version=0.0.4", .body = m_metrics.text()};
+    if (const std::optional<Revision> after = askedRevision(request.target)) {
+        return {.status = StatusOk,
+                .contentType = "application/json",
+                .body = writeItemUpdate(m_published.replica().since(*after))};
+    }
+    return statusAlone(StatusNotFound);
+}
+
+void ServingProcess::startStopping()
+{
+    if (std::exchange(m_stopping, true))
+        return;
+    const Instant now = m_loop.now();
+    m_log.write(LogEvent(FleetviewEvent::ProcessStopping)
+                    .with("open_requests", m_gateway.openRequests())
+                    .with("connections", m_gateway.callerConnections()));
+    m_beacons.startLeaving();
+    m_gateway.startLeaving();
+    const Instant latest = now + m_settings.bounds.grace - EndMargin;
+    m_loop.after(KeepFactor * LookupKeep, [this, latest] {
+        stopTaking();
+        endWhenDone(latest);
+    });
+}
+
+void ServingProcess::stopTaking()
+{
+    m_gateway.refuseNew();
+    m_gateway.stopListening();
+}
+
+void ServingProcess::endWhenDone(Instant latest)
+{
+    const bool isDone = m_gateway.openRequests() == 0 && m_gateway.callerConnections() == 0;
+    if (!isDone && m_loop.now() < latest) {
+        m_loop.after(EndPause, [this, latest] { endWhenDone(latest); });
+        return;
+    }
+    m_log.write(LogEvent(FleetviewEvent::ProcessStopped)
+                    .with("open_requests", m_gateway.openRequests()));
+    m_loop.stop();
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/serving/apricothook/serving/apricothook_serving_settings.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <apricothook/dispatch/apricothook_serving_configuration.hpp>
+#include <apricothook/model/apricothook_endpoint.hpp>
+#include <apricothook/model/apricothook_identifiers.hpp>
+
+#include <map>
+#include <vector>
+
+namespace Apricothook {
+
+/** What a serving daemon is told about itself at its start. */
+struct ServingSettings
+{
+    MemberId member;
+    DataCentreId dataCentre;
+    RegionId region;
+    /** The region of every data centre. */
+    std::map<DataCentreId, RegionId> regions;
+    Endpoint callerAddress;
+    Endpoint readinessAddress;
+    Endpoint lookupAddress;
+    /** Peers' questions for items, and the metrics. */
+    Endpoint controlAddress;
+    Endpoint beaconAddress;
+    /** Beacon addresses of some daemons; they may be out of date. */
+    std::vector<Endpoint> seeds;
+    /** Where the configuration and the targets are published. */
+    Endpoint itemSource;
+    FleetBounds bounds;
+
+    auto operator<=>(const ServingSettings &) const = default;
+};
+
+} // namespace Apricothook
