Never take an error's answer for the rest of a stream

Cause: a stream whose target crashed was sent on to another one; that one answered 500, and as the caller's answer had begun, the error's end was passed on as the stream's. Ruled out: the first run's own end (it was reset, not closed). Change: an answer that isn't a 200 ends the attempt when an answer is under way.

--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -22,6 +22,10 @@
 void Dispatcher::offer(WaitingWork work, Instant now)
 {
     const WaitingWork newest = work;
+    if (!newest.excluded.empty() && !m_targets.hasOther(newest.service, newest.excluded)) {
+        refuse(newest, now);
+        return;
+    }
     Queue &queue = m_queues[work.service];
     queue.push_back(std::move(work));
     placeAll(queue, now);
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -220,6 +220,13 @@
     return best;
 }
 
+bool TargetTable::hasOther(const ServiceId &service, const std::set<TargetId> &excluded) const
+{
+    return std::ranges::any_of(ofService(service), [&excluded](const Target *target) {
+        return !target->entry.isDraining && !excluded.contains(target->entry.id);
+    });
+}
+
 ServiceRoom TargetTable::room(const ServiceId &service, Instant now) const
 {
     ServiceRoom room;
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -94,6 +94,8 @@
      */
     const Target *choose(const ServiceId &service, const WorkSize &work,
                          const std::set<TargetId> &excluded, Instant now) const;
+    /** Some target of the service takes requests and isn't among `excluded`. */
+    bool hasOther(const ServiceId &service, const std::set<TargetId> &excluded) const;
     ServiceRoom room(const ServiceId &service, Instant now) const;
     /** Expected time to the first event at an idle, usual target of the service. */
     Duration expectedFirstEvent(const ServiceId &service, const WorkSize &work) const;
--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
@@ -98,12 +98,16 @@
 
 void EventLoop::run()
 {
-    while (!m_stopping) {
-        runDeferred();
-        runDueTimers();
-        runDeferred();
-        wait();
-    }
+    while (!m_stopping)
+        runOnce(std::chrono::milliseconds(-1));
+}
+
+void EventLoop::runOnce(std::chrono::milliseconds longestWait)
+{
+    runDeferred();
+    runDueTimers();
+    runDeferred();
+    wait(static_cast<int>(longestWait.count()));
 }
 
 void EventLoop::stop()
@@ -158,10 +162,13 @@
         std::clamp<std::int64_t>(left.count(), 0, std::numeric_limits<int>::max()));
 }
 
-void EventLoop::wait()
+void EventLoop::wait(int longestMilliseconds)
 {
+    int wait = millisecondsToNextTimer();
+    if (longestMilliseconds >= 0)
+        wait = wait < 0 ? longestMilliseconds : std::min(wait, longestMilliseconds);
     std::array<epoll_event, EventsPerWait> events;
-    const int count = epoll_wait(m_poll, events.data(), EventsPerWait, millisecondsToNextTimer());
+    const int count = epoll_wait(m_poll, events.data(), EventsPerWait, wait);
     for (int i = 0; i < count; ++i) {
         const epoll_event &event = events[static_cast<std::size_t>(i)];
         if (event.data.fd == m_waker) {
--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
@@ -55,6 +55,8 @@
     bool post(std::function<void()> action);
 
     void run();
+    /** One round: what is due, then the events that come within `longestWait`. */
+    void runOnce(std::chrono::milliseconds longestWait);
     /** Ends run(); safe from any thread and from signal handlers. */
     void stop();
     /** Makes run() call the wake action soon; safe from any thread and from signal handlers. */
@@ -71,7 +73,7 @@
     void runDueTimers();
     void runDeferred();
     void runPosted();
-    void wait();
+    void wait(int longestMilliseconds);
     int millisecondsToNextTimer() const;
 
     const Clock &m_clock;
--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
@@ -51,6 +51,14 @@
     ::close(m_descriptor);
 }
 
+std::uint16_t Listener::port() const
+{
+    sockaddr_in bound {};
+    socklen_t size = sizeof bound;
+    getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&bound), &size);
+    return ntohs(bound.sin_port);
+}
+
 void Listener::onReadable()
 {
     // One connection a round: a herd must not hold up the requests that are under way.
--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.hpp
@@ -26,6 +26,8 @@
                                                                const Endpoint &address,
                                                                Accepted accepted);
     ~Listener() override;
+    /** The port that the system chose where the address named none. */
+    std::uint16_t port() const;
     Listener(const Listener &) = delete;
     Listener &operator=(const Listener &) = delete;
 
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
@@ -277,6 +277,13 @@
         m_attempt->isNotRun = true;
         return;
     }
+    // An error's body and end would be taken for those of the stream that it should go on with.
+    if (m_progress != Progress::Nothing && head.status != StatusOk) {
+        m_attempt->channel->cancel();
+        m_mayHaveRun = true;
+        attemptFailed(TargetOutcome::Failed, "not-resumed");
+        return;
+    }
     const bool isSuccess = head.status >= StatusOk && head.status < FirstRedirect;
     if (isSuccess && (!verdict.isSigned || head.headers.find("Content-Encoding"))) {
         m_attempt->channel->cancel();
@@ -294,9 +301,17 @@
         return;
     }
     m_attempt->body.append(bytes);
-    if (m_attempt->body.size() <= MostKeptBody || m_progress != Progress::Nothing)
-        return;
-    passOwnHead({BodyFraming::Kind::Chunked, 0});
+    if (m_attempt->body.size() > MostKeptBody)
+        passLargeBody();
+}
+
+void Exchange::passLargeBody()
+{
+    if (m_progress == Progress::Nothing)
+        passOwnHead({BodyFraming::Kind::Chunked, 0});
+    m_responder.sendBody(std::exchange(m_attempt->body, {}));
+    if (m_responder.unsentBytes() > MostUnsentBytes)
+        m_attempt->channel->setReading(false);
 }
 
 void Exchange::passOwnHead(BodyFraming framing)
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
@@ -85,6 +85,7 @@
     Duration firstEventLimit() const;
     bool isStreaming() const;
     void passEvents(std::string_view bytes);
+    void passLargeBody();
     void passOwnHead(BodyFraming framing);
     void completeStream();
     void completePlain();
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -21,6 +21,8 @@
     Gateway &operator=(const Gateway &) = delete;
 
     Result<void, ListenError> listen(const Endpoint &address);
+    /** The port of the callers' address; zero while not listening. */
+    std::uint16_t port() const { return m_listener ? m_listener->port() : 0; }
     void setConfiguration(std::shared_ptr<const RouteTable> routes);
     void setMembers(std::size_t heard, std::size_t known);
     /** Takes a target over as it now is. */
--- /dev/null
+++ b/packages/gateway/tests/apricothook_scripted_peers.cpp
@@ -0,0 +1,29 @@
+#include <apricothook_scripted_peers.hpp>
+
+namespace Apricothook {
+
+ScriptedTarget::ScriptedTarget(EventLoop &loop)
+{
+    m_listener = Listener::open(loop, {"127.0.0.1", 0}, [this, &loop](int descriptor) {
+                     connections.push_back(std::make_unique<HeldConnection>(loop, descriptor));
+                 }).value();
+}
+
+std::size_t ScriptedTarget::requests() const
+{
+    std::size_t count = 0;
+    for (const std::unique_ptr<HeldConnection> &connection : connections) {
+        std::string_view bytes = connection->received;
+        while (!bytes.empty()) {
+            RequestReader reader({});
+            const Result<std::size_t, MessageError> taken = reader.feed(bytes);
+            if (!taken || !reader.isComplete())
+                break;
+            ++count;
+            bytes.remove_prefix(taken.value());
+        }
+    }
+    return count;
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/tests/apricothook_scripted_peers.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <apricothook/eventloop/apricothook_listener.hpp>
+#include <apricothook/eventloop/apricothook_stream_socket.hpp>
+#include <apricothook/http1/apricothook_message_reader.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Apricothook {
+
+/** One end of a connection that a test holds: keeps all bytes and how it ended. */
+class HeldConnection : public StreamSocketEvents
+{
+public:
+    HeldConnection(EventLoop &loop, int descriptor) : socket(loop, *this, descriptor) { }
+    HeldConnection(EventLoop &loop, const Endpoint &to) : socket(loop, *this, to) { }
+
+    void onData(std::string_view bytes) override { received.append(bytes); }
+    void onEnd(SocketEnd how) override { end = how; }
+    bool has(std::string_view text) const { return received.find(text) != std::string::npos; }
+
+    std::string received;
+    std::optional<SocketEnd> end;
+    StreamSocket socket;
+};
+
+/** A target that answers only what the test says. */
+class ScriptedTarget
+{
+public:
+    explicit ScriptedTarget(EventLoop &loop);
+
+    Endpoint address() const { return {"127.0.0.1", m_listener->port()}; }
+    /** Whole requests that came, over all connections. */
+    std::size_t requests() const;
+    HeldConnection &connection(std::size_t index) { return *connections.at(index); }
+
+    std::vector<std::unique_ptr<HeldConnection>> connections;
+
+private:
+    std::unique_ptr<Listener> m_listener;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/tests/apricothook_test_dialect.cpp
@@ -0,0 +1,70 @@
+#include <apricothook_test_dialect.hpp>
+
+#include <string>
+
+namespace Apricothook {
+
+namespace {
+
+std::string valueOf(const HeaderList &headers, std::string_view name)
+{
+    return std::string(headers.find(name).value_or(std::string_view()));
+}
+
+} // namespace
+
+Result<CallerRequest, CallerRequestError> TestDialect::callerRequest(const RequestHead &head) const
+{
+    CallerRequest request;
+    request.id = RequestKey(valueOf(head.headers, "Id"));
+    if (request.id.isEmpty())
+        return CallerRequestError::NoId;
+    request.host = valueOf(head.headers, "Host");
+    request.path = head.target;
+    request.customerKey = valueOf(head.headers, "Key");
+    if (const auto patience = head.headers.find("Patience"))
+        request.patience = std::chrono::milliseconds(std::stoi(std::string(*patience)));
+    return request;
+}
+
+RequestHead TestDialect::targetRequest(const RequestHead &fromCaller,
+                                       const TargetRequestFields &fields) const
+{
+    RequestHead head = fromCaller;
+    head.headers.removeHopByHop();
+    head.headers.set("Only", fields.target.text());
+    if (fields.lastEvent)
+        head.headers.set("Last", std::to_string(*fields.lastEvent));
+    return head;
+}
+
+TargetVerdict TestDialect::verdict(const ResponseHead &head) const
+{
+    TargetVerdict verdict;
+    verdict.answers = RequestKey(valueOf(head.headers, "Id"));
+    verdict.isNotRun = head.headers.find("Not-Run").has_value();
+    verdict.isOtherTarget = head.status == 421;
+    verdict.isSigned = head.headers.find("Signed").has_value();
+    return verdict;
+}
+
+ResponseHead TestDialect::callerAnswer(const ResponseHead &fromTarget) const
+{
+    ResponseHead head = fromTarget;
+    head.headers.removeHopByHop();
+    return head;
+}
+
+ResponseHead TestDialect::ownAnswer(unsigned status, const RequestKey &id,
+                                    std::optional<Duration> retryAfter) const
+{
+    ResponseHead head;
+    head.status = status;
+    if (!id.isEmpty())
+        head.headers.add("Id", id.text());
+    if (retryAfter)
+        head.headers.add("Retry-After", std::to_string(retryAfter->count()));
+    return head;
+}
+
+} // namespace Apricothook
