--- a/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
@@ -549,21 +549,20 @@
     if (m_firstAnswer)
         m_context.metrics.firstToken(labels, *m_firstAnswer - m_arrived);
     LogEvent line = LogEvent(event).about(m_request.id).with("end", std::string(nameOf(end)));
-    line = std::move(line)
-               .with("status", m_status)
-               .with("route", m_route ? m_route->name.text() : std::string())
-               .with("customer", m_customer ? m_customer->name.text() : std::string())
-               .with("service", m_service.text())
-               .with("tier", m_tier.rank())
-               .with("sends", m_sends)
-               .with("took_ms", now - m_arrived)
-               .with("left_ms", m_deadline - now)
-               .with("generation",
+    line.with("status", m_status)
+        .with("route", m_route ? m_route->name.text() : std::string())
+        .with("customer", m_customer ? m_customer->name.text() : std::string())
+        .with("service", m_service.text())
+        .with("tier", m_tier.rank())
+        .with("sends", m_sends)
+        .with("took_ms", now - m_arrived)
+        .with("left_ms", m_deadline - now)
+        .with("generation",
                      m_routes ? m_routes->configuration().generation.value() : std::uint64_t());
     if (m_firstAnswer)
-        line = std::move(line).with("first_ms", *m_firstAnswer - m_arrived);
+        line.with("first_ms", *m_firstAnswer - m_arrived);
     if (end == ExchangeEnd::Answered)
-        line = std::move(line).isRoutine();
+        line.isRoutine();
     m_context.log.write(line);
 }
 
--- a/packages/observe/apricothook/observe/apricothook_structured_log.cpp
+++ b/packages/observe/apricothook/observe/apricothook_structured_log.cpp
@@ -51,40 +51,40 @@
 
 } // namespace
 
-LogEvent &&LogEvent::about(const RequestKey &request) &&
+LogEvent &LogEvent::about(const RequestKey &request)
 {
     m_request = request;
-    return std::move(*this);
+    return *this;
 }
 
-LogEvent &&LogEvent::with(std::string_view name, std::string value) &&
+LogEvent &LogEvent::with(std::string_view name, std::string value)
 {
     m_fields.push_back({name, std::move(value)});
-    return std::move(*this);
+    return *this;
 }
 
-LogEvent &&LogEvent::with(std::string_view name, double value) &&
+LogEvent &LogEvent::with(std::string_view name, double value)
 {
     m_fields.push_back({name, value});
-    return std::move(*this);
+    return *this;
 }
 
-LogEvent &&LogEvent::with(std::string_view name, bool value) &&
+LogEvent &LogEvent::with(std::string_view name, bool value)
 {
     m_fields.push_back({name, value});
-    return std::move(*this);
+    return *this;
 }
 
-LogEvent &&LogEvent::with(std::string_view name, Duration value) &&
+LogEvent &LogEvent::with(std::string_view name, Duration value)
 {
     m_fields.push_back({name, static_cast<double>(value.count()) / MicrosecondsPerMillisecond});
-    return std::move(*this);
+    return *this;
 }
 
-LogEvent &&LogEvent::isRoutine() &&
+LogEvent &LogEvent::isRoutine()
 {
     m_routine = true;
-    return std::move(*this);
+    return *this;
 }
 
 std::string structuredLine(const LogEvent &event, const std::string &machine,
--- a/packages/observe/apricothook/observe/apricothook_structured_log.hpp
+++ b/packages/observe/apricothook/observe/apricothook_structured_log.hpp
@@ -32,21 +32,21 @@
     }
 
     /** The request that the event is about. */
-    LogEvent &&about(const RequestKey &request) &&;
+    LogEvent &about(const RequestKey &request);
     /** `name` must be a literal. */
-    LogEvent &&with(std::string_view name, std::string value) &&;
-    LogEvent &&with(std::string_view name, double value) &&;
-    LogEvent &&with(std::string_view name, bool value) &&;
-    LogEvent &&with(std::string_view name, Duration value) &&;
+    LogEvent &with(std::string_view name, std::string value);
+    LogEvent &with(std::string_view name, double value);
+    LogEvent &with(std::string_view name, bool value);
+    LogEvent &with(std::string_view name, Duration value);
     template <std::integral Integer>
         requires(!std::same_as<Integer, bool>)
-    LogEvent &&with(std::string_view name, Integer value) &&
+    LogEvent &with(std::string_view name, Integer value)
     {
         m_fields.push_back({name, static_cast<std::int64_t>(value)});
-        return std::move(*this);
+        return *this;
     }
     /** Ordinary successes; left out first when there are too many lines. */
-    LogEvent &&isRoutine() &&;
+    LogEvent &isRoutine();
 
     int number() const { return m_number; }
     bool routine() const { return m_routine; }
