--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.cpp
@@ -3,6 +3,7 @@
 #include <apricothook/model/apricothook_hashing.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Apricothook {
 
@@ -17,39 +18,80 @@
     return hashOf(customer.text());
 }
 
-void CustomerLimits::refill(Bucket &bucket, const CustomerRule &customer, Instant now) const
+void CustomerLimits::Bucket::refill(double seconds, double part)
 {
-    const double burst = customer.burst * m_heardPart;
-    if (!bucket.isFilled) {
-        bucket.isFilled = true;
-        bucket.level += burst;
-    } else {
-        const double seconds
-            = static_cast<double>((now - bucket.refilled).count()) / MicrosecondsPerSecond;
-        bucket.level += seconds * bucket.rate * m_heardPart;
-    }
-    bucket.refilled = now;
-    bucket.rate = customer.ratePerSecond;
-    bucket.burst = burst;
-    bucket.level = std::min(bucket.level, burst);
+    level = std::min(level + seconds * perSecond * part, size * part);
+}
+
+void CustomerLimits::Bucket::take(double units)
+{
+    level = std::max(level - units, -size);
+}
+
+void CustomerLimits::resize(Account &account, const CustomerRule &customer) const
+{
+    const double rate = customer.ratePerSecond;
+    const double window
+        = static_cast<double>(m_bounds.customerWindow.count()) / MicrosecondsPerSecond;
+    const double most = (rate * window + customer.burst) * (1 + m_bounds.customerOvershoot)
+        + m_bounds.customerSlack;
+    account.assured.perSecond = rate;
+    account.assured.size = customer.burst;
+    account.bound.perSecond = rate * (1 + UsedOvershoot * m_bounds.customerOvershoot);
+    account.bound.size = UsedRoom * (most - window * account.bound.perSecond);
+}
+
+CustomerLimits::Account &CustomerLimits::refilled(const CustomerRule &customer, Instant now)
+{
+    Account &account = m_accounts[customerNumber(customer.name)];
+    double seconds = StartSeconds;
+    if (std::exchange(account.isStarted, true))
+        seconds = static_cast<double>((now - account.refilled).count()) / MicrosecondsPerSecond;
+    else
+        resize(account, customer);
+    account.refilled = now;
+    // Time that has passed counts at the rate that was in force.
+    account.assured.refill(seconds, m_heardPart);
+    account.bound.refill(seconds, m_heardPart);
+    resize(account, customer);
+    return account;
+}
+
+void CustomerLimits::prepare(const std::vector<CustomerRule> &customers, Instant now)
+{
+    for (const CustomerRule &customer : customers)
+        refilled(customer, now);
 }
 
-bool CustomerLimits::tryTake(const CustomerRule &customer, double units, Instant now)
+bool CustomerLimits::tryTake(const CustomerRule &customer, double units, bool hasRoom, Instant now)
 {
-    Bucket &bucket = m_buckets[customerNumber(customer.name)];
-    refill(bucket, customer, now);
-    // A full bucket admits a request of any size, or one above the burst could never run.
+    Account &account = refilled(customer, now);
     const bool isLimited = customer.ratePerSecond > 0;
-    if (isLimited && bucket.level < std::min(units, bucket.burst))
+    const bool isAllowed
+        = account.bound.has(units) && (hasRoom || account.assured.has(units));
+    if (isLimited && !isAllowed)
         return false;
-    bucket.level -= units;
-    bucket.admitted += static_cast<std::uint64_t>(units);
+    account.bound.level -= units;
+    account.assured.take(units);
+    const double returned = std::min(units, account.givenBack);
+    account.givenBack -= returned;
+    account.admitted += static_cast<std::uint64_t>(units - returned);
     return true;
 }
 
+void CustomerLimits::giveBack(const CustomerRule &customer, double units)
+{
+    Account &account = m_accounts[customerNumber(customer.name)];
+    account.assured.level += units;
+    account.bound.level += units;
+    account.givenBack += units;
+}
+
 void CustomerLimits::addUseOfOthers(std::uint64_t customer, double units)
 {
-    m_buckets[customer].level -= units;
+    Account &account = m_accounts[customer];
+    account.bound.level -= units;
+    account.assured.take(units);
 }
 
 void CustomerLimits::setMembers(std::size_t heard, std::size_t known)
@@ -61,9 +103,9 @@
 std::vector<CustomerUse> CustomerLimits::ownUse() const
 {
     std::vector<CustomerUse> use;
-    for (const auto &[customer, bucket] : m_buckets) {
-        if (bucket.admitted > 0)
-            use.push_back({customer, bucket.admitted});
+    for (const auto &[customer, account] : m_accounts) {
+        if (account.admitted > 0)
+            use.push_back({customer, account.admitted});
     }
     return use;
 }
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -12,11 +12,13 @@
     return hashOf(service.text());
 }
 
-Instant Dispatcher::holdUntil(const WaitingWork &work)
+Instant Dispatcher::holdUntil(const WaitingWork &work) const
 {
     const Duration whole = work.deadline - work.arrived;
     const auto part = std::chrono::duration_cast<Duration>(whole * LongestHoldPart);
-    return work.arrived + std::min<Duration>(part, LongestHold);
+    const auto first = std::chrono::duration_cast<Duration>(work.objective * LongestFirst)
+        - m_targets.expectedFirstEvent(work.service, work.size);
+    return work.arrived + std::max(std::min(part, first), work.objective);
 }
 
 void Dispatcher::offer(WaitingWork work, Instant now)
@@ -56,24 +58,25 @@
     return now + m_targets.expectedFirstEvent(work.service, work.size) > work.arrived + work.objective;
 }
 
-std::size_t Dispatcher::mostUrgent(const Queue &queue, Instant now) const
+void Dispatcher::sortByUrgency(Queue &queue, Instant now) const
 {
     const auto urgency = [&](const WaitingWork &work) {
         // What is late already is worth least, so it must not make others late too.
         return std::tuple(isLate(work, now), work.tier, work.arrived + work.objective);
     };
-    const auto best = std::ranges::min_element(queue, {}, urgency);
-    return static_cast<std::size_t>(best - queue.begin());
+    std::ranges::stable_sort(queue, {}, urgency);
 }
 
 void Dispatcher::placeAll(Queue &queue, Instant now)
 {
-    while (!queue.empty()) {
-        const std::size_t next = mostUrgent(queue, now);
+    sortByUrgency(queue, now);
+    // Work that waits for a fast target must not keep what a slow one can do from it.
+    for (std::size_t next = 0; next < queue.size() && m_targets.hasRoom(queue[next].service, now);) {
         const WaitingWork work = queue[next];
-        if (!place(work, now))
-            return;
-        queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(next));
+        if (place(work, now))
+            queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(next));
+        else
+            ++next;
     }
 }
 
@@ -82,7 +85,12 @@
     const std::uint32_t above = waitingOfOthersAbove(work.service, work.tier);
     if (above > 0 && m_targets.room(work.service, now).free <= above)
         return false;
-    const Target *target = m_targets.choose(work.service, work.size, work.excluded, now);
+    const Target *target = m_targets.choose({.service = work.service,
+                                             .size = work.size,
+                                             .untilFirst = work.arrived + work.objective - now,
+                                             .untilEnd = work.deadline - now,
+                                             .excluded = work.excluded},
+                                            now);
     if (!target)
         return false;
     m_targets.started(target->entry.id, work.size);
@@ -92,7 +100,7 @@
 
 void Dispatcher::refuseOverdue(Queue &queue, Instant now)
 {
-    const auto overdue = std::stable_partition(queue.begin(), queue.end(), [now](const auto &work) {
+    const auto overdue = std::stable_partition(queue.begin(), queue.end(), [this, now](const auto &work) {
         return holdUntil(work) > now;
     });
     const Queue refused(overdue, queue.end());
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -58,8 +58,11 @@
 public:
     /** Longest part of its time for which a request is held. */
     static constexpr double LongestHoldPart = 0.33;
-    /** Longest time for which a request is held whatever its deadline. */
-    static constexpr std::chrono::milliseconds LongestHold {4000};
+    /**
+     * Longest time to the first byte of an answer, in objectives. Callers of streams give up after
+     * some four objectives without an event; one that leaves has waited for nothing.
+     */
+    static constexpr double LongestFirst = 3.5;
     /** Shortest time after which a refused caller is asked to come back. */
     static constexpr std::chrono::milliseconds ShortestRetryAfter {200};
 
@@ -84,14 +87,14 @@
     using Queue = std::vector<WaitingWork>;
 
     bool isLate(const WaitingWork &work, Instant now) const;
-    std::size_t mostUrgent(const Queue &queue, Instant now) const;
+    void sortByUrgency(Queue &queue, Instant now) const;
     bool place(const WaitingWork &work, Instant now);
     void placeAll(Queue &queue, Instant now);
     void refuseOverdue(Queue &queue, Instant now);
     void refuse(const WaitingWork &work, Instant now);
     std::uint32_t waitingOfOthersAbove(const ServiceId &service, Tier tier) const;
     Duration expectedWait(const WaitingWork &work, Instant now) const;
-    static Instant holdUntil(const WaitingWork &work);
+    Instant holdUntil(const WaitingWork &work) const;
 
     TargetTable &m_targets;
     DispatchListener &m_listener;
--- a/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
@@ -55,6 +55,8 @@
     ServiceId name;
     /** A language model engine; else a plain service. */
     bool isEngine = false;
+    /** Output tokens in one event of an engine's stream. */
+    std::uint32_t tokensPerEvent = 1;
     /** Connections that one target accepts from all daemons. */
     std::uint32_t maximumConnections = 0;
 
@@ -124,6 +126,13 @@
     double retryRatio = 0.2;
     double retrySlack = 0;
     Duration retryWindow = std::chrono::seconds(10);
+    /**
+     * Units of a customer in any `customerWindow`: what its rate and burst give, times one and the
+     * overshoot, plus the slack.
+     */
+    Duration customerWindow = std::chrono::seconds(8);
+    double customerOvershoot = 0;
+    double customerSlack = 0;
     /** How long a stopping daemon may live on. */
     Duration grace = std::chrono::seconds(8);
     /** Longest time for which a lookup's answer may be kept. */
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -18,6 +18,12 @@
 constexpr double SlowdownOfEach = 0.028;
 /** Milliseconds that a certain failure is worth avoiding. */
 constexpr double FailureCost = 2000;
+/** How much dearer the last slot of a target is than the first: 8 makes one of two thirds load as dear as
+ * an idle one that is four times slower. */
+constexpr double ScarcityWeight = 2;
+/** Parts of the time that a forecast may use; lengths are estimates, right at the median only. */
+constexpr double FirstMargin = 0.8;
+constexpr double EndMargin = 0.7;
 /** Milliseconds that a target in another data centre must be better by, for the bytes between. */
 constexpr double DistanceCost = 5;
 /** First time for which a target that can't be reached is avoided; doubles up to the last. */
@@ -28,6 +34,11 @@
 /** Time for which a target that called itself full is left to work. */
 constexpr std::chrono::milliseconds FullPause {100};
 
+double milliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 } // namespace
 
 std::uint64_t targetNumber(const TargetId &target)
@@ -183,40 +194,64 @@
     return {firstEvent.meanOr(DefaultFirstEvent), gap.meanOr(DefaultGap), hold.meanOr(DefaultHold)};
 }
 
-double TargetTable::cost(const Target &target, const WorkSize &work, const UsualSpeed &usual) const
+TargetTable::Forecast TargetTable::forecast(const Target &target, const WorkSize &work,
+                                            const UsualSpeed &usual) const
 {
+    const double slowdown = 1 + SlowdownOfEach * target.load();
+    if (!work.isStream) {
+        const double whole = target.speed.hold.value().value_or(usual.hold) * slowdown;
+        return {whole, whole};
+    }
     const double unread = static_cast<double>(work.promptTokens + target.unreadTokens);
     const double first = target.speed.firstEvent.value().value_or(usual.firstEvent)
         * (unread + FixedWorkTokens);
-    // A stream lasts as many gaps as the service's usual one does.
-    const double gaps = work.isStream ? usual.hold / usual.eventGap : 0;
-    const double slowdown = 1 + SlowdownOfEach * target.load();
-    const double rest = work.isStream
-        ? gaps * target.speed.eventGap.value().value_or(usual.eventGap) * slowdown
-        : target.speed.hold.value().value_or(usual.hold) * slowdown;
+    const double gap = target.speed.eventGap.value().value_or(usual.eventGap);
+    return {first, first + gap * static_cast<double>(work.events)};
+}
+
+double TargetTable::cost(const Target &target, const Forecast &forecast) const
+{
+    const double slots = std::max<double>(target.entry.slots, 1);
+    const double used = target.load() / slots;
+    // A slot of a fast target is worth keeping for long work that slow ones can't end in time.
+    const double scarcity = 1 + ScarcityWeight * used * used;
     const double failure = FailureCost * target.speed.failures.value().value_or(0);
     const double distance = target.entry.dataCentre == m_own ? 0 : DistanceCost;
-    return (work.isStream ? first : 0) + rest + failure + distance;
+    return forecast.whole * scarcity + failure + distance;
 }
 
-const Target *TargetTable::choose(const ServiceId &service, const WorkSize &work,
-                                  const std::set<TargetId> &excluded, Instant now) const
+const Target *TargetTable::choose(const TargetWish &wish, Instant now) const
 {
-    const UsualSpeed usual = usualSpeed(service);
+    struct Rank
+    {
+        bool isAvoided = true;
+        bool missesEnd = true;
+        bool missesFirst = true;
+        double cost = 0;
+        auto operator<=>(const Rank &) const = default;
+    };
+    const UsualSpeed usual = usualSpeed(wish.service);
+    const double untilFirst = milliseconds(wish.untilFirst) * FirstMargin;
+    const double untilEnd = milliseconds(wish.untilEnd) * EndMargin;
     const Target *best = nullptr;
-    double bestCost = 0;
-    bool bestIsAvoided = true;
-    for (const Target *target : ofService(service)) {
-        if (target->entry.isDraining || !target->hasRoom() || excluded.contains(target->entry.id))
+    Rank bestRank;
+    bool fullOneWouldEnd = false;
+    for (const Target *target : ofService(wish.service)) {
+        if (target->entry.isDraining || wish.excluded.contains(target->entry.id))
             continue;
-        const bool isAvoided = target->avoidedUntil > now;
-        const double itsCost = cost(*target, work, usual);
-        if (!best || std::pair(isAvoided, itsCost) < std::pair(bestIsAvoided, bestCost)) {
+        const Forecast expected = forecast(*target, wish.size, usual);
+        const Rank rank {target->avoidedUntil > now, expected.whole > untilEnd,
+                         expected.first > untilFirst, cost(*target, expected)};
+        if (!target->hasRoom()) {
+            fullOneWouldEnd |= !rank.isAvoided && !rank.missesEnd;
+        } else if (!best || rank < bestRank) {
             best = target;
-            bestCost = itsCost;
-            bestIsAvoided = isAvoided;
+            bestRank = rank;
         }
     }
+    // Work that its target can't end is thrown away with all that was read for it.
+    if (best && bestRank.missesEnd && fullOneWouldEnd)
+        return nullptr;
     return best;
 }
 
@@ -243,10 +278,10 @@
 Duration TargetTable::expectedFirstEvent(const ServiceId &service, const WorkSize &work) const
 {
     const UsualSpeed usual = usualSpeed(service);
-    const double milliseconds = work.isStream
+    const double expected = work.isStream
         ? usual.firstEvent * (static_cast<double>(work.promptTokens) + FixedWorkTokens)
         : usual.hold;
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(expected));
 }
 
 } // namespace Apricothook
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -25,6 +25,8 @@
 struct WorkSize
 {
     std::uint64_t promptTokens = 0;
+    /** Expected events of a stream; an estimate that is often far off. */
+    std::uint64_t events = 0;
     bool isStream = false;
 
     auto operator<=>(const WorkSize &) const = default;
@@ -56,6 +58,19 @@
     bool hasRoom() const { return load() < entry.slots; }
 };
 
+/** What a request needs of its target. */
+struct TargetWish
+{
+    ServiceId service;
+    WorkSize size;
+    /** Until the first event, for an answer on time; none is left for one that is late already. */
+    Duration untilFirst {};
+    /** Until the whole answer. */
+    Duration untilEnd {};
+    /** Targets that had the request already. */
+    std::set<TargetId> excluded;
+};
+
 /** Sums over the targets of a service that take new requests. */
 struct ServiceRoom
 {
@@ -63,6 +78,12 @@
     std::uint32_t free = 0;
     /** Milliseconds for which a request holds a slot. */
     double meanHold = 0;
+
+    /** A burst of some requests would still find free slots. */
+    bool isAmple() const { return free * AmplePart > slots; }
+
+    /** One slot in so many must be free. */
+    static constexpr std::uint32_t AmplePart = 2;
 };
 
 /**
@@ -88,14 +109,11 @@
     void setLoadOfMember(std::uint64_t member, const std::vector<TargetLoad> &loads);
     std::vector<TargetLoad> ownLoad() const;
 
-    /**
-     * The target that will have answered soonest, among those with room that `excluded` doesn't
-     * name; null when there is none.
-     */
-    const Target *choose(const ServiceId &service, const WorkSize &work,
-                         const std::set<TargetId> &excluded, Instant now) const;
+    /** The best target with room; null when there is none or it is better to wait for another. */
+    const Target *choose(const TargetWish &wish, Instant now) const;
     /** Some target of the service takes requests and isn't among `excluded`. */
     bool hasOther(const ServiceId &service, const std::set<TargetId> &excluded) const;
+    bool hasRoom(const ServiceId &service, Instant now) const { return room(service, now).free > 0; }
     ServiceRoom room(const ServiceId &service, Instant now) const;
     /** Expected time to the first event at an idle, usual target of the service. */
     Duration expectedFirstEvent(const ServiceId &service, const WorkSize &work) const;
@@ -110,7 +128,14 @@
     };
 
     UsualSpeed usualSpeed(const ServiceId &service) const;
-    double cost(const Target &target, const WorkSize &work, const UsualSpeed &usual) const;
+    struct Forecast
+    {
+        double first = 0;
+        double whole = 0;
+    };
+
+    Forecast forecast(const Target &target, const WorkSize &work, const UsualSpeed &usual) const;
+    double cost(const Target &target, const Forecast &forecast) const;
     void punish(Target &target, TargetOutcome outcome, Instant now);
 
     const DataCentreId m_own;
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
@@ -150,7 +150,9 @@
     }
     m_tier = m_customer && m_customer->tier ? *m_customer->tier : m_route->tier;
     m_service = serviceOf(*m_route, m_context.random.next());
-    m_size = {m_request.promptTokens, m_route->isStream};
+    const ServiceRule *service = m_routes->service(m_service);
+    const std::uint64_t perEvent = service ? std::max(service->tokensPerEvent, 1U) : 1;
+    m_size = {m_request.promptTokens, m_request.expectedOutputTokens / perEvent, m_route->isStream};
     const Duration patience = m_request.patience.value_or(m_route->timeout);
     m_deadline = m_arrived + std::min(patience, m_route->timeout);
     if (m_customer && !takeLimit(*m_customer)) {
@@ -164,7 +166,18 @@
 {
     const std::uint64_t tokens = m_request.totalTokens.value_or(customer.plainTokens);
     const auto units = customer.unit == LimitUnit::Tokens ? static_cast<double>(tokens) : 1;
-    return m_context.customers.tryTake(customer, units, m_arrived);
+    const bool hasRoom = m_context.targets.room(m_service, m_arrived).isAmple();
+    if (!m_context.customers.tryTake(customer, units, hasRoom, m_arrived))
+        return false;
+    m_limitUnits = units;
+    return true;
+}
+
+void Exchange::giveLimitBack()
+{
+    if (m_customer && m_limitUnits > 0 && !m_mayHaveRun && !m_attempt)
+        m_context.customers.giveBack(*m_customer, m_limitUnits);
+    m_limitUnits = 0;
 }
 
 void Exchange::offer()
@@ -205,6 +218,8 @@
                             .with("others_load", believed ? believed->requestsOfOthers : 0)
                             .with("slots", target.slots)
                             .with("attempt", m_sends + 1)
+                            .with("prompt", m_size.promptTokens)
+                            .with("events", m_size.events)
                             .with("waited_ms", now - m_arrived)
                             .with("left_ms", m_deadline - now)
                             .with("generation", m_routes->configuration().generation.value()));
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -9,6 +9,7 @@
     : m_loop(loop)
     , m_bounds(bounds)
     , m_targets(dataCentre)
+    , m_customers(m_bounds)
     , m_dispatcher(m_targets, *this)
     , m_channels(loop, dialect, log)
     , m_context {.loop = loop,
@@ -66,6 +67,7 @@
 void Gateway::setConfiguration(std::shared_ptr<const RouteTable> routes)
 {
     m_context.routes = std::move(routes);
+    m_customers.prepare(m_context.routes->configuration().customers, m_loop.now());
 }
 
 void Gateway::setMembers(std::size_t heard, std::size_t known)
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
@@ -51,7 +51,7 @@
 {
 public:
     /** Round trips take milliseconds; beyond this the target is down or its queue is full. */
-    static constexpr std::chrono::milliseconds ConnectTimeout {400};
+    static constexpr std::chrono::milliseconds ConnectTimeout {150};
     /** Answers of others that are passed over before the channel is given up. */
     static constexpr unsigned MostStrayAnswers = 2;
 
--- a/packages/gateway/apricothook/gateway/apricothook_wire_dialect.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_wire_dialect.hpp
@@ -24,6 +24,8 @@
     /** The credential that names the customer; empty when there is none. */
     std::string customerKey;
     std::uint64_t promptTokens = 0;
+    /** The caller's estimate of the output, or the most that there may be. */
+    std::uint64_t expectedOutputTokens = 0;
     /** Prompt and output tokens together; nothing when it doesn't say. */
     std::optional<std::uint64_t> totalTokens;
     /** The last event of a stream that the caller has already. */
