Count waiting requests of the same tier elsewhere in the expected wait

Cause: only own requests and those above were counted, a ninth of the true queue, so requests were kept that had no chance.

--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -82,7 +82,7 @@
 
 bool Dispatcher::place(const WaitingWork &work, Instant now)
 {
-    const std::uint32_t above = waitingOfOthersAbove(work.service, work.tier);
+    const std::uint32_t above = waitingOfOthers(work.service, work.tier, false);
     if (above > 0 && m_targets.room(work.service, now).free <= above)
         return false;
     const Target *target = m_targets.choose({.service = work.service,
@@ -116,17 +116,18 @@
     m_listener.onRefused(work.exchange, std::min(wanted, left / 3));
 }
 
-std::uint32_t Dispatcher::waitingOfOthersAbove(const ServiceId &service, Tier tier) const
+std::uint32_t Dispatcher::waitingOfOthers(const ServiceId &service, Tier tier, bool withEqual) const
 {
-    std::uint32_t above = 0;
+    std::uint32_t waiting = 0;
     const std::uint64_t number = serviceNumber(service);
     for (const auto &[member, counts] : m_waitingOfMembers) {
         for (const WaitingCount &count : counts) {
-            if (count.service == number && count.tier.isAbove(tier))
-                above += count.waiting;
+            const bool counts = count.tier.isAbove(tier) || (withEqual && count.tier == tier);
+            if (count.service == number && counts)
+                waiting += count.waiting;
         }
     }
-    return above;
+    return waiting;
 }
 
 Duration Dispatcher::expectedWait(const WaitingWork &work, Instant now) const
@@ -134,7 +135,7 @@
     const ServiceRoom room = m_targets.room(work.service, now);
     if (room.free > 0)
         return Duration::zero();
-    std::uint32_t ahead = 1 + waitingOfOthersAbove(work.service, work.tier);
+    std::uint32_t ahead = 1 + waitingOfOthers(work.service, work.tier, true);
     const auto queue = m_queues.find(work.service);
     if (queue != m_queues.end()) {
         ahead += static_cast<std::uint32_t>(std::ranges::count_if(queue->second, [&](const auto &other) {
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -92,7 +92,8 @@
     void placeAll(Queue &queue, Instant now);
     void refuseOverdue(Queue &queue, Instant now);
     void refuse(const WaitingWork &work, Instant now);
-    std::uint32_t waitingOfOthersAbove(const ServiceId &service, Tier tier) const;
+    /** Requests of others above the tier, or of the tier itself too. */
+    std::uint32_t waitingOfOthers(const ServiceId &service, Tier tier, bool withEqual) const;
     Duration expectedWait(const WaitingWork &work, Instant now) const;
     Instant holdUntil(const WaitingWork &work) const;
 
