Refuse a request as soon as it can't be on time

Cause: late answers are worth a third and take the slots that would have made others on time; what was held and then refused was charged for.

--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -18,7 +18,7 @@
     const auto part = std::chrono::duration_cast<Duration>(whole * LongestHoldPart);
     const auto first = std::chrono::duration_cast<Duration>(work.objective * LongestFirst)
         - m_targets.expectedFirstEvent(work.service, work.size);
-    return work.arrived + std::max(std::min(part, first), work.objective);
+    return work.arrived + std::max(std::min(part, first), work.objective / 8);
 }
 
 void Dispatcher::offer(WaitingWork work, Instant now)
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -62,7 +62,7 @@
      * Longest time to the first byte of an answer, in objectives. Callers of streams give up after
      * some four objectives without an event; one that leaves has waited for nothing.
      */
-    static constexpr double LongestFirst = 3.5;
+    static constexpr double LongestFirst = 1.0;
     /** Shortest time after which a refused caller is asked to come back. */
     static constexpr std::chrono::milliseconds ShortestRetryAfter {200};
 
