--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -112,8 +112,12 @@
 void Dispatcher::refuse(const WaitingWork &work, Instant now)
 {
     const Duration left = std::max(work.deadline - now, Duration::zero());
-    const Duration wanted = std::max<Duration>(expectedWait(work, now), ShortestRetryAfter);
-    m_listener.onRefused(work.exchange, std::min(wanted, left / 3));
+    RefusalFacts facts;
+    facts.room = m_targets.room(work.service, now);
+    facts.ahead = waitingAhead(work);
+    facts.expectedWait = expectedWait(work, now);
+    facts.retryAfter = std::min(std::max<Duration>(facts.expectedWait, ShortestRetryAfter), left / 3);
+    m_listener.onRefused(work.exchange, facts);
 }
 
 std::uint32_t Dispatcher::waitingOfOthers(const ServiceId &service, Tier tier, bool withEqual) const
@@ -130,21 +134,26 @@
     return waiting;
 }
 
-Duration Dispatcher::expectedWait(const WaitingWork &work, Instant now) const
+std::uint32_t Dispatcher::waitingAhead(const WaitingWork &work) const
 {
-    const ServiceRoom room = m_targets.room(work.service, now);
-    if (room.free > 0)
-        return Duration::zero();
-    std::uint32_t ahead = 1 + waitingOfOthers(work.service, work.tier, true);
+    std::uint32_t ahead = waitingOfOthers(work.service, work.tier, true);
     const auto queue = m_queues.find(work.service);
     if (queue != m_queues.end()) {
         ahead += static_cast<std::uint32_t>(std::ranges::count_if(queue->second, [&](const auto &other) {
-            return !work.tier.isAbove(other.tier);
+            return other.exchange != work.exchange && !work.tier.isAbove(other.tier);
         }));
     }
+    return ahead;
+}
+
+Duration Dispatcher::expectedWait(const WaitingWork &work, Instant now) const
+{
+    const ServiceRoom room = m_targets.room(work.service, now);
+    if (room.free > 0)
+        return Duration::zero();
     const double slots = std::max<double>(room.slots, 1);
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(ahead * room.meanHold / slots));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
+        (waitingAhead(work) + 1) * room.meanHold / slots));
 }
 
 void Dispatcher::setWaitingOfMember(std::uint64_t member, std::vector<WaitingCount> counts)
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -35,14 +35,25 @@
 
 std::uint64_t serviceNumber(const ServiceId &service);
 
+/** What a refusal was decided by. */
+struct RefusalFacts
+{
+    ServiceRoom room;
+    /** Requests that wait before this one, over all daemons as far as known. */
+    std::uint32_t ahead = 0;
+    Duration expectedWait {};
+    /** When there may be room. */
+    Duration retryAfter {};
+};
+
 /** Is told where waiting requests go. onPlaced() must not call the dispatcher. */
 class DispatchListener
 {
 public:
     virtual ~DispatchListener() = default;
     virtual void onPlaced(ExchangeId exchange, const TargetEntry &target) = 0;
-    /** No target will have room in time; `retryAfter` is when one may. */
-    virtual void onRefused(ExchangeId exchange, Duration retryAfter) = 0;
+    /** No target will have room in time. */
+    virtual void onRefused(ExchangeId exchange, const RefusalFacts &facts) = 0;
 };
 
 /**
@@ -94,6 +105,7 @@
     void refuse(const WaitingWork &work, Instant now);
     /** Requests of others above the tier, or of the tier itself too. */
     std::uint32_t waitingOfOthers(const ServiceId &service, Tier tier, bool withEqual) const;
+    std::uint32_t waitingAhead(const WaitingWork &work) const;
     Duration expectedWait(const WaitingWork &work, Instant now) const;
     Instant holdUntil(const WaitingWork &work) const;
 
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
@@ -196,13 +196,14 @@
                                now);
 }
 
-void Exchange::refused(Duration retryAfter)
+void Exchange::refused(const RefusalFacts &facts)
 {
     m_waiting = false;
+    m_refusal = facts;
     if (m_mayHaveRun || m_progress != Progress::Nothing || m_failedAnswer)
         giveUp();
     else
-        answerOwn(ExchangeEnd::NoRoom, StatusUnavailable, retryAfter);
+        answerOwn(ExchangeEnd::NoRoom, StatusUnavailable, facts.retryAfter);
 }
 
 void Exchange::placed(const TargetEntry &target)
@@ -576,6 +577,14 @@
                      m_routes ? m_routes->configuration().generation.value() : std::uint64_t());
     if (m_firstAnswer)
         line.with("first_ms", *m_firstAnswer - m_arrived);
+    if (m_refusal) {
+        line.with("slots", m_refusal->room.slots)
+            .with("free", m_refusal->room.free)
+            .with("ahead", m_refusal->ahead)
+            .with("hold_ms", m_refusal->room.meanHold)
+            .with("expected_wait_ms", m_refusal->expectedWait)
+            .with("retry_after_ms", m_refusal->retryAfter);
+    }
     if (end == ExchangeEnd::Answered)
         line.isRoutine();
     m_context.log.write(line);
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
@@ -48,7 +48,7 @@
     ExchangeId id() const { return m_id; }
     void begin();
     void placed(const TargetEntry &target);
-    void refused(Duration retryAfter);
+    void refused(const RefusalFacts &facts);
     void onCallerGone() override;
     void onCallerDrained() override;
 
@@ -130,6 +130,8 @@
     EventStreamScanner m_scanner;
     std::optional<std::uint64_t> m_lastEvent;
     std::optional<Instant> m_firstAnswer;
+    /** Set when the dispatcher found no room. */
+    std::optional<RefusalFacts> m_refusal;
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -138,11 +138,11 @@
         m_loadChanged();
 }
 
-void Gateway::onRefused(ExchangeId exchange, Duration retryAfter)
+void Gateway::onRefused(ExchangeId exchange, const RefusalFacts &facts)
 {
     const auto found = m_exchanges.find(exchange.value());
     if (found != m_exchanges.end())
-        found->second->refused(retryAfter);
+        found->second->refused(facts);
 }
 
 void Gateway::reviewSoon()
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -56,7 +56,7 @@
     bool isLeaving() const override { return m_leaving; }
 
     void onPlaced(ExchangeId exchange, const TargetEntry &target) override;
-    void onRefused(ExchangeId exchange, Duration retryAfter) override;
+    void onRefused(ExchangeId exchange, const RefusalFacts &facts) override;
 
     void accept(int descriptor);
     void connectionClosed(CallerConnection &connection);
