--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -62,7 +62,7 @@
 {
     const auto urgency = [&](const WaitingWork &work) {
         // What is late already is worth least, so it must not make others late too.
-        return std::tuple(isLate(work, now), work.tier, work.arrived + work.objective);
+        return std::tuple(isLate(work, now), work.rank, work.arrived + work.objective);
     };
     std::ranges::stable_sort(queue, {}, urgency);
 }
@@ -82,7 +82,7 @@
 
 bool Dispatcher::place(const WaitingWork &work, Instant now)
 {
-    const std::uint32_t above = waitingOfOthers(work.service, work.tier, false);
+    const std::uint32_t above = waitingOfOthers(work.service, work.rank, false);
     if (above > 0 && m_targets.room(work.service, now).free <= above)
         return false;
     const Target *target = m_targets.choose({.service = work.service,
@@ -120,13 +120,14 @@
     m_listener.onRefused(work.exchange, facts);
 }
 
-std::uint32_t Dispatcher::waitingOfOthers(const ServiceId &service, Tier tier, bool withEqual) const
+std::uint32_t Dispatcher::waitingOfOthers(const ServiceId &service, const RequestRank &rank,
+                                          bool withEqual) const
 {
     std::uint32_t waiting = 0;
     const std::uint64_t number = serviceNumber(service);
     for (const auto &[member, counts] : m_waitingOfMembers) {
         for (const WaitingCount &count : counts) {
-            const bool counts = count.tier.isAbove(tier) || (withEqual && count.tier == tier);
+            const bool counts = count.rank.isAbove(rank) || (withEqual && count.rank == rank);
             if (count.service == number && counts)
                 waiting += count.waiting;
         }
@@ -136,11 +137,11 @@
 
 std::uint32_t Dispatcher::waitingAhead(const WaitingWork &work) const
 {
-    std::uint32_t ahead = waitingOfOthers(work.service, work.tier, true);
+    std::uint32_t ahead = waitingOfOthers(work.service, work.rank, true);
     const auto queue = m_queues.find(work.service);
     if (queue != m_queues.end()) {
         ahead += static_cast<std::uint32_t>(std::ranges::count_if(queue->second, [&](const auto &other) {
-            return other.exchange != work.exchange && !work.tier.isAbove(other.tier);
+            return other.exchange != work.exchange && !work.rank.isAbove(other.rank);
         }));
     }
     return ahead;
@@ -168,11 +169,11 @@
 {
     std::vector<WaitingCount> counts;
     for (const auto &[service, queue] : m_queues) {
-        std::map<Tier, std::uint32_t> byTier;
+        std::map<RequestRank, std::uint32_t> byRank;
         for (const WaitingWork &work : queue)
-            ++byTier[work.tier];
-        for (const auto &[tier, waiting] : byTier)
-            counts.push_back({serviceNumber(service), tier, waiting});
+            ++byRank[work.rank];
+        for (const auto &[rank, waiting] : byRank)
+            counts.push_back({serviceNumber(service), rank, waiting});
     }
     return counts;
 }
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -8,12 +8,22 @@
 
 namespace Apricothook {
 
+/** How important a request is: its customer's tier goes first, then that of its route. */
+struct RequestRank
+{
+    Tier customer;
+    Tier route;
+
+    bool isAbove(const RequestRank &other) const { return *this < other; }
+    auto operator<=>(const RequestRank &) const = default;
+};
+
 /** A request that wants a target. */
 struct WaitingWork
 {
     ExchangeId exchange;
     ServiceId service;
-    Tier tier;
+    RequestRank rank;
     WorkSize size;
     Instant arrived {};
     Duration objective {};
@@ -23,11 +33,11 @@
     std::set<TargetId> excluded;
 };
 
-/** Requests of one tier that wait for a service at one member; part of its beacon. */
+/** Requests of one rank that wait for a service at one member; part of its beacon. */
 struct WaitingCount
 {
     std::uint64_t service = 0; ///< serviceNumber() of the name.
-    Tier tier;
+    RequestRank rank;
     std::uint32_t waiting = 0;
 
     auto operator<=>(const WaitingCount &) const = default;
@@ -103,8 +113,9 @@
     void placeAll(Queue &queue, Instant now);
     void refuseOverdue(Queue &queue, Instant now);
     void refuse(const WaitingWork &work, Instant now);
-    /** Requests of others above the tier, or of the tier itself too. */
-    std::uint32_t waitingOfOthers(const ServiceId &service, Tier tier, bool withEqual) const;
+    /** Requests of others above the rank, or of the rank itself too. */
+    std::uint32_t waitingOfOthers(const ServiceId &service, const RequestRank &rank,
+                                  bool withEqual) const;
     std::uint32_t waitingAhead(const WaitingWork &work) const;
     Duration expectedWait(const WaitingWork &work, Instant now) const;
     Instant holdUntil(const WaitingWork &work) const;
--- a/packages/fleetview/apricothook/fleetview/apricothook_beacon.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_beacon.hpp
@@ -27,17 +27,18 @@
     auto operator<=>(const BeaconLoad &) const = default;
 };
 
-/** Requests of one tier that wait at the sender. */
+/** Requests of one rank that wait at the sender. */
 struct BeaconWaiting
 {
     std::uint64_t service = 0;
-    Tier tier;
+    Tier customerTier;
+    Tier routeTier;
     std::uint32_t waiting = 0;
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.service, self.tier, self.waiting);
+        archive(self.service, self.customerTier, self.routeTier, self.waiting);
     }
     auto operator<=>(const BeaconWaiting &) const = default;
 };
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
@@ -187,7 +187,7 @@
     const Instant now = m_context.loop.now();
     m_context.dispatcher.offer({.exchange = m_id,
                                 .service = m_service,
-                                .tier = m_tier,
+                                .rank = {m_tier, m_route->tier},
                                 .size = m_size,
                                 .arrived = isFirst ? m_arrived : now,
                                 .objective = m_route->objective,
--- a/packages/serving/apricothook/serving/apricothook_beacon_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_beacon_exchange.cpp
@@ -30,7 +30,7 @@
 {
     std::vector<WaitingCount> counts;
     for (const BeaconWaiting &waiting : beacon.waiting)
-        counts.push_back({waiting.service, waiting.tier, waiting.waiting});
+        counts.push_back({waiting.service, {waiting.customerTier, waiting.routeTier}, waiting.waiting});
     return counts;
 }
 
@@ -125,7 +125,7 @@
     for (const TargetLoad &load : m_gateway.targets().ownLoad())
         beacon.loads.push_back({load.target, load.running});
     for (const WaitingCount &count : m_gateway.dispatcher().ownWaiting())
-        beacon.waiting.push_back({count.service, count.tier, count.waiting});
+        beacon.waiting.push_back({count.service, count.rank.customer, count.rank.route, count.waiting});
     for (const CustomerUse &use : m_gateway.customers().ownUse())
         beacon.use.push_back({use.customer, use.admitted});
     for (const Member *member : m_members.heard()) {
