--- a/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
@@ -185,9 +185,10 @@
     m_waiting = true;
     const bool isFirst = m_sends == 0;
     const Instant now = m_context.loop.now();
+    const Tier urgency = m_context.urgency.tierOf(m_service, m_route->name, m_route->tier);
     m_context.dispatcher.offer({.exchange = m_id,
                                 .service = m_service,
-                                .rank = {m_tier, m_route->tier},
+                                .rank = {m_tier, urgency},
                                 .size = m_size,
                                 .arrived = isFirst ? m_arrived : now,
                                 .objective = m_route->objective,
@@ -453,6 +454,8 @@
     const Instant now = m_context.loop.now();
     m_context.targets.ended(m_attempt->target.id, m_size, outcome, now - m_attempt->started,
                             m_attempt->hasFirstEvent, now);
+    if (outcome == TargetOutcome::Served)
+        m_context.urgency.noteHold(m_service, m_route->name, m_route->tier, now - m_attempt->started);
     m_attempt.reset();
     m_context.roomFreed();
 }
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -26,6 +26,7 @@
                  .members = 1,
                  .refusesNew = false,
                  .retries = {},
+                 .urgency = {},
                  .roomFreed = [this] { reviewSoon(); }}
 {
 }
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -4,6 +4,7 @@
 #include <apricothook/dispatch/apricothook_dispatcher.hpp>
 #include <apricothook/dispatch/apricothook_retry_allowance.hpp>
 #include <apricothook/dispatch/apricothook_route_table.hpp>
+#include <apricothook/dispatch/apricothook_route_urgency.hpp>
 #include <apricothook/gateway/apricothook_channel_pool.hpp>
 #include <apricothook/observe/apricothook_metrics.hpp>
 
@@ -33,6 +34,7 @@
     /** The process is about to end. */
     bool refusesNew = false;
     std::map<ServiceId, RetryAllowance> retries;
+    RouteUrgency urgency;
     /** Called when a slot of a target may have become free. */
     std::function<void()> roomFreed;
 
