--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.cpp
@@ -18,16 +18,6 @@
     return hashOf(customer.text());
 }
 
-void CustomerLimits::Bucket::refill(double seconds, double part)
-{
-    level = std::min(level + seconds * perSecond * part, size * part);
-}
-
-void CustomerLimits::Bucket::take(double units)
-{
-    level = std::max(level - units, -size);
-}
-
 void CustomerLimits::resize(Account &account, const CustomerRule &customer) const
 {
     const double rate = customer.ratePerSecond;
@@ -35,10 +25,8 @@
         = static_cast<double>(m_bounds.customerWindow.count()) / MicrosecondsPerSecond;
     const double most = (rate * window + customer.burst) * (1 + m_bounds.customerOvershoot)
         + m_bounds.customerSlack;
-    account.assured.perSecond = rate;
-    account.assured.size = customer.burst;
-    account.bound.perSecond = rate * (1 + UsedOvershoot * m_bounds.customerOvershoot);
-    account.bound.size = UsedRoom * (most - window * account.bound.perSecond);
+    account.perSecond = rate * (1 + UsedOvershoot * m_bounds.customerOvershoot);
+    account.size = UsedRoom * (most - window * account.perSecond);
 }
 
 CustomerLimits::Account &CustomerLimits::refilled(const CustomerRule &customer, Instant now)
@@ -51,9 +39,9 @@
         resize(account, customer);
     account.refilled = now;
     // Time that has passed counts at the rate that was in force.
-    account.assured.refill(seconds, m_heardPart);
-    account.bound.refill(seconds, m_heardPart);
+    account.level += seconds * account.perSecond * m_heardPart;
     resize(account, customer);
+    account.level = std::min(account.level, account.size * m_heardPart);
     return account;
 }
 
@@ -63,35 +51,21 @@
         refilled(customer, now);
 }
 
-bool CustomerLimits::tryTake(const CustomerRule &customer, double units, bool hasRoom, Instant now)
+bool CustomerLimits::tryTake(const CustomerRule &customer, double units, Instant now)
 {
     Account &account = refilled(customer, now);
     const bool isLimited = customer.ratePerSecond > 0;
-    const bool isAllowed
-        = account.bound.has(units) && (hasRoom || account.assured.has(units));
-    if (isLimited && !isAllowed)
+    // A full bucket has enough for any request, or one above its size could never run.
+    if (isLimited && account.level < std::min(units, account.size * m_heardPart))
         return false;
-    account.bound.level -= units;
-    account.assured.take(units);
-    const double returned = std::min(units, account.givenBack);
-    account.givenBack -= returned;
-    account.admitted += static_cast<std::uint64_t>(units - returned);
+    account.level -= units;
+    account.admitted += static_cast<std::uint64_t>(units);
     return true;
 }
 
-void CustomerLimits::giveBack(const CustomerRule &customer, double units)
-{
-    Account &account = m_accounts[customerNumber(customer.name)];
-    account.assured.level += units;
-    account.bound.level += units;
-    account.givenBack += units;
-}
-
 void CustomerLimits::addUseOfOthers(std::uint64_t customer, double units)
 {
-    Account &account = m_accounts[customer];
-    account.bound.level -= units;
-    account.assured.take(units);
+    m_accounts[customer].level -= units;
 }
 
 void CustomerLimits::setMembers(std::size_t heard, std::size_t known)
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -78,12 +78,6 @@
     std::uint32_t free = 0;
     /** Milliseconds for which a request holds a slot. */
     double meanHold = 0;
-
-    /** A burst of some requests would still find free slots. */
-    bool isAmple() const { return free * AmplePart > slots; }
-
-    /** One slot in so many must be free. */
-    static constexpr std::uint32_t AmplePart = 2;
 };
 
 /**
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
@@ -166,18 +166,7 @@
 {
     const std::uint64_t tokens = m_request.totalTokens.value_or(customer.plainTokens);
     const auto units = customer.unit == LimitUnit::Tokens ? static_cast<double>(tokens) : 1;
-    const bool hasRoom = m_context.targets.room(m_service, m_arrived).isAmple();
-    if (!m_context.customers.tryTake(customer, units, hasRoom, m_arrived))
-        return false;
-    m_limitUnits = units;
-    return true;
-}
-
-void Exchange::giveLimitBack()
-{
-    if (m_customer && m_limitUnits > 0 && !m_mayHaveRun && !m_attempt)
-        m_context.customers.giveBack(*m_customer, m_limitUnits);
-    m_limitUnits = 0;
+    return m_context.customers.tryTake(customer, units, m_arrived);
 }
 
 void Exchange::offer()
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
@@ -79,7 +79,6 @@
 
     bool admit();
     bool takeLimit(const CustomerRule &customer);
-    void giveLimitBack();
     void offer();
     void send(const TargetEntry &target);
     void watchSilence(Duration limit);
@@ -116,8 +115,6 @@
     TimerId m_deadlineTimer = 0;
     Progress m_progress = Progress::Nothing;
     bool m_waiting = false;
-    /** Taken from the customer's limit. */
-    double m_limitUnits = 0;
     /** Some target may have run the request. */
     bool m_mayHaveRun = false;
     unsigned m_runs = 0;
