--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.cpp
@@ -63,6 +63,16 @@
     return true;
 }
 
+Duration CustomerLimits::timeUntil(const CustomerRule &customer, double units, Instant now)
+{
+    const Account &account = refilled(customer, now);
+    const double missing = std::min(units, account.size * m_heardPart) - account.level;
+    const double perSecond = account.perSecond * m_heardPart;
+    if (missing <= 0 || perSecond <= 0)
+        return Duration::zero();
+    return std::chrono::ceil<Duration>(std::chrono::duration<double>(missing / perSecond));
+}
+
 void CustomerLimits::addUseOfOthers(std::uint64_t customer, double units)
 {
     m_accounts[customer].level -= units;
--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.hpp
@@ -51,6 +51,8 @@
      * later: what came in time goes before what comes after it.
      */
     bool tryTake(const CustomerRule &customer, double units, Instant now);
+    /** How long tryTake() would fail if nobody took anything meanwhile. */
+    Duration timeUntil(const CustomerRule &customer, double units, Instant now);
     /** What another member admitted since it last told. */
     void addUseOfOthers(std::uint64_t customer, double units);
     /** `heard` members of `known`, both with this one. */
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -236,6 +236,7 @@
     const Target *best = nullptr;
     Rank bestRank;
     bool fullOneWouldEnd = false;
+    bool fullOneIsSound = false;
     for (const Target *target : ofService(wish.service)) {
         if (target->entry.isDraining || wish.excluded.contains(target->entry.id))
             continue;
@@ -243,6 +244,7 @@
         const Rank rank {target->avoidedUntil > now, expected.whole > untilEnd,
                          expected.first > untilFirst, cost(*target, expected)};
         if (!target->hasRoom()) {
+            fullOneIsSound |= !rank.isAvoided;
             fullOneWouldEnd |= !rank.isAvoided && !rank.missesEnd;
         } else if (!best || rank < bestRank) {
             best = target;
@@ -252,6 +254,9 @@
     // Work that its target can't end is thrown away with all that was read for it.
     if (best && bestRank.missesEnd && fullOneWouldEnd)
         return nullptr;
+    // A target that fails everything always has room.
+    if (best && bestRank.isAvoided && fullOneIsSound)
+        return nullptr;
     return best;
 }
 
@@ -262,6 +267,13 @@
     });
 }
 
+bool TargetTable::hasRoom(const ServiceId &service) const
+{
+    return std::ranges::any_of(ofService(service), [](const Target *target) {
+        return !target->entry.isDraining && target->hasRoom();
+    });
+}
+
 ServiceRoom TargetTable::room(const ServiceId &service, Instant now) const
 {
     ServiceRoom room;
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -107,7 +107,9 @@
     const Target *choose(const TargetWish &wish, Instant now) const;
     /** Some target of the service takes requests and isn't among `excluded`. */
     bool hasOther(const ServiceId &service, const std::set<TargetId> &excluded) const;
-    bool hasRoom(const ServiceId &service, Instant now) const { return room(service, now).free > 0; }
+    /** Some target has a free slot, even one that is avoided. */
+    bool hasRoom(const ServiceId &service) const;
+    /** Sums over the targets that aren't avoided. */
     ServiceRoom room(const ServiceId &service, Instant now) const;
     /** Expected time to the first event at an idle, usual target of the service. */
     Duration expectedFirstEvent(const ServiceId &service, const WorkSize &work) const;
--- /dev/null
+++ b/packages/dispatch/tests/apricothook_allowance_tests.cpp
@@ -0,0 +1,165 @@
+#include <apricothook/dispatch/apricothook_customer_limits.hpp>
+#include <apricothook/dispatch/apricothook_retry_allowance.hpp>
+
+#include <apricothook/testsupport/apricothook_hand_clock.hpp>
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace Apricothook;
+
+namespace {
+
+FleetBounds bounds()
+{
+    FleetBounds bounds;
+    bounds.retryRatio = 0.2;
+    bounds.retrySlack = 60;
+    bounds.customerOvershoot = 0.25;
+    bounds.customerSlack = 10'000;
+    return bounds;
+}
+
+CustomerRule customer(double rate)
+{
+    CustomerRule rule;
+    rule.name = CustomerId("carrier");
+    rule.unit = LimitUnit::Tokens;
+    rule.ratePerSecond = rate;
+    rule.burst = rate;
+    return rule;
+}
+
+/** Most that the bound allows in its window. */
+double most(const FleetBounds &of, const CustomerRule &rule)
+{
+    return (rule.ratePerSecond * 8 + rule.burst) * (1 + of.customerOvershoot) + of.customerSlack;
+}
+
+int repeatsTaken(RetryAllowance &allowance, Instant now, std::size_t daemons)
+{
+    int taken = 0;
+    while (allowance.tryTake(now, daemons))
+        ++taken;
+    return taken;
+}
+
+} // namespace
+
+TEST_CASE("repeated sends of all daemons stay within the fleet's allowance")
+{
+    // Callers see failures instead of a service that never recovers: when all targets fail, every
+    // daemon would repeat every request. The sum over nine daemons keeps to the ratio and the slack.
+    HandClock clock;
+    constexpr std::size_t Daemons = 9;
+    constexpr int Requests = 100;
+    double taken = 0;
+    for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
+        RetryAllowance allowance(bounds());
+        for (int i = 0; i < Requests; ++i)
+            allowance.countRequest(clock.now());
+        taken += repeatsTaken(allowance, clock.now(), Daemons);
+    }
+    CHECK(taken > 0);
+    CHECK(taken <= 0.2 * Requests * Daemons + 60);
+}
+
+TEST_CASE("an allowance comes back when its window has passed")
+{
+    HandClock clock;
+    RetryAllowance allowance(bounds());
+    CHECK(repeatsTaken(allowance, clock.now(), 1) > 0);
+    CHECK_FALSE(allowance.tryTake(clock.now(), 1));
+    clock.advance(std::chrono::seconds(11));
+    CHECK(allowance.tryTake(clock.now(), 1));
+}
+
+TEST_CASE("a customer that sends far too much keeps to its bound over all daemons")
+{
+    // The customer hears "too many" while the others are served. Three daemons admit for it, and
+    // learn of each other's admissions 50 ms late.
+    HandClock clock;
+    const FleetBounds limits = bounds();
+    const CustomerRule rule = customer(10'000);
+    constexpr std::size_t Daemons = 3;
+    std::vector<CustomerLimits> fleet(Daemons, CustomerLimits(limits));
+    for (CustomerLimits &daemon : fleet) {
+        daemon.setMembers(Daemons, Daemons);
+        daemon.prepare({rule}, clock.now());
+    }
+    clock.advance(std::chrono::seconds(60));
+    std::vector<double> byStep;
+    for (int step = 0; step < 400; ++step) {
+        std::vector<double> admitted(Daemons, 0);
+        for (std::size_t i = 0; i < Daemons; ++i) {
+            for (int attempt = 0; attempt < 10; ++attempt)
+                admitted[i] += fleet[i].tryTake(rule, 500, clock.now()) ? 500 : 0;
+        }
+        double sum = 0;
+        for (std::size_t i = 0; i < Daemons; ++i) {
+            sum += admitted[i];
+            for (std::size_t other = 0; other < Daemons; ++other) {
+                if (other != i)
+                    fleet[other].addUseOfOthers(customerNumber(rule.name), admitted[i]);
+            }
+        }
+        byStep.push_back(sum);
+        clock.advance(std::chrono::milliseconds(50));
+    }
+    constexpr std::size_t Window = 160; // Eight seconds.
+    double largest = 0;
+    for (std::size_t start = 0; start + Window <= byStep.size(); ++start) {
+        double sum = 0;
+        for (std::size_t i = start; i < start + Window; ++i)
+            sum += byStep[i];
+        largest = std::max(largest, sum);
+    }
+    CHECK(largest <= most(limits, rule));
+    CHECK(largest >= 0.7 * most(limits, rule));
+}
+
+TEST_CASE("both sides of a partition together keep to a customer's limit")
+{
+    // The customer sends on both sides. Each side hears three members of six and sets aside the
+    // parts of the three that it doesn't hear.
+    HandClock clock;
+    const FleetBounds limits = bounds();
+    const CustomerRule rule = customer(10'000);
+    double admitted = 0;
+    for (int side = 0; side < 2; ++side) {
+        HandClock own;
+        CustomerLimits daemon(limits);
+        daemon.setMembers(6, 6);
+        daemon.prepare({rule}, own.now());
+        own.advance(std::chrono::seconds(60));
+        daemon.setMembers(3, 6);
+        for (int step = 0; step < 800; ++step) {
+            admitted += daemon.tryTake(rule, 200, own.now()) ? 200 : 0;
+            own.advance(std::chrono::milliseconds(10));
+        }
+    }
+    CHECK(admitted <= most(limits, rule));
+}
+
+TEST_CASE("a lower limit is in force at once")
+{
+    HandClock clock;
+    CustomerLimits daemon(bounds());
+    daemon.prepare({customer(100'000)}, clock.now());
+    clock.advance(std::chrono::seconds(60));
+    daemon.prepare({customer(100)}, clock.now());
+    double admitted = 0;
+    while (daemon.tryTake(customer(100), 50, clock.now()))
+        admitted += 50;
+    CHECK(admitted <= most(bounds(), customer(100)));
+    CHECK(daemon.timeUntil(customer(100), 50, clock.now()) > Duration::zero());
+}
+
+TEST_CASE("a customer without a limit is never refused")
+{
+    HandClock clock;
+    CustomerLimits daemon(bounds());
+    for (int i = 0; i < 1000; ++i)
+        REQUIRE(daemon.tryTake(customer(0), 1e6, clock.now()));
+}
--- /dev/null
+++ b/packages/dispatch/tests/apricothook_dispatcher_tests.cpp
@@ -0,0 +1,240 @@
+#include <apricothook/dispatch/apricothook_dispatcher.hpp>
+#include <apricothook/dispatch/apricothook_route_urgency.hpp>
+
+#include <apricothook/testsupport/apricothook_hand_clock.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <vector>
+
+using namespace Apricothook;
+
+namespace {
+
+const ServiceId Service("s");
+
+class Placements : public DispatchListener
+{
+public:
+    void onPlaced(ExchangeId exchange, const TargetEntry &target) override
+    {
+        placed.push_back(exchange.value());
+        targets.push_back(target.id.text());
+    }
+    void onRefused(ExchangeId exchange, const RefusalFacts &facts) override
+    {
+        refused.push_back(exchange.value());
+        last = facts;
+    }
+
+    std::vector<std::uint64_t> placed;
+    std::vector<std::string> targets;
+    std::vector<std::uint64_t> refused;
+    RefusalFacts last;
+};
+
+struct Bench
+{
+    HandClock clock;
+    TargetTable targets {DataCentreId("here")};
+    Placements placements;
+    Dispatcher dispatcher {targets, placements};
+
+    void target(const std::string &id, std::uint32_t slots)
+    {
+        TargetEntry entry;
+        entry.id = TargetId(id);
+        entry.service = Service;
+        entry.address = {"127.0.0.1", 1};
+        entry.dataCentre = DataCentreId("here");
+        entry.slots = slots;
+        targets.put(entry);
+    }
+    WaitingWork work(std::uint64_t id, std::uint8_t tier = 1) const
+    {
+        WaitingWork work;
+        work.exchange = ExchangeId(id);
+        work.service = Service;
+        work.rank = {Tier(1), Tier(tier)};
+        work.size = {1000, 10, true};
+        work.arrived = clock.now();
+        work.objective = std::chrono::milliseconds(400);
+        work.deadline = clock.now() + std::chrono::seconds(15);
+        return work;
+    }
+    void offer(std::uint64_t id, std::uint8_t tier = 1) { dispatcher.offer(work(id, tier), clock.now()); }
+    void end(const std::string &target)
+    {
+        targets.ended(TargetId(target), {1000, 10, true}, TargetOutcome::Served,
+                      std::chrono::milliseconds(300), false, clock.now());
+        dispatcher.review(clock.now());
+    }
+    /** Two samples, so that the target's speed is known. */
+    void teach(const std::string &id, std::chrono::milliseconds gap)
+    {
+        targets.find(TargetId(id))->speed.addGap(gap);
+        targets.find(TargetId(id))->speed.addFirstEvent(1000, gap * 4);
+    }
+};
+
+} // namespace
+
+TEST_CASE("requests wait here when every slot is taken, the most important first")
+{
+    // Callers of the higher tier are answered first. An engine serves first come first served, so
+    // what waits there can't be overtaken.
+    Bench bench;
+    bench.target("t", 2);
+    bench.offer(1, 2);
+    bench.offer(2, 2);
+    bench.offer(3, 2);
+    bench.offer(4, 1);
+    CHECK(bench.placements.placed == std::vector<std::uint64_t> {1, 2});
+    bench.end("t");
+    CHECK(bench.placements.placed.back() == 4);
+    bench.end("t");
+    CHECK(bench.placements.placed.back() == 3);
+}
+
+TEST_CASE("slots that other daemons have taken aren't free")
+{
+    Bench bench;
+    bench.target("t", 2);
+    bench.targets.setLoadOfMember(7, {{targetNumber(TargetId("t")), 2}});
+    bench.offer(1);
+    CHECK(bench.placements.placed.empty());
+    bench.targets.setLoadOfMember(7, {{targetNumber(TargetId("t")), 1}});
+    bench.dispatcher.review(bench.clock.now());
+    CHECK(bench.placements.placed.size() == 1);
+    // A member that fell silent leaves no load behind.
+    bench.targets.setLoadOfMember(7, {});
+    bench.offer(2);
+    CHECK(bench.placements.placed.size() == 2);
+}
+
+TEST_CASE("a free slot is left to a more important request at another daemon")
+{
+    Bench bench;
+    bench.target("t", 1);
+    bench.dispatcher.setWaitingOfMember(7, {{serviceNumber(Service), {Tier(1), Tier(1)}, 1}});
+    bench.offer(1, 2);
+    CHECK(bench.placements.placed.empty());
+    bench.offer(2, 1);
+    CHECK(bench.placements.placed == std::vector<std::uint64_t> {2});
+}
+
+TEST_CASE("a request that can't be on time is refused with a time to come back")
+{
+    // The caller hears at once that its request didn't run and when there may be room. Held longer,
+    // it would be late and make others late too.
+    Bench bench;
+    bench.target("t", 4);
+    for (std::uint64_t id = 1; id <= 5; ++id)
+        bench.offer(id);
+    CHECK(bench.placements.refused.empty());
+    REQUIRE(bench.dispatcher.nextRefusal());
+    CHECK(*bench.dispatcher.nextRefusal() <= bench.clock.now() + std::chrono::milliseconds(400));
+    bench.clock.advance(std::chrono::milliseconds(400));
+    bench.dispatcher.review(bench.clock.now());
+    CHECK(bench.placements.refused == std::vector<std::uint64_t> {5});
+    CHECK(bench.placements.last.retryAfter >= Dispatcher::ShortestRetryAfter);
+    CHECK(bench.dispatcher.waiting() == 0);
+}
+
+TEST_CASE("a request behind a long queue is refused when it arrives")
+{
+    Bench bench;
+    bench.target("t", 1);
+    bench.offer(1);
+    bench.dispatcher.setWaitingOfMember(7, {{serviceNumber(Service), {Tier(1), Tier(1)}, 50}});
+    bench.offer(2);
+    CHECK(bench.placements.refused == std::vector<std::uint64_t> {2});
+    CHECK(bench.placements.last.ahead == 50);
+}
+
+TEST_CASE("draining, tried and avoided targets get nothing new")
+{
+    Bench bench;
+    bench.target("a", 4);
+    bench.target("b", 4);
+    TargetEntry draining = bench.targets.find(TargetId("a"))->entry;
+    draining.isDraining = true;
+    bench.targets.put(draining);
+    bench.offer(1);
+    CHECK(bench.placements.targets == std::vector<std::string> {"b"});
+    WaitingWork tried = bench.work(2);
+    tried.excluded = {TargetId("b")};
+    bench.dispatcher.offer(tried, bench.clock.now());
+    CHECK(bench.placements.refused == std::vector<std::uint64_t> {2});
+}
+
+TEST_CASE("a target that can't be reached is avoided for longer each time")
+{
+    Bench bench;
+    bench.target("a", 4);
+    bench.target("b", 4);
+    const WorkSize size {1000, 10, true};
+    Duration before {};
+    for (int i = 0; i < 3; ++i) {
+        bench.targets.started(TargetId("a"), size);
+        bench.targets.ended(TargetId("a"), size, TargetOutcome::Unreachable, Duration(1000), false,
+                            bench.clock.now());
+        const Duration avoided = bench.targets.find(TargetId("a"))->avoidedUntil - bench.clock.now();
+        CHECK(avoided > before);
+        before = avoided;
+    }
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        bench.offer(id);
+    CHECK(bench.placements.targets == std::vector<std::string>(4, "b"));
+    // It has room because it fails everything; a sound target's next slot is worth the wait.
+    bench.offer(5);
+    CHECK(bench.placements.targets.size() == 4);
+    // With no sound target left it is better than a refusal.
+    bench.targets.ended(TargetId("b"), size, TargetOutcome::Unreachable, Duration(1000), false,
+                        bench.clock.now());
+    bench.dispatcher.review(bench.clock.now());
+    CHECK(bench.placements.targets.size() == 5);
+}
+
+TEST_CASE("long work goes to a target that ends it in time")
+{
+    // The caller of a long stream sees its end. On the slow engine it would be cut at its deadline,
+    // and all that was read for it would be lost.
+    Bench bench;
+    bench.target("fast", 1);
+    bench.target("slow", 4);
+    bench.teach("fast", std::chrono::milliseconds(10));
+    bench.teach("slow", std::chrono::milliseconds(60));
+    WaitingWork longWork = bench.work(1);
+    longWork.size.events = 400;
+    bench.dispatcher.offer(longWork, bench.clock.now());
+    CHECK(bench.placements.targets == std::vector<std::string> {"fast"});
+
+    SUBCASE("the next one waits for it while short work goes to the slow one")
+    {
+        longWork.exchange = ExchangeId(2);
+        bench.dispatcher.offer(longWork, bench.clock.now());
+        bench.offer(3);
+        CHECK(bench.placements.targets == std::vector<std::string> {"fast", "slow"});
+        CHECK(bench.placements.placed.back() == 3);
+    }
+}
+
+TEST_CASE("routes are ordered by worth for the time that they hold a slot")
+{
+    // Short checks of a low tier are served beside long reports of the highest one: they take a
+    // twentieth of the time, and shutting them out would gain nothing.
+    RouteUrgency urgency;
+    for (int i = 0; i < 50; ++i) {
+        urgency.noteHold(Service, ClassId("report"), Tier(1), std::chrono::milliseconds(1900));
+        urgency.noteHold(Service, ClassId("brief"), Tier(2), std::chrono::milliseconds(1400));
+        urgency.noteHold(Service, ClassId("check"), Tier(3), std::chrono::milliseconds(130));
+    }
+    const Tier report = urgency.tierOf(Service, ClassId("report"), Tier(1));
+    const Tier brief = urgency.tierOf(Service, ClassId("brief"), Tier(2));
+    const Tier check = urgency.tierOf(Service, ClassId("check"), Tier(3));
+    CHECK(report == check);
+    CHECK(report.isAbove(brief));
+    CHECK(urgency.tierOf(ServiceId("unknown"), ClassId("x"), Tier(4)) == Tier(4));
+}
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
@@ -36,6 +36,8 @@
 constexpr std::chrono::milliseconds ShortestStall {1000};
 /** The same in pauses that are still on time. */
 constexpr int StallFactor = 4;
+/** Least pause before a customer's limit is asked again: others' use is heard that often. */
+constexpr std::chrono::milliseconds LimitRecheck {25};
 /** When there is nothing to reckon with: until the first configuration, or for a full customer. */
 constexpr std::chrono::milliseconds UsualRetryAfter {500};
 
@@ -103,11 +105,17 @@
 
 Exchange::~Exchange()
 {
-    m_context.loop.cancel(m_deadlineTimer);
+    cancelTimers();
     if (m_attempt)
         m_context.loop.cancel(m_attempt->silence);
 }
 
+void Exchange::cancelTimers()
+{
+    m_context.loop.cancel(m_deadlineTimer);
+    m_context.loop.cancel(m_limitTimer);
+}
+
 void Exchange::begin()
 {
     if (!admit())
@@ -117,7 +125,7 @@
         onDeadline();
     });
     m_context.retriesOf(m_service).countRequest(m_arrived);
-    offer();
+    awaitLimit();
 }
 
 bool Exchange::admit()
@@ -155,18 +163,35 @@
     m_size = {m_request.promptTokens, m_request.expectedOutputTokens / perEvent, m_route->isStream};
     const Duration patience = m_request.patience.value_or(m_route->timeout);
     m_deadline = m_arrived + std::min(patience, m_route->timeout);
-    if (m_customer && !takeLimit(*m_customer)) {
-        answerOwn(ExchangeEnd::OverLimit, StatusTooManyRequests, UsualRetryAfter);
-        return false;
-    }
     return true;
 }
 
-bool Exchange::takeLimit(const CustomerRule &customer)
+double Exchange::limitUnits() const
+{
+    if (m_customer->unit == LimitUnit::Requests)
+        return 1;
+    return static_cast<double>(m_request.totalTokens.value_or(m_customer->plainTokens));
+}
+
+void Exchange::awaitLimit()
 {
-    const std::uint64_t tokens = m_request.totalTokens.value_or(customer.plainTokens);
-    const auto units = customer.unit == LimitUnit::Tokens ? static_cast<double>(tokens) : 1;
-    return m_context.customers.tryTake(customer, units, m_arrived);
+    const Instant now = m_context.loop.now();
+    if (!m_customer || m_context.customers.tryTake(*m_customer, limitUnits(), now)) {
+        offer();
+        return;
+    }
+    // Bursts of a customer pass in a part of its objective; a refusal would cost it a whole retry.
+    const Duration wait = m_context.customers.timeUntil(*m_customer, limitUnits(), now);
+    const Instant latest = m_arrived + m_route->objective
+        - m_context.targets.expectedFirstEvent(m_service, m_size);
+    if (now + wait > latest) {
+        answerOwn(ExchangeEnd::OverLimit, StatusTooManyRequests, std::max<Duration>(wait, LimitRecheck));
+        return;
+    }
+    m_limitTimer = m_context.loop.after(std::max<Duration>(wait, LimitRecheck), [this] {
+        m_limitTimer = 0;
+        awaitLimit();
+    });
 }
 
 void Exchange::offer()
@@ -504,7 +529,7 @@
         endAttempt(wasSilent ? TargetOutcome::Unreachable : TargetOutcome::Withdrawn);
     }
     m_progress = Progress::Ended;
-    m_context.loop.cancel(m_deadlineTimer);
+    cancelTimers();
     record(ExchangeEnd::CallerGone);
 }
 
@@ -525,7 +550,7 @@
 void Exchange::finish(ExchangeEnd end)
 {
     m_progress = Progress::Ended;
-    m_context.loop.cancel(m_deadlineTimer);
+    cancelTimers();
     record(end);
     m_responder.finishAnswer();
 }
@@ -533,7 +558,7 @@
 void Exchange::abort(ExchangeEnd end)
 {
     m_progress = Progress::Ended;
-    m_context.loop.cancel(m_deadlineTimer);
+    cancelTimers();
     record(end);
     m_responder.abortAnswer();
 }
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
@@ -77,8 +77,10 @@
     void onAnswerComplete() override;
     void onAnswerFailed(ChannelFailure failure) override;
 
+    void cancelTimers();
     bool admit();
-    bool takeLimit(const CustomerRule &customer);
+    double limitUnits() const;
+    void awaitLimit();
     void offer();
     void send(const TargetEntry &target);
     void watchSilence(Duration limit);
@@ -113,6 +115,7 @@
     WorkSize m_size;
     Instant m_deadline {};
     TimerId m_deadlineTimer = 0;
+    TimerId m_limitTimer = 0;
     Progress m_progress = Progress::Nothing;
     bool m_waiting = false;
     /** Some target may have run the request. */
