--- a/packages/configservice/apricothook/configservice/apricothook_peer_rpc_client.cpp
+++ b/packages/configservice/apricothook/configservice/apricothook_peer_rpc_client.cpp
@@ -1,9 +1,9 @@
 #include <apricothook/configservice/apricothook_peer_rpc_client.hpp>
 
-#include <apricothook/model/apricothook_hashing.hpp>
 #include <apricothook/configservice/internal/apricothook_platform_exchange.hpp>
 #include <apricothook/configservice/internal/apricothook_rpc_documents.hpp>
 #include <apricothook/configservice/internal/apricothook_rpc_envelope.hpp>
+#include <apricothook/model/apricothook_hashing.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/packages/configservice/apricothook/configservice/apricothook_peer_rpc_server.hpp
+++ b/packages/configservice/apricothook/configservice/apricothook_peer_rpc_server.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <apricothook/model/apricothook_decision_event.hpp>
-#include <apricothook/model/apricothook_endpoint.hpp>
-#include <apricothook/model/apricothook_time.hpp>
 #include <apricothook/configservice/apricothook_kept_answer_source.hpp>
 #include <apricothook/configservice/apricothook_platform_counters.hpp>
 #include <apricothook/configservice/apricothook_rpc_seal.hpp>
 #include <apricothook/configservice/apricothook_text_shelf.hpp>
+#include <apricothook/model/apricothook_decision_event.hpp>
+#include <apricothook/model/apricothook_endpoint.hpp>
+#include <apricothook/model/apricothook_time.hpp>
 
 #include <memory>
 
--- a/packages/configservice/apricothook/configservice/apricothook_platform_client.hpp
+++ b/packages/configservice/apricothook/configservice/apricothook_platform_client.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <apricothook/model/apricothook_decision_event.hpp>
 #include <apricothook/configservice/apricothook_platform_counters.hpp>
 #include <apricothook/configservice/apricothook_platform_pace.hpp>
 #include <apricothook/configservice/apricothook_rpc_seal.hpp>
 #include <apricothook/configservice/apricothook_text_checker.hpp>
 #include <apricothook/configservice/apricothook_text_shelf.hpp>
+#include <apricothook/model/apricothook_decision_event.hpp>
 #include <apricothook/ports/apricothook_core_inbox.hpp>
 #include <apricothook/ports/apricothook_core_ports.hpp>
 
--- a/packages/configservice/apricothook/configservice/internal/apricothook_rpc_documents.cpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_rpc_documents.cpp
@@ -1,7 +1,7 @@
 #include <apricothook/configservice/internal/apricothook_rpc_documents.hpp>
 
-#include <apricothook/peers/apricothook_base64.hpp>
 #include <apricothook/configservice/internal/apricothook_json_document.hpp>
+#include <apricothook/peers/apricothook_base64.hpp>
 
 #include <utility>
 
--- a/packages/configservice/apricothook/configservice/internal/apricothook_text_delivery.hpp
+++ b/packages/configservice/apricothook/configservice/internal/apricothook_text_delivery.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <apricothook/model/apricothook_identifiers.hpp>
 #include <apricothook/configservice/apricothook_text_checker.hpp>
+#include <apricothook/model/apricothook_identifiers.hpp>
 #include <apricothook/ports/apricothook_core_inbox.hpp>
 
 #include <string>
--- a/packages/configservice/tests/apricothook_platform_fakes.hpp
+++ b/packages/configservice/tests/apricothook_platform_fakes.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <apricothook/model/apricothook_decision_event.hpp>
-#include <apricothook/model/apricothook_hashing.hpp>
 #include <apricothook/configservice/apricothook_kept_answer_source.hpp>
 #include <apricothook/configservice/apricothook_peer_rpc_server.hpp>
 #include <apricothook/configservice/apricothook_platform_client.hpp>
 #include <apricothook/configservice/apricothook_platform_event.hpp>
+#include <apricothook/model/apricothook_decision_event.hpp>
+#include <apricothook/model/apricothook_hashing.hpp>
 #include <apricothook/testsupport/apricothook_gathering_inbox.hpp>
 #include <apricothook/testsupport/apricothook_numbered_events.hpp>
 
--- a/packages/daemon/apricothook/daemon/apricothook_daemon_process.cpp
+++ b/packages/daemon/apricothook/daemon/apricothook_daemon_process.cpp
@@ -2,20 +2,20 @@
 
 #include <apricothook/caller/apricothook_caller_limits.hpp>
 #include <apricothook/caller/apricothook_caller_server.hpp>
-#include <apricothook/core/apricothook_core.hpp>
-#include <apricothook/daemon/apricothook_core_thread.hpp>
-#include <apricothook/daemon/apricothook_daemon_gauges.hpp>
-#include <apricothook/daemon/apricothook_strict_text_checker.hpp>
-#include <apricothook/ports/apricothook_system_clock.hpp>
-#include <apricothook/ports/apricothook_system_random.hpp>
-#include <apricothook/model/apricothook_decision_event.hpp>
-#include <apricothook/peers/apricothook_peer_transport.hpp>
 #include <apricothook/configservice/apricothook_core_answer_source.hpp>
 #include <apricothook/configservice/apricothook_peer_rpc_server.hpp>
 #include <apricothook/configservice/apricothook_platform_client.hpp>
 #include <apricothook/configservice/apricothook_platform_counters.hpp>
 #include <apricothook/configservice/apricothook_rpc_seal.hpp>
 #include <apricothook/configservice/apricothook_text_shelf.hpp>
+#include <apricothook/core/apricothook_core.hpp>
+#include <apricothook/daemon/apricothook_core_thread.hpp>
+#include <apricothook/daemon/apricothook_daemon_gauges.hpp>
+#include <apricothook/daemon/apricothook_strict_text_checker.hpp>
+#include <apricothook/model/apricothook_decision_event.hpp>
+#include <apricothook/peers/apricothook_peer_transport.hpp>
+#include <apricothook/ports/apricothook_system_clock.hpp>
+#include <apricothook/ports/apricothook_system_random.hpp>
 #include <apricothook/target/apricothook_target_client.hpp>
 
 #include <atomic>
--- a/packages/daemon/programs/apricothookd.cpp
+++ b/packages/daemon/programs/apricothookd.cpp
@@ -2,11 +2,11 @@
 #include <apricothook/daemon/apricothook_daemon_health.hpp>
 #include <apricothook/daemon/apricothook_daemon_process.hpp>
 #include <apricothook/daemon/apricothook_metrics_observer.hpp>
-#include <apricothook/ports/apricothook_system_clock.hpp>
 #include <apricothook/observe/apricothook_log_session.hpp>
 #include <apricothook/observe/apricothook_log_sink.hpp>
 #include <apricothook/observe/apricothook_metrics.hpp>
 #include <apricothook/observe/apricothook_metrics_server.hpp>
+#include <apricothook/ports/apricothook_system_clock.hpp>
 #include <apricothook/text/apricothook_settings_parser.hpp>
 #include <apricothook/text/apricothook_text_error.hpp>
 #include <apricothook/text/apricothook_text_file.hpp>
--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.hpp
@@ -26,8 +26,8 @@
  * admitting on the other side of a partition, so its equal part of the rate is set aside; the sum
  * then stays within the limit on both sides.
  *
- * The bound is on windows of some seconds and leaves an overshoot and a slack. A bucket of the plain
- * burst would refuse what the bound allows, so this one holds most of that room.
+ * The bound is on windows of some seconds and leaves an overshoot and a slack. A bucket of the
+ * plain burst would refuse what the bound allows, so this one holds most of that room.
  */
 class CustomerLimits
 {
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -31,7 +31,8 @@
     Queue &queue = m_queues[work.service];
     queue.push_back(std::move(work));
     placeAll(queue, now);
-    const bool waits = std::ranges::find(queue, newest.exchange, &WaitingWork::exchange) != queue.end();
+    const bool waits
+        = std::ranges::find(queue, newest.exchange, &WaitingWork::exchange) != queue.end();
     // Said at once: a request that waits in vain could have tried again elsewhere meanwhile.
     if (!waits || now + expectedWait(newest, now) <= holdUntil(newest))
         return;
@@ -42,7 +43,8 @@
 void Dispatcher::withdraw(ExchangeId exchange)
 {
     for (auto &[service, queue] : m_queues)
-        std::erase_if(queue, [exchange](const WaitingWork &work) { return work.exchange == exchange; });
+        std::erase_if(queue,
+                      [exchange](const WaitingWork &work) { return work.exchange == exchange; });
 }
 
 void Dispatcher::review(Instant now)
@@ -55,7 +57,8 @@
 
 bool Dispatcher::isLate(const WaitingWork &work, Instant now) const
 {
-    return now + m_targets.expectedFirstEvent(work.service, work.size) > work.arrived + work.objective;
+    return now + m_targets.expectedFirstEvent(work.service, work.size)
+        > work.arrived + work.objective;
 }
 
 void Dispatcher::sortByUrgency(Queue &queue, Instant now) const
@@ -100,9 +103,9 @@
 
 void Dispatcher::refuseOverdue(Queue &queue, Instant now)
 {
-    const auto overdue = std::stable_partition(queue.begin(), queue.end(), [this, now](const auto &work) {
-        return holdUntil(work) > now;
-    });
+    const auto overdue
+        = std::stable_partition(queue.begin(), queue.end(),
+                                [this, now](const auto &work) { return holdUntil(work) > now; });
     const Queue refused(overdue, queue.end());
     queue.erase(overdue, queue.end());
     for (const WaitingWork &work : refused)
@@ -116,7 +119,8 @@
     facts.room = m_targets.room(work.service, now);
     facts.ahead = waitingAhead(work);
     facts.expectedWait = expectedWait(work, now);
-    facts.retryAfter = std::min(std::max<Duration>(facts.expectedWait, ShortestRetryAfter), left / 3);
+    facts.retryAfter
+        = std::min(std::max<Duration>(facts.expectedWait, ShortestRetryAfter), left / 3);
     m_listener.onRefused(work.exchange, facts);
 }
 
@@ -140,9 +144,10 @@
     std::uint32_t ahead = waitingOfOthers(work.service, work.rank, true);
     const auto queue = m_queues.find(work.service);
     if (queue != m_queues.end()) {
-        ahead += static_cast<std::uint32_t>(std::ranges::count_if(queue->second, [&](const auto &other) {
-            return other.exchange != work.exchange && !work.rank.isAbove(other.rank);
-        }));
+        ahead += static_cast<std::uint32_t>(
+            std::ranges::count_if(queue->second, [&](const auto &other) {
+                return other.exchange != work.exchange && !work.rank.isAbove(other.rank);
+            }));
     }
     return ahead;
 }
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -70,9 +70,10 @@
  * Decides which waiting request goes to which target, and when.
  *
  * Engines serve first come first served, so a request that waits at an engine can't be overtaken by
- * a more important one. Requests wait here instead, and go to a target only when one of its slots is
- * believed free over all daemons. What other daemons do is known from their beacons, some tens of
- * milliseconds old; two that take the same slot cost a short wait at the engine and nothing else.
+ * a more important one. Requests wait here instead, and go to a target only when one of its slots
+ * is believed free over all daemons. What other daemons do is known from their beacons, some tens
+ * of milliseconds old; two that take the same slot cost a short wait at the engine and nothing
+ * else.
  */
 class Dispatcher
 {
@@ -101,7 +102,8 @@
     void setWaitingOfMember(std::uint64_t member, std::vector<WaitingCount> counts);
     std::vector<WaitingCount> ownWaiting() const;
     std::size_t waiting() const;
-    /** The earliest time at which review() may have to refuse something; nothing when none waits. */
+    /** The earliest time at which review() may have to refuse something; nothing when none waits.
+     */
     std::optional<Instant> nextRefusal() const;
 
 private:
--- a/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.cpp
@@ -7,7 +7,8 @@
 bool RetryAllowance::tryTake(Instant now, std::size_t daemons)
 {
     forgetBefore(now - m_bounds.retryWindow);
-    const double share = m_bounds.retrySlack / static_cast<double>(std::max<std::size_t>(daemons, 1));
+    const double share
+        = m_bounds.retrySlack / static_cast<double>(std::max<std::size_t>(daemons, 1));
     const double allowed
         = UsedPart * (m_bounds.retryRatio * static_cast<double>(m_requests.size()) + share);
     if (static_cast<double>(m_repeats.size()) + 1 > allowed)
--- a/packages/dispatch/apricothook/dispatch/apricothook_route_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_route_table.cpp
@@ -49,8 +49,9 @@
     double total = 0;
     for (const WeightedService &each : route.services)
         total += each.weight;
-    double left = total * (static_cast<double>(draw)
-                           / static_cast<double>(std::numeric_limits<std::uint64_t>::max()));
+    double left = total
+        * (static_cast<double>(draw)
+           / static_cast<double>(std::numeric_limits<std::uint64_t>::max()));
     for (const WeightedService &each : route.services) {
         left -= each.weight;
         if (left < 0)
--- a/packages/dispatch/apricothook/dispatch/apricothook_route_urgency.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_route_urgency.cpp
@@ -18,7 +18,8 @@
     return std::pow(TierFactor, -static_cast<double>(tier.rank())) / held;
 }
 
-void RouteUrgency::noteHold(const ServiceId &service, const ClassId &route, Tier tier, Duration held)
+void RouteUrgency::noteHold(const ServiceId &service, const ClassId &route, Tier tier,
+                            Duration held)
 {
     Learned &learned = m_services[service][route];
     learned.tier = tier;
@@ -31,7 +32,8 @@
     if (routes == m_services.end())
         return tier;
     const auto own = routes->second.find(route);
-    const double worthOfOwn = worth(tier, own == routes->second.end() ? MovingMean() : own->second.hold);
+    const double worthOfOwn
+        = worth(tier, own == routes->second.end() ? MovingMean() : own->second.hold);
     double best = worthOfOwn;
     for (const auto &[name, learned] : routes->second)
         best = std::max(best, worth(learned.tier, learned.hold));
--- a/packages/dispatch/apricothook/dispatch/apricothook_route_urgency.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_route_urgency.hpp
@@ -12,9 +12,9 @@
  * slot.
  *
  * With room for only a part of the requests, strict tiers would shut out short work of a low tier
- * that takes almost nothing from the tiers above. So a tier counts TierFactor times the next one, and
- * is divided by the route's learned mean hold; the result is a tier again, one for each halving.
- * Single requests aren't told apart by size, or the longest of a route would never run.
+ * that takes almost nothing from the tiers above. So a tier counts TierFactor times the next one,
+ * and is divided by the route's learned mean hold; the result is a tier again, one for each
+ * halving. Single requests aren't told apart by size, or the longest of a route would never run.
  */
 class RouteUrgency
 {
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -18,8 +18,8 @@
 constexpr double SlowdownOfEach = 0.028;
 /** Milliseconds that a certain failure is worth avoiding. */
 constexpr double FailureCost = 2000;
-/** How much dearer the last slot of a target is than the first: 8 makes one of two thirds load as dear as
- * an idle one that is four times slower. */
+/** How much dearer the last slot of a target is than the first: 8 makes one of two thirds load as
+ * dear as an idle one that is four times slower. */
 constexpr double ScarcityWeight = 2;
 /** Parts of the time that a forecast may use; lengths are estimates, right at the median only. */
 constexpr double FirstMargin = 0.8;
@@ -203,8 +203,8 @@
         return {whole, whole};
     }
     const double unread = static_cast<double>(work.promptTokens + target.unreadTokens);
-    const double first = target.speed.firstEvent.value().value_or(usual.firstEvent)
-        * (unread + FixedWorkTokens);
+    const double first
+        = target.speed.firstEvent.value().value_or(usual.firstEvent) * (unread + FixedWorkTokens);
     const double gap = target.speed.eventGap.value().value_or(usual.eventGap);
     return {first, first + gap * static_cast<double>(work.events)};
 }
@@ -293,7 +293,8 @@
     const double expected = work.isStream
         ? usual.firstEvent * (static_cast<double>(work.promptTokens) + FixedWorkTokens)
         : usual.hold;
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(expected));
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(expected));
 }
 
 } // namespace Apricothook
--- a/packages/dispatch/tests/apricothook_allowance_tests.cpp
+++ b/packages/dispatch/tests/apricothook_allowance_tests.cpp
@@ -50,7 +50,8 @@
 TEST_CASE("repeated sends of all daemons stay within the fleet's allowance")
 {
     // Callers see failures instead of a service that never recovers: when all targets fail, every
-    // daemon would repeat every request. The sum over nine daemons keeps to the ratio and the slack.
+    // daemon would repeat every request. The sum over nine daemons keeps to the ratio and the
+    // slack.
     HandClock clock;
     constexpr std::size_t Daemons = 9;
     constexpr int Requests = 100;
--- a/packages/dispatch/tests/apricothook_dispatcher_tests.cpp
+++ b/packages/dispatch/tests/apricothook_dispatcher_tests.cpp
@@ -63,7 +63,10 @@
         work.deadline = clock.now() + std::chrono::seconds(15);
         return work;
     }
-    void offer(std::uint64_t id, std::uint8_t tier = 1) { dispatcher.offer(work(id, tier), clock.now()); }
+    void offer(std::uint64_t id, std::uint8_t tier = 1)
+    {
+        dispatcher.offer(work(id, tier), clock.now());
+    }
     void end(const std::string &target)
     {
         targets.ended(TargetId(target), {1000, 10, true}, TargetOutcome::Served,
@@ -180,7 +183,8 @@
         bench.targets.started(TargetId("a"), size);
         bench.targets.ended(TargetId("a"), size, TargetOutcome::Unreachable, Duration(1000), false,
                             bench.clock.now());
-        const Duration avoided = bench.targets.find(TargetId("a"))->avoidedUntil - bench.clock.now();
+        const Duration avoided
+            = bench.targets.find(TargetId("a"))->avoidedUntil - bench.clock.now();
         CHECK(avoided > before);
         before = avoided;
     }
--- a/packages/dispatch/tests/apricothook_route_table_tests.cpp
+++ b/packages/dispatch/tests/apricothook_route_table_tests.cpp
@@ -64,7 +64,10 @@
     std::map<std::string, int> counts;
     constexpr int Draws = 1000;
     for (int i = 0; i < Draws; ++i)
-        ++counts[serviceOf(rule, std::numeric_limits<std::uint64_t>::max() / Draws * static_cast<unsigned>(i)).text()];
+        ++counts[serviceOf(rule,
+                           std::numeric_limits<std::uint64_t>::max() / Draws
+                               * static_cast<unsigned>(i))
+                     .text()];
     CHECK(counts["a"] == doctest::Approx(900).epsilon(0.01));
     CHECK(counts["b"] == doctest::Approx(100).epsilon(0.05));
     CHECK(counts["never"] == 0);
--- a/packages/eventloop/apricothook/eventloop/apricothook_datagram_socket.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_datagram_socket.hpp
@@ -14,9 +14,8 @@
     static constexpr std::size_t LargestBytes = 8192;
     using Received = std::function<void(std::string_view bytes)>;
 
-    static Result<std::unique_ptr<DatagramSocket>, ListenError> open(EventLoop &loop,
-                                                                     const Endpoint &address,
-                                                                     Received received);
+    static Result<std::unique_ptr<DatagramSocket>, ListenError>
+    open(EventLoop &loop, const Endpoint &address, Received received);
     ~DatagramSocket() override;
     DatagramSocket(const DatagramSocket &) = delete;
     DatagramSocket &operator=(const DatagramSocket &) = delete;
--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
@@ -157,7 +157,8 @@
     if (m_timers.empty())
         return -1;
     // Rounded up, as a wait that ends before the timer is due would be repeated at once.
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(m_timers.begin()->first.first - now());
+    const auto left
+        = std::chrono::ceil<std::chrono::milliseconds>(m_timers.begin()->first.first - now());
     return static_cast<int>(
         std::clamp<std::int64_t>(left.count(), 0, std::numeric_limits<int>::max()));
 }
--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
@@ -17,15 +17,13 @@
 
 } // namespace
 
-Result<std::unique_ptr<Listener>, ListenError> Listener::open(EventLoop &loop,
-                                                              const Endpoint &address,
-                                                              Accepted accepted)
+Result<std::unique_ptr<Listener>, ListenError>
+Listener::open(EventLoop &loop, const Endpoint &address, Accepted accepted)
 {
     const std::optional<sockaddr_storage> bound = socketAddressOf(address);
     if (!bound)
         return ListenError {address, EINVAL};
-    const int descriptor
-        = socket(bound->ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int descriptor = socket(bound->ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0)
         return ListenError {address, errno};
     const int reuse = 1;
--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.hpp
@@ -22,9 +22,8 @@
 public:
     using Accepted = std::function<void(int descriptor)>;
 
-    static Result<std::unique_ptr<Listener>, ListenError> open(EventLoop &loop,
-                                                               const Endpoint &address,
-                                                               Accepted accepted);
+    static Result<std::unique_ptr<Listener>, ListenError>
+    open(EventLoop &loop, const Endpoint &address, Accepted accepted);
     ~Listener() override;
     /** The port that the system chose where the address named none. */
     std::uint16_t port() const;
--- a/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.cpp
@@ -30,7 +30,8 @@
 
 } // namespace
 
-BlockingHttpClient::BlockingHttpClient(const Endpoint &server, std::chrono::milliseconds connectTime,
+BlockingHttpClient::BlockingHttpClient(const Endpoint &server,
+                                       std::chrono::milliseconds connectTime,
                                        const std::atomic<bool> &stopping)
     : m_origin("http://" + server.text())
     , m_stopping(stopping)
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -4,14 +4,14 @@
 
 /** Events of what a serving daemon believes of the fleet. */
 enum class FleetviewEvent : int {
-    ProcessStarted = 851,     ///< info: the daemon listens; addresses, incarnation. Operator: none.
-    ProcessStopping = 852,    ///< info: a stop was asked for; open requests. Operator: none.
-    ProcessStopped = 853,     ///< info: the daemon ends; open requests left. Operator: none.
-    SettingsReread = 854,     ///< info: a reload was asked for; what changed. Operator: none.
-    SourceLost = 855,         ///< warning: the configuration service can't be read; state, revision.
-                              ///< Operator: look at the service; peers pass on what they hear.
-    SourceRegained = 856,     ///< info: the configuration service can be read again; revision.
-                              ///< Operator: none.
+    ProcessStarted = 851,  ///< info: the daemon listens; addresses, incarnation. Operator: none.
+    ProcessStopping = 852, ///< info: a stop was asked for; open requests. Operator: none.
+    ProcessStopped = 853,  ///< info: the daemon ends; open requests left. Operator: none.
+    SettingsReread = 854,  ///< info: a reload was asked for; what changed. Operator: none.
+    SourceLost = 855,      ///< warning: the configuration service can't be read; state, revision.
+                           ///< Operator: look at the service; peers pass on what they hear.
+    SourceRegained = 856,  ///< info: the configuration service can be read again; revision.
+                           ///< Operator: none.
     ConfigurationTaken = 857, ///< info: a configuration came into force; generation, revision.
                               ///< Operator: none.
     ItemRejected = 858,       ///< error: a published item can't be read and is passed over; key,
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_replica.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_replica.hpp
@@ -39,9 +39,9 @@
 };
 
 /**
- * This daemon's copy of the published items. Sources may tell the same change twice or in any order;
- * of each key the highest revision counts, and a removal is remembered so that an older copy of the
- * item doesn't bring it back.
+ * This daemon's copy of the published items. Sources may tell the same change twice or in any
+ * order; of each key the highest revision counts, and a removal is remembered so that an older copy
+ * of the item doesn't bring it back.
  */
 class ItemReplica
 {
@@ -55,7 +55,8 @@
 
     void apply(const ItemUpdate &update);
     Revision revision() const { return m_revision; }
-    /** What a peer that knows all up to `after` lacks; everything when that isn't known any more. */
+    /** What a peer that knows all up to `after` lacks; everything when that isn't known any more.
+     */
     ItemUpdate since(Revision after) const;
 
 private:
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
@@ -48,9 +48,11 @@
     std::optional<Revision> revision;
     std::string after;
     while (true) {
-        const std::optional<SourceAnswer> answer = m_client->get(m_protocol.pagePath(after), AnswerTime);
-        const Result<ItemPage, ItemProtocolError> page
-            = answer ? m_protocol.page(*answer) : Result<ItemPage, ItemProtocolError>(ItemProtocolError::Malformed);
+        const std::optional<SourceAnswer> answer
+            = m_client->get(m_protocol.pagePath(after), AnswerTime);
+        const Result<ItemPage, ItemProtocolError> page = answer
+            ? m_protocol.page(*answer)
+            : Result<ItemPage, ItemProtocolError>(ItemProtocolError::Malformed);
         if (!page) {
             tell(answer ? SourceState::Refusing : SourceState::Unreachable);
             return false;
@@ -73,7 +75,8 @@
 bool ItemWatcher::watchOnce()
 {
     // After a failure a short wait shows soon whether the source is back.
-    const auto wait = m_state == SourceState::Reachable ? WatchTime : std::chrono::milliseconds(100);
+    const auto wait
+        = m_state == SourceState::Reachable ? WatchTime : std::chrono::milliseconds(100);
     const std::optional<SourceAnswer> answer
         = m_client->get(m_protocol.watchPath(*m_revision, wait), wait + AnswerTime);
     if (!answer) {
--- a/packages/fleetview/apricothook/fleetview/apricothook_member_table.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_member_table.cpp
@@ -43,7 +43,8 @@
     effect.isNewProcess = !isKnown || beacon.incarnation != member.last.incarnation;
     effect.isBack = !member.isHeard;
     // A new process counts from zero; what its first beacon tells was admitted since its start.
-    const std::vector<BeaconUse> before = effect.isNewProcess ? std::vector<BeaconUse>() : member.last.use;
+    const std::vector<BeaconUse> before
+        = effect.isNewProcess ? std::vector<BeaconUse>() : member.last.use;
     // What a member admitted before this daemon knew it lies in the past of its own limits.
     if (isKnown)
         effect.admitted = newlyAdmitted(before, beacon.use);
@@ -69,7 +70,8 @@
             silent.push_back(id);
         }
     }
-    std::erase_if(m_members, [now](const auto &entry) { return now - entry.second.heard > AddressLimit; });
+    std::erase_if(m_members,
+                  [now](const auto &entry) { return now - entry.second.heard > AddressLimit; });
     std::erase_if(m_told, [now](const auto &entry) { return now - entry.second > AddressLimit; });
     return silent;
 }
--- a/packages/fleetview/apricothook/fleetview/apricothook_member_table.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_member_table.hpp
@@ -44,8 +44,8 @@
     /** A silent member that may still admit requests elsewhere; then it counts as gone. */
     static constexpr std::chrono::seconds KnownLimit {12};
     /**
-     * A process that was started while its clock was set back has a smaller incarnation than the one
-     * before it. Beacons of the old process can't be on their way for so long.
+     * A process that was started while its clock was set back has a smaller incarnation than the
+     * one before it. Beacons of the old process can't be on their way for so long.
      */
     static constexpr std::chrono::milliseconds OldBeaconTime {500};
     /** Addresses of silent members are tried for so long. */
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_item_protocol.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_protocol.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <apricothook/fleetview/apricothook_item_replica.hpp>
 #include <apricothook/fleetview/apricothook_item_protocol.hpp>
+#include <apricothook/fleetview/apricothook_item_replica.hpp>
 
 #include <string>
 #include <string_view>
--- a/packages/gateway/apricothook/gateway/apricothook_caller_responder.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_responder.hpp
@@ -44,7 +44,8 @@
 {
 public:
     virtual ~CallerRequestHandler() = default;
-    /** The answer goes through `responder`, which lives until the answer ended or the caller left. */
+    /** The answer goes through `responder`, which lives until the answer ended or the caller left.
+     */
     virtual CallerRequestEvents &begin(ReceivedRequest request, CallerResponder &responder) = 0;
     /** The connection needs `events` no more, as its answer ended or the caller left. */
     virtual void release(CallerRequestEvents &events) = 0;
--- a/packages/gateway/apricothook/gateway/apricothook_channel_pool.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_channel_pool.cpp
@@ -36,7 +36,8 @@
     const Duration idle = m_loop.now() - channel.idleSince();
     Duration limit = mayRunAgain ? Duration(IdleLimit) : Duration(FreshLimit);
     if (channel.kept())
-        limit = std::min(limit, std::chrono::duration_cast<Duration>(*channel.kept() * TrustedPart));
+        limit
+            = std::min(limit, std::chrono::duration_cast<Duration>(*channel.kept() * TrustedPart));
     return idle < limit;
 }
 
@@ -89,7 +90,8 @@
     const auto idle = m_idle.find(channel.target().id);
     if (idle != m_idle.end())
         std::erase(idle->second, &channel);
-    const auto found = std::ranges::find(m_channels, &channel, &std::unique_ptr<TargetChannel>::get);
+    const auto found
+        = std::ranges::find(m_channels, &channel, &std::unique_ptr<TargetChannel>::get);
     if (found == m_channels.end())
         return;
     // The channel is in the middle of one of its own calls; it goes when that is over.
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
@@ -36,14 +36,15 @@
 constexpr std::chrono::milliseconds ShortestStall {1000};
 /** The same in pauses that are still on time. */
 constexpr int StallFactor = 4;
-/** Least pause before a customer's limit is asked again: others' use is heard that often. */
-constexpr std::chrono::milliseconds LimitRecheck {25};
-/** When there is nothing to reckon with: until the first configuration, or for a full customer. */
+/** Shortest time after which a customer over its limit is asked to come back. */
+constexpr std::chrono::milliseconds LimitPause {100};
+/** When there is nothing to reckon with. */
 constexpr std::chrono::milliseconds UsualRetryAfter {500};
 
 TargetOutcome outcomeOf(ChannelFailure failure)
 {
-    return failure == ChannelFailure::Malformed ? TargetOutcome::Failed : TargetOutcome::Unreachable;
+    return failure == ChannelFailure::Malformed ? TargetOutcome::Failed
+                                                : TargetOutcome::Unreachable;
 }
 
 std::string_view causeOf(ChannelFailure failure)
@@ -105,27 +106,21 @@
 
 Exchange::~Exchange()
 {
-    cancelTimers();
+    m_context.loop.cancel(m_deadlineTimer);
     if (m_attempt)
         m_context.loop.cancel(m_attempt->silence);
 }
 
-void Exchange::cancelTimers()
-{
-    m_context.loop.cancel(m_deadlineTimer);
-    m_context.loop.cancel(m_limitTimer);
-}
-
 void Exchange::begin()
 {
-    if (!admit())
+    if (!admit() || !takeLimit())
         return;
     m_deadlineTimer = m_context.loop.after(m_deadline - m_arrived, [this] {
         m_deadlineTimer = 0;
         onDeadline();
     });
     m_context.retriesOf(m_service).countRequest(m_arrived);
-    awaitLimit();
+    offer();
 }
 
 bool Exchange::admit()
@@ -173,25 +168,13 @@
     return static_cast<double>(m_request.totalTokens.value_or(m_customer->plainTokens));
 }
 
-void Exchange::awaitLimit()
+bool Exchange::takeLimit()
 {
-    const Instant now = m_context.loop.now();
-    if (!m_customer || m_context.customers.tryTake(*m_customer, limitUnits(), now)) {
-        offer();
-        return;
-    }
-    // Bursts of a customer pass in a part of its objective; a refusal would cost it a whole retry.
-    const Duration wait = m_context.customers.timeUntil(*m_customer, limitUnits(), now);
-    const Instant latest = m_arrived + m_route->objective
-        - m_context.targets.expectedFirstEvent(m_service, m_size);
-    if (now + wait > latest) {
-        answerOwn(ExchangeEnd::OverLimit, StatusTooManyRequests, std::max<Duration>(wait, LimitRecheck));
-        return;
-    }
-    m_limitTimer = m_context.loop.after(std::max<Duration>(wait, LimitRecheck), [this] {
-        m_limitTimer = 0;
-        awaitLimit();
-    });
+    if (!m_customer || m_context.customers.tryTake(*m_customer, limitUnits(), m_arrived))
+        return true;
+    const Duration wait = m_context.customers.timeUntil(*m_customer, limitUnits(), m_arrived);
+    answerOwn(ExchangeEnd::OverLimit, StatusTooManyRequests, std::max<Duration>(wait, LimitPause));
+    return false;
 }
 
 void Exchange::offer()
@@ -254,8 +237,7 @@
         .lastEvent = m_lastEvent,
     };
     const RequestHead head = m_context.dialect.targetRequest(m_received.head, fields);
-    const bool hasBody = !m_received.body.empty()
-        || m_received.head.headers.find("Content-Length")
+    const bool hasBody = !m_received.body.empty() || m_received.head.headers.find("Content-Length")
         || m_received.head.headers.find("Transfer-Encoding");
     const BodyFraming framing
         = {hasBody ? BodyFraming::Kind::Sized : BodyFraming::Kind::None, m_received.body.size()};
@@ -469,7 +451,8 @@
     m_context.targets.ended(m_attempt->target.id, m_size, outcome, now - m_attempt->started,
                             m_attempt->hasFirstEvent, now);
     if (outcome == TargetOutcome::Served)
-        m_context.urgency.noteHold(m_service, m_route->name, m_route->tier, now - m_attempt->started);
+        m_context.urgency.noteHold(m_service, m_route->name, m_route->tier,
+                                   now - m_attempt->started);
     m_attempt.reset();
     m_context.roomFreed();
 }
@@ -504,7 +487,8 @@
     if (m_attempt) {
         m_mayHaveRun = true;
         m_attempt->channel->cancel();
-        endAttempt(m_attempt->hasFirstEvent ? TargetOutcome::Withdrawn : TargetOutcome::Unreachable);
+        endAttempt(m_attempt->hasFirstEvent ? TargetOutcome::Withdrawn
+                                            : TargetOutcome::Unreachable);
     }
     if (std::exchange(m_waiting, false))
         m_context.dispatcher.withdraw(m_id);
@@ -523,13 +507,13 @@
     if (std::exchange(m_waiting, false))
         m_context.dispatcher.withdraw(m_id);
     if (m_attempt) {
-        const bool wasSilent = !m_attempt->hasHead
-            && m_context.loop.now() - m_attempt->started > firstEventLimit();
+        const bool wasSilent
+            = !m_attempt->hasHead && m_context.loop.now() - m_attempt->started > firstEventLimit();
         m_attempt->channel->cancel();
         endAttempt(wasSilent ? TargetOutcome::Unreachable : TargetOutcome::Withdrawn);
     }
     m_progress = Progress::Ended;
-    cancelTimers();
+    m_context.loop.cancel(m_deadlineTimer);
     record(ExchangeEnd::CallerGone);
 }
 
@@ -550,7 +534,7 @@
 void Exchange::finish(ExchangeEnd end)
 {
     m_progress = Progress::Ended;
-    cancelTimers();
+    m_context.loop.cancel(m_deadlineTimer);
     record(end);
     m_responder.finishAnswer();
 }
@@ -558,7 +542,7 @@
 void Exchange::abort(ExchangeEnd end)
 {
     m_progress = Progress::Ended;
-    cancelTimers();
+    m_context.loop.cancel(m_deadlineTimer);
     record(end);
     m_responder.abortAnswer();
 }
@@ -591,7 +575,7 @@
         .with("took_ms", now - m_arrived)
         .with("left_ms", m_deadline - now)
         .with("generation",
-                     m_routes ? m_routes->configuration().generation.value() : std::uint64_t());
+              m_routes ? m_routes->configuration().generation.value() : std::uint64_t());
     if (m_firstAnswer)
         line.with("first_ms", *m_firstAnswer - m_arrived);
     if (m_refusal) {
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
@@ -33,8 +33,8 @@
  * One request of a caller on its way: admission, waiting for a target, the target's answer, and
  * another target where the route allows it.
  *
- * "Not run" is said only while it is certain: no byte was sent, or every target that got the request
- * stated that it didn't run it. After anything else the caller hears that it may have run.
+ * "Not run" is said only while it is certain: no byte was sent, or every target that got the
+ * request stated that it didn't run it. After anything else the caller hears that it may have run.
  */
 class Exchange : public CallerRequestEvents, private TargetAnswerEvents
 {
@@ -77,10 +77,9 @@
     void onAnswerComplete() override;
     void onAnswerFailed(ChannelFailure failure) override;
 
-    void cancelTimers();
     bool admit();
     double limitUnits() const;
-    void awaitLimit();
+    bool takeLimit();
     void offer();
     void send(const TargetEntry &target);
     void watchSilence(Duration limit);
@@ -115,7 +114,6 @@
     WorkSize m_size;
     Instant m_deadline {};
     TimerId m_deadlineTimer = 0;
-    TimerId m_limitTimer = 0;
     Progress m_progress = Progress::Nothing;
     bool m_waiting = false;
     /** Some target may have run the request. */
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
@@ -4,8 +4,8 @@
 
 namespace Apricothook {
 
-TargetChannel::TargetChannel(EventLoop &loop, const WireDialect &dialect,
-                             TargetChannelOwner &owner, const TargetEntry &target)
+TargetChannel::TargetChannel(EventLoop &loop, const WireDialect &dialect, TargetChannelOwner &owner,
+                             const TargetEntry &target)
     : m_loop(loop)
     , m_dialect(dialect)
     , m_owner(owner)
--- a/packages/gateway/apricothook/gateway/apricothook_wire_dialect.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_wire_dialect.hpp
@@ -81,7 +81,8 @@
 {
 public:
     virtual ~WireDialect() = default;
-    virtual Result<CallerRequest, CallerRequestError> callerRequest(const RequestHead &head) const = 0;
+    virtual Result<CallerRequest, CallerRequestError>
+    callerRequest(const RequestHead &head) const = 0;
     /** The caller's headers for a target: hop-by-hop and reserved ones replaced. */
     virtual RequestHead targetRequest(const RequestHead &fromCaller,
                                       const TargetRequestFields &fields) const = 0;
--- a/packages/gateway/tests/apricothook_gateway_bench.cpp
+++ b/packages/gateway/tests/apricothook_gateway_bench.cpp
@@ -92,15 +92,16 @@
 
 HeldConnection &GatewayBench::connect()
 {
-    callers.push_back(std::make_unique<HeldConnection>(loop, Endpoint {"127.0.0.1", gateway.port()}));
+    callers.push_back(
+        std::make_unique<HeldConnection>(loop, Endpoint {"127.0.0.1", gateway.port()}));
     return *callers.back();
 }
 
 std::string GatewayBench::request(const std::string &route, const std::string &id,
                                   const std::string &body)
 {
-    const std::string head = (body.empty() ? "GET /" : "POST /") + route + "/x HTTP/1.1\r\nHost: host\r\nId: "
-        + id + "\r\n";
+    const std::string head = (body.empty() ? "GET /" : "POST /") + route
+        + "/x HTTP/1.1\r\nHost: host\r\nId: " + id + "\r\n";
     if (body.empty())
         return head + "\r\n";
     return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -121,14 +122,15 @@
 
 std::string wholeAnswer(const std::string &id, const std::string &body)
 {
-    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSigned: yes\r\nContent-Length: "
-        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 200 OK\r\nId: " + id
+        + "\r\nSigned: yes\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 std::string streamHead(const std::string &id)
 {
     return "HTTP/1.1 200 OK\r\nId: " + id
-        + "\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        + "\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+          "chunked\r\n\r\n";
 }
 
 std::string eventChunk(unsigned id)
--- a/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
@@ -25,15 +25,20 @@
 
 TEST_CASE("a request whose end could be read in two ways is refused")
 {
-    // The caller hears 400 and the connection ends. A reader on the way that takes the other reading
-    // would take the rest of such a body for a request of its own.
+    // The caller hears 400 and the connection ends. A reader on the way that takes the other
+    // reading would take the rest of such a body for a request of its own.
     GatewayBench bench;
     const std::string start = "POST /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\n";
     const std::string smuggled = "GET /once/y HTTP/1.1\r\nHost: host\r\nId: b\r\n\r\n";
-    CHECK(answerTo(bench, start + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled) == 400);
+    CHECK(answerTo(bench,
+                   start + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                       + smuggled)
+          == 400);
     CHECK(answerTo(bench, start + "Transfer-Encoding: xchunked\r\n\r\n" + smuggled) == 400);
-    CHECK(answerTo(bench, start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + smuggled) == 400);
-    CHECK(answerTo(bench, start + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd" + smuggled) == 400);
+    CHECK(answerTo(bench, start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + smuggled)
+          == 400);
+    CHECK(answerTo(bench, start + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd" + smuggled)
+          == 400);
     CHECK(answerTo(bench, start + "Content-Length: -1\r\n\r\n" + smuggled) == 400);
     CHECK(answerTo(bench, start + "Host: other\r\n\r\n" + smuggled) == 400);
     CHECK(answerTo(bench, "nonsense\r\n\r\n" + smuggled) == 400);
@@ -45,7 +50,10 @@
 {
     GatewayBench bench;
     CHECK(answerTo(bench, GatewayBench::request("once", "a", std::string(3000, 'x'))) == 413);
-    CHECK(answerTo(bench, "GET /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nLong: " + std::string(2000, 'x') + "\r\n\r\n") == 431);
+    CHECK(answerTo(bench,
+                   "GET /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nLong: " + std::string(2000, 'x')
+                       + "\r\n\r\n")
+          == 431);
     CHECK(answerTo(bench, GatewayBench::request("nowhere", "a")) == 404);
     CHECK(answerTo(bench, "GET /once/x HTTP/1.1\r\nHost: host\r\n\r\n") == 400);
     CHECK(bench.target(0).requests() == 0);
@@ -70,7 +78,8 @@
     // The caller sends half a body and leaves. Nothing of it may run.
     GatewayBench bench;
     HeldConnection &caller = bench.connect();
-    caller.socket.send("POST /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nContent-Length: 10\r\n\r\nhalf");
+    caller.socket.send(
+        "POST /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nContent-Length: 10\r\n\r\nhalf");
     bench.settle();
     caller.socket.close();
     CHECK(bench.until([&] { return bench.gateway.callerConnections() == 0; }));
@@ -124,8 +133,9 @@
 {
     GatewayBench bench;
     HeldConnection &caller = bench.connect();
-    caller.socket.send("POST /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-                       "3\r\nabc\r\n2;note=1\r\nde\r\n0\r\n\r\n");
+    caller.socket.send(
+        "POST /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n2;note=1\r\nde\r\n0\r\n\r\n");
     REQUIRE(bench.targetWith());
     CHECK(bench.target(0).connection(0).has("Content-Length: 5\r\n"));
     CHECK(bench.target(0).connection(0).received.ends_with("abcde"));
@@ -135,8 +145,9 @@
 {
     GatewayBench bench;
     HeldConnection &caller = bench.connect();
-    caller.socket.send("GET /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nConnection: Secret\r\nSecret: 1\r\n"
-                       "TE: trailers\r\nUpgrade: h2c\r\nKept: yes\r\n\r\n");
+    caller.socket.send(
+        "GET /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nConnection: Secret\r\nSecret: 1\r\n"
+        "TE: trailers\r\nUpgrade: h2c\r\nKept: yes\r\n\r\n");
     REQUIRE(bench.targetWith());
     const HeldConnection &run = bench.target(0).connection(0);
     CHECK(run.has("Kept: yes\r\n"));
--- a/packages/gateway/tests/apricothook_gateway_plain_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_plain_tests.cpp
@@ -154,7 +154,8 @@
     GatewayBench bench(2);
     HeldConnection &caller = bench.connect();
     caller.socket.send(GatewayBench::request("once", "a"));
-    const std::string full = "HTTP/1.1 503 Full\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string full
+        = "HTTP/1.1 503 Full\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
     ScriptedTarget *first = bench.targetWith();
     REQUIRE(first);
     ScriptedTarget &second = bench.target(first == &bench.target(0) ? 1 : 0);
@@ -211,8 +212,8 @@
 
 TEST_CASE("a request without an answer ends at its route's time limit")
 {
-    // The caller hears at the time limit that the request may have run. Its target reads the request
-    // and stays silent; the request may not be sent elsewhere.
+    // The caller hears at the time limit that the request may have run. Its target reads the
+    // request and stays silent; the request may not be sent elsewhere.
     GatewayBench bench(2);
     HeldConnection &caller = bench.connect();
     caller.socket.send(GatewayBench::request("once", "a"));
--- a/packages/gateway/tests/apricothook_test_dialect.hpp
+++ b/packages/gateway/tests/apricothook_test_dialect.hpp
@@ -4,7 +4,8 @@
 
 namespace Apricothook {
 
-/** A wire of the tests' own: "Id", "Patience" and "Key" from callers; "Not-Run" and "Signed" back. */
+/** A wire of the tests' own: "Id", "Patience" and "Key" from callers; "Not-Run" and "Signed" back.
+ */
 class TestDialect : public WireDialect
 {
 public:
--- a/packages/http1/apricothook/http1/apricothook_header_list.cpp
+++ b/packages/http1/apricothook/http1/apricothook_header_list.cpp
@@ -64,9 +64,8 @@
 
 void HeaderList::remove(std::string_view name)
 {
-    std::erase_if(m_headers, [name](const Header &header) {
-        return equalsIgnoringCase(header.name, name);
-    });
+    std::erase_if(m_headers,
+                  [name](const Header &header) { return equalsIgnoringCase(header.name, name); });
 }
 
 std::optional<std::string_view> HeaderList::find(std::string_view name) const
@@ -80,9 +79,8 @@
 
 std::size_t HeaderList::count(std::string_view name) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(m_headers, [name](const Header &header) {
-        return equalsIgnoringCase(header.name, name);
-    }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_headers, [name](const Header &header) { return equalsIgnoringCase(header.name, name); }));
 }
 
 void HeaderList::removeHopByHop()
--- a/packages/http1/apricothook/http1/apricothook_message_head.cpp
+++ b/packages/http1/apricothook/http1/apricothook_message_head.cpp
@@ -44,7 +44,8 @@
 {
     constexpr int Hexadecimal = 16;
     std::array<char, 16> size;
-    const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), Hexadecimal);
+    const auto end
+        = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), Hexadecimal);
     std::string chunk(size.data(), end.ptr);
     chunk.append("\r\n").append(bytes).append("\r\n");
     return chunk;
@@ -54,7 +55,8 @@
 {
     const boost::beast::string_view phrase
         = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
-    return phrase.empty() ? std::string_view("Status") : std::string_view(phrase.data(), phrase.size());
+    return phrase.empty() ? std::string_view("Status")
+                          : std::string_view(phrase.data(), phrase.size());
 }
 
 } // namespace Apricothook
--- a/packages/http1/apricothook/http1/apricothook_message_reader.cpp
+++ b/packages/http1/apricothook/http1/apricothook_message_reader.cpp
@@ -38,8 +38,7 @@
 
 private:
     void on_request_impl(Http::verb, boost::beast::string_view method,
-                         boost::beast::string_view target, int,
-                         boost::beast::error_code &) override
+                         boost::beast::string_view target, int, boost::beast::error_code &) override
     {
         head.method = {method.data(), method.size()};
         head.target = {target.data(), target.size()};
--- a/packages/observe/apricothook/observe/apricothook_structured_log.hpp
+++ b/packages/observe/apricothook/observe/apricothook_structured_log.hpp
@@ -39,8 +39,7 @@
     LogEvent &with(std::string_view name, bool value);
     LogEvent &with(std::string_view name, Duration value);
     template <std::integral Integer>
-        requires(!std::same_as<Integer, bool>)
-    LogEvent &with(std::string_view name, Integer value)
+    requires(!std::same_as<Integer, bool>) LogEvent &with(std::string_view name, Integer value)
     {
         m_fields.push_back({name, static_cast<std::int64_t>(value)});
         return *this;
--- a/packages/peers/apricothook/peers/apricothook_peer_codec.cpp
+++ b/packages/peers/apricothook/peers/apricothook_peer_codec.cpp
@@ -1,6 +1,6 @@
-#include <apricothook/peers/apricothook_peer_codec.hpp>
 #include <apricothook/peers/apricothook_cbor_reader.hpp>
 #include <apricothook/peers/apricothook_cbor_writer.hpp>
+#include <apricothook/peers/apricothook_peer_codec.hpp>
 
 #include <array>
 #include <utility>
--- a/packages/peers/apricothook/peers/apricothook_peer_seal.cpp
+++ b/packages/peers/apricothook/peers/apricothook_peer_seal.cpp
@@ -1,6 +1,6 @@
-#include <apricothook/peers/apricothook_peer_seal.hpp>
 #include <apricothook/peers/apricothook_cbor_reader.hpp>
 #include <apricothook/peers/apricothook_cbor_writer.hpp>
+#include <apricothook/peers/apricothook_peer_seal.hpp>
 #include <apricothook/peers/internal/apricothook_peer_signer.hpp>
 #include <apricothook/peers/internal/apricothook_replay_windows.hpp>
 
--- a/packages/serving/apricothook/serving/apricothook_beacon_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_beacon_exchange.cpp
@@ -30,7 +30,8 @@
 {
     std::vector<WaitingCount> counts;
     for (const BeaconWaiting &waiting : beacon.waiting)
-        counts.push_back({waiting.service, {waiting.customerTier, waiting.routeTier}, waiting.waiting});
+        counts.push_back(
+            {waiting.service, {waiting.customerTier, waiting.routeTier}, waiting.waiting});
     return counts;
 }
 
@@ -125,7 +126,8 @@
     for (const TargetLoad &load : m_gateway.targets().ownLoad())
         beacon.loads.push_back({load.target, load.running});
     for (const WaitingCount &count : m_gateway.dispatcher().ownWaiting())
-        beacon.waiting.push_back({count.service, count.rank.customer, count.rank.route, count.waiting});
+        beacon.waiting.push_back(
+            {count.service, count.rank.customer, count.rank.route, count.waiting});
     for (const CustomerUse &use : m_gateway.customers().ownUse())
         beacon.use.push_back({use.customer, use.admitted});
     for (const Member *member : m_members.heard()) {
@@ -166,9 +168,10 @@
 void BeaconExchange::forget(const MemberId &member)
 {
     const auto found = m_members.members().find(member);
-    m_log.write(LogEvent(FleetviewEvent::MemberSilent)
-                    .with("member", member.text())
-                    .with("leaving", found != m_members.members().end() && found->second.last.isLeaving));
+    m_log.write(
+        LogEvent(FleetviewEvent::MemberSilent)
+            .with("member", member.text())
+            .with("leaving", found != m_members.members().end() && found->second.last.isLeaving));
     m_gateway.targets().setLoadOfMember(memberNumber(member), {});
     m_gateway.dispatcher().setWaitingOfMember(memberNumber(member), {});
 }
--- a/packages/serving/apricothook/serving/apricothook_published_state.cpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.cpp
@@ -32,9 +32,10 @@
         m_sourceBack = m_loop.now();
     const bool isBack = state == SourceState::Reachable;
     m_log.write(LogEvent(isBack ? FleetviewEvent::SourceRegained : FleetviewEvent::SourceLost)
-                    .with("state", std::string(isBack ? "reachable"
-                                                   : state == SourceState::Refusing ? "refusing"
-                                                                                    : "unreachable"))
+                    .with("state",
+                          std::string(isBack                               ? "reachable"
+                                          : state == SourceState::Refusing ? "refusing"
+                                                                           : "unreachable"))
                     .with("revision", m_replica.revision()));
     m_sourceState = state;
 }
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -48,11 +48,12 @@
 Result<void, ListenError> ServingProcess::start()
 {
     const auto open = [this](std::unique_ptr<SmallHttpServer> &server, const Endpoint &address,
-                             SmallAnswer (ServingProcess::*answer)(const RequestHead &) const)
-        -> Result<void, ListenError> {
-        Result<std::unique_ptr<SmallHttpServer>, ListenError> opened = SmallHttpServer::open(
-            m_loop, address,
-            [this, answer](const RequestHead &request) { return (this->*answer)(request); });
+                             SmallAnswer (ServingProcess::*answer)(const RequestHead &)
+                                 const) -> Result<void, ListenError> {
+        Result<std::unique_ptr<SmallHttpServer>, ListenError> opened
+            = SmallHttpServer::open(m_loop, address, [this, answer](const RequestHead &request) {
+                  return (this->*answer)(request);
+              });
         if (!opened)
             return opened.error();
         server = std::move(opened).value();
@@ -60,7 +61,8 @@
     };
     BOOST_OUTCOME_TRY(open(m_control, m_settings.controlAddress, &ServingProcess::answerControl));
     BOOST_OUTCOME_TRY(open(m_lookups, m_settings.lookupAddress, &ServingProcess::answerLookup));
-    BOOST_OUTCOME_TRY(open(m_readiness, m_settings.readinessAddress, &ServingProcess::answerReadiness));
+    BOOST_OUTCOME_TRY(
+        open(m_readiness, m_settings.readinessAddress, &ServingProcess::answerReadiness));
     BOOST_OUTCOME_TRY(m_beacons.start());
     BOOST_OUTCOME_TRY(m_gateway.listen(m_settings.callerAddress));
     m_gateway.setLoadListener([this] { m_beacons.noteChange(); });
@@ -85,7 +87,8 @@
     const auto changed = [this](SourceState state) {
         m_loop.post([this, state] { m_published.setSourceState(state); });
     };
-    m_watcher = std::make_unique<ItemWatcher>(m_settings.itemSource, m_adapters.items, updated, changed);
+    m_watcher
+        = std::make_unique<ItemWatcher>(m_settings.itemSource, m_adapters.items, updated, changed);
 }
 
 void ServingProcess::rankCustomers()
@@ -132,7 +135,9 @@
 SmallAnswer ServingProcess::answerControl(const RequestHead &request) const
 {
     if (request.target == MetricsPath)
-        return {.status = StatusOk, .contentType = "text/plain; version=0.0.4", .body = m_metrics.text()};
+        return {.status = StatusOk,
+                .contentType = "text/plain; version=0.0.4",
+                .body = m_metrics.text()};
     if (const std::optional<Revision> after = askedRevision(request.target)) {
         return {.status = StatusOk,
                 .contentType = "application/json",
@@ -171,8 +176,8 @@
         m_loop.after(EndPause, [this, latest] { endWhenDone(latest); });
         return;
     }
-    m_log.write(LogEvent(FleetviewEvent::ProcessStopped)
-                    .with("open_requests", m_gateway.openRequests()));
+    m_log.write(
+        LogEvent(FleetviewEvent::ProcessStopped).with("open_requests", m_gateway.openRequests()));
     m_loop.stop();
 }
 
--- a/packages/serving/tests/apricothook_published_state_tests.cpp
+++ b/packages/serving/tests/apricothook_published_state_tests.cpp
@@ -31,7 +31,8 @@
     {
         return TargetId(std::string(key.substr(2)));
     }
-    Result<TargetEntry, ItemFault> target(std::string_view key, std::string_view value) const override
+    Result<TargetEntry, ItemFault> target(std::string_view key,
+                                          std::string_view value) const override
     {
         if (value == "bad")
             return ItemFault {"field"};
@@ -94,7 +95,10 @@
         ++revision;
         state.apply({{{key, value, revision}}, false, revision});
     }
-    bool has(const std::string &target) { return gateway.targets().find(TargetId(target)) != nullptr; }
+    bool has(const std::string &target)
+    {
+        return gateway.targets().find(TargetId(target)) != nullptr;
+    }
     void pass(std::chrono::milliseconds time)
     {
         clock.advance(time);
@@ -115,8 +119,8 @@
 
 TEST_CASE("targets whose entries lapse while the source is away are kept until they could return")
 {
-    // Callers are served on. All entries lapse during an outage; the targets live and register again
-    // within two seconds of its end. One that doesn't is gone.
+    // Callers are served on. All entries lapse during an outage; the targets live and register
+    // again within two seconds of its end. One that doesn't is gone.
     Bench bench;
     bench.write("t/a", "ready");
     bench.write("t/b", "ready");
