--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/dispatch/apricothook_customer_limits.hpp>
+#include <apricothook/dispatch/apricothook_customer_allowance.hpp>
 
 #include <apricothook/model/apricothook_hashing.hpp>
 
@@ -18,7 +18,7 @@
     return hashOf(customer.text());
 }
 
-void CustomerLimits::resize(Account &account, const CustomerRule &customer) const
+void CustomerAllowance::resize(Account &account, const CustomerRule &customer) const
 {
     const double rate = customer.ratePerSecond;
     const double window
@@ -29,7 +29,7 @@
     account.size = UsedRoom * (most - window * account.perSecond);
 }
 
-CustomerLimits::Account &CustomerLimits::refilled(const CustomerRule &customer, Instant now)
+CustomerAllowance::Account &CustomerAllowance::refilled(const CustomerRule &customer, Instant now)
 {
     Account &account = m_accounts[customerNumber(customer.name)];
     double seconds = StartSeconds;
@@ -45,13 +45,13 @@
     return account;
 }
 
-void CustomerLimits::prepare(const std::vector<CustomerRule> &customers, Instant now)
+void CustomerAllowance::prepare(const std::vector<CustomerRule> &customers, Instant now)
 {
     for (const CustomerRule &customer : customers)
         refilled(customer, now);
 }
 
-bool CustomerLimits::tryTake(const CustomerRule &customer, double units, Instant now)
+bool CustomerAllowance::tryTake(const CustomerRule &customer, double units, Instant now)
 {
     Account &account = refilled(customer, now);
     const bool isLimited = customer.ratePerSecond > 0;
@@ -63,7 +63,7 @@
     return true;
 }
 
-Duration CustomerLimits::timeUntil(const CustomerRule &customer, double units, Instant now)
+Duration CustomerAllowance::timeUntil(const CustomerRule &customer, double units, Instant now)
 {
     const Account &account = refilled(customer, now);
     const double missing = std::min(units, account.size * m_heardPart) - account.level;
@@ -73,18 +73,18 @@
     return std::chrono::ceil<Duration>(std::chrono::duration<double>(missing / perSecond));
 }
 
-void CustomerLimits::addUseOfOthers(std::uint64_t customer, double units)
+void CustomerAllowance::addUseOfOthers(std::uint64_t customer, double units)
 {
     m_accounts[customer].level -= units;
 }
 
-void CustomerLimits::setMembers(std::size_t heard, std::size_t known)
+void CustomerAllowance::setMembers(std::size_t heard, std::size_t known)
 {
     m_heardPart = static_cast<double>(std::max<std::size_t>(heard, 1))
         / static_cast<double>(std::max<std::size_t>({known, heard, 1}));
 }
 
-std::vector<CustomerUse> CustomerLimits::ownUse() const
+std::vector<CustomerUse> CustomerAllowance::ownUse() const
 {
     std::vector<CustomerUse> use;
     for (const auto &[customer, account] : m_accounts) {
--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_limits.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
@@ -29,7 +29,7 @@
  * The bound is on windows of some seconds and leaves an overshoot and a slack. A bucket of the
  * plain burst would refuse what the bound allows, so this one holds most of that room.
  */
-class CustomerLimits
+class CustomerAllowance
 {
 public:
     /** Part of the room above the rate that is used; the rest is for what beacons tell too late. */
@@ -42,7 +42,7 @@
      */
     static constexpr double StartSeconds = 0.5;
 
-    explicit CustomerLimits(const FleetBounds &bounds) : m_bounds(bounds) { }
+    explicit CustomerAllowance(const FleetBounds &bounds) : m_bounds(bounds) { }
 
     /** Buckets fill from here on, not only from a customer's first request. */
     void prepare(const std::vector<CustomerRule> &customers, Instant now);
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -88,12 +88,13 @@
     const std::uint32_t above = waitingOfOthers(work.service, work.rank, false);
     if (above > 0 && m_targets.room(work.service, now).free <= above)
         return false;
-    const Target *target = m_targets.choose({.service = work.service,
-                                             .size = work.size,
-                                             .untilFirst = work.arrived + work.objective - now,
-                                             .untilEnd = work.deadline - now,
-                                             .excluded = work.excluded},
-                                            now);
+    const BelievedTarget *target
+        = m_targets.choose({.service = work.service,
+                            .size = work.size,
+                            .untilFirst = work.arrived + work.objective - now,
+                            .untilEnd = work.deadline - now,
+                            .excluded = work.excluded},
+                           now);
     if (!target)
         return false;
     m_targets.started(target->entry.id, work.size);
--- a/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
@@ -83,14 +83,14 @@
 };
 
 /** What callers may send and how long they may take. */
-struct CallerLimits
+struct CallerBounds
 {
     std::uint32_t headBytes = 16384;
     std::uint64_t bodyBytes = 4194304;
     Duration headTimeout = std::chrono::seconds(3);
     Duration idleTimeout = std::chrono::seconds(15);
 
-    auto operator<=>(const CallerLimits &) const = default;
+    auto operator<=>(const CallerBounds &) const = default;
 };
 
 /** A released configuration as requests are served under it. */
@@ -100,7 +100,7 @@
     std::vector<RouteRule> routes;
     std::vector<ServiceRule> services;
     std::vector<CustomerRule> customers;
-    CallerLimits limits;
+    CallerBounds limits;
 
     auto operator<=>(const ServingConfiguration &) const = default;
 };
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -50,7 +50,7 @@
 {
     m_targets[entry.id].entry = entry;
     m_numbers[targetNumber(entry.id)] = entry.id;
-    Target &target = m_targets[entry.id];
+    BelievedTarget &target = m_targets[entry.id];
     target.requestsOfOthers = 0;
     for (const auto &[member, loads] : m_loadsOfMembers) {
         for (const TargetLoad &load : loads) {
@@ -66,21 +66,21 @@
     m_numbers.erase(targetNumber(target));
 }
 
-const Target *TargetTable::find(const TargetId &target) const
+const BelievedTarget *TargetTable::find(const TargetId &target) const
 {
     const auto found = m_targets.find(target);
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
-Target *TargetTable::find(const TargetId &target)
+BelievedTarget *TargetTable::find(const TargetId &target)
 {
     const auto found = m_targets.find(target);
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
-std::vector<const Target *> TargetTable::ofService(const ServiceId &service) const
+std::vector<const BelievedTarget *> TargetTable::ofService(const ServiceId &service) const
 {
-    std::vector<const Target *> targets;
+    std::vector<const BelievedTarget *> targets;
     for (const auto &[id, target] : m_targets) {
         if (target.entry.service == service)
             targets.push_back(&target);
@@ -90,7 +90,7 @@
 
 void TargetTable::started(const TargetId &target, const WorkSize &work)
 {
-    if (Target *found = find(target)) {
+    if (BelievedTarget *found = find(target)) {
         ++found->ownRequests;
         found->unreadTokens += work.promptTokens;
     }
@@ -98,7 +98,7 @@
 
 void TargetTable::firstEvent(const TargetId &target, const WorkSize &work, Duration took)
 {
-    if (Target *found = find(target)) {
+    if (BelievedTarget *found = find(target)) {
         found->unreadTokens -= std::min(found->unreadTokens, work.promptTokens);
         found->speed.addFirstEvent(work.promptTokens, took);
     }
@@ -107,7 +107,7 @@
 void TargetTable::ended(const TargetId &target, const WorkSize &work, TargetOutcome outcome,
                         Duration held, bool hadFirstEvent, Instant now)
 {
-    Target *found = find(target);
+    BelievedTarget *found = find(target);
     if (!found)
         return;
     found->ownRequests -= std::min(found->ownRequests, 1U);
@@ -126,7 +126,7 @@
         punish(*found, outcome, now);
 }
 
-void TargetTable::punish(Target &target, TargetOutcome outcome, Instant now)
+void TargetTable::punish(BelievedTarget &target, TargetOutcome outcome, Instant now)
 {
     ++target.failuresInRow;
     // An error may be the request's fault; a missing connection is the target's.
@@ -144,7 +144,7 @@
     const auto change = [this](const std::vector<TargetLoad> &of, bool add) {
         for (const TargetLoad &load : of) {
             const auto number = m_numbers.find(load.target);
-            Target *target = number == m_numbers.end() ? nullptr : find(number->second);
+            BelievedTarget *target = number == m_numbers.end() ? nullptr : find(number->second);
             if (!target)
                 continue;
             target->requestsOfOthers = add
@@ -186,7 +186,7 @@
     Sum firstEvent;
     Sum gap;
     Sum hold;
-    for (const Target *target : ofService(service)) {
+    for (const BelievedTarget *target : ofService(service)) {
         firstEvent.add(target->speed.firstEvent.value());
         gap.add(target->speed.eventGap.value());
         hold.add(target->speed.hold.value());
@@ -194,7 +194,7 @@
     return {firstEvent.meanOr(DefaultFirstEvent), gap.meanOr(DefaultGap), hold.meanOr(DefaultHold)};
 }
 
-TargetTable::Forecast TargetTable::forecast(const Target &target, const WorkSize &work,
+TargetTable::Forecast TargetTable::forecast(const BelievedTarget &target, const WorkSize &work,
                                             const UsualSpeed &usual) const
 {
     const double slowdown = 1 + SlowdownOfEach * target.load();
@@ -209,7 +209,7 @@
     return {first, first + gap * static_cast<double>(work.events)};
 }
 
-double TargetTable::cost(const Target &target, const Forecast &forecast) const
+double TargetTable::cost(const BelievedTarget &target, const Forecast &forecast) const
 {
     const double slots = std::max<double>(target.entry.slots, 1);
     const double used = target.load() / slots;
@@ -220,7 +220,7 @@
     return forecast.whole * scarcity + failure + distance;
 }
 
-const Target *TargetTable::choose(const TargetWish &wish, Instant now) const
+const BelievedTarget *TargetTable::choose(const TargetWish &wish, Instant now) const
 {
     struct Rank
     {
@@ -233,11 +233,11 @@
     const UsualSpeed usual = usualSpeed(wish.service);
     const double untilFirst = milliseconds(wish.untilFirst) * FirstMargin;
     const double untilEnd = milliseconds(wish.untilEnd) * EndMargin;
-    const Target *best = nullptr;
+    const BelievedTarget *best = nullptr;
     Rank bestRank;
     bool fullOneWouldEnd = false;
     bool fullOneIsSound = false;
-    for (const Target *target : ofService(wish.service)) {
+    for (const BelievedTarget *target : ofService(wish.service)) {
         if (target->entry.isDraining || wish.excluded.contains(target->entry.id))
             continue;
         const Forecast expected = forecast(*target, wish.size, usual);
@@ -262,14 +262,14 @@
 
 bool TargetTable::hasOther(const ServiceId &service, const std::set<TargetId> &excluded) const
 {
-    return std::ranges::any_of(ofService(service), [&excluded](const Target *target) {
+    return std::ranges::any_of(ofService(service), [&excluded](const BelievedTarget *target) {
         return !target->entry.isDraining && !excluded.contains(target->entry.id);
     });
 }
 
 bool TargetTable::hasRoom(const ServiceId &service) const
 {
-    return std::ranges::any_of(ofService(service), [](const Target *target) {
+    return std::ranges::any_of(ofService(service), [](const BelievedTarget *target) {
         return !target->entry.isDraining && target->hasRoom();
     });
 }
@@ -277,7 +277,7 @@
 ServiceRoom TargetTable::room(const ServiceId &service, Instant now) const
 {
     ServiceRoom room;
-    for (const Target *target : ofService(service)) {
+    for (const BelievedTarget *target : ofService(service)) {
         if (target->entry.isDraining || target->avoidedUntil > now)
             continue;
         room.slots += target->entry.slots;
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -42,7 +42,7 @@
 };
 
 /** A target with what this daemon believes of it. */
-struct Target
+struct BelievedTarget
 {
     TargetEntry entry;
     std::uint32_t ownRequests = 0;
@@ -91,9 +91,9 @@
 
     void put(const TargetEntry &entry);
     void remove(const TargetId &target);
-    const Target *find(const TargetId &target) const;
-    Target *find(const TargetId &target);
-    std::vector<const Target *> ofService(const ServiceId &service) const;
+    const BelievedTarget *find(const TargetId &target) const;
+    BelievedTarget *find(const TargetId &target);
+    std::vector<const BelievedTarget *> ofService(const ServiceId &service) const;
 
     void started(const TargetId &target, const WorkSize &work);
     void firstEvent(const TargetId &target, const WorkSize &work, Duration took);
@@ -104,7 +104,7 @@
     std::vector<TargetLoad> ownLoad() const;
 
     /** The best target with room; null when there is none or it is better to wait for another. */
-    const Target *choose(const TargetWish &wish, Instant now) const;
+    const BelievedTarget *choose(const TargetWish &wish, Instant now) const;
     /** Some target of the service takes requests and isn't among `excluded`. */
     bool hasOther(const ServiceId &service, const std::set<TargetId> &excluded) const;
     /** Some target has a free slot, even one that is avoided. */
@@ -130,12 +130,13 @@
         double whole = 0;
     };
 
-    Forecast forecast(const Target &target, const WorkSize &work, const UsualSpeed &usual) const;
-    double cost(const Target &target, const Forecast &forecast) const;
-    void punish(Target &target, TargetOutcome outcome, Instant now);
+    Forecast forecast(const BelievedTarget &target, const WorkSize &work,
+                      const UsualSpeed &usual) const;
+    double cost(const BelievedTarget &target, const Forecast &forecast) const;
+    void punish(BelievedTarget &target, TargetOutcome outcome, Instant now);
 
     const DataCentreId m_own;
-    std::map<TargetId, Target> m_targets;
+    std::map<TargetId, BelievedTarget> m_targets;
     std::map<std::uint64_t, TargetId> m_numbers;
     std::map<std::uint64_t, std::vector<TargetLoad>> m_loadsOfMembers;
 };
--- a/packages/dispatch/tests/apricothook_allowance_tests.cpp
+++ b/packages/dispatch/tests/apricothook_allowance_tests.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/dispatch/apricothook_customer_limits.hpp>
+#include <apricothook/dispatch/apricothook_customer_allowance.hpp>
 #include <apricothook/dispatch/apricothook_retry_allowance.hpp>
 
 #include <apricothook/testsupport/apricothook_hand_clock.hpp>
@@ -84,8 +84,8 @@
     const FleetBounds limits = bounds();
     const CustomerRule rule = customer(10'000);
     constexpr std::size_t Daemons = 3;
-    std::vector<CustomerLimits> fleet(Daemons, CustomerLimits(limits));
-    for (CustomerLimits &daemon : fleet) {
+    std::vector<CustomerAllowance> fleet(Daemons, CustomerAllowance(limits));
+    for (CustomerAllowance &daemon : fleet) {
         daemon.setMembers(Daemons, Daemons);
         daemon.prepare({rule}, clock.now());
     }
@@ -130,7 +130,7 @@
     double admitted = 0;
     for (int side = 0; side < 2; ++side) {
         HandClock own;
-        CustomerLimits daemon(limits);
+        CustomerAllowance daemon(limits);
         daemon.setMembers(6, 6);
         daemon.prepare({rule}, own.now());
         own.advance(std::chrono::seconds(60));
@@ -146,7 +146,7 @@
 TEST_CASE("a lower limit is in force at once")
 {
     HandClock clock;
-    CustomerLimits daemon(bounds());
+    CustomerAllowance daemon(bounds());
     daemon.prepare({customer(100'000)}, clock.now());
     clock.advance(std::chrono::seconds(60));
     daemon.prepare({customer(100)}, clock.now());
@@ -160,7 +160,7 @@
 TEST_CASE("a customer without a limit is never refused")
 {
     HandClock clock;
-    CustomerLimits daemon(bounds());
+    CustomerAllowance daemon(bounds());
     for (int i = 0; i < 1000; ++i)
         REQUIRE(daemon.tryTake(customer(0), 1e6, clock.now()));
 }
--- a/packages/fleetview/apricothook/fleetview/apricothook_beacon.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_beacon.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_customer_limits.hpp>
+#include <apricothook/dispatch/apricothook_customer_allowance.hpp>
 #include <apricothook/dispatch/apricothook_dispatcher.hpp>
 #include <apricothook/model/apricothook_endpoint.hpp>
 #include <apricothook/model/apricothook_failure.hpp>
--- a/packages/fleetview/apricothook/fleetview/apricothook_member_table.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/fleetview/apricothook_member_table.hpp>
+#include <apricothook/fleetview/apricothook_beacon_table.hpp>
 
 #include <algorithm>
 #include <tuple>
@@ -22,12 +22,12 @@
 
 } // namespace
 
-MemberTable::MemberTable(MemberId self, Endpoint ownAddress, std::vector<Endpoint> seeds)
+BeaconTable::BeaconTable(MemberId self, Endpoint ownAddress, std::vector<Endpoint> seeds)
     : m_self(std::move(self)), m_own(std::move(ownAddress)), m_seeds(std::move(seeds))
 {
 }
 
-BeaconEffect MemberTable::take(const Beacon &beacon, Instant now)
+BeaconEffect BeaconTable::take(const Beacon &beacon, Instant now)
 {
     BeaconEffect effect;
     if (beacon.member == m_self)
@@ -53,7 +53,7 @@
     return effect;
 }
 
-void MemberTable::noteOthers(const Beacon &beacon, Instant now)
+void BeaconTable::noteOthers(const Beacon &beacon, Instant now)
 {
     for (const Endpoint &address : beacon.others) {
         if (address != m_own)
@@ -61,7 +61,7 @@
     }
 }
 
-std::vector<MemberId> MemberTable::noteSilent(Instant now)
+std::vector<MemberId> BeaconTable::noteSilent(Instant now)
 {
     std::vector<MemberId> silent;
     for (auto &[id, member] : m_members) {
@@ -76,7 +76,7 @@
     return silent;
 }
 
-std::vector<const Member *> MemberTable::heard() const
+std::vector<const Member *> BeaconTable::heard() const
 {
     std::vector<const Member *> heard;
     for (const auto &[id, member] : m_members) {
@@ -86,7 +86,7 @@
     return heard;
 }
 
-std::size_t MemberTable::knownCount(Instant now) const
+std::size_t BeaconTable::knownCount(Instant now) const
 {
     const auto known = std::ranges::count_if(m_members, [now](const auto &entry) {
         return entry.second.isHeard
@@ -95,7 +95,7 @@
     return static_cast<std::size_t>(known) + 1;
 }
 
-std::set<Endpoint> MemberTable::addresses(Instant now) const
+std::set<Endpoint> BeaconTable::addresses(Instant now) const
 {
     std::set<Endpoint> addresses(m_seeds.begin(), m_seeds.end());
     for (const auto &[id, member] : m_members)
--- a/packages/fleetview/apricothook/fleetview/apricothook_member_table.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.hpp
@@ -36,7 +36,7 @@
  * load is forgotten after SilenceLimit; its address is tried for much longer, as it may be cut off
  * only from here.
  */
-class MemberTable
+class BeaconTable
 {
 public:
     /** Five beacons of an idle daemon: loss of one in three hardly ever makes such a gap. */
@@ -51,7 +51,7 @@
     /** Addresses of silent members are tried for so long. */
     static constexpr std::chrono::seconds AddressLimit {60};
 
-    MemberTable(MemberId self, Endpoint ownAddress, std::vector<Endpoint> seeds);
+    BeaconTable(MemberId self, Endpoint ownAddress, std::vector<Endpoint> seeds);
 
     BeaconEffect take(const Beacon &beacon, Instant now);
     /** Members that have just become silent. */
--- a/packages/fleetview/tests/apricothook_member_table_tests.cpp
+++ b/packages/fleetview/tests/apricothook_beacon_table_tests.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/fleetview/apricothook_member_table.hpp>
+#include <apricothook/fleetview/apricothook_beacon_table.hpp>
 
 #include <apricothook/testsupport/apricothook_hand_clock.hpp>
 
@@ -30,7 +30,7 @@
 struct Bench
 {
     HandClock clock;
-    MemberTable members {MemberId("self"), address(1), {address(1), address(10)}};
+    BeaconTable members {MemberId("self"), address(1), {address(1), address(10)}};
     BeaconEffect take(const Beacon &beacon) { return members.take(beacon, clock.now()); }
 };
 
@@ -85,7 +85,7 @@
     CHECK(bench.members.noteSilent(bench.clock.now()).size() == 1);
     CHECK(bench.members.heardCount() == 1);
     CHECK(bench.members.knownCount(bench.clock.now()) == 2);
-    bench.clock.advance(MemberTable::KnownLimit);
+    bench.clock.advance(BeaconTable::KnownLimit);
     CHECK(bench.members.knownCount(bench.clock.now()) == 1);
     CHECK(bench.take(beacon("a", 7, 2, 10)).isBack);
 }
@@ -116,7 +116,7 @@
     bench.take(told);
     CHECK(bench.members.addresses(bench.clock.now())
           == std::set<Endpoint> {address(10), address(20), address(30)});
-    bench.clock.advance(MemberTable::AddressLimit + std::chrono::seconds(1));
+    bench.clock.advance(BeaconTable::AddressLimit + std::chrono::seconds(1));
     bench.members.noteSilent(bench.clock.now());
     CHECK(bench.members.addresses(bench.clock.now()) == std::set<Endpoint> {address(10)});
 }
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/gateway/apricothook_exchange.hpp>
+#include <apricothook/gateway/apricothook_forwarded_request.hpp>
 
 #include <apricothook/gateway/apricothook_gateway_event.hpp>
 
@@ -62,39 +62,39 @@
 
 } // namespace
 
-std::string_view nameOf(ExchangeEnd end)
+std::string_view nameOf(RequestEnd end)
 {
     switch (end) {
-    case ExchangeEnd::Answered:
+    case RequestEnd::Answered:
         return "answered";
-    case ExchangeEnd::NoConfiguration:
+    case RequestEnd::NoConfiguration:
         return "no-configuration";
-    case ExchangeEnd::Leaving:
+    case RequestEnd::Leaving:
         return "leaving";
-    case ExchangeEnd::BadRequest:
+    case RequestEnd::BadRequest:
         return "bad-request";
-    case ExchangeEnd::NoRoute:
+    case RequestEnd::NoRoute:
         return "no-route";
-    case ExchangeEnd::UnknownKey:
+    case RequestEnd::UnknownKey:
         return "unknown-key";
-    case ExchangeEnd::OverLimit:
+    case RequestEnd::OverLimit:
         return "over-limit";
-    case ExchangeEnd::NoRoom:
+    case RequestEnd::NoRoom:
         return "no-room";
-    case ExchangeEnd::TargetsRefused:
+    case RequestEnd::TargetsRefused:
         return "targets-refused";
-    case ExchangeEnd::TargetFailed:
+    case RequestEnd::TargetFailed:
         return "target-failed";
-    case ExchangeEnd::TimedOut:
+    case RequestEnd::TimedOut:
         return "timed-out";
-    case ExchangeEnd::CallerGone:
+    case RequestEnd::CallerGone:
         break;
     }
     return "caller-gone";
 }
 
-Exchange::Exchange(GatewayContext &context, ExchangeId id, ReceivedRequest request,
-                   CallerResponder &responder)
+ForwardedRequest::ForwardedRequest(GatewayContext &context, ExchangeId id, ReceivedRequest request,
+                                   CallerResponder &responder)
     : m_context(context)
     , m_id(id)
     , m_received(std::move(request))
@@ -104,14 +104,14 @@
 {
 }
 
-Exchange::~Exchange()
+ForwardedRequest::~ForwardedRequest()
 {
     m_context.loop.cancel(m_deadlineTimer);
     if (m_attempt)
         m_context.loop.cancel(m_attempt->silence);
 }
 
-void Exchange::begin()
+void ForwardedRequest::begin()
 {
     if (!admit() || !takeLimit())
         return;
@@ -123,32 +123,32 @@
     offer();
 }
 
-bool Exchange::admit()
+bool ForwardedRequest::admit()
 {
-    const Result<CallerRequest, CallerRequestError> request
+    const Result<RequestFields, RequestFieldsError> request
         = m_context.dialect.callerRequest(m_received.head);
     if (!request) {
-        answerOwn(ExchangeEnd::BadRequest, StatusBadRequest, std::nullopt);
+        answerOwn(RequestEnd::BadRequest, StatusBadRequest, std::nullopt);
         return false;
     }
     m_request = request.value();
     m_lastEvent = m_request.lastEvent;
     if (!m_routes) {
-        answerOwn(ExchangeEnd::NoConfiguration, StatusUnavailable, UsualRetryAfter);
+        answerOwn(RequestEnd::NoConfiguration, StatusUnavailable, UsualRetryAfter);
         return false;
     }
     if (m_context.refusesNew) {
-        answerOwn(ExchangeEnd::Leaving, StatusUnavailable, Duration::zero());
+        answerOwn(RequestEnd::Leaving, StatusUnavailable, Duration::zero());
         return false;
     }
     m_route = m_routes->route(m_request.host, m_request.path);
     if (!m_route) {
-        answerOwn(ExchangeEnd::NoRoute, StatusNotFound, std::nullopt);
+        answerOwn(RequestEnd::NoRoute, StatusNotFound, std::nullopt);
         return false;
     }
     m_customer = m_routes->customerOfKey(m_request.customerKey);
     if (!m_customer && m_routes->hasCustomers() && !m_route->isPublic) {
-        answerOwn(ExchangeEnd::UnknownKey, StatusUnauthorized, std::nullopt);
+        answerOwn(RequestEnd::UnknownKey, StatusUnauthorized, std::nullopt);
         return false;
     }
     m_tier = m_customer && m_customer->tier ? *m_customer->tier : m_route->tier;
@@ -161,23 +161,23 @@
     return true;
 }
 
-double Exchange::limitUnits() const
+double ForwardedRequest::limitUnits() const
 {
     if (m_customer->unit == LimitUnit::Requests)
         return 1;
     return static_cast<double>(m_request.totalTokens.value_or(m_customer->plainTokens));
 }
 
-bool Exchange::takeLimit()
+bool ForwardedRequest::takeLimit()
 {
     if (!m_customer || m_context.customers.tryTake(*m_customer, limitUnits(), m_arrived))
         return true;
     const Duration wait = m_context.customers.timeUntil(*m_customer, limitUnits(), m_arrived);
-    answerOwn(ExchangeEnd::OverLimit, StatusTooManyRequests, std::max<Duration>(wait, LimitPause));
+    answerOwn(RequestEnd::OverLimit, StatusTooManyRequests, std::max<Duration>(wait, LimitPause));
     return false;
 }
 
-void Exchange::offer()
+void ForwardedRequest::offer()
 {
     m_waiting = true;
     const bool isFirst = m_sends == 0;
@@ -194,21 +194,21 @@
                                now);
 }
 
-void Exchange::refused(const RefusalFacts &facts)
+void ForwardedRequest::refused(const RefusalFacts &facts)
 {
     m_waiting = false;
     m_refusal = facts;
     if (m_mayHaveRun || m_progress != Progress::Nothing || m_failedAnswer)
         giveUp();
     else
-        answerOwn(ExchangeEnd::NoRoom, StatusUnavailable, facts.retryAfter);
+        answerOwn(RequestEnd::NoRoom, StatusUnavailable, facts.retryAfter);
 }
 
-void Exchange::placed(const TargetEntry &target)
+void ForwardedRequest::placed(const TargetEntry &target)
 {
     m_waiting = false;
     const Instant now = m_context.loop.now();
-    const Target *believed = m_context.targets.find(target.id);
+    const BelievedTarget *believed = m_context.targets.find(target.id);
     m_context.log.write(LogEvent(GatewayEvent::RequestPlaced)
                             .isRoutine()
                             .about(m_request.id)
@@ -225,7 +225,7 @@
     send(target);
 }
 
-void Exchange::send(const TargetEntry &target)
+void ForwardedRequest::send(const TargetEntry &target)
 {
     ++m_sends;
     m_tried.insert(target.id);
@@ -253,13 +253,13 @@
         watchSilence(firstEventLimit());
 }
 
-Duration Exchange::firstEventLimit() const
+Duration ForwardedRequest::firstEventLimit() const
 {
     const Duration expected = m_context.targets.expectedFirstEvent(m_service, m_size);
     return std::max(m_route->objective, SilenceFactor * expected);
 }
 
-void Exchange::watchSilence(Duration limit)
+void ForwardedRequest::watchSilence(Duration limit)
 {
     m_context.loop.cancel(m_attempt->silence);
     m_attempt->silence = m_context.loop.after(limit, [this, limit] {
@@ -277,12 +277,12 @@
     });
 }
 
-bool Exchange::isStreaming() const
+bool ForwardedRequest::isStreaming() const
 {
     return m_route->isStream && m_attempt && m_attempt->head.status == StatusOk;
 }
 
-void Exchange::onAnswerHead(const ResponseHead &head, const TargetVerdict &verdict)
+void ForwardedRequest::onAnswerHead(const ResponseHead &head, const TargetVerdict &verdict)
 {
     m_attempt->hasHead = true;
     m_attempt->head = head;
@@ -305,7 +305,7 @@
     }
 }
 
-void Exchange::onAnswerBody(std::string_view bytes)
+void ForwardedRequest::onAnswerBody(std::string_view bytes)
 {
     if (m_attempt->isNotRun)
         return;
@@ -318,7 +318,7 @@
         passLargeBody();
 }
 
-void Exchange::passLargeBody()
+void ForwardedRequest::passLargeBody()
 {
     if (m_progress == Progress::Nothing)
         passOwnHead({BodyFraming::Kind::Chunked, 0});
@@ -327,7 +327,7 @@
         m_attempt->channel->setReading(false);
 }
 
-void Exchange::passOwnHead(BodyFraming framing)
+void ForwardedRequest::passOwnHead(BodyFraming framing)
 {
     m_progress = Progress::Head;
     m_status = m_attempt->head.status;
@@ -335,7 +335,7 @@
     m_responder.sendHead(m_context.dialect.callerAnswer(m_attempt->head), framing);
 }
 
-void Exchange::passEvents(std::string_view bytes)
+void ForwardedRequest::passEvents(std::string_view bytes)
 {
     const WholeEvents events = m_scanner.take(bytes);
     if (events.count == 0)
@@ -343,7 +343,7 @@
     const Instant now = m_context.loop.now();
     if (!std::exchange(m_attempt->hasFirstEvent, true)) {
         m_context.targets.firstEvent(m_attempt->target.id, m_size, now - m_attempt->started);
-    } else if (Target *target = m_context.targets.find(m_attempt->target.id)) {
+    } else if (BelievedTarget *target = m_context.targets.find(m_attempt->target.id)) {
         target->speed.addGap((now - m_attempt->lastEvent) / static_cast<int>(events.count));
     }
     m_attempt->lastEvent = now;
@@ -357,7 +357,7 @@
         watchSilence(std::max<Duration>(ShortestStall, StallFactor * m_route->gapObjective));
 }
 
-void Exchange::onAnswerComplete()
+void ForwardedRequest::onAnswerComplete()
 {
     if (m_attempt->isNotRun)
         attemptFailed(TargetOutcome::Full, "not-run");
@@ -367,7 +367,7 @@
         completePlain();
 }
 
-void Exchange::completeStream()
+void ForwardedRequest::completeStream()
 {
     if (!m_scanner.rest().empty()) {
         m_mayHaveRun = true;
@@ -377,10 +377,10 @@
     if (m_progress == Progress::Nothing)
         passOwnHead({BodyFraming::Kind::Chunked, 0});
     endAttempt(TargetOutcome::Served);
-    finish(ExchangeEnd::Answered);
+    finish(RequestEnd::Answered);
 }
 
-void Exchange::completePlain()
+void ForwardedRequest::completePlain()
 {
     const bool isFailure = m_attempt->head.status >= FirstServerError;
     if (isFailure && m_progress == Progress::Nothing) {
@@ -393,10 +393,10 @@
         passOwnHead({BodyFraming::Kind::Sized, m_attempt->body.size()});
     m_responder.sendBody(m_attempt->body);
     endAttempt(TargetOutcome::Served);
-    finish(ExchangeEnd::Answered);
+    finish(RequestEnd::Answered);
 }
 
-void Exchange::onAnswerFailed(ChannelFailure failure)
+void ForwardedRequest::onAnswerFailed(ChannelFailure failure)
 {
     if (m_attempt->isNotRun) {
         attemptFailed(TargetOutcome::Full, "not-run");
@@ -406,7 +406,7 @@
     attemptFailed(outcomeOf(failure), causeOf(failure));
 }
 
-void Exchange::attemptFailed(TargetOutcome outcome, std::string_view cause)
+void ForwardedRequest::attemptFailed(TargetOutcome outcome, std::string_view cause)
 {
     const Instant now = m_context.loop.now();
     m_context.log.write(LogEvent(GatewayEvent::AttemptFailed)
@@ -428,7 +428,7 @@
         giveUp();
 }
 
-bool Exchange::mayTryAgain()
+bool ForwardedRequest::mayTryAgain()
 {
     const Instant now = m_context.loop.now();
     const bool allowed = (!m_mayHaveRun || m_route->mayRunAgain()) && m_sends < MostSends
@@ -444,7 +444,7 @@
     return false;
 }
 
-void Exchange::endAttempt(TargetOutcome outcome)
+void ForwardedRequest::endAttempt(TargetOutcome outcome)
 {
     m_context.loop.cancel(m_attempt->silence);
     const Instant now = m_context.loop.now();
@@ -457,24 +457,24 @@
     m_context.roomFreed();
 }
 
-void Exchange::giveUp()
+void ForwardedRequest::giveUp()
 {
     if (m_progress != Progress::Nothing) {
-        abort(ExchangeEnd::TargetFailed);
+        abort(RequestEnd::TargetFailed);
     } else if (m_failedAnswer) {
         m_attempt = std::exchange(m_failedAnswer, std::nullopt);
         passOwnHead({BodyFraming::Kind::Sized, m_attempt->body.size()});
         m_responder.sendBody(m_attempt->body);
         m_attempt.reset();
-        finish(ExchangeEnd::TargetFailed);
+        finish(RequestEnd::TargetFailed);
     } else if (m_mayHaveRun) {
-        answerOwn(ExchangeEnd::TargetFailed, StatusBadGateway, std::nullopt);
+        answerOwn(RequestEnd::TargetFailed, StatusBadGateway, std::nullopt);
     } else {
-        answerOwn(ExchangeEnd::TargetsRefused, StatusUnavailable, UsualRetryAfter);
+        answerOwn(RequestEnd::TargetsRefused, StatusUnavailable, UsualRetryAfter);
     }
 }
 
-void Exchange::onDeadline()
+void ForwardedRequest::onDeadline()
 {
     const Instant now = m_context.loop.now();
     if (m_attempt && now < m_deadline + AnswerOnItsWay) {
@@ -493,14 +493,14 @@
     if (std::exchange(m_waiting, false))
         m_context.dispatcher.withdraw(m_id);
     if (m_progress != Progress::Nothing)
-        abort(ExchangeEnd::TimedOut);
+        abort(RequestEnd::TimedOut);
     else if (m_mayHaveRun)
-        answerOwn(ExchangeEnd::TimedOut, StatusGatewayTimeout, std::nullopt);
+        answerOwn(RequestEnd::TimedOut, StatusGatewayTimeout, std::nullopt);
     else
-        answerOwn(ExchangeEnd::TimedOut, StatusUnavailable, Duration::zero());
+        answerOwn(RequestEnd::TimedOut, StatusUnavailable, Duration::zero());
 }
 
-void Exchange::onCallerGone()
+void ForwardedRequest::onCallerGone()
 {
     if (m_progress == Progress::Ended)
         return;
@@ -514,16 +514,17 @@
     }
     m_progress = Progress::Ended;
     m_context.loop.cancel(m_deadlineTimer);
-    record(ExchangeEnd::CallerGone);
+    record(RequestEnd::CallerGone);
 }
 
-void Exchange::onCallerDrained()
+void ForwardedRequest::onCallerDrained()
 {
     if (m_attempt)
         m_attempt->channel->setReading(true);
 }
 
-void Exchange::answerOwn(ExchangeEnd end, unsigned status, std::optional<Duration> retryAfter)
+void ForwardedRequest::answerOwn(RequestEnd end, unsigned status,
+                                 std::optional<Duration> retryAfter)
 {
     m_status = status;
     m_responder.sendHead(m_context.dialect.ownAnswer(status, m_request.id, retryAfter),
@@ -531,7 +532,7 @@
     finish(end);
 }
 
-void Exchange::finish(ExchangeEnd end)
+void ForwardedRequest::finish(RequestEnd end)
 {
     m_progress = Progress::Ended;
     m_context.loop.cancel(m_deadlineTimer);
@@ -539,7 +540,7 @@
     m_responder.finishAnswer();
 }
 
-void Exchange::abort(ExchangeEnd end)
+void ForwardedRequest::abort(RequestEnd end)
 {
     m_progress = Progress::Ended;
     m_context.loop.cancel(m_deadlineTimer);
@@ -547,16 +548,16 @@
     m_responder.abortAnswer();
 }
 
-void Exchange::record(ExchangeEnd end)
+void ForwardedRequest::record(RequestEnd end)
 {
     const Instant now = m_context.loop.now();
     const bool notRun = !m_mayHaveRun && m_sends == 0;
     GatewayEvent event = notRun ? GatewayEvent::RequestRefused : GatewayEvent::RequestFailed;
     RequestResult result = notRun ? RequestResult::NotRun : RequestResult::Unknown;
-    if (end == ExchangeEnd::Answered) {
+    if (end == RequestEnd::Answered) {
         event = GatewayEvent::RequestAnswered;
         result = RequestResult::Answered;
-    } else if (end == ExchangeEnd::CallerGone) {
+    } else if (end == RequestEnd::CallerGone) {
         event = GatewayEvent::CallerGone;
         result = RequestResult::CallerLeft;
     }
@@ -586,7 +587,7 @@
             .with("expected_wait_ms", m_refusal->expectedWait)
             .with("retry_after_ms", m_refusal->retryAfter);
     }
-    if (end == ExchangeEnd::Answered)
+    if (end == RequestEnd::Answered)
         line.isRoutine();
     m_context.log.write(line);
 }
--- a/packages/gateway/apricothook/gateway/apricothook_exchange.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -12,7 +12,7 @@
 namespace Apricothook {
 
 /** Why a request is refused or fails; the log and docs/OPERATIONS.md name it the same way. */
-enum class ExchangeEnd {
+enum class RequestEnd {
     Answered,
     NoConfiguration,
     Leaving,
@@ -27,7 +27,7 @@
     CallerGone,
 };
 
-std::string_view nameOf(ExchangeEnd end);
+std::string_view nameOf(RequestEnd end);
 
 /**
  * One request of a caller on its way: admission, waiting for a target, the target's answer, and
@@ -36,14 +36,14 @@
  * "Not run" is said only while it is certain: no byte was sent, or every target that got the
  * request stated that it didn't run it. After anything else the caller hears that it may have run.
  */
-class Exchange : public CallerRequestEvents, private TargetAnswerEvents
+class ForwardedRequest : public CallerRequestEvents, private TargetAnswerEvents
 {
 public:
-    Exchange(GatewayContext &context, ExchangeId id, ReceivedRequest request,
-             CallerResponder &responder);
-    ~Exchange() override;
-    Exchange(const Exchange &) = delete;
-    Exchange &operator=(const Exchange &) = delete;
+    ForwardedRequest(GatewayContext &context, ExchangeId id, ReceivedRequest request,
+                     CallerResponder &responder);
+    ~ForwardedRequest() override;
+    ForwardedRequest(const ForwardedRequest &) = delete;
+    ForwardedRequest &operator=(const ForwardedRequest &) = delete;
 
     ExchangeId id() const { return m_id; }
     void begin();
@@ -95,10 +95,10 @@
     bool mayTryAgain();
     void giveUp();
     void onDeadline();
-    void answerOwn(ExchangeEnd end, unsigned status, std::optional<Duration> retryAfter);
-    void abort(ExchangeEnd end);
-    void finish(ExchangeEnd end);
-    void record(ExchangeEnd end);
+    void answerOwn(RequestEnd end, unsigned status, std::optional<Duration> retryAfter);
+    void abort(RequestEnd end);
+    void finish(RequestEnd end);
+    void record(RequestEnd end);
 
     GatewayContext &m_context;
     const ExchangeId m_id;
@@ -106,7 +106,7 @@
     CallerResponder &m_responder;
     const Instant m_arrived;
     std::shared_ptr<const RouteTable> m_routes;
-    CallerRequest m_request;
+    RequestFields m_request;
     const RouteRule *m_route = nullptr;
     const CustomerRule *m_customer = nullptr;
     ServiceId m_service;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -104,8 +104,8 @@
 CallerRequestEvents &Gateway::begin(ReceivedRequest request, CallerResponder &responder)
 {
     const ExchangeId id(++m_lastExchange);
-    auto made = std::make_unique<Exchange>(m_context, id, std::move(request), responder);
-    Exchange &exchange = *made;
+    auto made = std::make_unique<ForwardedRequest>(m_context, id, std::move(request), responder);
+    ForwardedRequest &exchange = *made;
     m_exchanges.emplace(id.value(), std::move(made));
     exchange.begin();
     return exchange;
@@ -113,16 +113,16 @@
 
 void Gateway::release(CallerRequestEvents &events)
 {
-    const auto found = m_exchanges.find(static_cast<Exchange &>(events).id().value());
+    const auto found = m_exchanges.find(static_cast<ForwardedRequest &>(events).id().value());
     if (found == m_exchanges.end())
         return;
-    m_loop.defer([gone = std::shared_ptr<Exchange>(std::move(found->second))] {});
+    m_loop.defer([gone = std::shared_ptr<ForwardedRequest>(std::move(found->second))] {});
     m_exchanges.erase(found);
 }
 
-CallerLimits Gateway::limits() const
+CallerBounds Gateway::limits() const
 {
-    return m_context.routes ? m_context.routes->configuration().limits : CallerLimits();
+    return m_context.routes ? m_context.routes->configuration().limits : CallerBounds();
 }
 
 MessageLimits Gateway::messageLimits() const
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -2,7 +2,7 @@
 
 #include <apricothook/eventloop/apricothook_listener.hpp>
 #include <apricothook/gateway/apricothook_caller_connection.hpp>
-#include <apricothook/gateway/apricothook_exchange.hpp>
+#include <apricothook/gateway/apricothook_forwarded_request.hpp>
 
 #include <list>
 #include <memory>
@@ -40,7 +40,7 @@
 
     TargetTable &targets() { return m_targets; }
     Dispatcher &dispatcher() { return m_dispatcher; }
-    CustomerLimits &customers() { return m_customers; }
+    CustomerAllowance &customers() { return m_customers; }
     /** `changed` is called when this daemon's load or waiting requests have changed. */
     void setLoadListener(std::function<void()> changed) { m_loadChanged = std::move(changed); }
     /** Looks for room for what waits, after the present event. */
@@ -61,18 +61,18 @@
     void accept(int descriptor);
     void connectionClosed(CallerConnection &connection);
     void review();
-    CallerLimits limits() const;
+    CallerBounds limits() const;
 
     EventLoop &m_loop;
     const FleetBounds m_bounds;
     TargetTable m_targets;
-    CustomerLimits m_customers;
+    CustomerAllowance m_customers;
     Dispatcher m_dispatcher;
     ChannelPool m_channels;
     GatewayContext m_context;
     std::unique_ptr<Listener> m_listener;
     std::list<std::unique_ptr<CallerConnection>> m_connections;
-    std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
+    std::unordered_map<std::uint64_t, std::unique_ptr<ForwardedRequest>> m_exchanges;
     std::uint64_t m_lastExchange = 0;
     bool m_leaving = false;
     bool m_reviewPending = false;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_customer_limits.hpp>
+#include <apricothook/dispatch/apricothook_customer_allowance.hpp>
 #include <apricothook/dispatch/apricothook_dispatcher.hpp>
 #include <apricothook/dispatch/apricothook_retry_allowance.hpp>
 #include <apricothook/dispatch/apricothook_route_table.hpp>
@@ -26,7 +26,7 @@
     TargetTable &targets;
     Dispatcher &dispatcher;
     ChannelPool &channels;
-    CustomerLimits &customers;
+    CustomerAllowance &customers;
     /** Null until the first configuration is known. */
     std::shared_ptr<const RouteTable> routes;
     /** Daemons that are believed to serve, this one with them. */
--- a/packages/gateway/apricothook/gateway/apricothook_wire_dialect.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_wire_dialect.hpp
@@ -12,7 +12,7 @@
 namespace Apricothook {
 
 /** What a caller's request says of itself, whatever headers say it. */
-struct CallerRequest
+struct RequestFields
 {
     /** The caller's id of this attempt; the target gets it unchanged and echoes it. */
     RequestKey id;
@@ -31,11 +31,11 @@
     /** The last event of a stream that the caller has already. */
     std::optional<std::uint64_t> lastEvent;
 
-    auto operator<=>(const CallerRequest &) const = default;
+    auto operator<=>(const RequestFields &) const = default;
 };
 
 /** Why a head isn't a request that can be served. */
-enum class CallerRequestError {
+enum class RequestFieldsError {
     NoId,
     BadTarget,
     BadNumber,
@@ -81,7 +81,7 @@
 {
 public:
     virtual ~WireDialect() = default;
-    virtual Result<CallerRequest, CallerRequestError>
+    virtual Result<RequestFields, RequestFieldsError>
     callerRequest(const RequestHead &head) const = 0;
     /** The caller's headers for a target: hop-by-hop and reserved ones replaced. */
     virtual RequestHead targetRequest(const RequestHead &fromCaller,
--- a/packages/gateway/tests/apricothook_test_dialect.cpp
+++ b/packages/gateway/tests/apricothook_test_dialect.cpp
@@ -13,12 +13,12 @@
 
 } // namespace
 
-Result<CallerRequest, CallerRequestError> TestDialect::callerRequest(const RequestHead &head) const
+Result<RequestFields, RequestFieldsError> TestDialect::callerRequest(const RequestHead &head) const
 {
-    CallerRequest request;
+    RequestFields request;
     request.id = RequestKey(valueOf(head.headers, "Id"));
     if (request.id.isEmpty())
-        return CallerRequestError::NoId;
+        return RequestFieldsError::NoId;
     request.host = valueOf(head.headers, "Host");
     request.path = head.target;
     request.customerKey = valueOf(head.headers, "Key");
--- a/packages/gateway/tests/apricothook_test_dialect.hpp
+++ b/packages/gateway/tests/apricothook_test_dialect.hpp
@@ -9,7 +9,7 @@
 class TestDialect : public WireDialect
 {
 public:
-    Result<CallerRequest, CallerRequestError> callerRequest(const RequestHead &head) const override;
+    Result<RequestFields, RequestFieldsError> callerRequest(const RequestHead &head) const override;
     RequestHead targetRequest(const RequestHead &fromCaller,
                               const TargetRequestFields &fields) const override;
     TargetVerdict verdict(const ResponseHead &head) const override;
--- a/packages/http1/apricothook/http1/apricothook_header_list.cpp
+++ b/packages/http1/apricothook/http1/apricothook_header_list.cpp
@@ -64,13 +64,14 @@
 
 void HeaderList::remove(std::string_view name)
 {
-    std::erase_if(m_headers,
-                  [name](const Header &header) { return equalsIgnoringCase(header.name, name); });
+    std::erase_if(m_headers, [name](const HeaderLine &header) {
+        return equalsIgnoringCase(header.name, name);
+    });
 }
 
 std::optional<std::string_view> HeaderList::find(std::string_view name) const
 {
-    for (const Header &header : m_headers) {
+    for (const HeaderLine &header : m_headers) {
         if (equalsIgnoringCase(header.name, name))
             return header.value;
     }
@@ -79,14 +80,16 @@
 
 std::size_t HeaderList::count(std::string_view name) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_headers, [name](const Header &header) { return equalsIgnoringCase(header.name, name); }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_headers, [name](const HeaderLine &header) {
+            return equalsIgnoringCase(header.name, name);
+        }));
 }
 
 void HeaderList::removeHopByHop()
 {
     std::vector<std::string> names(HopByHop.begin(), HopByHop.end());
-    for (const Header &header : m_headers) {
+    for (const HeaderLine &header : m_headers) {
         if (equalsIgnoringCase(header.name, "Connection"))
             forEachToken(header.value, [&](std::string_view token) { names.emplace_back(token); });
     }
--- a/packages/http1/apricothook/http1/apricothook_header_list.hpp
+++ b/packages/http1/apricothook/http1/apricothook_header_list.hpp
@@ -9,12 +9,12 @@
 namespace Apricothook {
 
 /** One header line of an HTTP message. */
-struct Header
+struct HeaderLine
 {
     std::string name;
     std::string value;
 
-    auto operator<=>(const Header &) const = default;
+    auto operator<=>(const HeaderLine &) const = default;
 };
 
 /** Header lines in the order of the message; names compare without case. */
@@ -41,7 +41,7 @@
     auto operator<=>(const HeaderList &) const = default;
 
 private:
-    std::vector<Header> m_headers;
+    std::vector<HeaderLine> m_headers;
 };
 
 /** Compares names of headers and tokens of their values. */
--- a/packages/http1/apricothook/http1/apricothook_message_head.cpp
+++ b/packages/http1/apricothook/http1/apricothook_message_head.cpp
@@ -13,7 +13,7 @@
 
 void appendHeaders(std::string &bytes, const HeaderList &headers, BodyFraming body)
 {
-    for (const Header &header : headers)
+    for (const HeaderLine &header : headers)
         bytes.append(header.name).append(": ").append(header.value).append("\r\n");
     if (body.kind == BodyFraming::Kind::Sized)
         bytes.append("Content-Length: ").append(std::to_string(body.bytes)).append("\r\n");
--- a/packages/serving/apricothook/serving/apricothook_beacon_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_beacon_exchange.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <apricothook/eventloop/apricothook_datagram_socket.hpp>
-#include <apricothook/fleetview/apricothook_member_table.hpp>
+#include <apricothook/fleetview/apricothook_beacon_table.hpp>
 #include <apricothook/fleetview/apricothook_peer_item_fetcher.hpp>
 #include <apricothook/gateway/apricothook_gateway.hpp>
 #include <apricothook/serving/apricothook_published_state.hpp>
@@ -35,7 +35,7 @@
     /** From now on no lookup names this daemon. */
     void startLeaving();
     bool isReady() const { return m_published.hasConfiguration() && !m_leaving; }
-    const MemberTable &members() const { return m_members; }
+    const BeaconTable &members() const { return m_members; }
 
 private:
     void tick();
@@ -52,7 +52,7 @@
     Gateway &m_gateway;
     PublishedState &m_published;
     LogWriter &m_log;
-    MemberTable m_members;
+    BeaconTable m_members;
     PeerItemFetcher m_fetcher;
     std::unique_ptr<DatagramSocket> m_socket;
     std::uint64_t m_sequence = 0;
--- a/packages/serving/apricothook/serving/apricothook_lookup_dialect.hpp
+++ b/packages/serving/apricothook/serving/apricothook_lookup_dialect.hpp
@@ -20,12 +20,12 @@
 };
 
 /** Addresses that a caller may connect to, and how long it may keep them. */
-struct LookupAnswer
+struct LookupEntries
 {
     std::vector<Endpoint> entries;
     std::chrono::seconds keep {};
 
-    auto operator<=>(const LookupAnswer &) const = default;
+    auto operator<=>(const LookupEntries &) const = default;
 };
 
 /** How lookups and readiness are asked and answered, behind one interface. */
@@ -35,7 +35,7 @@
     virtual ~LookupDialect() = default;
     /** Nothing when the request isn't a lookup. */
     virtual std::optional<LookupQuestion> question(const RequestHead &request) const = 0;
-    virtual SmallAnswer answer(const LookupAnswer &answer) const = 0;
+    virtual SmallAnswer answer(const LookupEntries &answer) const = 0;
     virtual bool asksReadiness(const RequestHead &request) const = 0;
 };
 
--- a/packages/serving/apricothook/serving/apricothook_lookup_policy.hpp
+++ b/packages/serving/apricothook/serving/apricothook_lookup_policy.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <apricothook/fleetview/apricothook_member_table.hpp>
+#include <apricothook/fleetview/apricothook_beacon_table.hpp>
 #include <apricothook/serving/apricothook_lookup_dialect.hpp>
 
 #include <map>
--- a/packages/serving/apricothook/serving/apricothook_published_state.cpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.cpp
@@ -107,7 +107,7 @@
 void PublishedState::removeTarget(const TargetId &target, Revision revision)
 {
     const Instant now = m_loop.now();
-    const Target *known = m_gateway.targets().find(target);
+    const BelievedTarget *known = m_gateway.targets().find(target);
     // A target that had announced its leaving has left.
     const bool hold = known && !known->entry.isDraining && mayHaveLapsed(now);
     m_log.write(LogEvent(hold ? FleetviewEvent::RemovalHeld : FleetviewEvent::TargetChanged)
--- a/packages/serving/tests/apricothook_published_state_tests.cpp
+++ b/packages/serving/tests/apricothook_published_state_tests.cpp
@@ -49,9 +49,9 @@
 class NoWire : public WireDialect
 {
 public:
-    Result<CallerRequest, CallerRequestError> callerRequest(const RequestHead &) const override
+    Result<RequestFields, RequestFieldsError> callerRequest(const RequestHead &) const override
     {
-        return CallerRequestError::NoId;
+        return RequestFieldsError::NoId;
     }
     RequestHead targetRequest(const RequestHead &head, const TargetRequestFields &) const override
     {
