--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
@@ -26,16 +26,17 @@
     m_thread.join();
 }
 
-void PeerItemFetcher::fetch(const Endpoint &peer, Revision after)
+bool PeerItemFetcher::fetch(const Endpoint &peer, Revision after)
 {
     {
         const std::lock_guard lock(m_mutex);
         if (m_busy)
-            return;
+            return false;
         m_busy = true;
         m_order = Order {peer, after};
     }
     m_ordered.notify_one();
+    return true;
 }
 
 void PeerItemFetcher::run()
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.hpp
@@ -31,8 +31,8 @@
     PeerItemFetcher(const PeerItemFetcher &) = delete;
     PeerItemFetcher &operator=(const PeerItemFetcher &) = delete;
 
-    /** Does nothing while another fetch runs. */
-    void fetch(const Endpoint &peer, Revision after);
+    /** False, and nothing is done, while another fetch runs. */
+    bool fetch(const Endpoint &peer, Revision after);
 
 private:
     struct Order
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -3,6 +3,8 @@
 #include <apricothook/gateway/apricothook_caller_responder.hpp>
 #include <apricothook/gateway/apricothook_event_stream_scanner.hpp>
 #include <apricothook/gateway/apricothook_gateway_context.hpp>
+#include <apricothook/gateway/apricothook_request_end.hpp>
+#include <apricothook/gateway/internal/apricothook_attempt.hpp>
 
 #include <optional>
 #include <set>
@@ -11,24 +13,6 @@
 
 namespace Apricothook {
 
-/** Why a request is refused or fails; the log and docs/OPERATIONS.md name it the same way. */
-enum class RequestEnd {
-    Answered,
-    NoConfiguration,
-    Leaving,
-    BadRequest,
-    NoRoute,
-    UnknownKey,
-    OverLimit,
-    NoRoom,
-    TargetsRefused,
-    TargetFailed,
-    TimedOut,
-    CallerGone,
-};
-
-std::string_view nameOf(RequestEnd end);
-
 /**
  * One request of a caller on its way: admission, waiting for a target, the target's answer, and
  * another target where the route allows it.
@@ -56,22 +40,6 @@
     /** What the caller has of the answer. */
     enum class Progress { Nothing, Head, Ended };
 
-    /** The send to one target that is under way. */
-    struct Attempt
-    {
-        TargetEntry target;
-        TargetChannel *channel = nullptr;
-        Instant started {};
-        Instant lastEvent {};
-        bool hasHead = false;
-        bool hasFirstEvent = false;
-        /** The target stated that it didn't run the request. */
-        bool isNotRun = false;
-        ResponseHead head;
-        std::string body;
-        TimerId silence = 0;
-    };
-
     void onAnswerHead(const ResponseHead &head, const TargetVerdict &verdict) override;
     void onAnswerBody(std::string_view bytes) override;
     void onAnswerComplete() override;
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
@@ -24,7 +24,7 @@
     m_loop.cancel(m_connectTimer);
 }
 
-void TargetChannel::start(const RequestKey &request, std::string bytes, bool answersHead,
+void TargetChannel::start(const RequestKey &request, std::string_view bytes, bool answersHead,
                           TargetAnswerEvents &events)
 {
     m_request = request;
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
@@ -62,7 +62,7 @@
     TargetChannel &operator=(const TargetChannel &) = delete;
 
     /** `answersHead`: the request's method is HEAD. */
-    void start(const RequestKey &request, std::string bytes, bool answersHead,
+    void start(const RequestKey &request, std::string_view bytes, bool answersHead,
                TargetAnswerEvents &events);
     /** Ends the request; a target drops what it runs when its connection closes. */
     void cancel();
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <apricothook/dispatch/apricothook_serving_configuration.hpp>
+#include <apricothook/eventloop/apricothook_event_loop.hpp>
+#include <apricothook/http1/apricothook_message_head.hpp>
+
+#include <string>
+
+namespace Apricothook {
+
+class TargetChannel;
+
+/** The send to one target that is under way. */
+struct Attempt
+{
+    TargetEntry target;
+    TargetChannel *channel = nullptr;
+    Instant started {};
+    Instant lastEvent {};
+    bool hasHead = false;
+    bool hasFirstEvent = false;
+    /** The target stated that it didn't run the request. */
+    bool isNotRun = false;
+    ResponseHead head;
+    std::string body;
+    TimerId silence = 0;
+};
+
+} // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_beacon_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_beacon_exchange.cpp
@@ -190,11 +190,12 @@
     }
     if (now - *m_behindSince < OwnSourceTime)
         return;
+    if (!m_fetcher.fetch(beacon.itemAddress, own))
+        return;
     m_log.write(LogEvent(FleetviewEvent::ItemsFromPeer)
                     .with("peer", beacon.member.text())
                     .with("own_revision", own)
                     .with("peer_revision", beacon.revision));
-    m_fetcher.fetch(beacon.itemAddress, own);
 }
 
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_lookup_policy.cpp
+++ b/packages/serving/apricothook/serving/apricothook_lookup_policy.cpp
@@ -29,9 +29,9 @@
         const auto region = regions.find(entry.dataCentre);
         return region != regions.end() && region->second == question.region;
     };
-    if (const auto near = select(ready, inDataCentre); near.size() >= EnoughEntries)
+    if (auto near = select(ready, inDataCentre); near.size() >= EnoughEntries)
         return near;
-    if (const auto near = select(ready, inRegion); near.size() >= EnoughEntries)
+    if (auto near = select(ready, inRegion); near.size() >= EnoughEntries)
         return near;
     return select(ready, [](const LookupEntry &) { return true; });
 }
