--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
@@ -1,16 +1,12 @@
 #include <apricothook/fleetview/apricothook_peer_item_fetcher.hpp>
 
+#include <apricothook/http1/apricothook_http_status.hpp>
+
 #include <apricothook/fleetview/apricothook_blocking_http_client.hpp>
 #include <apricothook/fleetview/apricothook_peer_item_protocol.hpp>
 
 namespace Apricothook {
 
-namespace {
-
-constexpr unsigned StatusOk = 200;
-
-} // namespace
-
 PeerItemFetcher::PeerItemFetcher(Fetched fetched)
     : m_fetched(std::move(fetched)), m_thread([this] { run(); })
 {
@@ -58,7 +54,7 @@
 {
     BlockingHttpClient client(order.peer, ConnectTime, m_stopping);
     const std::optional<SourceAnswer> answer = client.get(peerItemsPath(order.after), AnswerTime);
-    if (!answer || answer->status != StatusOk)
+    if (!answer || answer->status != HttpStatus::Ok)
         return;
     Result<ItemUpdate, ItemProtocolError> update = parseItemUpdate(answer->body);
     if (update)
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -1,29 +1,27 @@
 #include <apricothook/gateway/apricothook_caller_connection.hpp>
 
+#include <apricothook/http1/apricothook_http_status.hpp>
+
 #include <utility>
 
 namespace Apricothook {
 
 namespace {
 
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusRequestTimeout = 408;
-constexpr unsigned StatusTooLarge = 413;
-constexpr unsigned StatusHeadersTooLarge = 431;
 constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 unsigned statusOf(MessageError error)
 {
     switch (error) {
     case MessageError::HeadTooLarge:
-        return StatusHeadersTooLarge;
+        return HttpStatus::HeadersTooLarge;
     case MessageError::BodyTooLarge:
-        return StatusTooLarge;
+        return HttpStatus::TooLarge;
     case MessageError::Malformed:
     case MessageError::Truncated:
         break;
     }
-    return StatusBadRequest;
+    return HttpStatus::BadRequest;
 }
 
 } // namespace
@@ -213,12 +211,12 @@
 
 void CallerConnection::onHeadLate()
 {
-    refuseAndLinger(StatusRequestTimeout);
+    refuseAndLinger(HttpStatus::RequestTimeout);
 }
 
 void CallerConnection::onBodyLate()
 {
-    refuseAndLinger(StatusRequestTimeout);
+    refuseAndLinger(HttpStatus::RequestTimeout);
 }
 
 void CallerConnection::onIdle()
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -1,6 +1,9 @@
 #include <apricothook/gateway/apricothook_forwarded_request.hpp>
 
+#include <apricothook/http1/apricothook_http_status.hpp>
+
 #include <apricothook/gateway/apricothook_gateway_event.hpp>
+#include <apricothook/gateway/internal/apricothook_request_record.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -9,17 +12,6 @@
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned FirstRedirect = 300;
-constexpr unsigned FirstServerError = 500;
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusUnauthorized = 401;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusTooManyRequests = 429;
-constexpr unsigned StatusBadGateway = 502;
-constexpr unsigned StatusUnavailable = 503;
-constexpr unsigned StatusGatewayTimeout = 504;
-
 /** Sends of one request to any target, with those that a target refused. */
 constexpr unsigned MostSends = 4;
 /** Body of a plain answer that is kept whole, so that a broken one can be replaced. */
@@ -97,27 +89,27 @@
     const Result<RequestFields, RequestFieldsError> request
         = m_context.dialect.callerRequest(m_received.head);
     if (!request) {
-        answerOwn(RequestEnd::BadRequest, StatusBadRequest, std::nullopt);
+        answerOwn(RequestEnd::BadRequest, HttpStatus::BadRequest, std::nullopt);
         return false;
     }
     m_request = request.value();
     m_lastEvent = m_request.lastEvent;
     if (!m_routes) {
-        answerOwn(RequestEnd::NoConfiguration, StatusUnavailable, UsualRetryAfter);
+        answerOwn(RequestEnd::NoConfiguration, HttpStatus::Unavailable, UsualRetryAfter);
         return false;
     }
     if (m_context.refusesNew) {
-        answerOwn(RequestEnd::Leaving, StatusUnavailable, Duration::zero());
+        answerOwn(RequestEnd::Leaving, HttpStatus::Unavailable, Duration::zero());
         return false;
     }
     m_route = m_routes->route(m_request.host, m_request.path);
     if (!m_route) {
-        answerOwn(RequestEnd::NoRoute, StatusNotFound, std::nullopt);
+        answerOwn(RequestEnd::NoRoute, HttpStatus::NotFound, std::nullopt);
         return false;
     }
     m_customer = m_routes->customerOfKey(m_request.customerKey);
     if (!m_customer && m_routes->hasCustomers() && !m_route->isPublic) {
-        answerOwn(RequestEnd::UnknownKey, StatusUnauthorized, std::nullopt);
+        answerOwn(RequestEnd::UnknownKey, HttpStatus::Unauthorized, std::nullopt);
         return false;
     }
     m_tier = m_customer && m_customer->tier ? *m_customer->tier : m_route->tier;
@@ -142,7 +134,8 @@
     if (!m_customer || m_context.customers.tryTake(*m_customer, limitUnits(), m_arrived))
         return true;
     const Duration wait = m_context.customers.timeUntil(*m_customer, limitUnits(), m_arrived);
-    answerOwn(RequestEnd::OverLimit, StatusTooManyRequests, std::max<Duration>(wait, LimitPause));
+    answerOwn(RequestEnd::OverLimit, HttpStatus::TooManyRequests,
+              std::max<Duration>(wait, LimitPause));
     return false;
 }
 
@@ -170,7 +163,7 @@
     if (m_mayHaveRun || m_progress != Progress::Nothing || m_failedAnswer)
         giveUp();
     else
-        answerOwn(RequestEnd::NoRoom, StatusUnavailable, facts.retryAfter);
+        answerOwn(RequestEnd::NoRoom, HttpStatus::Unavailable, facts.retryAfter);
 }
 
 void ForwardedRequest::placed(const TargetEntry &target)
@@ -248,7 +241,7 @@
 
 bool ForwardedRequest::isStreaming() const
 {
-    return m_route->isStream && m_attempt && m_attempt->head.status == StatusOk;
+    return m_route->isStream && m_attempt && m_attempt->head.status == HttpStatus::Ok;
 }
 
 void ForwardedRequest::onAnswerHead(const ResponseHead &head, const TargetVerdict &verdict)
@@ -260,13 +253,13 @@
         return;
     }
     // An error's body and end would be taken for those of the stream that it should go on with.
-    if (m_progress != Progress::Nothing && head.status != StatusOk) {
+    if (m_progress != Progress::Nothing && head.status != HttpStatus::Ok) {
         m_attempt->channel->cancel();
         m_mayHaveRun = true;
         attemptFailed(TargetOutcome::Failed, "not-resumed");
         return;
     }
-    const bool isSuccess = head.status >= StatusOk && head.status < FirstRedirect;
+    const bool isSuccess = head.status >= HttpStatus::Ok && head.status < HttpStatus::FirstRedirect;
     if (isSuccess && (!verdict.isSigned || head.headers.find("Content-Encoding"))) {
         m_attempt->channel->cancel();
         m_mayHaveRun = true;
@@ -351,7 +344,7 @@
 
 void ForwardedRequest::completePlain()
 {
-    const bool isFailure = m_attempt->head.status >= FirstServerError;
+    const bool isFailure = m_attempt->head.status >= HttpStatus::FirstServerError;
     if (isFailure && m_progress == Progress::Nothing) {
         m_mayHaveRun = true;
         m_failedAnswer = m_attempt;
@@ -437,9 +430,9 @@
         m_attempt.reset();
         finish(RequestEnd::TargetFailed);
     } else if (m_mayHaveRun) {
-        answerOwn(RequestEnd::TargetFailed, StatusBadGateway, std::nullopt);
+        answerOwn(RequestEnd::TargetFailed, HttpStatus::BadGateway, std::nullopt);
     } else {
-        answerOwn(RequestEnd::TargetsRefused, StatusUnavailable, UsualRetryAfter);
+        answerOwn(RequestEnd::TargetsRefused, HttpStatus::Unavailable, UsualRetryAfter);
     }
 }
 
@@ -464,9 +457,9 @@
     if (m_progress != Progress::Nothing)
         abort(RequestEnd::TimedOut);
     else if (m_mayHaveRun)
-        answerOwn(RequestEnd::TimedOut, StatusGatewayTimeout, std::nullopt);
+        answerOwn(RequestEnd::TimedOut, HttpStatus::GatewayTimeout, std::nullopt);
     else
-        answerOwn(RequestEnd::TimedOut, StatusUnavailable, Duration::zero());
+        answerOwn(RequestEnd::TimedOut, HttpStatus::Unavailable, Duration::zero());
 }
 
 void ForwardedRequest::onCallerGone()
@@ -520,45 +513,25 @@
 void ForwardedRequest::record(RequestEnd end)
 {
     const Instant now = m_context.loop.now();
-    const bool notRun = !m_mayHaveRun && m_sends == 0;
-    GatewayEvent event = notRun ? GatewayEvent::RequestRefused : GatewayEvent::RequestFailed;
-    RequestResult result = notRun ? RequestResult::NotRun : RequestResult::Unknown;
-    if (end == RequestEnd::Answered) {
-        event = GatewayEvent::RequestAnswered;
-        result = RequestResult::Answered;
-    } else if (end == RequestEnd::CallerGone) {
-        event = GatewayEvent::CallerGone;
-        result = RequestResult::CallerLeft;
-    }
-    const RequestLabels labels {m_tier, m_route ? m_route->name : ClassId(),
-                                m_customer ? m_customer->name : CustomerId()};
-    m_context.metrics.requestEnded(labels, result, now - m_arrived);
-    if (m_firstAnswer)
-        m_context.metrics.firstToken(labels, *m_firstAnswer - m_arrived);
-    LogEvent line = LogEvent(event).about(m_request.id).with("end", std::string(nameOf(end)));
-    line.with("status", m_status)
-        .with("route", m_route ? m_route->name.text() : std::string())
-        .with("customer", m_customer ? m_customer->name.text() : std::string())
-        .with("service", m_service.text())
-        .with("tier", m_tier.rank())
-        .with("sends", m_sends)
-        .with("took_ms", now - m_arrived)
-        .with("left_ms", m_deadline - now)
-        .with("generation",
-              m_routes ? m_routes->configuration().generation.value() : std::uint64_t());
+    RequestRecord record {
+        .end = end,
+        .id = m_request.id,
+        .route = m_route ? m_route->name : ClassId(),
+        .customer = m_customer ? m_customer->name : CustomerId(),
+        .service = m_service,
+        .tier = m_tier,
+        .generation = m_routes ? m_routes->configuration().generation : Generation(),
+        .status = m_status,
+        .sends = m_sends,
+        .mayHaveRun = m_mayHaveRun,
+        .took = now - m_arrived,
+        .left = m_deadline - now,
+        .first = std::nullopt,
+        .refusal = m_refusal,
+    };
     if (m_firstAnswer)
-        line.with("first_ms", *m_firstAnswer - m_arrived);
-    if (m_refusal) {
-        line.with("slots", m_refusal->room.slots)
-            .with("free", m_refusal->room.free)
-            .with("ahead", m_refusal->ahead)
-            .with("hold_ms", m_refusal->room.meanHold)
-            .with("expected_wait_ms", m_refusal->expectedWait)
-            .with("retry_after_ms", m_refusal->retryAfter);
-    }
-    if (end == RequestEnd::Answered)
-        line.isRoutine();
-    m_context.log.write(line);
+        record.first = *m_firstAnswer - m_arrived;
+    recordRequest(record, m_context.log, m_context.metrics);
 }
 
 } // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
@@ -0,0 +1,66 @@
+#include <apricothook/gateway/internal/apricothook_request_record.hpp>
+
+#include <apricothook/gateway/apricothook_gateway_event.hpp>
+
+namespace Apricothook {
+
+namespace {
+
+GatewayEvent eventOf(const RequestRecord &record)
+{
+    if (record.end == RequestEnd::Answered)
+        return GatewayEvent::RequestAnswered;
+    if (record.end == RequestEnd::CallerGone)
+        return GatewayEvent::CallerGone;
+    return record.mayHaveRun ? GatewayEvent::RequestFailed : GatewayEvent::RequestRefused;
+}
+
+RequestResult resultOf(const RequestRecord &record)
+{
+    if (record.end == RequestEnd::Answered)
+        return RequestResult::Answered;
+    if (record.end == RequestEnd::CallerGone)
+        return RequestResult::CallerLeft;
+    return record.mayHaveRun ? RequestResult::Unknown : RequestResult::NotRun;
+}
+
+void addRefusal(LogEvent &line, const RefusalFacts &refusal)
+{
+    line.with("slots", refusal.room.slots)
+        .with("free", refusal.room.free)
+        .with("ahead", refusal.ahead)
+        .with("hold_ms", refusal.room.meanHold)
+        .with("expected_wait_ms", refusal.expectedWait)
+        .with("retry_after_ms", refusal.retryAfter);
+}
+
+} // namespace
+
+void recordRequest(const RequestRecord &record, LogWriter &log, Metrics &metrics)
+{
+    const RequestLabels labels {record.tier, record.route, record.customer};
+    metrics.requestEnded(labels, resultOf(record), record.took);
+    if (record.first)
+        metrics.firstToken(labels, *record.first);
+    LogEvent line(eventOf(record));
+    line.about(record.id)
+        .with("end", std::string(nameOf(record.end)))
+        .with("status", record.status)
+        .with("route", record.route.text())
+        .with("customer", record.customer.text())
+        .with("service", record.service.text())
+        .with("tier", record.tier.rank())
+        .with("sends", record.sends)
+        .with("took_ms", record.took)
+        .with("left_ms", record.left)
+        .with("generation", record.generation.value());
+    if (record.first)
+        line.with("first_ms", *record.first);
+    if (record.refusal)
+        addRefusal(line, *record.refusal);
+    if (record.end == RequestEnd::Answered)
+        line.isRoutine();
+    log.write(line);
+}
+
+} // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -1,5 +1,7 @@
 #include <apricothook/serving/apricothook_serving_process.hpp>
 
+#include <apricothook/http1/apricothook_http_status.hpp>
+
 #include <apricothook/fleetview/apricothook_fleetview_event.hpp>
 #include <apricothook/fleetview/apricothook_peer_item_protocol.hpp>
 
@@ -9,9 +11,6 @@
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusUnavailable = 503;
 constexpr std::string_view MetricsPath = "/metrics";
 constexpr std::chrono::seconds RankPause {1};
 /** Between looks whether a stopping process has ended its requests. */
@@ -117,33 +116,33 @@
 {
     const std::optional<LookupQuestion> question = m_adapters.lookups.question(request);
     if (!question)
-        return statusAlone(StatusNotFound);
+        return statusAlone(HttpStatus::NotFound);
     const std::vector<Endpoint> entries
         = nearEntries(readyEntries(), m_settings.regions, *question);
     if (entries.empty())
-        return statusAlone(StatusUnavailable);
+        return statusAlone(HttpStatus::Unavailable);
     return m_adapters.lookups.answer({entries, LookupKeep});
 }
 
 SmallAnswer ServingProcess::answerReadiness(const RequestHead &request) const
 {
     if (!m_adapters.lookups.asksReadiness(request))
-        return statusAlone(StatusNotFound);
-    return statusAlone(m_beacons.isReady() ? StatusOk : StatusUnavailable);
+        return statusAlone(HttpStatus::NotFound);
+    return statusAlone(m_beacons.isReady() ? HttpStatus::Ok : HttpStatus::Unavailable);
 }
 
 SmallAnswer ServingProcess::answerControl(const RequestHead &request) const
 {
     if (request.target == MetricsPath)
-        return {.status = StatusOk,
+        return {.status = HttpStatus::Ok,
                 .contentType = "text/plain; version=0.0.4",
                 .body = m_metrics.text()};
     if (const std::optional<Revision> after = askedRevision(request.target)) {
-        return {.status = StatusOk,
+        return {.status = HttpStatus::Ok,
                 .contentType = "application/json",
                 .body = writeItemUpdate(m_published.replica().since(*after))};
     }
-    return statusAlone(StatusNotFound);
+    return statusAlone(HttpStatus::NotFound);
 }
 
 void ServingProcess::startStopping()
