--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -28,9 +28,7 @@
 constexpr std::chrono::milliseconds ShortestStall {1000};
 /** The same in pauses that are still on time. */
 constexpr int StallFactor = 4;
-/** Shortest time after which a customer over its limit is asked to come back. */
-constexpr std::chrono::milliseconds LimitPause {100};
-/** When there is nothing to reckon with. */
+/** After each target refused: they were full a moment ago. */
 constexpr std::chrono::milliseconds UsualRetryAfter {500};
 
 TargetOutcome outcomeOf(ChannelFailure failure)
@@ -61,7 +59,6 @@
     , m_received(std::move(request))
     , m_responder(responder)
     , m_arrived(context.loop.now())
-    , m_routes(context.routes)
 {
 }
 
@@ -74,84 +71,35 @@
 
 void ForwardedRequest::begin()
 {
-    if (!admit() || !takeLimit())
+    const Result<void, AdmissionRefusal> admitted = admit(m_received.head, m_context, m_admitted);
+    m_lastEvent = m_admitted.fields.lastEvent;
+    if (!admitted) {
+        const AdmissionRefusal &refusal = admitted.error();
+        answerOwn(refusal.end, refusal.status, refusal.retryAfter);
         return;
-    m_deadlineTimer = m_context.loop.after(m_deadline - m_arrived, [this] {
+    }
+    m_deadlineTimer = m_context.loop.after(m_admitted.deadline - m_arrived, [this] {
         m_deadlineTimer = 0;
         onDeadline();
     });
-    m_context.retriesOf(m_service).countRequest(m_arrived);
+    m_context.retriesOf(m_admitted.service).countRequest(m_arrived);
     offer();
 }
 
-bool ForwardedRequest::admit()
-{
-    const Result<RequestFields, RequestFieldsError> request
-        = m_context.dialect.callerRequest(m_received.head);
-    if (!request) {
-        answerOwn(RequestEnd::BadRequest, HttpStatus::BadRequest, std::nullopt);
-        return false;
-    }
-    m_request = request.value();
-    m_lastEvent = m_request.lastEvent;
-    if (!m_routes) {
-        answerOwn(RequestEnd::NoConfiguration, HttpStatus::Unavailable, UsualRetryAfter);
-        return false;
-    }
-    if (m_context.refusesNew) {
-        answerOwn(RequestEnd::Leaving, HttpStatus::Unavailable, Duration::zero());
-        return false;
-    }
-    m_route = m_routes->route(m_request.host, m_request.path);
-    if (!m_route) {
-        answerOwn(RequestEnd::NoRoute, HttpStatus::NotFound, std::nullopt);
-        return false;
-    }
-    m_customer = m_routes->customerOfKey(m_request.customerKey);
-    if (!m_customer && m_routes->hasCustomers() && !m_route->isPublic) {
-        answerOwn(RequestEnd::UnknownKey, HttpStatus::Unauthorized, std::nullopt);
-        return false;
-    }
-    m_tier = m_customer && m_customer->tier ? *m_customer->tier : m_route->tier;
-    m_service = serviceOf(*m_route, m_context.random.next());
-    const ServiceRule *service = m_routes->service(m_service);
-    const std::uint64_t perEvent = service ? std::max(service->tokensPerEvent, 1U) : 1;
-    m_size = {m_request.promptTokens, m_request.expectedOutputTokens / perEvent, m_route->isStream};
-    const Duration patience = m_request.patience.value_or(m_route->timeout);
-    m_deadline = m_arrived + std::min(patience, m_route->timeout);
-    return true;
-}
-
-double ForwardedRequest::limitUnits() const
-{
-    if (m_customer->unit == LimitUnit::Requests)
-        return 1;
-    return static_cast<double>(m_request.totalTokens.value_or(m_customer->plainTokens));
-}
-
-bool ForwardedRequest::takeLimit()
-{
-    if (!m_customer || m_context.customers.tryTake(*m_customer, limitUnits(), m_arrived))
-        return true;
-    const Duration wait = m_context.customers.timeUntil(*m_customer, limitUnits(), m_arrived);
-    answerOwn(RequestEnd::OverLimit, HttpStatus::TooManyRequests,
-              std::max<Duration>(wait, LimitPause));
-    return false;
-}
-
 void ForwardedRequest::offer()
 {
     m_waiting = true;
     const bool isFirst = m_sends == 0;
     const Instant now = m_context.loop.now();
-    const Tier urgency = m_context.urgency.tierOf(m_service, m_route->name, m_route->tier);
+    const Tier urgency = m_context.urgency.tierOf(m_admitted.service, m_admitted.route->name,
+                                                  m_admitted.route->tier);
     m_context.dispatcher.offer({.exchange = m_id,
-                                .service = m_service,
-                                .rank = {m_tier, urgency},
-                                .size = m_size,
+                                .service = m_admitted.service,
+                                .rank = {m_admitted.tier, urgency},
+                                .size = m_admitted.size,
                                 .arrived = isFirst ? m_arrived : now,
-                                .objective = m_route->objective,
-                                .deadline = m_deadline,
+                                .objective = m_admitted.route->objective,
+                                .deadline = m_admitted.deadline,
                                 .excluded = m_tried},
                                now);
 }
@@ -173,17 +121,17 @@
     const BelievedTarget *believed = m_context.targets.find(target.id);
     m_context.log.write(LogEvent(GatewayEvent::RequestPlaced)
                             .isRoutine()
-                            .about(m_request.id)
+                            .about(m_admitted.fields.id)
                             .with("target", target.id.text())
                             .with("own_load", believed ? believed->ownRequests : 0)
                             .with("others_load", believed ? believed->requestsOfOthers : 0)
                             .with("slots", target.slots)
                             .with("attempt", m_sends + 1)
-                            .with("prompt", m_size.promptTokens)
-                            .with("events", m_size.events)
+                            .with("prompt", m_admitted.size.promptTokens)
+                            .with("events", m_admitted.size.events)
                             .with("waited_ms", now - m_arrived)
-                            .with("left_ms", m_deadline - now)
-                            .with("generation", m_routes->configuration().generation.value()));
+                            .with("left_ms", m_admitted.deadline - now)
+                            .with("generation", m_admitted.generation().value()));
     send(target);
 }
 
@@ -193,9 +141,9 @@
     m_tried.insert(target.id);
     const Instant now = m_context.loop.now();
     const TargetRequestFields fields {
-        .patience = std::max(m_deadline - now, Duration::zero()),
+        .patience = std::max(m_admitted.deadline - now, Duration::zero()),
         .target = target.id,
-        .customer = m_customer ? m_customer->name : CustomerId(),
+        .customer = m_admitted.customer ? m_admitted.customer->name : CustomerId(),
         .lastEvent = m_lastEvent,
     };
     const RequestHead head = m_context.dialect.targetRequest(m_received.head, fields);
@@ -208,17 +156,19 @@
     m_attempt->target = target;
     m_attempt->started = now;
     m_attempt->lastEvent = now;
-    m_attempt->channel = &m_context.channels.acquire(target, m_route->mayRunAgain());
-    m_attempt->channel->start(m_request.id, writeRequestHead(head, framing) + m_received.body,
+    m_attempt->channel = &m_context.channels.acquire(target, m_admitted.route->mayRunAgain());
+    m_attempt->channel->start(m_admitted.fields.id,
+                              writeRequestHead(head, framing) + m_received.body,
                               m_received.head.method == "HEAD", *this);
-    if (m_route->mayRunAgain())
+    if (m_admitted.route->mayRunAgain())
         watchSilence(firstEventLimit());
 }
 
 Duration ForwardedRequest::firstEventLimit() const
 {
-    const Duration expected = m_context.targets.expectedFirstEvent(m_service, m_size);
-    return std::max(m_route->objective, SilenceFactor * expected);
+    const Duration expected
+        = m_context.targets.expectedFirstEvent(m_admitted.service, m_admitted.size);
+    return std::max(m_admitted.route->objective, SilenceFactor * expected);
 }
 
 void ForwardedRequest::watchSilence(Duration limit)
@@ -227,7 +177,8 @@
     m_attempt->silence = m_context.loop.after(limit, [this, limit] {
         m_attempt->silence = 0;
         // Without another target the request stays where it is: a late answer is still one.
-        if (!m_route->mayRunAgain() || m_runs + 1 >= m_route->maximumAttempts || !mayTryAgain()) {
+        if (!m_admitted.route->mayRunAgain() || m_runs + 1 >= m_admitted.route->maximumAttempts
+            || !mayTryAgain()) {
             watchSilence(limit);
             return;
         }
@@ -241,7 +192,7 @@
 
 bool ForwardedRequest::isStreaming() const
 {
-    return m_route->isStream && m_attempt && m_attempt->head.status == HttpStatus::Ok;
+    return m_admitted.route->isStream && m_attempt && m_attempt->head.status == HttpStatus::Ok;
 }
 
 void ForwardedRequest::onAnswerHead(const ResponseHead &head, const TargetVerdict &verdict)
@@ -304,7 +255,8 @@
         return;
     const Instant now = m_context.loop.now();
     if (!std::exchange(m_attempt->hasFirstEvent, true)) {
-        m_context.targets.firstEvent(m_attempt->target.id, m_size, now - m_attempt->started);
+        m_context.targets.firstEvent(m_attempt->target.id, m_admitted.size,
+                                     now - m_attempt->started);
     } else if (BelievedTarget *target = m_context.targets.find(m_attempt->target.id)) {
         target->speed.addGap((now - m_attempt->lastEvent) / static_cast<int>(events.count));
     }
@@ -315,8 +267,9 @@
     m_lastEvent = events.lastId ? events.lastId : m_lastEvent;
     if (m_responder.unsentBytes() > MostUnsentBytes)
         m_attempt->channel->setReading(false);
-    if (m_route->mayRunAgain())
-        watchSilence(std::max<Duration>(ShortestStall, StallFactor * m_route->gapObjective));
+    if (m_admitted.route->mayRunAgain())
+        watchSilence(
+            std::max<Duration>(ShortestStall, StallFactor * m_admitted.route->gapObjective));
 }
 
 void ForwardedRequest::onAnswerComplete()
@@ -372,14 +325,14 @@
 {
     const Instant now = m_context.loop.now();
     m_context.log.write(LogEvent(GatewayEvent::AttemptFailed)
-                            .about(m_request.id)
+                            .about(m_admitted.fields.id)
                             .with("target", m_attempt->target.id.text())
                             .with("cause", std::string(cause))
                             .with("status", m_attempt->head.status)
                             .with("attempt", m_sends)
                             .with("may_have_run", m_mayHaveRun)
                             .with("took_ms", now - m_attempt->started)
-                            .with("left_ms", m_deadline - now));
+                            .with("left_ms", m_admitted.deadline - now));
     // What never connected didn't arrive: it counts neither as a run nor as a repeated send.
     const bool arrived = cause != causeOf(ChannelFailure::NotConnected);
     m_runs += arrived && outcome != TargetOutcome::Full ? 1 : 0;
@@ -393,15 +346,16 @@
 bool ForwardedRequest::mayTryAgain()
 {
     const Instant now = m_context.loop.now();
-    const bool allowed = (!m_mayHaveRun || m_route->mayRunAgain()) && m_sends < MostSends
-        && m_runs < std::max(m_route->maximumAttempts, 1U) && m_deadline - now > LeastTimeToTry;
+    const bool allowed = (!m_mayHaveRun || m_admitted.route->mayRunAgain()) && m_sends < MostSends
+        && m_runs < std::max(m_admitted.route->maximumAttempts, 1U)
+        && m_admitted.deadline - now > LeastTimeToTry;
     if (!allowed)
         return false;
-    if (m_context.retriesOf(m_service).tryTake(now, m_context.members))
+    if (m_context.retriesOf(m_admitted.service).tryTake(now, m_context.members))
         return true;
     m_context.log.write(LogEvent(GatewayEvent::RetryDenied)
-                            .about(m_request.id)
-                            .with("service", m_service.text())
+                            .about(m_admitted.fields.id)
+                            .with("service", m_admitted.service.text())
                             .with("members", m_context.members));
     return false;
 }
@@ -410,11 +364,11 @@
 {
     m_context.loop.cancel(m_attempt->silence);
     const Instant now = m_context.loop.now();
-    m_context.targets.ended(m_attempt->target.id, m_size, outcome, now - m_attempt->started,
-                            m_attempt->hasFirstEvent, now);
+    m_context.targets.ended(m_attempt->target.id, m_admitted.size, outcome,
+                            now - m_attempt->started, m_attempt->hasFirstEvent, now);
     if (outcome == TargetOutcome::Served)
-        m_context.urgency.noteHold(m_service, m_route->name, m_route->tier,
-                                   now - m_attempt->started);
+        m_context.urgency.noteHold(m_admitted.service, m_admitted.route->name,
+                                   m_admitted.route->tier, now - m_attempt->started);
     m_attempt.reset();
     m_context.roomFreed();
 }
@@ -439,8 +393,8 @@
 void ForwardedRequest::onDeadline()
 {
     const Instant now = m_context.loop.now();
-    if (m_attempt && now < m_deadline + AnswerOnItsWay) {
-        m_deadlineTimer = m_context.loop.after(m_deadline + AnswerOnItsWay - now, [this] {
+    if (m_attempt && now < m_admitted.deadline + AnswerOnItsWay) {
+        m_deadlineTimer = m_context.loop.after(m_admitted.deadline + AnswerOnItsWay - now, [this] {
             m_deadlineTimer = 0;
             onDeadline();
         });
@@ -489,7 +443,7 @@
                                  std::optional<Duration> retryAfter)
 {
     m_status = status;
-    m_responder.sendHead(m_context.dialect.ownAnswer(status, m_request.id, retryAfter),
+    m_responder.sendHead(m_context.dialect.ownAnswer(status, m_admitted.fields.id, retryAfter),
                          {BodyFraming::Kind::Sized, 0});
     finish(end);
 }
@@ -515,17 +469,17 @@
     const Instant now = m_context.loop.now();
     RequestRecord record {
         .end = end,
-        .id = m_request.id,
-        .route = m_route ? m_route->name : ClassId(),
-        .customer = m_customer ? m_customer->name : CustomerId(),
-        .service = m_service,
-        .tier = m_tier,
-        .generation = m_routes ? m_routes->configuration().generation : Generation(),
+        .id = m_admitted.fields.id,
+        .route = m_admitted.route ? m_admitted.route->name : ClassId(),
+        .customer = m_admitted.customer ? m_admitted.customer->name : CustomerId(),
+        .service = m_admitted.service,
+        .tier = m_admitted.tier,
+        .generation = m_admitted.generation(),
         .status = m_status,
         .sends = m_sends,
         .mayHaveRun = m_mayHaveRun,
         .took = now - m_arrived,
-        .left = m_deadline - now,
+        .left = m_admitted.deadline - now,
         .first = std::nullopt,
         .refusal = m_refusal,
     };
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -5,6 +5,7 @@
 #include <apricothook/gateway/apricothook_gateway_context.hpp>
 #include <apricothook/gateway/apricothook_request_end.hpp>
 #include <apricothook/gateway/internal/apricothook_attempt.hpp>
+#include <apricothook/gateway/internal/apricothook_request_admission.hpp>
 
 #include <optional>
 #include <set>
@@ -45,9 +46,6 @@
     void onAnswerComplete() override;
     void onAnswerFailed(ChannelFailure failure) override;
 
-    bool admit();
-    double limitUnits() const;
-    bool takeLimit();
     void offer();
     void send(const TargetEntry &target);
     void watchSilence(Duration limit);
@@ -73,14 +71,7 @@
     const ReceivedRequest m_received;
     CallerResponder &m_responder;
     const Instant m_arrived;
-    std::shared_ptr<const RouteTable> m_routes;
-    RequestFields m_request;
-    const RouteRule *m_route = nullptr;
-    const CustomerRule *m_customer = nullptr;
-    ServiceId m_service;
-    Tier m_tier;
-    WorkSize m_size;
-    Instant m_deadline {};
+    AdmittedRequest m_admitted;
     TimerId m_deadlineTimer = 0;
     Progress m_progress = Progress::Nothing;
     bool m_waiting = false;
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.cpp
@@ -0,0 +1,89 @@
+#include <apricothook/gateway/internal/apricothook_request_admission.hpp>
+
+#include <apricothook/http1/apricothook_http_status.hpp>
+
+#include <algorithm>
+
+namespace Apricothook {
+
+namespace {
+
+/** When there is nothing to reckon with. */
+constexpr std::chrono::milliseconds UsualRetryAfter {500};
+/** Shortest time after which a customer over its limit is asked to come back. */
+constexpr std::chrono::milliseconds LimitPause {100};
+
+Result<void, AdmissionRefusal> findRoute(GatewayContext &context, AdmittedRequest &request)
+{
+    const RouteTable &routes = *request.routes;
+    request.route = routes.route(request.fields.host, request.fields.path);
+    if (!request.route)
+        return AdmissionRefusal {RequestEnd::NoRoute, HttpStatus::NotFound, std::nullopt};
+    request.customer = routes.customerOfKey(request.fields.customerKey);
+    if (!request.customer && routes.hasCustomers() && !request.route->isPublic)
+        return AdmissionRefusal {RequestEnd::UnknownKey, HttpStatus::Unauthorized, std::nullopt};
+    request.service = serviceOf(*request.route, context.random.next());
+    return Outcomes::success();
+}
+
+void describeWork(Instant arrived, AdmittedRequest &request)
+{
+    const RouteRule &route = *request.route;
+    const bool hasTier = request.customer && request.customer->tier;
+    request.tier = hasTier ? *request.customer->tier : route.tier;
+    const ServiceRule *service = request.routes->service(request.service);
+    const std::uint64_t perEvent = service ? std::max(service->tokensPerEvent, 1U) : 1;
+    request.size = {request.fields.promptTokens, request.fields.expectedOutputTokens / perEvent,
+                    route.isStream};
+    const Duration patience = request.fields.patience.value_or(route.timeout);
+    request.deadline = arrived + std::min(patience, route.timeout);
+}
+
+double limitUnits(const AdmittedRequest &request)
+{
+    if (request.customer->unit == LimitUnit::Requests)
+        return 1;
+    return static_cast<double>(request.fields.totalTokens.value_or(request.customer->plainTokens));
+}
+
+Result<void, AdmissionRefusal> takeLimit(Instant now, GatewayContext &context,
+                                         const AdmittedRequest &request)
+{
+    if (!request.customer)
+        return Outcomes::success();
+    const double units = limitUnits(request);
+    if (context.customers.tryTake(*request.customer, units, now))
+        return Outcomes::success();
+    const Duration wait = context.customers.timeUntil(*request.customer, units, now);
+    return AdmissionRefusal {RequestEnd::OverLimit, HttpStatus::TooManyRequests,
+                             std::max<Duration>(wait, LimitPause)};
+}
+
+} // namespace
+
+Generation AdmittedRequest::generation() const
+{
+    return routes ? routes->configuration().generation : Generation();
+}
+
+Result<void, AdmissionRefusal> admit(const RequestHead &head, GatewayContext &context,
+                                     AdmittedRequest &request)
+{
+    const Result<RequestFields, RequestFieldsError> fields = context.dialect.callerRequest(head);
+    if (!fields)
+        return AdmissionRefusal {RequestEnd::BadRequest, HttpStatus::BadRequest, std::nullopt};
+    request.fields = fields.value();
+    if (!context.routes) {
+        return AdmissionRefusal {RequestEnd::NoConfiguration, HttpStatus::Unavailable,
+                                 UsualRetryAfter};
+    }
+    if (context.refusesNew)
+        return AdmissionRefusal {RequestEnd::Leaving, HttpStatus::Unavailable, Duration::zero()};
+    request.routes = context.routes;
+    BOOST_OUTCOME_TRY(findRoute(context, request));
+    const Instant now = context.loop.now();
+    describeWork(now, request);
+    return takeLimit(now, context, request);
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <apricothook/gateway/apricothook_gateway_context.hpp>
+#include <apricothook/gateway/apricothook_request_end.hpp>
+#include <apricothook/model/apricothook_failure.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace Apricothook {
+
+/** A request with all that is known of it before a target is chosen. */
+struct AdmittedRequest
+{
+    RequestFields fields;
+    /** The configuration that it came under, and under which it ends. */
+    std::shared_ptr<const RouteTable> routes;
+    const RouteRule *route = nullptr;
+    /** Null on a public route without a key. */
+    const CustomerRule *customer = nullptr;
+    ServiceId service;
+    Tier tier;
+    WorkSize size;
+    Instant deadline {};
+
+    Generation generation() const;
+};
+
+/** Why a request isn't admitted, and what its caller hears. */
+struct AdmissionRefusal
+{
+    RequestEnd end = RequestEnd::BadRequest;
+    unsigned status = 0;
+    std::optional<Duration> retryAfter;
+};
+
+/**
+ * Finds the request's route and customer and takes its units from the customer's limit. What was
+ * read of the request by then is in `request`, for the log.
+ */
+Result<void, AdmissionRefusal> admit(const RequestHead &head, GatewayContext &context,
+                                     AdmittedRequest &request);
+
+} // namespace Apricothook
