--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
@@ -31,7 +31,7 @@
 /**
  * A TCP connection on an event loop. What the kernel doesn't take at once is kept and sent later.
  *
- * A connection can fall silent without a reset, when the other machine lost power or something on
+ * A connection can fall silent without a reset, when the other VM lost power or something on
  * the way lost track of it. Sent bytes that stay unacknowledged, and probes of an idle connection
  * that stay unanswered, end it after SilenceLimit.
  */
--- a/packages/observe/apricothook/observe/apricothook_structured_log.cpp
+++ b/packages/observe/apricothook/observe/apricothook_structured_log.cpp
@@ -87,7 +87,7 @@
     return *this;
 }
 
-std::string structuredLine(const LogEvent &event, const std::string &machine,
+std::string structuredLine(const LogEvent &event, const std::string &vm,
                            std::uint64_t wallMilliseconds, Instant now, std::uint64_t leftOut)
 {
     const EventName *name = findEventName(event.number());
@@ -97,7 +97,7 @@
     line["level"] = std::string(levelOf(name));
     line["time"] = static_cast<Json::UInt64>(wallMilliseconds);
     line["steady"] = static_cast<Json::Int64>(now.time_since_epoch().count());
-    line["machine"] = machine;
+    line["vm"] = vm;
     if (!event.request().isEmpty())
         line["request"] = event.request().text();
     for (const LogEvent::Field &field : event.fields())
@@ -107,9 +107,9 @@
     return compact(line) + "\n";
 }
 
-StructuredLog::StructuredLog(const Clock &clock, std::string machine, int descriptor)
+StructuredLog::StructuredLog(const Clock &clock, std::string vm, int descriptor)
     : m_clock(clock)
-    , m_machine(std::move(machine))
+    , m_vm(std::move(vm))
     , m_descriptor(descriptor)
     , m_writer([this] { writeOut(); })
 {
@@ -147,7 +147,7 @@
     }
     ++budget.written;
     const bool wasEmpty = m_buffer.empty();
-    m_buffer += structuredLine(event, m_machine, m_clock.wallMilliseconds(), now,
+    m_buffer += structuredLine(event, m_vm, m_clock.wallMilliseconds(), now,
                                std::exchange(budget.leftOut, 0));
     if (wasEmpty)
         m_filled.notify_one();
--- a/packages/observe/apricothook/observe/apricothook_structured_log.hpp
+++ b/packages/observe/apricothook/observe/apricothook_structured_log.hpp
@@ -68,7 +68,7 @@
 };
 
 /** The line of an event, with the newline; `leftOut` lines of its number went before it. */
-std::string structuredLine(const LogEvent &event, const std::string &machine,
+std::string structuredLine(const LogEvent &event, const std::string &vm,
                            std::uint64_t wallMilliseconds, Instant now, std::uint64_t leftOut);
 
 /**
@@ -88,7 +88,7 @@
     /** Lines gather for so long before they are written with one call. */
     static constexpr std::chrono::milliseconds FlushPause {200};
 
-    StructuredLog(const Clock &clock, std::string machine, int descriptor);
+    StructuredLog(const Clock &clock, std::string vm, int descriptor);
     ~StructuredLog() override;
     StructuredLog(const StructuredLog &) = delete;
     StructuredLog &operator=(const StructuredLog &) = delete;
@@ -108,7 +108,7 @@
     void writeOut();
 
     const Clock &m_clock;
-    const std::string m_machine;
+    const std::string m_vm;
     const int m_descriptor;
     mutable std::mutex m_mutex;
     std::condition_variable m_filled;
--- a/packages/observe/tests/apricothook_structured_log_tests.cpp
+++ b/packages/observe/tests/apricothook_structured_log_tests.cpp
@@ -75,7 +75,7 @@
     CHECK(value["load"].asInt() == 3);
     CHECK(value["waited_ms"].asDouble() == doctest::Approx(1.5));
     CHECK(value["ready"].asBool());
-    CHECK(value["machine"].asString() == "vm-1");
+    CHECK(value["vm"].asString() == "vm-1");
     CHECK(value["left_out"].asInt() == 2);
 }
 
