--- /dev/null
+++ b/packages/http1/tests/apricothook_message_reader_tests.cpp
@@ -0,0 +1,108 @@
+#include <apricothook/http1/apricothook_message_reader.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace Apricothook;
+
+namespace {
+
+const std::string Chunked = "POST /a?b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("a request is read the same wherever its bytes are cut")
+{
+    for (std::size_t cut = 0; cut <= Chunked.size(); ++cut) {
+        CAPTURE(cut);
+        RequestReader reader({});
+        REQUIRE(reader.feed(Chunked.substr(0, cut)));
+        REQUIRE(reader.feed(Chunked.substr(cut)));
+        REQUIRE(reader.isComplete());
+        CHECK(reader.head().method == "POST");
+        CHECK(reader.head().target == "/a?b");
+        CHECK(reader.takeBody() == "abcde");
+    }
+}
+
+TEST_CASE("the bytes behind a request belong to the next one")
+{
+    RequestReader reader({});
+    const std::string first = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    CHECK(reader.feed(first + "GET /next").value() == first.size());
+    CHECK(reader.isComplete());
+}
+
+TEST_CASE("interim answers are passed over")
+{
+    ResponseReader reader(false);
+    const std::string text
+        = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    CHECK(reader.feed(text).value() == text.size());
+    CHECK(reader.head().status == 200);
+    CHECK(reader.takeBody() == "ok");
+}
+
+TEST_CASE("an answer to HEAD has no body whatever length it states")
+{
+    ResponseReader reader(true);
+    REQUIRE(reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n"));
+    CHECK(reader.isComplete());
+}
+
+TEST_CASE("an answer that ends early isn't whole")
+{
+    ResponseReader sized(false);
+    REQUIRE(sized.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"));
+    CHECK(sized.finish().error() == MessageError::Truncated);
+    ResponseReader chunked(false);
+    REQUIRE(chunked.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"));
+    CHECK(chunked.finish().error() == MessageError::Truncated);
+    ResponseReader unframed(false);
+    REQUIRE(unframed.feed("HTTP/1.1 200 OK\r\n\r\nabc"));
+    CHECK(unframed.head().endsWithConnection);
+    CHECK(unframed.finish());
+}
+
+TEST_CASE("limits of heads and bodies hold")
+{
+    const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+    RequestReader longHead({200, 10});
+    CHECK(longHead.feed(start + "X: " + std::string(300, 'x') + "\r\n\r\n").error()
+          == MessageError::HeadTooLarge);
+    RequestReader longBody({200, 10});
+    CHECK(longBody.feed(start + "Content-Length: 11\r\n\r\n").error()
+          == MessageError::BodyTooLarge);
+    RequestReader longChunks({200, 10});
+    CHECK(longChunks.feed(start + "Transfer-Encoding: chunked\r\n\r\nb\r\n12345678901\r\n").error()
+          == MessageError::BodyTooLarge);
+}
+
+TEST_CASE("headers that concern one connection are removed by name")
+{
+    HeaderList headers;
+    headers.add("Connection", "close, X-Mine");
+    headers.add("x-mine", "1");
+    headers.add("Keep-Alive", "timeout=5");
+    headers.add("Kept", "yes");
+    headers.removeHopByHop();
+    CHECK(headers.find("kept") == "yes");
+    CHECK(headers.count("X-Mine") == 0);
+    CHECK(headers.count("Keep-Alive") == 0);
+    CHECK(listsToken("a, Chunked ,b", "chunked"));
+    CHECK_FALSE(listsToken("xchunked", "chunked"));
+}
+
+TEST_CASE("messages are written with the framing of their body")
+{
+    RequestHead request;
+    request.method = "GET";
+    request.target = "/a";
+    request.headers.add("Host", "h");
+    CHECK(writeRequestHead(request, {}) == "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ResponseHead answer;
+    answer.status = 503;
+    CHECK(writeResponseHead(answer, {BodyFraming::Kind::Sized, 0})
+          == "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    CHECK(writeChunk("abcdefghijklmnop") == "10\r\nabcdefghijklmnop\r\n");
+}
