Form cells of daemons, so that what each tells others doesn't grow with the fleet

Cause: each daemon told every other one its load up to 40 times a second and placed over all targets. At 66 to 320 daemons that breaks the bounds on bytes and processor time of control.

Change: a fleet above twelve daemons falls into cells by hash of the members' names. Members of a cell exchange load as before and share a run of the slots, by weight; summaries once per pause tell each cell of every other one (members, revision, customers' rates); greetings spread names. Between beacons only a small report with loads goes out. A fleet of up to twelve is one cell and decides as before.

Ruled out: gossip of all loads (a second old after some rounds; slots change hands in 60 ms); stewards of targets (weighed before: a gap when one dies). Static division without a run (by rendezvous) gives cells of unlike size: 10 to 18 targets where 14 are due.

--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -74,7 +74,8 @@
 {
     sortByUrgency(queue, now);
     // Work that waits for a fast target must not keep what a slow one can do from it.
-    for (std::size_t next = 0; next < queue.size() && m_targets.hasRoom(queue[next].service);) {
+    for (std::size_t next = 0;
+         next < queue.size() && m_targets.hasRoom(queue[next].service, now);) {
         const WaitingWork work = queue[next];
         if (place(work, now))
             queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(next));
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -3,6 +3,7 @@
 #include <apricothook/model/apricothook_hashing.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Apricothook {
 
@@ -34,6 +35,12 @@
 /** Time for which a target that called itself full is left to work. */
 constexpr std::chrono::milliseconds FullPause {100};
 
+/**
+ * Requests of this daemon and its cell at a target of another cell, while the own cell's targets
+ * fail: what the other cell has there isn't known.
+ */
+constexpr std::uint32_t SlotsAtOtherCells = 1;
+
 double milliseconds(Duration duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
@@ -48,9 +55,9 @@
 
 void TargetTable::put(const TargetEntry &entry)
 {
-    m_targets[entry.id].entry = entry;
-    m_numbers[targetNumber(entry.id)] = entry.id;
     BelievedTarget &target = m_targets[entry.id];
+    const ServiceId before = std::exchange(target.entry, entry).service;
+    m_numbers[targetNumber(entry.id)] = entry.id;
     target.requestsOfOthers = 0;
     for (const auto &[member, loads] : m_loadsOfMembers) {
         for (const TargetLoad &load : loads) {
@@ -58,12 +65,61 @@
                 target.requestsOfOthers += load.running;
         }
     }
+    if (before != entry.service)
+        divide(before);
+    divide(entry.service);
 }
 
 void TargetTable::remove(const TargetId &target)
 {
+    const BelievedTarget *known = find(target);
+    if (!known)
+        return;
+    const ServiceId service = known->entry.service;
     m_targets.erase(target);
     m_numbers.erase(targetNumber(target));
+    divide(service);
+}
+
+void TargetTable::setCells(const CellWeights &cells)
+{
+    if (cells == m_cells)
+        return;
+    m_cells = cells;
+    for (const auto &[service, targets] : m_services)
+        divide(service);
+}
+
+void TargetTable::divide(const ServiceId &service)
+{
+    ServiceTargets &targets = m_services[service];
+    targets = {};
+    std::vector<BelievedTarget *> taking;
+    std::vector<PartitionedTarget> slots;
+    for (auto &[id, target] : m_targets) {
+        if (target.entry.service != service)
+            continue;
+        targets.all.push_back(&target);
+        target.cellSlots = 0;
+        // One that is draining has no part: the others' work must not count on it.
+        if (target.entry.isDraining)
+            continue;
+        taking.push_back(&target);
+        slots.push_back({targetNumber(id), target.entry.slots});
+    }
+    const std::vector<std::uint32_t> parts = slotsOfCell(slots, m_cells);
+    for (std::size_t index = 0; index < taking.size(); ++index) {
+        taking[index]->cellSlots = parts[index];
+        if (parts[index] > 0)
+            targets.ofCell.push_back(taking[index]);
+    }
+}
+
+const TargetTable::ServiceTargets &TargetTable::ofService(const ServiceId &service) const
+{
+    static const ServiceTargets None;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? None : found->second;
 }
 
 const BelievedTarget *TargetTable::find(const TargetId &target) const
@@ -78,16 +134,6 @@
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
-std::vector<const BelievedTarget *> TargetTable::ofService(const ServiceId &service) const
-{
-    std::vector<const BelievedTarget *> targets;
-    for (const auto &[id, target] : m_targets) {
-        if (target.entry.service == service)
-            targets.push_back(&target);
-    }
-    return targets;
-}
-
 void TargetTable::started(const TargetId &target, const WorkSize &work)
 {
     if (BelievedTarget *found = find(target)) {
@@ -186,7 +232,7 @@
     Sum firstEvent;
     Sum gap;
     Sum hold;
-    for (const BelievedTarget *target : ofService(service)) {
+    for (const BelievedTarget *target : ofService(service).all) {
         firstEvent.add(target->speed.firstEvent.value());
         gap.add(target->speed.eventGap.value());
         hold.add(target->speed.hold.value());
@@ -197,7 +243,7 @@
 TargetTable::Forecast TargetTable::forecast(const BelievedTarget &target, const WorkSize &work,
                                             const UsualSpeed &usual) const
 {
-    const double slowdown = 1 + SlowdownOfEach * target.load();
+    const double slowdown = 1 + SlowdownOfEach * target.usedPart() * target.entry.slots;
     if (!work.isStream) {
         const double whole = target.speed.hold.value().value_or(usual.hold) * slowdown;
         return {whole, whole};
@@ -211,8 +257,7 @@
 
 double TargetTable::cost(const BelievedTarget &target, const Forecast &forecast) const
 {
-    const double slots = std::max<double>(target.entry.slots, 1);
-    const double used = target.load() / slots;
+    const double used = target.usedPart();
     // A slot of a fast target is worth keeping for long work that slow ones can't end in time.
     const double scarcity = 1 + ScarcityWeight * used * used;
     const double failure = FailureCost * target.speed.failures.value().value_or(0);
@@ -221,6 +266,19 @@
 }
 
 const BelievedTarget *TargetTable::choose(const TargetWish &wish, Instant now) const
+{
+    const ServiceTargets &targets = ofService(wish.service);
+    const Choice ofCell = chooseAmong(targets.ofCell, wish, false, now);
+    if (ofCell.someIsSound || targets.ofCell.size() == targets.all.size())
+        return ofCell.target;
+    // The cell's own targets are all away, failing or tried already.
+    const Choice ofOthers = chooseAmong(targets.all, wish, true, now);
+    return ofOthers.target ? ofOthers.target : ofCell.target;
+}
+
+TargetTable::Choice TargetTable::chooseAmong(const std::vector<const BelievedTarget *> &candidates,
+                                             const TargetWish &wish, bool ofOtherCells,
+                                             Instant now) const
 {
     struct Rank
     {
@@ -237,13 +295,14 @@
     Rank bestRank;
     bool fullOneWouldEnd = false;
     bool fullOneIsSound = false;
-    for (const BelievedTarget *target : ofService(wish.service)) {
+    for (const BelievedTarget *target : candidates) {
         if (target->entry.isDraining || wish.excluded.contains(target->entry.id))
             continue;
         const Forecast expected = forecast(*target, wish.size, usual);
         const Rank rank {target->avoidedUntil > now, expected.whole > untilEnd,
                          expected.first > untilFirst, cost(*target, expected)};
-        if (!target->hasRoom()) {
+        const bool hasRoom = ofOtherCells ? target->load() < SlotsAtOtherCells : target->hasRoom();
+        if (!hasRoom) {
             fullOneIsSound |= !rank.isAvoided;
             fullOneWouldEnd |= !rank.isAvoided && !rank.missesEnd;
         } else if (!best || rank < bestRank) {
@@ -251,37 +310,42 @@
             bestRank = rank;
         }
     }
+    const bool someIsSound = fullOneIsSound || (best && !bestRank.isAvoided);
     // Work that its target can't end is thrown away with all that was read for it.
     if (best && bestRank.missesEnd && fullOneWouldEnd)
-        return nullptr;
+        return {nullptr, someIsSound};
     // A target that fails everything always has room.
     if (best && bestRank.isAvoided && fullOneIsSound)
-        return nullptr;
-    return best;
+        return {nullptr, someIsSound};
+    return {best, someIsSound};
 }
 
 bool TargetTable::hasOther(const ServiceId &service, const std::set<TargetId> &excluded) const
 {
-    return std::ranges::any_of(ofService(service), [&excluded](const BelievedTarget *target) {
+    return std::ranges::any_of(ofService(service).all, [&excluded](const BelievedTarget *target) {
         return !target->entry.isDraining && !excluded.contains(target->entry.id);
     });
 }
 
-bool TargetTable::hasRoom(const ServiceId &service) const
+bool TargetTable::hasRoom(const ServiceId &service, Instant now) const
 {
-    return std::ranges::any_of(ofService(service), [](const BelievedTarget *target) {
-        return !target->entry.isDraining && target->hasRoom();
-    });
+    const ServiceTargets &targets = ofService(service);
+    const auto isSound = [now](const auto *target) { return target->avoidedUntil <= now; };
+    const bool goesElsewhere = targets.ofCell.size() < targets.all.size()
+        && std::ranges::none_of(targets.ofCell, isSound);
+    return goesElsewhere || std::ranges::any_of(targets.ofCell, [](const auto *target) {
+               return target->hasRoom();
+           });
 }
 
 ServiceRoom TargetTable::room(const ServiceId &service, Instant now) const
 {
     ServiceRoom room;
-    for (const BelievedTarget *target : ofService(service)) {
-        if (target->entry.isDraining || target->avoidedUntil > now)
+    for (const BelievedTarget *target : ofService(service).ofCell) {
+        if (target->avoidedUntil > now)
             continue;
-        room.slots += target->entry.slots;
-        room.free += target->entry.slots - std::min(target->entry.slots, target->load());
+        room.slots += target->cellSlots;
+        room.free += target->cellSlots - std::min(target->cellSlots, target->load());
     }
     room.meanHold = usualSpeed(service).hold;
     return room;
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <apricothook/dispatch/apricothook_serving_configuration.hpp>
+#include <apricothook/dispatch/apricothook_slot_partition.hpp>
 #include <apricothook/dispatch/apricothook_target_speed.hpp>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <vector>
@@ -45,6 +47,8 @@
 struct BelievedTarget
 {
     TargetEntry entry;
+    /** Slots that this daemon's cell uses; the others are other cells'. */
+    std::uint32_t cellSlots = 0;
     std::uint32_t ownRequests = 0;
     std::uint32_t requestsOfOthers = 0;
     /** Prompt tokens of own requests without a first event. */
@@ -54,8 +58,11 @@
     Instant avoidedUntil {};
     std::uint32_t failuresInRow = 0;
 
+    /** Known requests: those of the own cell. */
     std::uint32_t load() const { return ownRequests + requestsOfOthers; }
-    bool hasRoom() const { return load() < entry.slots; }
+    /** Part of the target that is taken, if other cells use their slots as much as the own one. */
+    double usedPart() const { return load() / std::max<double>(cellSlots, 1); }
+    bool hasRoom() const { return load() < cellSlots; }
 };
 
 /** What a request needs of its target. */
@@ -71,7 +78,7 @@
     std::set<TargetId> excluded;
 };
 
-/** Sums over the targets of a service that take new requests. */
+/** Sums over the targets of a service that take new requests of this daemon's cell. */
 struct ServiceRoom
 {
     std::uint32_t slots = 0;
@@ -93,7 +100,8 @@
     void remove(const TargetId &target);
     const BelievedTarget *find(const TargetId &target) const;
     BelievedTarget *find(const TargetId &target);
-    std::vector<const BelievedTarget *> ofService(const ServiceId &service) const;
+    /** The cells that share the targets with this daemon's own. */
+    void setCells(const CellWeights &cells);
 
     void started(const TargetId &target, const WorkSize &work);
     void firstEvent(const TargetId &target, const WorkSize &work, Duration took);
@@ -107,8 +115,8 @@
     const BelievedTarget *choose(const TargetWish &wish, Instant now) const;
     /** Some target of the service takes requests and isn't among `excluded`. */
     bool hasOther(const ServiceId &service, const std::set<TargetId> &excluded) const;
-    /** Some target has a free slot, even one that is avoided. */
-    bool hasRoom(const ServiceId &service) const;
+    /** Some target may take a request now, even one that is avoided. */
+    bool hasRoom(const ServiceId &service, Instant now) const;
     /** Sums over the targets that aren't avoided. */
     ServiceRoom room(const ServiceId &service, Instant now) const;
     /** Expected time to the first event at an idle, usual target of the service. */
@@ -123,6 +131,16 @@
         double hold = 0;
     };
 
+    /** The targets of a service; the pointers are to entries of m_targets. */
+    struct ServiceTargets
+    {
+        std::vector<const BelievedTarget *> all;
+        /** Those with slots for this daemon's cell. */
+        std::vector<const BelievedTarget *> ofCell;
+    };
+
+    void divide(const ServiceId &service);
+    const ServiceTargets &ofService(const ServiceId &service) const;
     UsualSpeed usualSpeed(const ServiceId &service) const;
     struct Forecast
     {
@@ -130,6 +148,16 @@
         double whole = 0;
     };
 
+    /** The best of the candidates, and whether it is better to wait for another. */
+    struct Choice
+    {
+        const BelievedTarget *target = nullptr;
+        /** Some candidate is known to be sound, though it may be full. */
+        bool someIsSound = false;
+    };
+
+    Choice chooseAmong(const std::vector<const BelievedTarget *> &candidates,
+                       const TargetWish &wish, bool ofOtherCells, Instant now) const;
     Forecast forecast(const BelievedTarget &target, const WorkSize &work,
                       const UsualSpeed &usual) const;
     double cost(const BelievedTarget &target, const Forecast &forecast) const;
@@ -137,6 +165,8 @@
 
     const DataCentreId m_own;
     std::map<TargetId, BelievedTarget> m_targets;
+    std::map<ServiceId, ServiceTargets> m_services;
+    CellWeights m_cells;
     std::map<std::uint64_t, TargetId> m_numbers;
     std::map<std::uint64_t, std::vector<TargetLoad>> m_loadsOfMembers;
 };
--- a/packages/dispatch/tests/apricothook_dispatcher_tests.cpp
+++ b/packages/dispatch/tests/apricothook_dispatcher_tests.cpp
@@ -242,3 +242,44 @@
     CHECK(report.isAbove(brief));
     CHECK(urgency.tierOf(ServiceId("unknown"), ClassId("x"), Tier(4)) == Tier(4));
 }
+
+TEST_CASE("a cell keeps to its part of the slots, and goes beyond it when its targets fail")
+{
+    // The caller is answered by a target of another cell after the own cell's target can't be
+    // reached. Cells don't know each other's load, so only one request goes there.
+    Bench bench;
+    for (int index = 0; index < 20; ++index)
+        bench.target("t" + std::to_string(index), 8);
+    bench.targets.setCells({{1, 1}, 0});
+    std::uint64_t id = 0;
+    while (bench.placements.refused.empty() && bench.dispatcher.waiting() == 0)
+        bench.offer(++id);
+    CHECK(bench.placements.placed.size() == 80);
+
+    Bench failing;
+    for (int index = 0; index < 6; ++index)
+        failing.target("t" + std::to_string(index), 8);
+    failing.targets.setCells({{1, 1}, 0});
+    failing.offer(1);
+    const std::set<std::string> before(failing.placements.targets.begin(),
+                                       failing.placements.targets.end());
+    CHECK(before.size() == 1);
+    std::set<std::string> ofCell;
+    for (int index = 0; index < 6; ++index) {
+        const TargetId target("t" + std::to_string(index));
+        if (failing.targets.find(target)->cellSlots == 0)
+            continue;
+        ofCell.insert(target.text());
+        failing.targets.find(target)->avoidedUntil = failing.clock.now() + std::chrono::seconds(5);
+    }
+    CHECK(ofCell.size() < 6);
+    failing.placements.targets.clear();
+    for (id = 2; id < 12; ++id)
+        failing.offer(id);
+    std::set<std::string> elsewhere;
+    for (const std::string &target : failing.placements.targets) {
+        if (!ofCell.contains(target))
+            CHECK(elsewhere.insert(target).second);
+    }
+    CHECK(elsewhere.size() == 6 - ofCell.size());
+}
--- a/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.cpp
@@ -7,105 +7,107 @@
 
 namespace {
 
-std::vector<BeaconUse> newlyAdmitted(const std::vector<BeaconUse> &before,
-                                     const std::vector<BeaconUse> &after)
+/** Takes later totals into `known` and returns what was added. */
+std::vector<ReportedUse> addUse(std::vector<ReportedUse> &known,
+                                const std::vector<ReportedUse> &later)
 {
-    std::vector<BeaconUse> difference;
-    for (const BeaconUse &use : after) {
-        const auto known = std::ranges::find(before, use.customer, &BeaconUse::customer);
-        const std::uint64_t had = known == before.end() ? 0 : known->admitted;
-        if (use.admitted > had)
-            difference.push_back({use.customer, use.admitted - had});
+    std::vector<ReportedUse> difference;
+    for (const ReportedUse &use : later) {
+        auto before = std::ranges::find(known, use.customer, &ReportedUse::customer);
+        if (before == known.end())
+            before = known.insert(before, {use.customer, 0});
+        if (use.admitted <= before->admitted)
+            continue;
+        difference.push_back({use.customer, use.admitted - before->admitted});
+        before->admitted = use.admitted;
     }
     return difference;
 }
 
 } // namespace
 
-BeaconTable::BeaconTable(MemberId self, Endpoint ownAddress, std::vector<Endpoint> seeds)
-    : m_self(std::move(self)), m_own(std::move(ownAddress)), m_seeds(std::move(seeds))
-{
-}
-
 BeaconEffect BeaconTable::take(const Beacon &beacon, Instant now)
 {
     BeaconEffect effect;
-    if (beacon.member == m_self)
+    const MemberId &sender = beacon.sender.member;
+    if (sender == m_self)
         return effect;
-    const bool isKnown = m_members.contains(beacon.member);
-    Member &member = m_members[beacon.member];
-    const auto age = [](const Beacon &of) { return std::tuple(of.incarnation, of.sequence); };
-    const bool isOther = beacon.incarnation != member.last.incarnation;
-    const bool isSuccessor = isOther && now - member.heard > OldBeaconTime;
-    if (isKnown && !isSuccessor && age(beacon) <= age(member.last))
+    const std::uint64_t number = memberNumber(sender);
+    const bool isKnown = m_mates.contains(number);
+    CellMate &mate = m_mates[number];
+    const auto age = [](const CellReport &of) { return std::tuple(of.process, of.sequence); };
+    const bool isOther = beacon.report.process != mate.report.process;
+    const bool isSuccessor = isOther && now - mate.heard > OldBeaconTime;
+    if (isKnown && !isSuccessor && age(beacon.report) <= age(mate.report))
         return effect;
     effect.isNews = true;
-    effect.isNewProcess = !isKnown || beacon.incarnation != member.last.incarnation;
-    effect.isBack = !member.isHeard;
+    effect.isNewProcess = !isKnown || isOther;
+    effect.isBack = !mate.isHeard;
     // A new process counts from zero; what its first beacon tells was admitted since its start.
-    const std::vector<BeaconUse> before
-        = effect.isNewProcess ? std::vector<BeaconUse>() : member.last.use;
+    std::vector<ReportedUse> use
+        = effect.isNewProcess ? std::vector<ReportedUse>() : std::move(mate.report.use);
+    std::vector<ReportedUse> admitted = addUse(use, beacon.report.use);
     // What a member admitted before this daemon knew it lies in the past of its own limits.
     if (isKnown)
-        effect.admitted = newlyAdmitted(before, beacon.use);
-    member = {beacon, now, true};
-    noteOthers(beacon, now);
+        effect.admitted = std::move(admitted);
+    mate = {beacon.sender, beacon.report, now, true};
+    mate.report.use = std::move(use);
     return effect;
 }
 
-void BeaconTable::noteOthers(const Beacon &beacon, Instant now)
+BeaconEffect BeaconTable::take(const CellReport &report, Instant now)
 {
-    for (const Endpoint &address : beacon.others) {
-        if (address != m_own)
-            m_told[address] = now;
-    }
+    const auto known = m_mates.find(report.member);
+    if (known == m_mates.end())
+        return {};
+    CellMate &mate = known->second;
+    if (report.process != mate.report.process || report.sequence <= mate.report.sequence)
+        return {};
+    BeaconEffect effect;
+    effect.isNews = true;
+    effect.isBack = !mate.isHeard;
+    std::vector<ReportedUse> use = std::move(mate.report.use);
+    effect.admitted = addUse(use, report.use);
+    mate.report = report;
+    mate.report.use = std::move(use);
+    mate.heard = now;
+    mate.isHeard = true;
+    return effect;
 }
 
 std::vector<MemberId> BeaconTable::noteSilent(Instant now)
 {
     std::vector<MemberId> silent;
-    for (auto &[id, member] : m_members) {
-        if (member.isHeard && now - member.heard > SilenceLimit) {
-            member.isHeard = false;
-            silent.push_back(id);
+    for (auto &[number, mate] : m_mates) {
+        if (mate.isHeard && now - mate.heard > SilenceLimit) {
+            mate.isHeard = false;
+            silent.push_back(mate.brief.member);
         }
     }
-    std::erase_if(m_members,
-                  [now](const auto &entry) { return now - entry.second.heard > AddressLimit; });
-    std::erase_if(m_told, [now](const auto &entry) { return now - entry.second > AddressLimit; });
+    std::erase_if(m_mates,
+                  [now](const auto &entry) { return now - entry.second.heard > MemoryLimit; });
     return silent;
 }
 
-std::vector<const Member *> BeaconTable::heard() const
+const CellMate *BeaconTable::find(const MemberId &member) const
 {
-    std::vector<const Member *> heard;
-    for (const auto &[id, member] : m_members) {
-        if (member.isHeard)
-            heard.push_back(&member);
-    }
-    return heard;
+    return find(memberNumber(member));
 }
 
-std::size_t BeaconTable::knownCount(Instant now) const
+const CellMate *BeaconTable::find(std::uint64_t memberNumber) const
 {
-    const auto known = std::ranges::count_if(m_members, [now](const auto &entry) {
-        return entry.second.isHeard
-            || (now - entry.second.heard <= KnownLimit && !entry.second.last.isLeaving);
-    });
-    return static_cast<std::size_t>(known) + 1;
+    const auto found = m_mates.find(memberNumber);
+    return found == m_mates.end() ? nullptr : &found->second;
 }
 
-std::set<Endpoint> BeaconTable::addresses(Instant now) const
+std::vector<const CellMate *> BeaconTable::heard() const
 {
-    std::set<Endpoint> addresses(m_seeds.begin(), m_seeds.end());
-    for (const auto &[id, member] : m_members)
-        addresses.insert(member.last.beaconAddress);
-    for (const auto &[address, told] : m_told) {
-        if (now - told <= AddressLimit)
-            addresses.insert(address);
+    std::vector<const CellMate *> heard;
+    for (const auto &[number, mate] : m_mates) {
+        if (mate.isHeard)
+            heard.push_back(&mate);
     }
-    addresses.erase(m_own);
-    return addresses;
+    return heard;
 }
 
 } // namespace Apricothook
--- /dev/null
+++ b/packages/fleetview/apricothook/fleetview/apricothook_cell_report.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <apricothook/model/apricothook_identifiers.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace Apricothook {
+
+/** A target's running requests at the sender. */
+struct ReportedLoad
+{
+    std::uint64_t target = 0; ///< targetNumber() of the id.
+    std::uint32_t running = 0;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.target, self.running);
+    }
+    auto operator<=>(const ReportedLoad &) const = default;
+};
+
+/** Requests of one rank that wait at the sender. */
+struct ReportedWaiting
+{
+    std::uint64_t service = 0; ///< serviceNumber() of the name.
+    Tier customerTier;
+    Tier routeTier;
+    std::uint32_t waiting = 0;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.service, self.customerTier, self.routeTier, self.waiting);
+    }
+    auto operator<=>(const ReportedWaiting &) const = default;
+};
+
+/** What the sender admitted of a customer since it started. */
+struct ReportedUse
+{
+    std::uint64_t customer = 0; ///< customerNumber() of the name.
+    std::uint64_t admitted = 0;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.customer, self.admitted);
+    }
+    auto operator<=>(const ReportedUse &) const = default;
+};
+
+/**
+ * What a daemon does now, told to its cell. Loads and waiting requests are always whole, so a lost
+ * report costs only time; of the customers' use only what has changed lately is told, as totals.
+ */
+struct CellReport
+{
+    /** memberNumber() of the sender. */
+    std::uint64_t member = 0;
+    Incarnation process;
+    /** Grows with each report of the process; late ones are dropped by it. */
+    std::uint64_t sequence = 0;
+    std::vector<ReportedLoad> loads;
+    std::vector<ReportedWaiting> waiting;
+    std::vector<ReportedUse> use;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.member, self.process, self.sequence, self.loads, self.waiting, self.use);
+    }
+    auto operator<=>(const CellReport &) const = default;
+};
+
+/** A short name of a member for messages between daemons. */
+std::uint64_t memberNumber(const MemberId &member);
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
@@ -0,0 +1,140 @@
+#include <apricothook/fleetview/apricothook_fleet_directory.hpp>
+
+#include <apricothook/model/apricothook_hashing.hpp>
+
+#include <algorithm>
+#include <bit>
+#include <limits>
+
+namespace Apricothook {
+
+namespace {
+
+/** The smallest power of two that makes cells of LargestCell at most, on average. */
+std::uint32_t cellsFor(std::size_t daemons)
+{
+    const std::size_t cells
+        = (daemons + FleetDirectory::LargestCell - 1) / FleetDirectory::LargestCell;
+    return static_cast<std::uint32_t>(std::bit_ceil(std::max<std::size_t>(cells, 1)));
+}
+
+std::uint32_t millisecondsOf(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    constexpr std::int64_t Most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, Most));
+}
+
+} // namespace
+
+FleetDirectory::FleetDirectory(MemberId self) : m_self(std::move(self)) { }
+
+std::uint32_t FleetDirectory::cellOf(const MemberId &member) const
+{
+    // The upper bits, so that a cell falls into two when the number of cells doubles.
+    constexpr int HashBits = 64;
+    const int cellBits = std::countr_zero(m_cells);
+    return cellBits == 0
+        ? 0
+        : static_cast<std::uint32_t>(hashOf(member.text()) >> (HashBits - cellBits));
+}
+
+void FleetDirectory::take(const MemberBrief &brief, Instant now)
+{
+    if (brief.member == m_self)
+        return;
+    const Instant heard = now - std::chrono::milliseconds(brief.age);
+    const auto known = m_members.find(brief.member);
+    if (known != m_members.end() && known->second.heard >= heard)
+        return;
+    m_members[brief.member] = {brief, heard, cellOf(brief.member)};
+}
+
+void FleetDirectory::review(Instant now)
+{
+    std::erase_if(m_members,
+                  [now](const auto &entry) { return now - entry.second.heard > AddressLimit; });
+    const std::uint32_t cells = cellsFor(knownCount(now));
+    if (cells == m_cells)
+        return;
+    m_cells = cells;
+    for (auto &[id, member] : m_members)
+        member.cell = cellOf(id);
+}
+
+std::chrono::milliseconds FleetDirectory::summaryPause() const
+{
+    return std::max(ShortestSummaryPause, m_cells * SummaryPauseForEachCell);
+}
+
+std::vector<const KnownMember *> FleetDirectory::membersOfCell(std::uint32_t cell) const
+{
+    std::vector<const KnownMember *> members;
+    for (const auto &[id, member] : m_members) {
+        if (member.cell == cell)
+            members.push_back(&member);
+    }
+    return members;
+}
+
+Duration FleetDirectory::liveLimit(const KnownMember &member) const
+{
+    if (member.cell == ownCell())
+        return OwnCellLimit;
+    return OwnCellLimit + MissedSummaries * summaryPause();
+}
+
+bool FleetDirectory::isLive(const KnownMember &member, Instant now) const
+{
+    return now - member.heard <= liveLimit(member);
+}
+
+bool FleetDirectory::isKnown(const KnownMember &member, Instant now) const
+{
+    return isLive(member, now) || (now - member.heard <= KnownLimit && !member.brief.isLeaving);
+}
+
+std::size_t FleetDirectory::liveCount(Instant now) const
+{
+    const auto isHeard = [&](const auto &entry) { return isLive(entry.second, now); };
+    return static_cast<std::size_t>(std::ranges::count_if(m_members, isHeard)) + 1;
+}
+
+std::size_t FleetDirectory::knownCount(Instant now) const
+{
+    const auto counts = [&](const auto &entry) { return isKnown(entry.second, now); };
+    return static_cast<std::size_t>(std::ranges::count_if(m_members, counts)) + 1;
+}
+
+CellWeights FleetDirectory::weights(Instant now) const
+{
+    CellWeights cells {std::vector<std::uint32_t>(m_cells, 0), ownCell()};
+    cells.weights[cells.own] = 1;
+    for (const auto &[id, member] : m_members) {
+        if (isLive(member, now) && member.brief.isReady && !member.brief.isLeaving)
+            ++cells.weights[member.cell];
+    }
+    return cells;
+}
+
+MemberBrief FleetDirectory::told(const KnownMember &member, Instant now)
+{
+    MemberBrief brief = member.brief;
+    brief.age = millisecondsOf(now - member.heard);
+    return brief;
+}
+
+std::vector<MemberBrief> FleetDirectory::sample(std::size_t most, RandomSource &random,
+                                                Instant now) const
+{
+    std::vector<MemberBrief> sample;
+    std::size_t left = m_members.size();
+    for (const auto &[id, member] : m_members) {
+        const std::size_t wanted = most - sample.size();
+        if (random.next() % left-- < wanted)
+            sample.push_back(told(member, now));
+    }
+    return sample;
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <apricothook/fleetview/apricothook_cell_report.hpp>
+#include <apricothook/fleetview/apricothook_member_brief.hpp>
+#include <apricothook/model/apricothook_failure.hpp>
+#include <apricothook/peers/apricothook_codec_error.hpp>
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Apricothook {
+
+/** Who a daemon is and all that it does; told to its cell some times a second. */
+struct Beacon
+{
+    MemberBrief sender;
+    /** The highest revision of a published item that the sender has. */
+    std::uint64_t revision = 0;
+    /** With all customers' use. */
+    CellReport report;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.sender, self.revision, self.report);
+    }
+    auto operator<=>(const Beacon &) const = default;
+};
+
+/** What a cell admits of a customer at present. */
+struct CustomerRate
+{
+    std::uint64_t customer = 0; ///< customerNumber() of the name.
+    std::uint64_t unitsPerSecond = 0;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.customer, self.unitsPerSecond);
+    }
+    auto operator<=>(const CustomerRate &) const = default;
+};
+
+/**
+ * What the members of one cell tell those of the others, each in turn to another daemon. It holds
+ * the present state, no differences, so it doesn't matter which member tells it or whether some
+ * are lost.
+ */
+struct CellSummary
+{
+    std::uint32_t cell = 0;
+    /** Cells of the fleet in the sender's view. */
+    std::uint32_t cells = 1;
+    std::uint64_t revision = 0;
+    /** The members of the cell that the sender hears, itself first. */
+    std::vector<MemberBrief> members;
+    std::vector<CustomerRate> rates;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.cell, self.cells, self.revision, self.members, self.rates);
+    }
+    auto operator<=>(const CellSummary &) const = default;
+};
+
+/** A daemon's word to one that may not know it, with some others that it knows. */
+struct Greeting
+{
+    MemberBrief sender;
+    /** The receiver is asked to greet back. */
+    bool wantsAnswer = false;
+    std::vector<MemberBrief> others;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.sender, self.wantsAnswer, self.others);
+    }
+    auto operator<=>(const Greeting &) const = default;
+};
+
+/** What one datagram between daemons holds. */
+using PeerDatagram = std::variant<Beacon, CellReport, CellSummary, Greeting>;
+
+std::string writePeerDatagram(const PeerDatagram &datagram);
+Result<PeerDatagram, CodecError> parsePeerDatagram(std::string_view bytes);
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/fleetview/tests/apricothook_fleet_directory_tests.cpp
@@ -0,0 +1,147 @@
+#include <apricothook/fleetview/apricothook_fleet_directory.hpp>
+
+#include <apricothook/testsupport/apricothook_hand_clock.hpp>
+#include <apricothook/testsupport/apricothook_repeatable_random.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <numeric>
+
+using namespace Apricothook;
+
+namespace {
+
+MemberBrief brief(const std::string &member, std::uint32_t age = 0)
+{
+    MemberBrief made;
+    made.member = MemberId(member);
+    made.isReady = true;
+    made.age = age;
+    return made;
+}
+
+struct Bench
+{
+    HandClock clock;
+    FleetDirectory directory {MemberId("self")};
+
+    void take(const MemberBrief &brief)
+    {
+        directory.take(brief, clock.now());
+        directory.review(clock.now());
+    }
+    void fleet(std::size_t others)
+    {
+        for (std::size_t index = 0; index < others; ++index)
+            take(brief("m" + std::to_string(index)));
+    }
+    void pass(std::chrono::milliseconds time)
+    {
+        clock.advance(time);
+        directory.review(clock.now());
+    }
+    std::size_t live() const { return directory.liveCount(clock.now()); }
+    std::size_t known() const { return directory.knownCount(clock.now()); }
+};
+
+} // namespace
+
+TEST_CASE("a silent member leaves lookups soon and the count of known ones later")
+{
+    Bench bench;
+    bench.take(brief("a"));
+    bench.pass(std::chrono::milliseconds(900));
+    CHECK(bench.live() == 2);
+    bench.pass(std::chrono::milliseconds(200));
+    CHECK(bench.live() == 1);
+    CHECK(bench.known() == 2);
+    bench.pass(FleetDirectory::KnownLimit);
+    CHECK(bench.known() == 1);
+    CHECK(bench.directory.members().size() == 1);
+    bench.pass(FleetDirectory::AddressLimit);
+    CHECK(bench.directory.members().empty());
+}
+
+TEST_CASE("word of a dead member that goes round doesn't make it live")
+{
+    // Callers aren't sent to a daemon that died. Others still pass its name on; with it goes the
+    // time since it was heard itself.
+    Bench bench;
+    bench.take(brief("a"));
+    bench.pass(std::chrono::milliseconds(800));
+    bench.take(brief("a", 700));
+    bench.pass(std::chrono::milliseconds(1000));
+    bench.take(brief("a", 1800));
+    CHECK(bench.live() == 1);
+    bench.take(brief("a", 10));
+    CHECK(bench.live() == 2);
+}
+
+TEST_CASE("a member that leaves isn't counted as one that may be cut off")
+{
+    Bench bench;
+    MemberBrief leaving = brief("a");
+    leaving.isLeaving = true;
+    bench.take(leaving);
+    bench.pass(std::chrono::seconds(2));
+    CHECK(bench.known() == 1);
+}
+
+TEST_CASE("a fleet of twelve is one cell, a larger one makes cells of six to twelve")
+{
+    Bench bench;
+    bench.fleet(11);
+    CHECK(bench.directory.cells() == 1);
+    bench.fleet(12);
+    CHECK(bench.directory.cells() == 2);
+    bench.fleet(88);
+    CHECK(bench.directory.cells() == 8);
+    bench.fleet(319);
+    CHECK(bench.directory.cells() == 32);
+    const CellWeights weights = bench.directory.weights(bench.clock.now());
+    CHECK(std::accumulate(weights.weights.begin(), weights.weights.end(), 0U) == 320);
+    CHECK(std::ranges::max(weights.weights) <= 20);
+    CHECK(bench.directory.membersOfCell(weights.own).size() + 1 == weights.weights[weights.own]);
+}
+
+TEST_CASE("daemons agree on the cells whatever they heard first")
+{
+    Bench one;
+    one.fleet(60);
+    Bench other;
+    for (std::size_t index = 60; index-- > 0;)
+        other.take(brief("m" + std::to_string(index)));
+    CHECK(one.directory.cells() == other.directory.cells());
+    CHECK(one.directory.weights(one.clock.now()).weights
+          == other.directory.weights(other.clock.now()).weights);
+}
+
+TEST_CASE("a death moves no other member to another cell")
+{
+    Bench bench;
+    bench.fleet(60);
+    std::map<MemberId, std::uint32_t> before;
+    for (const auto &[id, member] : bench.directory.members())
+        before[id] = member.cell;
+    bench.pass(std::chrono::milliseconds(5000));
+    for (std::size_t index = 0; index < 40; ++index)
+        bench.take(brief("m" + std::to_string(index)));
+    for (const auto &[id, member] : bench.directory.members())
+        CHECK(before[id] == member.cell);
+    const CellWeights weights = bench.directory.weights(bench.clock.now());
+    CHECK(std::accumulate(weights.weights.begin(), weights.weights.end(), 0U) == 41);
+}
+
+TEST_CASE("a sample has as many members as are asked for, and each time others")
+{
+    Bench bench;
+    bench.fleet(60);
+    RepeatableRandom random;
+    const auto sample = [&] { return bench.directory.sample(16, random, bench.clock.now()); };
+    CHECK(sample().size() == 16);
+    CHECK(sample() != sample());
+    Bench few;
+    few.fleet(3);
+    CHECK(few.directory.sample(16, random, few.clock.now()).size() == 3);
+}
--- /dev/null
+++ b/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
@@ -0,0 +1,76 @@
+#include <apricothook/fleetview/apricothook_peer_datagram.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace Apricothook;
+
+namespace {
+
+MemberBrief brief(const std::string &member)
+{
+    return {.member = MemberId(member),
+            .process = Incarnation(7),
+            .dataCentre = DataCentreId("d"),
+            .beaconAddress = {"10.0.0.1", 1},
+            .callerAddress = {"10.0.0.1", 2},
+            .itemAddress = {"10.0.0.1", 3},
+            .isReady = true,
+            .isLeaving = true,
+            .capacity = 25,
+            .age = 40};
+}
+
+CellReport report()
+{
+    return {.member = 9,
+            .process = Incarnation(7),
+            .sequence = 3,
+            .loads = {{1, 2}, {3, 4}},
+            .waiting = {{5, Tier(2), Tier(3), 6}},
+            .use = {{7, 8}}};
+}
+
+const std::vector<PeerDatagram> All {
+    Beacon {brief("a"), 99, report()},
+    report(),
+    CellSummary {2, 8, 77, {brief("a"), brief("b")}, {{4, 5000}}},
+    Greeting {brief("a"), true, {brief("c")}},
+};
+
+} // namespace
+
+TEST_CASE("a datagram comes back as it was written")
+{
+    for (const PeerDatagram &datagram : All)
+        CHECK(parsePeerDatagram(writePeerDatagram(datagram)).value() == datagram);
+}
+
+TEST_CASE("a datagram that was cut, and one of an unknown kind, are errors")
+{
+    for (const PeerDatagram &datagram : All) {
+        const std::string whole = writePeerDatagram(datagram);
+        for (std::size_t length = 0; length < whole.size(); ++length)
+            CHECK_FALSE(parsePeerDatagram(std::string_view(whole).substr(0, length)));
+    }
+    CHECK(parsePeerDatagram("").error() == CodecError::Truncated);
+    CHECK(parsePeerDatagram("nonsense").error() == CodecError::UnknownKind);
+}
+
+TEST_CASE("what daemons of a cell tell each other often fits into small datagrams")
+{
+    // A load report goes to each of eleven mates up to 40 times a second.
+    CellReport report;
+    report.member = ~std::uint64_t {0};
+    report.process = Incarnation(1700000000000);
+    report.sequence = 100000;
+    for (std::uint64_t target = 0; target < 14; ++target)
+        report.loads.push_back({~target, 3});
+    CHECK(writePeerDatagram(report).size() <= 200);
+
+    // Names in a summary are of a usual length; it must not be split on the way.
+    CellSummary summary;
+    summary.members.assign(12, brief("edge-hall-a-12"));
+    for (std::uint64_t customer = 0; customer < 40; ++customer)
+        summary.rates.push_back({~customer, 1000000});
+    CHECK(writePeerDatagram(summary).size() <= 1472);
+}
--- /dev/null
+++ b/packages/serving/apricothook/serving/apricothook_cell_exchange.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <apricothook/fleetview/apricothook_beacon_table.hpp>
+#include <apricothook/fleetview/apricothook_fleet_directory.hpp>
+#include <apricothook/fleetview/apricothook_rate_meter.hpp>
+#include <apricothook/gateway/apricothook_gateway.hpp>
+#include <apricothook/serving/apricothook_peer_sender.hpp>
+
+namespace Apricothook {
+
+/**
+ * Tells the own cell what this daemon does, and takes what its members do into the decisions.
+ *
+ * The whole state goes out at rest pace; between that only what changes often, soon after it has
+ * changed.
+ */
+class CellExchange
+{
+public:
+    /** Changes gather for so long; others learn of a taken slot that much later. */
+    static constexpr std::chrono::milliseconds ChangePause {25};
+
+    CellExchange(EventLoop &loop, const FleetDirectory &directory, PeerSender &sender,
+                 Gateway &gateway, LogWriter &log);
+    ~CellExchange();
+    CellExchange(const CellExchange &) = delete;
+    CellExchange &operator=(const CellExchange &) = delete;
+
+    /** Tells all, and forgets the load of members that have fallen silent. */
+    void tick();
+    /** The next report goes soon. */
+    void noteChange();
+    void sendBeacon();
+    void take(const Beacon &beacon);
+    void take(const CellReport &report);
+    /** What the cell, this daemon with it, admits. */
+    std::vector<CustomerRate> rates(std::size_t most);
+
+private:
+    enum class UseTold {
+        All,
+        Changed, ///< Since the last beacon.
+    };
+
+    void sendReport();
+    CellReport ownReport(UseTold told);
+    std::vector<Endpoint> addresses() const;
+    void apply(std::uint64_t member, const BeaconEffect &effect);
+    void forget(const MemberId &member);
+    void meterOwnUse();
+
+    EventLoop &m_loop;
+    const FleetDirectory &m_directory;
+    PeerSender &m_sender;
+    Gateway &m_gateway;
+    LogWriter &m_log;
+    BeaconTable m_mates;
+    RateMeter m_rates;
+    std::uint64_t m_sequence = 0;
+    bool m_changed = false;
+    TimerId m_change = 0;
+    /** Customers' totals at the last beacon, and those that are in m_rates already. */
+    std::map<std::uint64_t, std::uint64_t> m_toldUse;
+    std::map<std::uint64_t, std::uint64_t> m_meteredUse;
+};
+
+} // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_lookup_policy.hpp
+++ b/packages/serving/apricothook/serving/apricothook_lookup_policy.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <apricothook/fleetview/apricothook_beacon_table.hpp>
 #include <apricothook/serving/apricothook_lookup_dialect.hpp>
 
 #include <map>
+#include <vector>
 
 namespace Apricothook {
 
--- /dev/null
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -0,0 +1,105 @@
+#include <apricothook/serving/apricothook_peer_exchange.hpp>
+
+namespace Apricothook {
+
+PeerExchange::PeerExchange(EventLoop &loop, const ServingSettings &settings, Incarnation process,
+                           Gateway &gateway, PublishedState &published, RandomSource &random,
+                           LogWriter &log)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_process(process)
+    , m_gateway(gateway)
+    , m_published(published)
+    , m_directory(settings.member)
+    , m_cell(loop, m_directory, *this, gateway, log)
+    , m_fleet(loop, m_directory, *this, gateway.customers(), random, settings.seeds)
+    , m_revisions(loop, published, log)
+{
+}
+
+PeerExchange::~PeerExchange()
+{
+    m_loop.cancel(m_tick);
+}
+
+Result<void, ListenError> PeerExchange::start()
+{
+    Result<std::unique_ptr<DatagramSocket>, ListenError> socket = DatagramSocket::open(
+        m_loop, m_settings.beaconAddress, [this](std::string_view bytes) { receive(bytes); });
+    if (!socket)
+        return socket.error();
+    m_socket = std::move(socket).value();
+    m_fleet.start([this](std::size_t most) { return m_cell.rates(most); });
+    tick();
+    return Outcomes::success();
+}
+
+void PeerExchange::tick()
+{
+    const Instant now = m_loop.now();
+    m_directory.review(now);
+    m_gateway.setMembers(m_directory.liveCount(now), m_directory.knownCount(now));
+    m_gateway.targets().setCells(m_directory.weights(now));
+    m_fleet.countUseOfOtherCells();
+    m_cell.tick();
+    m_fleet.sendSummaries();
+    m_tick = m_loop.after(IdlePause, [this] { tick(); });
+}
+
+void PeerExchange::startLeaving()
+{
+    m_leaving = true;
+    m_fleet.announce();
+}
+
+void PeerExchange::send(const Endpoint &to, const PeerDatagram &datagram)
+{
+    m_socket->send(to, writePeerDatagram(datagram));
+}
+
+void PeerExchange::send(const std::vector<Endpoint> &to, const PeerDatagram &datagram)
+{
+    const std::string bytes = writePeerDatagram(datagram);
+    for (const Endpoint &receiver : to)
+        m_socket->send(receiver, bytes);
+}
+
+MemberBrief PeerExchange::ownBrief() const
+{
+    return {
+        .member = m_settings.member,
+        .process = m_process,
+        .dataCentre = m_settings.dataCentre,
+        .beaconAddress = m_settings.beaconAddress,
+        .callerAddress = m_settings.callerAddress,
+        .itemAddress = m_settings.controlAddress,
+        .isReady = isReady(),
+        .isLeaving = m_leaving,
+        .capacity = m_settings.capacity,
+        .age = 0,
+    };
+}
+
+void PeerExchange::receive(std::string_view bytes)
+{
+    const Result<PeerDatagram, CodecError> datagram = parsePeerDatagram(bytes);
+    // Datagrams may be cut or strangers'; the next whole one replaces what this one told.
+    if (datagram)
+        std::visit([this](const auto &message) { take(message); }, datagram.value());
+}
+
+void PeerExchange::take(const Beacon &beacon)
+{
+    m_directory.take(beacon.sender, m_loop.now());
+    m_cell.take(beacon);
+    m_revisions.note(beacon.sender, beacon.revision);
+}
+
+void PeerExchange::take(const CellSummary &summary)
+{
+    m_fleet.take(summary);
+    if (!summary.members.empty())
+        m_revisions.note(summary.members.front(), summary.revision);
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <apricothook/eventloop/apricothook_datagram_socket.hpp>
+#include <apricothook/serving/apricothook_cell_exchange.hpp>
+#include <apricothook/serving/apricothook_fleet_exchange.hpp>
+#include <apricothook/serving/apricothook_revision_follower.hpp>
+#include <apricothook/serving/apricothook_serving_settings.hpp>
+
+#include <memory>
+
+namespace Apricothook {
+
+/** All that passes between this daemon and the others. */
+class PeerExchange : private PeerSender
+{
+public:
+    /** Between beacons of an idle daemon. */
+    static constexpr std::chrono::milliseconds IdlePause {200};
+
+    PeerExchange(EventLoop &loop, const ServingSettings &settings, Incarnation process,
+                 Gateway &gateway, PublishedState &published, RandomSource &random, LogWriter &log);
+    ~PeerExchange() override;
+    PeerExchange(const PeerExchange &) = delete;
+    PeerExchange &operator=(const PeerExchange &) = delete;
+
+    Result<void, ListenError> start();
+    /** This daemon's load or its waiting requests have changed. */
+    void noteChange() { m_cell.noteChange(); }
+    /** From now on no lookup names this daemon. */
+    void startLeaving();
+    bool isReady() const { return m_published.hasConfiguration() && !m_leaving; }
+    const FleetDirectory &directory() const { return m_directory; }
+
+private:
+    void send(const Endpoint &to, const PeerDatagram &datagram) override;
+    void send(const std::vector<Endpoint> &to, const PeerDatagram &datagram) override;
+    MemberBrief ownBrief() const override;
+    std::uint64_t ownRevision() const override { return m_published.replica().revision(); }
+
+    void tick();
+    void receive(std::string_view bytes);
+    void take(const Beacon &beacon);
+    void take(const CellReport &report) { m_cell.take(report); }
+    void take(const CellSummary &summary);
+    void take(const Greeting &greeting) { m_fleet.take(greeting); }
+
+    EventLoop &m_loop;
+    const ServingSettings &m_settings;
+    const Incarnation m_process;
+    Gateway &m_gateway;
+    PublishedState &m_published;
+    bool m_leaving = false;
+    FleetDirectory m_directory;
+    CellExchange m_cell;
+    FleetExchange m_fleet;
+    RevisionFollower m_revisions;
+    std::unique_ptr<DatagramSocket> m_socket;
+    TimerId m_tick = 0;
+};
+
+} // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -34,7 +34,7 @@
     , m_loop(clock)
     , m_gateway(m_loop, adapters.wire, random, log, m_metrics, settings.bounds, settings.dataCentre)
     , m_published(m_loop, m_gateway, adapters.decoder, log)
-    , m_beacons(m_loop, m_settings, m_incarnation, m_gateway, m_published, log)
+    , m_peers(m_loop, m_settings, m_incarnation, m_gateway, m_published, random, log)
 {
 }
 
@@ -62,9 +62,9 @@
     BOOST_OUTCOME_TRY(open(m_lookups, m_settings.lookupAddress, &ServingProcess::answerLookup));
     BOOST_OUTCOME_TRY(
         open(m_readiness, m_settings.readinessAddress, &ServingProcess::answerReadiness));
-    BOOST_OUTCOME_TRY(m_beacons.start());
+    BOOST_OUTCOME_TRY(m_peers.start());
     BOOST_OUTCOME_TRY(m_gateway.listen(m_settings.callerAddress));
-    m_gateway.setLoadListener([this] { m_beacons.noteChange(); });
+    m_gateway.setLoadListener([this] { m_peers.noteChange(); });
     watchItems();
     rankCustomers();
     m_log.write(LogEvent(FleetviewEvent::ProcessStarted)
@@ -93,7 +93,8 @@
 void ServingProcess::rankCustomers()
 {
     m_metrics.rankCustomers(m_loop.now());
-    m_metrics.set(Level::LiveMembers, static_cast<double>(m_beacons.members().heardCount()));
+    m_metrics.set(Level::LiveMembers,
+                  static_cast<double>(m_peers.directory().liveCount(m_loop.now())));
     m_metrics.set(Level::CallerConnections, static_cast<double>(m_gateway.callerConnections()));
     m_metrics.set(Level::CallerExchanges, static_cast<double>(m_gateway.openRequests()));
     m_metrics.set(Level::WaitingRequests, static_cast<double>(m_gateway.dispatcher().waiting()));
@@ -103,11 +104,13 @@
 std::vector<LookupEntry> ServingProcess::readyEntries() const
 {
     std::vector<LookupEntry> entries;
-    if (m_beacons.isReady())
+    if (m_peers.isReady())
         entries.push_back({m_settings.callerAddress, m_settings.dataCentre});
-    for (const Member *member : m_beacons.members().heard()) {
-        if (member->last.isReady && !member->last.isLeaving)
-            entries.push_back({member->last.callerAddress, member->last.dataCentre});
+    const FleetDirectory &directory = m_peers.directory();
+    for (const auto &[id, member] : directory.members()) {
+        const MemberBrief &brief = member.brief;
+        if (directory.isLive(member, m_loop.now()) && brief.isReady && !brief.isLeaving)
+            entries.push_back({brief.callerAddress, brief.dataCentre});
     }
     return entries;
 }
@@ -128,7 +131,7 @@
 {
     if (!m_adapters.lookups.asksReadiness(request))
         return statusAlone(HttpStatus::NotFound);
-    return statusAlone(m_beacons.isReady() ? HttpStatus::Ok : HttpStatus::Unavailable);
+    return statusAlone(m_peers.isReady() ? HttpStatus::Ok : HttpStatus::Unavailable);
 }
 
 SmallAnswer ServingProcess::answerControl(const RequestHead &request) const
@@ -153,7 +156,7 @@
     m_log.write(LogEvent(FleetviewEvent::ProcessStopping)
                     .with("open_requests", m_gateway.openRequests())
                     .with("connections", m_gateway.callerConnections()));
-    m_beacons.startLeaving();
+    m_peers.startLeaving();
     m_gateway.startLeaving();
     const Instant latest = now + m_settings.bounds.grace - EndMargin;
     m_loop.after(KeepFactor * LookupKeep, [this, latest] {
--- a/packages/serving/apricothook/serving/apricothook_serving_process.hpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.hpp
@@ -2,9 +2,9 @@
 
 #include <apricothook/fleetview/apricothook_item_watcher.hpp>
 #include <apricothook/gateway/apricothook_gateway.hpp>
-#include <apricothook/serving/apricothook_beacon_exchange.hpp>
 #include <apricothook/serving/apricothook_lookup_dialect.hpp>
 #include <apricothook/serving/apricothook_lookup_policy.hpp>
+#include <apricothook/serving/apricothook_peer_exchange.hpp>
 #include <apricothook/serving/apricothook_published_state.hpp>
 #include <apricothook/serving/apricothook_serving_settings.hpp>
 #include <apricothook/serving/apricothook_small_http_server.hpp>
@@ -67,7 +67,7 @@
     Metrics m_metrics;
     Gateway m_gateway;
     PublishedState m_published;
-    BeaconExchange m_beacons;
+    PeerExchange m_peers;
     std::unique_ptr<SmallHttpServer> m_lookups;
     std::unique_ptr<SmallHttpServer> m_readiness;
     std::unique_ptr<SmallHttpServer> m_control;
--- a/packages/serving/apricothook/serving/apricothook_serving_settings.hpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_settings.hpp
@@ -17,6 +17,8 @@
     RegionId region;
     /** The region of every data centre. */
     std::map<DataCentreId, RegionId> regions;
+    /** Its part of a core in hundredths; other daemons name it to callers by this. */
+    std::uint32_t capacity = 100;
     Endpoint callerAddress;
     Endpoint readinessAddress;
     Endpoint lookupAddress;
