Bring items from peers into force: the guard of the fetcher's results was dead from the start

The result is handed to the loop under a weak pointer; the shared one was declared after the fetcher, so the copy was taken before it was made and had always expired. Configurations came 4.7 to 9.1 s late at such daemons. The log hid it: it told that a question went out as if items had come.

Ruled out: machines cut off (their peers' beacons came all the while); a slow peer (each question was answered within some ms).

Items that a peer didn't give are now an event of their own.

--- a/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -24,8 +24,10 @@
                               ///< Operator: none.
     MemberSilent = 862,       ///< warning: a daemon's beacons stopped; member, age. Operator: look
                               ///< at the member when it stays silent.
-    ItemsFromPeer = 863,      ///< info: a peer knew later items than this daemon; peer, revisions.
-                              ///< Operator: none.
+    ItemsFromPeer = 863,      ///< info: a peer gave later items than this daemon had; peer,
+                              ///< revisions. Operator: none.
+    PeerItemsFailed = 864,    ///< warning: a peer that has later items didn't give them; peer,
+                              ///< revisions. Operator: look at the peer when it goes on.
 };
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
@@ -22,7 +22,7 @@
     m_thread.join();
 }
 
-bool PeerItemFetcher::fetch(const Endpoint &peer, Revision after)
+bool PeerItemFetcher::fetch(const MemberBrief &peer, Revision after)
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -44,21 +44,22 @@
             return;
         const Order order = *std::exchange(m_order, std::nullopt);
         lock.unlock();
-        carryOut(order);
+        m_fetched(order.peer, carryOut(order));
         lock.lock();
         m_busy = false;
     }
 }
 
-void PeerItemFetcher::carryOut(const Order &order)
+std::optional<ItemUpdate> PeerItemFetcher::carryOut(const Order &order)
 {
-    BlockingHttpClient client(order.peer, ConnectTime, m_stopping);
+    BlockingHttpClient client(order.peer.itemAddress, ConnectTime, m_stopping);
     const std::optional<SourceAnswer> answer = client.get(peerItemsPath(order.after), AnswerTime);
     if (!answer || answer->status != HttpStatus::Ok)
-        return;
+        return std::nullopt;
     Result<ItemUpdate, ItemProtocolError> update = parseItemUpdate(answer->body);
-    if (update)
-        m_fetched(std::move(update).value());
+    if (!update)
+        return std::nullopt;
+    return std::move(update).value();
 }
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <apricothook/fleetview/apricothook_item_replica.hpp>
+#include <apricothook/fleetview/apricothook_member_brief.hpp>
 #include <apricothook/model/apricothook_endpoint.hpp>
 
 #include <atomic>
@@ -23,26 +24,26 @@
     /** A peer is a round trip away; more means that it is gone or far too busy. */
     static constexpr std::chrono::milliseconds AnswerTime {800};
     static constexpr std::chrono::milliseconds ConnectTime {300};
-    using Fetched = std::function<void(ItemUpdate)>;
+    using Fetched = std::function<void(const MemberBrief &peer, std::optional<ItemUpdate>)>;
 
-    /** `fetched` is called on the fetcher's thread. */
+    /** `fetched` is called on the fetcher's thread; without an update when the peer failed. */
     explicit PeerItemFetcher(Fetched fetched);
     ~PeerItemFetcher();
     PeerItemFetcher(const PeerItemFetcher &) = delete;
     PeerItemFetcher &operator=(const PeerItemFetcher &) = delete;
 
     /** False, and nothing is done, while another fetch runs. */
-    bool fetch(const Endpoint &peer, Revision after);
+    bool fetch(const MemberBrief &peer, Revision after);
 
 private:
     struct Order
     {
-        Endpoint peer;
+        MemberBrief peer;
         Revision after = 0;
     };
 
     void run();
-    void carryOut(const Order &order);
+    std::optional<ItemUpdate> carryOut(const Order &order);
 
     const Fetched m_fetched;
     std::mutex m_mutex;
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -113,6 +113,7 @@
     EventName {861, "MemberHeard", EventLevel::Info},
     EventName {862, "MemberSilent", EventLevel::Warning},
     EventName {863, "ItemsFromPeer", EventLevel::Info},
+    EventName {864, "PeerItemsFailed", EventLevel::Warning},
 };
 
 } // namespace
--- a/packages/serving/apricothook/serving/apricothook_revision_follower.cpp
+++ b/packages/serving/apricothook/serving/apricothook_revision_follower.cpp
@@ -8,15 +8,27 @@
     : m_loop(loop)
     , m_published(published)
     , m_log(log)
-    , m_fetcher([this, alive = std::weak_ptr(m_alive)](ItemUpdate update) {
-        m_loop.post([this, alive, update = std::move(update)] {
+    , m_fetcher([this, alive = std::weak_ptr(m_alive)](const MemberBrief &peer,
+                                                       std::optional<ItemUpdate> update) {
+        m_loop.post([this, alive, peer, update = std::move(update)] {
             if (!alive.expired())
-                m_published.apply(update);
+                take(peer, update);
         });
     })
 {
 }
 
+void RevisionFollower::take(const MemberBrief &peer, const std::optional<ItemUpdate> &update)
+{
+    const Revision before = m_published.replica().revision();
+    if (update)
+        m_published.apply(*update);
+    m_log.write(LogEvent(update ? FleetviewEvent::ItemsFromPeer : FleetviewEvent::PeerItemsFailed)
+                    .with("peer", peer.member.text())
+                    .with("own_revision", before)
+                    .with("peer_revision", update ? update->revision : m_laterRevision));
+}
+
 void RevisionFollower::note(const MemberBrief &peer, Revision revision)
 {
     const Revision own = m_published.replica().revision();
@@ -31,12 +43,7 @@
     }
     if (now - *m_behindSince < OwnSourceTime)
         return;
-    if (!m_fetcher.fetch(peer.itemAddress, own))
-        return;
-    m_log.write(LogEvent(FleetviewEvent::ItemsFromPeer)
-                    .with("peer", peer.member.text())
-                    .with("own_revision", own)
-                    .with("peer_revision", revision));
+    m_fetcher.fetch(peer, own);
 }
 
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_revision_follower.hpp
+++ b/packages/serving/apricothook/serving/apricothook_revision_follower.hpp
@@ -24,14 +24,18 @@
     void note(const MemberBrief &peer, Revision revision);
 
 private:
+    void take(const MemberBrief &peer, const std::optional<ItemUpdate> &update);
+
     EventLoop &m_loop;
     PublishedState &m_published;
     LogWriter &m_log;
-    PeerItemFetcher m_fetcher;
     /** Since when a peer has had a later revision than this daemon. */
     std::optional<Instant> m_behindSince;
     Revision m_laterRevision = 0;
+    /** What the fetcher's thread has posted may run after this has gone. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    /** Last: its thread uses the members above. */
+    PeerItemFetcher m_fetcher;
 };
 
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_small_http_server.hpp
+++ b/packages/serving/apricothook/serving/apricothook_small_http_server.hpp
@@ -32,6 +32,8 @@
     SmallHttpServer(const SmallHttpServer &) = delete;
     SmallHttpServer &operator=(const SmallHttpServer &) = delete;
 
+    std::uint16_t port() const { return m_listener->port(); }
+
 private:
     class Connection;
 
--- a/packages/serving/tests/apricothook_published_state_tests.cpp
+++ b/packages/serving/tests/apricothook_published_state_tests.cpp
@@ -1,116 +1,13 @@
+#include "apricothook_state_bench.hpp"
 #include <apricothook/serving/apricothook_lookup_policy.hpp>
-#include <apricothook/serving/apricothook_published_state.hpp>
-
-#include <apricothook/testsupport/apricothook_hand_clock.hpp>
 
 #include <doctest/doctest.h>
 
 using namespace Apricothook;
 
-namespace {
-
-/** Items named "c" hold a generation, items named "t/ID" a state. */
-class TestDecoder : public ItemDecoder
-{
-public:
-    ItemKind kindOf(std::string_view key) const override
-    {
-        if (key == "c")
-            return ItemKind::Configuration;
-        return key.starts_with("t/") ? ItemKind::Target : ItemKind::Other;
-    }
-    Result<ServingConfiguration, ItemFault> configuration(std::string_view value) const override
-    {
-        if (value == "bad")
-            return ItemFault {"field"};
-        ServingConfiguration configuration;
-        configuration.generation = Generation(std::stoul(std::string(value)));
-        return configuration;
-    }
-    TargetId targetOfKey(std::string_view key) const override
-    {
-        return TargetId(std::string(key.substr(2)));
-    }
-    Result<TargetEntry, ItemFault> target(std::string_view key,
-                                          std::string_view value) const override
-    {
-        if (value == "bad")
-            return ItemFault {"field"};
-        TargetEntry entry;
-        entry.id = targetOfKey(key);
-        entry.service = ServiceId("s");
-        entry.address = {"127.0.0.1", 1};
-        entry.isDraining = value == "draining";
-        return entry;
-    }
-};
-
-/** The test looks at the gateway's state; no caller or target is connected. */
-class NoWire : public WireDialect
-{
-public:
-    Result<RequestFields, RequestFieldsError> callerRequest(const RequestHead &) const override
-    {
-        return RequestFieldsError::NoId;
-    }
-    RequestHead targetRequest(const RequestHead &head, const TargetRequestFields &) const override
-    {
-        return head;
-    }
-    TargetVerdict verdict(const ResponseHead &) const override { return {}; }
-    ResponseHead callerAnswer(const ResponseHead &head) const override { return head; }
-    ResponseHead ownAnswer(unsigned, const RequestKey &, std::optional<Duration>) const override
-    {
-        return {};
-    }
-};
-
-class NoLog : public LogWriter
-{
-public:
-    void write(const LogEvent &) override { }
-};
-
-class NoRandom : public RandomSource
-{
-public:
-    std::uint64_t next() override { return 0; }
-};
-
-struct Bench
-{
-    HandClock clock;
-    EventLoop loop {clock};
-    NoWire wire;
-    NoRandom random;
-    NoLog log;
-    Metrics metrics;
-    TestDecoder decoder;
-    Gateway gateway {loop, wire, random, log, metrics, FleetBounds(), DataCentreId("d")};
-    PublishedState state {loop, gateway, decoder, log};
-    Revision revision = 0;
-
-    void write(const std::string &key, const std::optional<std::string> &value)
-    {
-        ++revision;
-        state.apply({{{key, value, revision}}, false, revision});
-    }
-    bool has(const std::string &target)
-    {
-        return gateway.targets().find(TargetId(target)) != nullptr;
-    }
-    void pass(std::chrono::milliseconds time)
-    {
-        clock.advance(time);
-        loop.runOnce(std::chrono::milliseconds(0));
-    }
-};
-
-} // namespace
-
 TEST_CASE("a removed target gets nothing more at once")
 {
-    Bench bench;
+    StateBench bench;
     bench.write("t/a", "ready");
     CHECK(bench.has("a"));
     bench.write("t/a", std::nullopt);
@@ -121,7 +18,7 @@
 {
     // Callers are served on. All entries lapse during an outage; the targets live and register
     // again within two seconds of its end. One that doesn't is gone.
-    Bench bench;
+    StateBench bench;
     bench.write("t/a", "ready");
     bench.write("t/b", "ready");
     bench.state.setSourceState(SourceState::Reachable);
@@ -141,7 +38,7 @@
 
 TEST_CASE("a target that had announced its leaving is gone even after an outage")
 {
-    Bench bench;
+    StateBench bench;
     bench.write("t/a", "ready");
     bench.state.setSourceState(SourceState::Unreachable);
     bench.write("t/a", "draining");
@@ -152,7 +49,7 @@
 
 TEST_CASE("a configuration never goes back, and a bad one changes nothing")
 {
-    Bench bench;
+    StateBench bench;
     CHECK_FALSE(bench.state.hasConfiguration());
     bench.write("c", "bad");
     CHECK_FALSE(bench.state.hasConfiguration());
