Let two daemons of each cell read the configuration service, and tell an outage from VMs turned away

Cause: every daemon watched the service.

Change: the two largest daemons of a cell that reach the service read; a new revision goes out in a beacon at once and the others ask the reader. Who fails says so in its beacons and the next takes over; when nobody is left, all try. Answers with changes are followed by a pause of 0.1 s, so that changes gather.

Whether a removal may be a lapsed entry was decided by the daemon's own contact. Now an outage is when no daemon of the cell reaches the service for 0.5 s; test "a removal is true while another daemon of the cell reaches the source".

Ruled out: longer watches (a silent connection would show later); stale reads (they can't wait for changes).

--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
@@ -1,10 +1,12 @@
 #include <apricothook/fleetview/apricothook_fleet_directory.hpp>
 
+#include <apricothook/fleetview/apricothook_cell_report.hpp>
 #include <apricothook/model/apricothook_hashing.hpp>
 
 #include <algorithm>
 #include <bit>
 #include <limits>
+#include <tuple>
 
 namespace Apricothook {
 
@@ -117,6 +119,45 @@
     return cells;
 }
 
+std::vector<const KnownMember *> FleetDirectory::liveOfOwnCell(Instant now) const
+{
+    std::vector<const KnownMember *> live = membersOfCell(ownCell());
+    std::erase_if(live, [&](const KnownMember *member) { return !isLive(*member, now); });
+    return live;
+}
+
+bool FleetDirectory::isReader(const MemberBrief &self, Instant now) const
+{
+    // Small VMs have the least processor time and bandwidth to spare for the others.
+    const auto goesBefore = [](const MemberBrief &one, const MemberBrief &other) {
+        return std::tuple(other.capacity, memberNumber(one.member))
+            < std::tuple(one.capacity, memberNumber(other.member));
+    };
+    std::size_t candidates = 0;
+    std::size_t before = 0;
+    for (const KnownMember *member : liveOfOwnCell(now)) {
+        const MemberBrief &brief = member->brief;
+        if (!brief.isReady || brief.isLeaving || brief.hasLostSource)
+            continue;
+        ++candidates;
+        before += goesBefore(brief, self) ? 1 : 0;
+    }
+    const bool isCandidate = !self.hasLostSource && !self.isLeaving;
+    if (candidates + (isCandidate ? 1 : 0) < ReadersOfCell)
+        return true;
+    return isCandidate && before < ReadersOfCell;
+}
+
+SourceContact FleetDirectory::sourceContact(const MemberBrief &self, Instant now) const
+{
+    SourceContact contact {self.reachesSource, self.hasLostSource};
+    for (const KnownMember *member : liveOfOwnCell(now)) {
+        contact.someReach |= member->brief.reachesSource;
+        contact.someLost |= member->brief.hasLostSource;
+    }
+    return contact;
+}
+
 MemberBrief FleetDirectory::told(const KnownMember &member, Instant now)
 {
     MemberBrief brief = member.brief;
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
@@ -2,6 +2,7 @@
 
 #include <apricothook/dispatch/apricothook_slot_partition.hpp>
 #include <apricothook/fleetview/apricothook_member_brief.hpp>
+#include <apricothook/fleetview/apricothook_source_outage.hpp>
 #include <apricothook/model/apricothook_time.hpp>
 
 #include <map>
@@ -46,6 +47,12 @@
     static constexpr std::chrono::milliseconds SummaryPauseForEachCell {100};
     static constexpr std::chrono::milliseconds ShortestSummaryPause {500};
 
+    /**
+     * Daemons of each cell that read the published items at their source; the others ask them. One
+     * may die or be cut off and nobody notice for OwnCellLimit.
+     */
+    static constexpr std::size_t ReadersOfCell = 2;
+
     explicit FleetDirectory(MemberId self);
 
     /** News of a member; older ones than what is known are passed over. */
@@ -65,6 +72,11 @@
     std::size_t liveCount(Instant now) const;
     std::size_t knownCount(Instant now) const;
     CellWeights weights(Instant now) const;
+    /** `self` is one of those who read at the source. All are while too few are known to reach it.
+     */
+    bool isReader(const MemberBrief &self, Instant now) const;
+    /** What `self` and the live members of its cell tell of the source. */
+    SourceContact sourceContact(const MemberBrief &self, Instant now) const;
     /** Some members, as they are to be told to others. */
     std::vector<MemberBrief> sample(std::size_t most, RandomSource &random, Instant now) const;
     /** The member as it is to be told to others. */
@@ -75,6 +87,7 @@
     static constexpr int MissedSummaries = 3;
 
     Duration liveLimit(const KnownMember &member) const;
+    std::vector<const KnownMember *> liveOfOwnCell(Instant now) const;
     bool isKnown(const KnownMember &member, Instant now) const;
 
     const MemberId m_self;
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -28,6 +28,9 @@
                               ///< revisions. Operator: none.
     PeerItemsFailed = 864,    ///< warning: a peer that has later items didn't give them; peer,
                               ///< revisions. Operator: look at the peer when it goes on.
+    ReadingChanged = 865,     ///< info: this daemon reads at the configuration service from now on,
+                              ///< or leaves that to others of its cell; reads, revision. Operator:
+                              ///< none.
 };
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
@@ -2,6 +2,9 @@
 
 #include <apricothook/fleetview/apricothook_blocking_http_client.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace Apricothook {
 
 ItemWatcher::ItemWatcher(const Endpoint &source, const ItemProtocol &protocol, Updated updated,
@@ -16,19 +19,53 @@
 
 ItemWatcher::~ItemWatcher()
 {
-    m_stopping = true;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_dutyChanged.notify_one();
     m_thread.join();
 }
 
+void ItemWatcher::pauseReading()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isPaused = true;
+}
+
+void ItemWatcher::resumeReading(Revision known)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isPaused = false;
+        m_resumedFrom = known;
+    }
+    m_dutyChanged.notify_one();
+}
+
+void ItemWatcher::waitForDuty()
+{
+    std::unique_lock lock(m_mutex);
+    m_dutyChanged.wait(lock, [this] { return !m_isPaused || m_stopping; });
+    const std::optional<Revision> known = std::exchange(m_resumedFrom, std::nullopt);
+    if (!known)
+        return;
+    // What the source said before the pause tells nothing of it now.
+    m_state.reset();
+    if (*known > 0)
+        m_revision = std::max(m_revision.value_or(0), *known);
+}
+
 void ItemWatcher::run()
 {
     while (!m_stopping) {
         if (!(m_revision ? watchOnce() : readAll()))
-            pause();
+            pauseAfterFailure();
+        waitForDuty();
     }
 }
 
-void ItemWatcher::pause()
+void ItemWatcher::pauseAfterFailure()
 {
     std::this_thread::sleep_for(RetryPause);
 }
@@ -94,8 +131,10 @@
     }
     tell(SourceState::Reachable);
     m_revision = std::max(*m_revision, update.value().revision);
-    if (!update.value().changes.empty())
-        m_updated(std::move(update).value());
+    if (update.value().changes.empty())
+        return true;
+    m_updated(std::move(update).value());
+    std::this_thread::sleep_for(GatherPause);
     return true;
 }
 
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
@@ -4,8 +4,10 @@
 #include <apricothook/model/apricothook_endpoint.hpp>
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <thread>
 
@@ -28,6 +30,8 @@
     /** Longer than the wait by so much, a call has failed. */
     static constexpr std::chrono::milliseconds AnswerTime {700};
     static constexpr std::chrono::milliseconds ConnectTime {500};
+    /** After an answer with changes: others that come right after it cost no call of their own. */
+    static constexpr std::chrono::milliseconds GatherPause {100};
     /** Between calls that failed; the source's rate is shared by all daemons. */
     static constexpr std::chrono::milliseconds RetryPause {150};
 
@@ -41,13 +45,20 @@
     ItemWatcher(const ItemWatcher &) = delete;
     ItemWatcher &operator=(const ItemWatcher &) = delete;
 
+    /** After this the present call ends and no other one begins. */
+    void pauseReading();
+    /** Goes on; all up to `known` has been heard elsewhere, zero for nothing. Reads at first. */
+    void resumeReading(Revision known);
+
 private:
     void run();
     /** False when the call failed. */
     bool readAll();
     bool watchOnce();
     void tell(SourceState state);
-    void pause();
+    void pauseAfterFailure();
+    /** Waits while reading is paused. */
+    void waitForDuty();
 
     const ItemProtocol &m_protocol;
     const Updated m_updated;
@@ -57,6 +68,11 @@
     /** Nothing while everything must be read. */
     std::optional<Revision> m_revision;
     std::atomic<bool> m_stopping = false;
+    std::mutex m_mutex;
+    std::condition_variable m_dutyChanged;
+    bool m_isPaused = false;
+    /** Set by resumeReading() for the thread to take over. */
+    std::optional<Revision> m_resumedFrom;
     std::thread m_thread;
 };
 
--- a/packages/fleetview/apricothook/fleetview/apricothook_member_brief.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_member_brief.hpp
@@ -23,6 +23,10 @@
     /** Serves callers and knows a configuration. */
     bool isReady = false;
     bool isLeaving = false;
+    /** Its last call to the published items' source was answered. */
+    bool reachesSource = false;
+    /** Its last call failed. Neither, when it leaves reading to others. */
+    bool hasLostSource = false;
     /** Callers that it can take, against other daemons; its part of a core in hundredths. */
     std::uint32_t capacity = 1;
     /** Milliseconds since the member itself was heard, as far as the sender knows. */
@@ -32,7 +36,8 @@
     static void fields(Archive &archive, Self &self)
     {
         archive(self.member, self.process, self.dataCentre, self.beaconAddress, self.callerAddress,
-                self.itemAddress, self.isReady, self.isLeaving, self.capacity, self.age);
+                self.itemAddress, self.isReady, self.isLeaving, self.reachesSource,
+                self.hasLostSource, self.capacity, self.age);
     }
     auto operator<=>(const MemberBrief &) const = default;
 };
--- a/packages/fleetview/tests/apricothook_fleet_directory_tests.cpp
+++ b/packages/fleetview/tests/apricothook_fleet_directory_tests.cpp
@@ -145,3 +145,49 @@
     few.fleet(3);
     CHECK(few.directory.sample(16, random, few.clock.now()).size() == 3);
 }
+
+TEST_CASE("two daemons of a cell read at the source, the largest first")
+{
+    Bench bench;
+    MemberBrief self = brief("self");
+    self.capacity = 12;
+    CHECK(bench.directory.isReader(self, bench.clock.now()));
+    for (const char *name : {"a", "b", "c"}) {
+        MemberBrief large = brief(name);
+        large.capacity = 50;
+        bench.take(large);
+    }
+    CHECK_FALSE(bench.directory.isReader(self, bench.clock.now()));
+    self.capacity = 100;
+    CHECK(bench.directory.isReader(self, bench.clock.now()));
+}
+
+TEST_CASE("readers that lost the source, fell silent or leave are replaced")
+{
+    // Callers are served by new configurations though the source turns the readers away: the next
+    // in the cell take over, and when nobody is left, all try.
+    Bench bench;
+    MemberBrief self = brief("self");
+    self.capacity = 12;
+    MemberBrief one = brief("a");
+    MemberBrief other = brief("b");
+    one.capacity = other.capacity = 50;
+    bench.take(one);
+    bench.take(other);
+    CHECK_FALSE(bench.directory.isReader(self, bench.clock.now()));
+    bench.pass(std::chrono::milliseconds(500));
+    one.hasLostSource = true;
+    bench.take(one);
+    CHECK(bench.directory.isReader(self, bench.clock.now()));
+    CHECK(bench.directory.sourceContact(self, bench.clock.now()) == SourceContact {false, true});
+    bench.pass(std::chrono::milliseconds(500));
+    one.hasLostSource = false;
+    one.reachesSource = true;
+    bench.take(one);
+    CHECK(bench.directory.sourceContact(self, bench.clock.now()) == SourceContact {true, false});
+    // The other one has been silent for longer than a second.
+    bench.pass(std::chrono::milliseconds(200));
+    CHECK(bench.directory.isReader(self, bench.clock.now()));
+    self.hasLostSource = true;
+    CHECK(bench.directory.isReader(self, bench.clock.now()));
+}
--- /dev/null
+++ b/packages/fleetview/tests/apricothook_source_outage_tests.cpp
@@ -0,0 +1,31 @@
+#include <apricothook/fleetview/apricothook_source_outage.hpp>
+
+#include <apricothook/testsupport/apricothook_hand_clock.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace Apricothook;
+
+TEST_CASE("removals are doubtful in an outage and until targets have registered again")
+{
+    HandClock clock;
+    SourceOutage outage;
+    CHECK_FALSE(outage.mayHaveLapsed(clock.now()));
+    outage.note({false, true}, clock.now());
+    clock.advance(std::chrono::seconds(4));
+    CHECK(outage.mayHaveLapsed(clock.now()));
+    outage.note({true, false}, clock.now());
+    clock.advance(std::chrono::milliseconds(2400));
+    CHECK(outage.mayHaveLapsed(clock.now()));
+    clock.advance(std::chrono::milliseconds(200));
+    CHECK_FALSE(outage.mayHaveLapsed(clock.now()));
+}
+
+TEST_CASE("a daemon that has asked nothing yet makes no outage")
+{
+    HandClock clock;
+    SourceOutage outage;
+    outage.note({false, false}, clock.now());
+    clock.advance(std::chrono::seconds(4));
+    CHECK_FALSE(outage.mayHaveLapsed(clock.now()));
+}
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -114,6 +114,7 @@
     EventName {862, "MemberSilent", EventLevel::Warning},
     EventName {863, "ItemsFromPeer", EventLevel::Info},
     EventName {864, "PeerItemsFailed", EventLevel::Warning},
+    EventName {865, "ReadingChanged", EventLevel::Info},
 };
 
 } // namespace
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -1,5 +1,7 @@
 #include <apricothook/serving/apricothook_peer_exchange.hpp>
 
+#include <utility>
+
 namespace Apricothook {
 
 PeerExchange::PeerExchange(EventLoop &loop, const ServingSettings &settings, Incarnation process,
@@ -22,8 +24,9 @@
     m_loop.cancel(m_tick);
 }
 
-Result<void, ListenError> PeerExchange::start()
+Result<void, ListenError> PeerExchange::start(std::function<void(bool reads)> readingChanged)
 {
+    m_tellReading = std::move(readingChanged);
     Result<std::unique_ptr<DatagramSocket>, ListenError> socket = DatagramSocket::open(
         m_loop, m_settings.beaconAddress, [this](std::string_view bytes) { receive(bytes); });
     if (!socket)
@@ -40,12 +43,44 @@
     m_directory.review(now);
     m_gateway.setMembers(m_directory.liveCount(now), m_directory.knownCount(now));
     m_gateway.targets().setCells(m_directory.weights(now));
+    reviewReading();
     m_fleet.countUseOfOtherCells();
     m_cell.tick();
     m_fleet.sendSummaries();
     m_tick = m_loop.after(IdlePause, [this] { tick(); });
 }
 
+void PeerExchange::reviewReading()
+{
+    const Instant now = m_loop.now();
+    noteSource();
+    if (!m_reads && m_published.hasLostSource() && now - m_readingChanged > LostMemory)
+        m_published.forgetSourceState();
+    // A process without a configuration knows nothing that a peer could add to.
+    const bool reads = !m_published.hasConfiguration() || m_directory.isReader(ownBrief(), now);
+    if (reads == std::exchange(m_reads, reads))
+        return;
+    m_readingChanged = now;
+    m_revisions.setReads(reads);
+    m_tellReading(reads);
+}
+
+void PeerExchange::noteSource()
+{
+    m_published.noteSource(m_directory.sourceContact(ownBrief(), m_loop.now()));
+}
+
+void PeerExchange::noteRevision()
+{
+    // Those who follow a reader hear at once; what they pass on can wait for their next beacon.
+    if (!m_reads || !std::exchange(m_revisionTold, false))
+        return;
+    m_loop.defer([this] {
+        m_revisionTold = true;
+        m_cell.sendBeacon();
+    });
+}
+
 void PeerExchange::startLeaving()
 {
     m_leaving = true;
@@ -75,6 +110,8 @@
         .itemAddress = m_settings.controlAddress,
         .isReady = isReady(),
         .isLeaving = m_leaving,
+        .reachesSource = m_published.reachesSource(),
+        .hasLostSource = m_published.hasLostSource(),
         .capacity = m_settings.capacity,
         .age = 0,
     };
@@ -92,6 +129,8 @@
 {
     m_directory.take(beacon.sender, m_loop.now());
     m_cell.take(beacon);
+    // Before its items come: whether their removals are true depends on it.
+    noteSource();
     m_revisions.note(beacon.sender, beacon.revision);
 }
 
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -16,6 +16,11 @@
 public:
     /** Between beacons of an idle daemon. */
     static constexpr std::chrono::milliseconds IdlePause {200};
+    /**
+     * A reader that lost the source and was relieved tries again after so long; until then the
+     * next in the cell have shown whether they reach it.
+     */
+    static constexpr std::chrono::seconds LostMemory {3};
 
     PeerExchange(EventLoop &loop, const ServingSettings &settings, Incarnation process,
                  Gateway &gateway, PublishedState &published, RandomSource &random, LogWriter &log);
@@ -23,7 +28,12 @@
     PeerExchange(const PeerExchange &) = delete;
     PeerExchange &operator=(const PeerExchange &) = delete;
 
-    Result<void, ListenError> start();
+    /** `readingChanged`: this daemon is to read at the source from now on, or no longer. */
+    Result<void, ListenError> start(std::function<void(bool reads)> readingChanged);
+    /** This daemon's own reading shows another state of the source. */
+    void noteSource();
+    /** Published items have come into force here. */
+    void noteRevision();
     /** This daemon's load or its waiting requests have changed. */
     void noteChange() { m_cell.noteChange(); }
     /** From now on no lookup names this daemon. */
@@ -38,6 +48,7 @@
     std::uint64_t ownRevision() const override { return m_published.replica().revision(); }
 
     void tick();
+    void reviewReading();
     void receive(std::string_view bytes);
     void take(const Beacon &beacon);
     void take(const CellReport &report) { m_cell.take(report); }
@@ -50,6 +61,10 @@
     Gateway &m_gateway;
     PublishedState &m_published;
     bool m_leaving = false;
+    bool m_reads = true;
+    Instant m_readingChanged {};
+    std::function<void(bool reads)> m_tellReading;
+    bool m_revisionTold = true;
     FleetDirectory m_directory;
     CellExchange m_cell;
     FleetExchange m_fleet;
--- a/packages/serving/apricothook/serving/apricothook_published_state.cpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.cpp
@@ -27,9 +27,6 @@
 
 void PublishedState::setSourceState(SourceState state)
 {
-    const bool wasAway = m_sourceState && *m_sourceState != SourceState::Reachable;
-    if (state == SourceState::Reachable && wasAway)
-        m_sourceBack = m_loop.now();
     const bool isBack = state == SourceState::Reachable;
     m_log.write(LogEvent(isBack ? FleetviewEvent::SourceRegained : FleetviewEvent::SourceLost)
                     .with("state",
@@ -98,18 +95,12 @@
     m_gateway.putTarget(target);
 }
 
-bool PublishedState::mayHaveLapsed(Instant now) const
-{
-    const bool isAway = m_sourceState && *m_sourceState != SourceState::Reachable;
-    return isAway || (m_sourceBack && now - *m_sourceBack < RegisterAgainTime);
-}
-
 void PublishedState::removeTarget(const TargetId &target, Revision revision)
 {
     const Instant now = m_loop.now();
     const BelievedTarget *known = m_gateway.targets().find(target);
     // A target that had announced its leaving has left.
-    const bool hold = known && !known->entry.isDraining && mayHaveLapsed(now);
+    const bool hold = known && !known->entry.isDraining && m_outage.mayHaveLapsed(now);
     m_log.write(LogEvent(hold ? FleetviewEvent::RemovalHeld : FleetviewEvent::TargetChanged)
                     .with("target", target.text())
                     .with("state", std::string("removed"))
@@ -118,8 +109,7 @@
         m_gateway.removeTarget(target);
         return;
     }
-    const Instant from = m_sourceState == SourceState::Reachable ? m_sourceBack.value_or(now) : now;
-    m_held[target] = m_loop.after(from + RegisterAgainTime - now, [this, target] {
+    m_held[target] = m_loop.after(m_outage.doubtUntil(now) - now, [this, target] {
         m_held.erase(target);
         m_gateway.removeTarget(target);
     });
--- a/packages/serving/apricothook/serving/apricothook_published_state.hpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.hpp
@@ -2,6 +2,7 @@
 
 #include <apricothook/fleetview/apricothook_item_replica.hpp>
 #include <apricothook/fleetview/apricothook_item_watcher.hpp>
+#include <apricothook/fleetview/apricothook_source_outage.hpp>
 #include <apricothook/gateway/apricothook_gateway.hpp>
 #include <apricothook/serving/apricothook_item_decoder.hpp>
 
@@ -20,16 +21,20 @@
 class PublishedState
 {
 public:
-    /** Targets register again within about two seconds of the service's return. */
-    static constexpr std::chrono::milliseconds RegisterAgainTime {2500};
-
     PublishedState(EventLoop &loop, Gateway &gateway, const ItemDecoder &decoder, LogWriter &log);
     ~PublishedState();
     PublishedState(const PublishedState &) = delete;
     PublishedState &operator=(const PublishedState &) = delete;
 
     void apply(const ItemUpdate &update);
+    /** What this daemon's own reading shows. */
     void setSourceState(SourceState state);
+    /** This daemon doesn't read at the source any more; the last state says nothing now. */
+    void forgetSourceState() { m_sourceState.reset(); }
+    /** What the daemons of the cell, this one with them, tell of the source. */
+    void noteSource(const SourceContact &contact) { m_outage.note(contact, m_loop.now()); }
+    bool reachesSource() const { return m_sourceState == SourceState::Reachable; }
+    bool hasLostSource() const { return m_sourceState && !reachesSource(); }
     const ItemReplica &replica() const { return m_replica; }
     bool hasConfiguration() const { return m_generation.has_value(); }
 
@@ -38,7 +43,6 @@
     void takeConfiguration(const ItemChange &change);
     void takeTarget(const ItemChange &change);
     void removeTarget(const TargetId &target, Revision revision);
-    bool mayHaveLapsed(Instant now) const;
     void reject(const ItemChange &change, const ItemFault &fault);
 
     EventLoop &m_loop;
@@ -48,7 +52,7 @@
     ItemReplica m_replica;
     std::optional<Generation> m_generation;
     std::optional<SourceState> m_sourceState;
-    std::optional<Instant> m_sourceBack;
+    SourceOutage m_outage;
     /** Removals that wait, by target. */
     std::map<TargetId, TimerId> m_held;
 };
--- a/packages/serving/apricothook/serving/apricothook_revision_follower.cpp
+++ b/packages/serving/apricothook/serving/apricothook_revision_follower.cpp
@@ -41,7 +41,7 @@
         m_behindSince = now;
         m_laterRevision = revision;
     }
-    if (now - *m_behindSince < OwnSourceTime)
+    if (m_reads && now - *m_behindSince < OwnSourceTime)
         return;
     m_fetcher.fetch(peer, own);
 }
--- a/packages/serving/apricothook/serving/apricothook_revision_follower.hpp
+++ b/packages/serving/apricothook/serving/apricothook_revision_follower.hpp
@@ -20,6 +20,8 @@
 
     RevisionFollower(EventLoop &loop, PublishedState &published, LogWriter &log);
 
+    /** `reads`: this daemon reads at the source itself, and waits a moment for it. */
+    void setReads(bool reads) { m_reads = reads; }
     /** A peer has told its revision. */
     void note(const MemberBrief &peer, Revision revision);
 
@@ -29,6 +31,7 @@
     EventLoop &m_loop;
     PublishedState &m_published;
     LogWriter &m_log;
+    bool m_reads = true;
     /** Since when a peer has had a later revision than this daemon. */
     std::optional<Instant> m_behindSince;
     Revision m_laterRevision = 0;
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -62,7 +62,7 @@
     BOOST_OUTCOME_TRY(open(m_lookups, m_settings.lookupAddress, &ServingProcess::answerLookup));
     BOOST_OUTCOME_TRY(
         open(m_readiness, m_settings.readinessAddress, &ServingProcess::answerReadiness));
-    BOOST_OUTCOME_TRY(m_peers.start());
+    BOOST_OUTCOME_TRY(m_peers.start([this](bool reads) { setReading(reads); }));
     BOOST_OUTCOME_TRY(m_gateway.listen(m_settings.callerAddress));
     m_gateway.setLoadListener([this] { m_peers.noteChange(); });
     watchItems();
@@ -78,18 +78,35 @@
 void ServingProcess::watchItems()
 {
     const auto updated = [this](ItemUpdate update) {
-        const auto apply = [this, update = std::move(update)] { m_published.apply(update); };
+        const auto apply = [this, update = std::move(update)] {
+            m_published.apply(update);
+            m_peers.noteRevision();
+        };
         // The ring is full only while the loop is far behind; the update must not be lost.
         while (!m_loop.post(apply))
             std::this_thread::sleep_for(EndPause);
     };
     const auto changed = [this](SourceState state) {
-        m_loop.post([this, state] { m_published.setSourceState(state); });
+        m_loop.post([this, state] {
+            m_published.setSourceState(state);
+            m_peers.noteSource();
+        });
     };
     m_watcher
         = std::make_unique<ItemWatcher>(m_settings.itemSource, m_adapters.items, updated, changed);
 }
 
+void ServingProcess::setReading(bool reads)
+{
+    const Revision known = m_published.replica().revision();
+    m_log.write(
+        LogEvent(FleetviewEvent::ReadingChanged).with("reads", reads).with("revision", known));
+    if (reads)
+        m_watcher->resumeReading(known);
+    else
+        m_watcher->pauseReading();
+}
+
 void ServingProcess::rankCustomers()
 {
     m_metrics.rankCustomers(m_loop.now());
--- a/packages/serving/apricothook/serving/apricothook_serving_process.hpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.hpp
@@ -55,6 +55,7 @@
     SmallAnswer answerControl(const RequestHead &request) const;
     std::vector<LookupEntry> readyEntries() const;
     void watchItems();
+    void setReading(bool reads);
     void stopTaking();
     void endWhenDone(Instant latest);
     void rankCustomers();
--- a/packages/serving/tests/apricothook_published_state_tests.cpp
+++ b/packages/serving/tests/apricothook_published_state_tests.cpp
@@ -21,10 +21,10 @@
     StateBench bench;
     bench.write("t/a", "ready");
     bench.write("t/b", "ready");
-    bench.state.setSourceState(SourceState::Reachable);
-    bench.state.setSourceState(SourceState::Unreachable);
+    bench.setSource(SourceState::Reachable);
+    bench.setSource(SourceState::Unreachable);
     bench.pass(std::chrono::seconds(5));
-    bench.state.setSourceState(SourceState::Reachable);
+    bench.setSource(SourceState::Reachable);
     bench.write("t/a", std::nullopt);
     bench.write("t/b", std::nullopt);
     CHECK(bench.has("a"));
@@ -36,13 +36,51 @@
     CHECK_FALSE(bench.has("b"));
 }
 
+TEST_CASE("a removal is true while another daemon of the cell reaches the source")
+{
+    // Callers aren't sent to a target that left unannounced. The source turns this VM away but not
+    // others, so it was up all the while and no entry lapsed for want of it.
+    StateBench bench;
+    bench.write("t/a", "ready");
+    bench.state.setSourceState(SourceState::Refusing);
+    bench.state.noteSource({.someReach = true, .someLost = true});
+    bench.pass(std::chrono::seconds(3));
+    bench.state.noteSource({.someReach = true, .someLost = true});
+    bench.write("t/a", std::nullopt);
+    CHECK_FALSE(bench.has("a"));
+}
+
+TEST_CASE("a daemon that leaves reading to others holds removals after an outage that they saw")
+{
+    StateBench bench;
+    bench.write("t/a", "ready");
+    bench.state.noteSource({.someReach = false, .someLost = true});
+    bench.pass(std::chrono::seconds(3));
+    bench.state.noteSource({.someReach = true, .someLost = true});
+    bench.write("t/a", std::nullopt);
+    CHECK(bench.has("a"));
+    bench.pass(SourceOutage::RegisterAgainTime);
+    CHECK_FALSE(bench.has("a"));
+}
+
+TEST_CASE("a moment in which both readers were turned away isn't taken for an outage")
+{
+    StateBench bench;
+    bench.write("t/a", "ready");
+    bench.state.noteSource({.someReach = false, .someLost = true});
+    bench.pass(std::chrono::milliseconds(400));
+    bench.state.noteSource({.someReach = true, .someLost = true});
+    bench.write("t/a", std::nullopt);
+    CHECK_FALSE(bench.has("a"));
+}
+
 TEST_CASE("a target that had announced its leaving is gone even after an outage")
 {
     StateBench bench;
     bench.write("t/a", "ready");
-    bench.state.setSourceState(SourceState::Unreachable);
+    bench.setSource(SourceState::Unreachable);
     bench.write("t/a", "draining");
-    bench.state.setSourceState(SourceState::Reachable);
+    bench.setSource(SourceState::Reachable);
     bench.write("t/a", std::nullopt);
     CHECK_FALSE(bench.has("a"));
 }
--- a/packages/serving/tests/apricothook_state_bench.hpp
+++ b/packages/serving/tests/apricothook_state_bench.hpp
@@ -96,6 +96,12 @@
         ++revision;
         state.apply({{{key, value, revision}}, false, revision});
     }
+    /** This daemon is the only one that reads. */
+    void setSource(SourceState source)
+    {
+        state.setSourceState(source);
+        state.noteSource({state.reachesSource(), state.hasLostSource()});
+    }
     bool has(const std::string &target)
     {
         return gateway.targets().find(TargetId(target)) != nullptr;
