Count what other cells admit of a customer before their summaries tell it

A customer that suddenly sends eight times as much is seen in other cells' summaries a second or more later, and every cell admits beyond the limit meanwhile.

Change: the own cell's rate stands for the others', by weight, until their summaries tell more (OtherCellsUse). A bucket falls no lower than three seconds of its rate.

--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.cpp
@@ -75,7 +75,8 @@
 
 void CustomerAllowance::addUseOfOthers(std::uint64_t customer, double units)
 {
-    m_accounts[customer].level -= units;
+    Account &account = m_accounts[customer];
+    account.level = std::max(account.level - units, -LowestSeconds * account.perSecond);
 }
 
 void CustomerAllowance::setMembers(std::size_t heard, std::size_t known)
--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
@@ -41,6 +41,11 @@
      * admitted before, and all daemons may have started at once.
      */
     static constexpr double StartSeconds = 0.5;
+    /**
+     * A bucket falls no lower, in seconds of the rate. What others use is an estimate; without the
+     * bound one wrong estimate would shut a customer out for as long as it takes to refill.
+     */
+    static constexpr double LowestSeconds = 3;
 
     explicit CustomerAllowance(const FleetBounds &bounds) : m_bounds(bounds) { }
 
--- a/packages/dispatch/tests/apricothook_allowance_tests.cpp
+++ b/packages/dispatch/tests/apricothook_allowance_tests.cpp
@@ -164,3 +164,15 @@
     for (int i = 0; i < 1000; ++i)
         REQUIRE(daemon.tryTake(customer(0), 1e6, clock.now()));
 }
+
+TEST_CASE("a wrong estimate of others' use shuts a customer out for a moment only")
+{
+    HandClock clock;
+    CustomerAllowance daemon(bounds());
+    const CustomerRule rule = customer(10'000);
+    daemon.prepare({rule}, clock.now());
+    daemon.addUseOfOthers(customerNumber(rule.name), 1e9);
+    CHECK_FALSE(daemon.tryTake(rule, 500, clock.now()));
+    clock.advance(std::chrono::milliseconds(3500));
+    CHECK(daemon.tryTake(rule, 500, clock.now()));
+}
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
@@ -81,8 +81,11 @@
 
 Duration FleetDirectory::liveLimit(const KnownMember &member) const
 {
-    if (member.cell == ownCell())
-        return OwnCellLimit;
+    return member.cell == ownCell() ? Duration(OwnCellLimit) : otherCellLimit();
+}
+
+Duration FleetDirectory::otherCellLimit() const
+{
     return OwnCellLimit + MissedSummaries * summaryPause();
 }
 
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
@@ -64,6 +64,8 @@
     std::uint32_t ownCell() const { return cellOf(m_self); }
     std::uint32_t cellOf(const MemberId &member) const;
     std::chrono::milliseconds summaryPause() const;
+    /** After so long without word of it, a member of another cell, or its cell, is silent. */
+    Duration otherCellLimit() const;
     /** Without this daemon. */
     const std::map<MemberId, KnownMember> &members() const { return m_members; }
     std::vector<const KnownMember *> membersOfCell(std::uint32_t cell) const;
--- a/packages/serving/apricothook/serving/apricothook_cell_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_cell_exchange.cpp
@@ -47,6 +47,9 @@
 {
     for (const MemberId &silent : m_mates.noteSilent(m_loop.now()))
         forget(silent);
+    // The rates were those of another set of members.
+    if (std::exchange(m_cells, m_directory.cells()) != m_directory.cells())
+        m_rates = {};
     meterOwnUse();
     sendBeacon();
 }
@@ -130,7 +133,12 @@
         return;
     m_gateway.targets().setLoadOfMember(member, loadsOf(mate->report));
     m_gateway.dispatcher().setWaitingOfMember(member, waitingOf(mate->report));
+    // A member that counts fewer cells tells more daemons than its cell; what it admits is in its
+    // cell's summary.
+    const bool isOfCell = m_directory.cellOf(mate->brief.member) == m_directory.ownCell();
     for (const ReportedUse &use : effect.admitted) {
+        if (!isOfCell)
+            break;
         m_gateway.customers().addUseOfOthers(use.customer, static_cast<double>(use.admitted));
         m_rates.add(use.customer, use.admitted, m_loop.now());
     }
@@ -163,4 +171,9 @@
     return m_rates.rates(most, m_loop.now());
 }
 
+std::vector<CustomerRate> CellExchange::certainRates()
+{
+    return m_rates.certainRates(m_loop.now());
+}
+
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_cell_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_cell_exchange.hpp
@@ -35,6 +35,8 @@
     void take(const CellReport &report);
     /** What the cell, this daemon with it, admits. */
     std::vector<CustomerRate> rates(std::size_t most);
+    /** Of it, what isn't chance. */
+    std::vector<CustomerRate> certainRates();
 
 private:
     enum class UseTold {
@@ -56,6 +58,7 @@
     LogWriter &m_log;
     BeaconTable m_mates;
     RateMeter m_rates;
+    std::uint32_t m_cells = 1;
     std::uint64_t m_sequence = 0;
     bool m_changed = false;
     TimerId m_change = 0;
--- a/packages/serving/apricothook/serving/apricothook_fleet_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_fleet_exchange.cpp
@@ -1,5 +1,6 @@
 #include <apricothook/serving/apricothook_fleet_exchange.hpp>
 
+#include <numeric>
 #include <utility>
 
 namespace Apricothook {
@@ -126,25 +127,25 @@
     // A sender with another number of cells counts another set of members; it will agree soon.
     const bool isOther = summary.cell != m_directory.ownCell();
     if (summary.cells == m_directory.cells() && isOther)
-        m_otherCells[summary.cell] = {summary.rates, now};
+        m_otherCells.note(summary.cell, summary.rates, now);
 }
 
-void FleetExchange::countUseOfOtherCells()
+void FleetExchange::countUseOfOtherCells(const std::vector<CustomerRate> &ownRates)
 {
     const Instant now = m_loop.now();
     const double seconds = std::chrono::duration<double>(now - m_useCounted).count();
     m_useCounted = now;
+    if (m_directory.cells() == 1)
+        return;
     // What was heard with another number of cells, or too long ago, tells nothing of now.
-    std::erase_if(m_otherCells, [&](const auto &entry) {
-        const Duration limit
-            = FleetDirectory::OwnCellLimit + 3 * Duration(m_directory.summaryPause());
-        return entry.first >= m_directory.cells() || now - entry.second.heard > limit;
-    });
-    for (const auto &[cell, other] : m_otherCells) {
-        for (const CustomerRate &rate : other.rates)
-            m_customers.addUseOfOthers(rate.customer,
-                                       static_cast<double>(rate.unitsPerSecond) * seconds);
-    }
+    m_otherCells.forget(m_directory.cells(), m_directory.otherCellLimit(), now);
+    const CellWeights weights = m_directory.weights(now);
+    const std::uint32_t own = weights.weights[weights.own];
+    const std::uint32_t all
+        = std::accumulate(weights.weights.begin(), weights.weights.end(), std::uint32_t {0});
+    for (const CustomerRate &rate : m_otherCells.estimate(ownRates, {own, all - own}))
+        m_customers.addUseOfOthers(rate.customer,
+                                   static_cast<double>(rate.unitsPerSecond) * seconds);
 }
 
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_fleet_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_fleet_exchange.hpp
@@ -3,6 +3,7 @@
 #include <apricothook/dispatch/apricothook_customer_allowance.hpp>
 #include <apricothook/eventloop/apricothook_event_loop.hpp>
 #include <apricothook/fleetview/apricothook_fleet_directory.hpp>
+#include <apricothook/fleetview/apricothook_other_cells_use.hpp>
 #include <apricothook/serving/apricothook_peer_sender.hpp>
 
 #include <functional>
@@ -38,8 +39,8 @@
 
     /** `ownRates`: what the own cell admits. */
     void start(std::function<std::vector<CustomerRate>(std::size_t most)> ownRates);
-    /** Counts what other cells have admitted since the last call. */
-    void countUseOfOtherCells();
+    /** Counts what other cells have admitted since the last call; `ownRates`: the own cell. */
+    void countUseOfOtherCells(const std::vector<CustomerRate> &ownRates);
     /** Tells all members at once what this daemon now is; for what can't wait for summaries. */
     void announce();
     /** To one member of each other cell, and no more often than its pause allows. */
@@ -48,12 +49,6 @@
     void take(const CellSummary &summary);
 
 private:
-    struct OtherCell
-    {
-        std::vector<CustomerRate> rates;
-        Instant heard {};
-    };
-
     void greet();
     std::vector<Endpoint> greeted();
     Greeting ownGreeting(bool wantsAnswer);
@@ -73,7 +68,7 @@
     Instant m_useCounted {};
     /** Turns at the members of other cells; starts anywhere, so that not all go to the same. */
     std::uint64_t m_round;
-    std::map<std::uint32_t, OtherCell> m_otherCells;
+    OtherCellsUse m_otherCells;
     TimerId m_greeting = 0;
 };
 
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -44,7 +44,7 @@
     m_gateway.setMembers(m_directory.liveCount(now), m_directory.knownCount(now));
     m_gateway.targets().setCells(m_directory.weights(now));
     reviewReading();
-    m_fleet.countUseOfOtherCells();
+    m_fleet.countUseOfOtherCells(m_cell.certainRates());
     m_cell.tick();
     m_fleet.sendSummaries();
     m_tick = m_loop.after(IdlePause, [this] { tick(); });
