Let a connection of the small server outlive it

Cause: a connection that ends is destroyed by the loop after the present event, and its destructor used the server to cancel a timer. When the server went in between (a process that ends; a test's fixture) that was freed memory: one of the serving tests crashed in 3 of 7 runs beside load.

Ruled out: the fetcher's thread (joined before; the crash stayed with its result ignored).

Now the connection keeps the loop itself.

--- a/packages/serving/apricothook/serving/apricothook_small_http_server.cpp
+++ b/packages/serving/apricothook/serving/apricothook_small_http_server.cpp
@@ -21,11 +21,12 @@
 {
 public:
     Connection(SmallHttpServer &server, int descriptor)
-        : m_server(server), m_socket(server.m_loop, *this, descriptor)
+        : m_server(server), m_loop(server.m_loop), m_socket(m_loop, *this, descriptor)
     {
         startIdleTimer();
     }
-    ~Connection() override { m_server.m_loop.cancel(m_idle); }
+    // It may end after the server: closed() leaves it to the loop.
+    ~Connection() override { m_loop.cancel(m_idle); }
 
     void close()
     {
@@ -69,11 +70,12 @@
 
     void startIdleTimer()
     {
-        m_server.m_loop.cancel(m_idle);
-        m_idle = m_server.m_loop.after(IdleLimit, [this] { close(); });
+        m_loop.cancel(m_idle);
+        m_idle = m_loop.after(IdleLimit, [this] { close(); });
     }
 
     SmallHttpServer &m_server;
+    EventLoop &m_loop;
     RequestReader m_reader {QuestionLimits};
     TimerId m_idle = 0;
     StreamSocket m_socket;
