--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -6,12 +6,13 @@
 
 PeerExchange::PeerExchange(EventLoop &loop, const ServingSettings &settings, Incarnation process,
                            Gateway &gateway, PublishedState &published, RandomSource &random,
-                           LogWriter &log)
+                           Metrics &metrics, LogWriter &log)
     : m_loop(loop)
     , m_settings(settings)
     , m_process(process)
     , m_gateway(gateway)
     , m_published(published)
+    , m_metrics(metrics)
     , m_directory(settings.member)
     , m_cell(loop, m_directory, *this, gateway, log)
     , m_fleet(loop, m_directory, *this, gateway.customers(), random, settings.seeds)
@@ -89,7 +90,7 @@
 
 void PeerExchange::send(const Endpoint &to, const PeerDatagram &datagram)
 {
-    m_socket->send(to, writePeerDatagram(datagram));
+    send(std::vector {to}, datagram);
 }
 
 void PeerExchange::send(const std::vector<Endpoint> &to, const PeerDatagram &datagram)
@@ -97,6 +98,7 @@
     const std::string bytes = writePeerDatagram(datagram);
     for (const Endpoint &receiver : to)
         m_socket->send(receiver, bytes);
+    m_metrics.controlBytes(Direction::Sent, bytes.size() * to.size());
 }
 
 MemberBrief PeerExchange::ownBrief() const
@@ -119,6 +121,7 @@
 
 void PeerExchange::receive(std::string_view bytes)
 {
+    m_metrics.controlBytes(Direction::Received, bytes.size());
     const Result<PeerDatagram, CodecError> datagram = parsePeerDatagram(bytes);
     // Datagrams may be cut or strangers'; the next whole one replaces what this one told.
     if (datagram)
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -23,7 +23,8 @@
     static constexpr std::chrono::seconds LostMemory {3};
 
     PeerExchange(EventLoop &loop, const ServingSettings &settings, Incarnation process,
-                 Gateway &gateway, PublishedState &published, RandomSource &random, LogWriter &log);
+                 Gateway &gateway, PublishedState &published, RandomSource &random,
+                 Metrics &metrics, LogWriter &log);
     ~PeerExchange() override;
     PeerExchange(const PeerExchange &) = delete;
     PeerExchange &operator=(const PeerExchange &) = delete;
@@ -60,6 +61,7 @@
     const Incarnation m_process;
     Gateway &m_gateway;
     PublishedState &m_published;
+    Metrics &m_metrics;
     bool m_leaving = false;
     bool m_reads = true;
     Instant m_readingChanged {};
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -34,7 +34,7 @@
     , m_loop(clock)
     , m_gateway(m_loop, adapters.wire, random, log, m_metrics, settings.bounds, settings.dataCentre)
     , m_published(m_loop, m_gateway, adapters.decoder, log)
-    , m_peers(m_loop, m_settings, m_incarnation, m_gateway, m_published, random, log)
+    , m_peers(m_loop, m_settings, m_incarnation, m_gateway, m_published, random, m_metrics, log)
 {
 }
 
