Add a fault soak: real daemons against stand-ins, faults from outside, promises checked

Ruled out: clocks and storage, as the daemons keep nothing and the soak must not touch the machine's clock; proxying the datagrams between daemons, which would need addresses that they don't announce.

--- a/packages/fleetview/apricothook/fleetview/apricothook_other_cells_use.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_other_cells_use.cpp
@@ -33,6 +33,7 @@
         }
     }
     std::vector<CustomerRate> rates;
+    rates.reserve(units.size());
     for (const auto &[customer, rate] : units)
         rates.push_back({customer, rate});
     return rates;
--- a/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
+++ b/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
@@ -1,5 +1,7 @@
 #include <apricothook/fleetview/apricothook_peer_datagram.hpp>
 
+#include <apricothook/testsupport/apricothook_repeatable_random.hpp>
+
 #include <doctest/doctest.h>
 
 using namespace Apricothook;
@@ -74,3 +76,20 @@
         summary.rates.push_back({~customer, 1000000});
     CHECK(writePeerDatagram(summary).size() <= 1472);
 }
+
+TEST_CASE("no bytes of a stranger bring the reader of datagrams down")
+{
+    RepeatableRandom random(20261202);
+    std::size_t read = 0;
+    constexpr int Inputs = 20'000;
+    for (int input = 0; input < Inputs; ++input) {
+        std::string bytes = writePeerDatagram(All[random.next() % All.size()]);
+        for (std::uint64_t changes = 1 + random.next() % 4; changes > 0; --changes)
+            bytes[random.next() % bytes.size()] = static_cast<char>(random.next());
+        bytes.resize(random.next() % 4 == 0 ? random.next() % bytes.size() : bytes.size());
+        read += parsePeerDatagram(bytes) ? 1 : 0;
+    }
+    // Most changes hit a name or a number, so that the reader comes far.
+    CHECK(read > Inputs / 10);
+    CHECK(read < Inputs);
+}
--- /dev/null
+++ b/tools/soak/daemons.py
@@ -0,0 +1,87 @@
+"""The real programs, each a process with settings of its own; they are ended by their ids."""
+
+import asyncio
+import os
+import pathlib
+import signal
+from dataclasses import dataclass
+
+GRACE_SECONDS = 8
+SETTINGS = """NodeName = "vm-{index}"
+Zone = "z"
+Region = "r"
+IpAddress = "127.0.1.{index}"
+InternalPortRange = [{internal}, {internal}]
+SeedNodes = [{seeds}]
+[Zones]
+z = "r"
+[ListenAddresses]
+Frontend = "127.0.1.{index}:{base}"
+Ready = "127.0.1.{index}:{ready}"
+Control = "127.0.1.{index}:{control}"
+Directory = "127.0.1.{index}:{directory}"
+[Limits]
+CpuShare = {share}
+[Bounds]
+GraceS = {grace}
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+RetryBudgetSlack = 60
+QuotaWindowS = 8
+QuotaOvershoot = 0.25
+QuotaSlack = 140000
+ttl_max_s = 5
+[Platform]
+Address = "127.0.2.{index}:{base}"
+"""
+
+
+@dataclass
+class Daemon:
+    """One VM's daemon; `base` and the four ports after it are its own on its address."""
+
+    index: int
+    base: int
+    seeds: list[int]
+    program: pathlib.Path
+    folder: pathlib.Path
+    process: asyncio.subprocess.Process | None = None
+    # When something was done to it, its links or its store; promises with times don't count then.
+    last_harm: float = 0.0
+    stops: bool = False
+
+    @property
+    def address(self) -> str:
+        return f"127.0.1.{self.index}:{self.base}"
+
+    @property
+    def lookup(self) -> tuple[str, int]:
+        return f"127.0.1.{self.index}", self.base + 3
+
+    def write_settings(self) -> pathlib.Path:
+        path = self.folder / f"vm-{self.index}.toml"
+        path.write_text(SETTINGS.format(
+            index=self.index, base=self.base, ready=self.base + 1, control=self.base + 2,
+            directory=self.base + 3, internal=self.base + 4, grace=GRACE_SECONDS,
+            share=0.5 if self.index % 4 == 0 else 0.12,
+            seeds=", ".join(f'"127.0.1.{seed}:{self.base + 2}"' for seed in self.seeds)))
+        return path
+
+    async def start(self) -> None:
+        with open(self.folder / f"vm-{self.index}.log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.program, "--settings", self.write_settings(), stdout=log, stderr=log)
+
+    def send(self, number: signal.Signals) -> None:
+        if self.process and self.process.returncode is None:
+            os.kill(self.process.pid, number)
+
+    async def end(self, number: signal.Signals) -> int:
+        """Sends the signal, kills after the grace, and returns the exit status."""
+        self.send(number)
+        try:
+            return await asyncio.wait_for(self.process.wait(), GRACE_SECONDS + 1)
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+            return -signal.SIGKILL
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,159 @@
+"""The faults of a seed: what happens to what, when, one after the other and overlapping."""
+
+import asyncio
+import random
+import signal
+
+import links
+import store
+
+# A runner's entry lapses after three heartbeats of silence.
+LAPSE_SECONDS = 3.6
+DRAIN_SECONDS = 2.0
+
+
+class Faults:
+    """Plays faults on a bench; each marks the daemons that it touches."""
+
+    def __init__(self, bench, seed: int) -> None:
+        self.bench, self.random = bench, random.Random(seed)
+        self.running: set[asyncio.Task] = set()
+        self.told: list[str] = []
+        self.kinds = [self.kill, self.kill_many, self.freeze, self.terminate, self.reload, self.harm_caller_link,
+                      self.harm_target_link, self.reset_links, self.store_away, self.store_outage, self.crash_target,
+                      self.mute_target, self.replace_target, self.change_configuration, self.revoke_key]
+
+    async def play(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() < end:
+            kind = self.random.choice(self.kinds)
+            self.told.append(f"{loop.time() - self.bench.started:.2f} {kind.__name__}")
+            task = asyncio.create_task(kind())
+            self.running.add(task)
+            await asyncio.sleep(self.random.uniform(0.05, 1.0))
+        await asyncio.gather(*self.running)
+
+    def daemon(self):
+        return self.random.choice(self.bench.daemons)
+
+    async def harm(self, daemons, seconds: float) -> None:
+        """Waits so long while the daemons count as harmed."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            for daemon in daemons:
+                daemon.last_harm = loop.time()
+            await asyncio.sleep(0.1)
+
+    async def restart(self, daemon, number: signal.Signals) -> None:
+        if daemon.stops:
+            return
+        daemon.stops = True
+        ending = asyncio.create_task(daemon.end(number))
+        while not ending.done():
+            await self.harm([daemon], 0.1)
+        if number == signal.SIGTERM:
+            self.bench.stops.append((daemon.index, ending.result()))
+        await self.harm([daemon], self.random.uniform(0.2, 1.5))
+        await daemon.start()
+        daemon.stops = False
+        await self.harm([daemon], 0.3)
+
+    async def kill(self) -> None:
+        await self.restart(self.daemon(), signal.SIGKILL)
+
+    async def kill_many(self) -> None:
+        count = self.random.randint(2, len(self.bench.daemons))
+        chosen = self.random.sample(self.bench.daemons, count)
+        await asyncio.gather(*(self.restart(daemon, signal.SIGKILL) for daemon in chosen))
+
+    async def terminate(self) -> None:
+        await self.restart(self.daemon(), signal.SIGTERM)
+
+    async def freeze(self) -> None:
+        daemon = self.daemon()
+        daemon.send(signal.SIGSTOP)
+        await self.harm([daemon], self.random.uniform(0.3, 3))
+        daemon.send(signal.SIGCONT)
+
+    async def reload(self) -> None:
+        daemon = self.daemon()
+        daemon.send(signal.SIGHUP)
+        await self.harm([daemon], 0.1)
+
+    async def harm_link(self, link, daemons) -> None:
+        link.state = self.random.choice(links.HARMS)
+        await self.harm(daemons, self.random.uniform(0.3, 2))
+        if link.state != links.DELAYED:
+            # What was swallowed is gone; the connection can't go on as if it weren't.
+            link.reset()
+        link.state = links.OPEN
+
+    async def harm_caller_link(self) -> None:
+        daemon = self.daemon()
+        await self.harm_link(self.bench.caller_links[daemon.index], [daemon])
+
+    async def harm_target_link(self) -> None:
+        await self.harm_link(self.random.choice(self.bench.target_links), self.bench.daemons)
+
+    async def reset_links(self) -> None:
+        for link in self.random.sample(self.bench.target_links, len(self.bench.target_links) // 2):
+            link.reset()
+        await self.harm(self.bench.daemons, 0.1)
+
+    async def store_away(self) -> None:
+        daemon = self.daemon()
+        address = f"127.0.2.{daemon.index}"
+        self.bench.store.set_state(address, self.random.choice((store.REFUSES, store.HANGS)))
+        await self.harm([daemon], self.random.uniform(0.5, 4))
+        self.bench.store.set_state(address, store.UP)
+
+    async def store_outage(self) -> None:
+        state = self.random.choice((store.REFUSES, store.HANGS))
+        for daemon in self.bench.daemons:
+            self.bench.store.set_state(f"127.0.2.{daemon.index}", state)
+        await self.harm(self.bench.daemons, self.random.uniform(0.5, 4))
+        for daemon in self.bench.daemons:
+            self.bench.store.set_state(f"127.0.2.{daemon.index}", store.UP)
+
+    async def crash_target(self) -> None:
+        target = self.random.choice(self.bench.targets)
+        if not target.is_up:
+            return
+        gone = target.id
+        target.crash()
+        await asyncio.sleep(LAPSE_SECONDS)
+        await self.bench.remove(gone)
+        target.start()
+        await self.bench.announce(target)
+
+    async def mute_target(self) -> None:
+        target = self.random.choice(self.bench.targets)
+        target.is_mute = True
+        await self.harm(self.bench.daemons, self.random.uniform(0.5, 2.5))
+        target.is_mute = False
+
+    async def replace_target(self) -> None:
+        """A planned one: it drains, serves on for a while, leaves, and another process comes."""
+        target = self.random.choice(self.bench.targets)
+        if not target.is_up:
+            return
+        leaving = target.id
+        await self.bench.announce(target, "draining")
+        await asyncio.sleep(DRAIN_SECONDS + 2)
+        if not target.is_up or target.id != leaving:
+            return
+        target.crash()
+        await self.bench.remove(leaving)
+        await asyncio.sleep(self.random.uniform(0.1, 1))
+        target.start()
+        await self.bench.announce(target)
+
+    async def change_configuration(self) -> None:
+        await self.bench.configure()
+
+    async def revoke_key(self) -> None:
+        if len(self.bench.keys) > 2:
+            self.bench.revoked[self.bench.keys.pop()] = asyncio.get_running_loop().time()
+            await self.bench.configure()
--- /dev/null
+++ b/tools/soak/http1.py
@@ -0,0 +1,61 @@
+"""As much of HTTP/1.1 as the stand-ins need: heads, sized and chunked bodies, over asyncio streams."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+
+class Broken(Exception):
+    """The other side ended or sent what is no message."""
+
+
+@dataclass
+class Head:
+    """The first line and the headers; names in lower case."""
+
+    line: str
+    headers: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def status(self) -> int:
+        return int(self.line.split(" ")[1])
+
+
+async def read_head(reader: asyncio.StreamReader) -> Head:
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError) as error:
+        raise Broken(str(error)) from error
+    lines = raw.decode("latin-1").split("\r\n")
+    head = Head(lines[0])
+    for line in lines[1:]:
+        name, colon, value = line.partition(":")
+        if colon:
+            head.headers[name.strip().lower()] = value.strip()
+    return head
+
+
+async def chunks(reader: asyncio.StreamReader, head: Head):
+    """Yields the body as it comes; raises Broken when it ends early."""
+    try:
+        if head.headers.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readline() or b"x", 16):
+                yield await reader.readexactly(size)
+                await reader.readexactly(2)
+            await reader.readline()
+        elif length := int(head.headers.get("content-length", "0")):
+            yield await reader.readexactly(length)
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError) as error:
+        raise Broken(str(error)) from error
+
+
+async def read_body(reader: asyncio.StreamReader, head: Head) -> bytes:
+    return b"".join([part async for part in chunks(reader, head)])
+
+
+def message(line: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+    sized = {**headers, "Content-Length": str(len(body))}
+    return "\r\n".join([line, *(f"{name}: {value}" for name, value in sized.items()), "", ""]).encode() + body
+
+
+def chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- /dev/null
+++ b/tools/soak/store.py
@@ -0,0 +1,80 @@
+"""Stand-in of the platform's store: items with revisions, read and watched over HTTP.
+
+Each daemon has an address of its own to reach it, so that a fault can hit one of them alone.
+"""
+
+import asyncio
+import base64
+import json
+from urllib.parse import parse_qs, urlsplit
+
+import http1
+
+UP, REFUSES, HANGS = "up", "refuses", "hangs"
+
+
+class Store:
+    def __init__(self) -> None:
+        self.revision = 0
+        self.items: dict[str, dict] = {}
+        self.events: list[dict] = []
+        self.changed = asyncio.Condition()
+        # By the address that is asked.
+        self.states: dict[str, str] = {}
+        self.open: dict[str, set[asyncio.StreamWriter]] = {}
+
+    async def put(self, key: str, value: dict | None) -> None:
+        async with self.changed:
+            self.revision += 1
+            event = {"Key": key, "Revision": self.revision}
+            if value is None:
+                self.items.pop(key, None)
+                event["Deleted"] = True
+            else:
+                event["Value"] = base64.b64encode(json.dumps(value).encode()).decode()
+                self.items[key] = event
+            self.events.append(event)
+            self.changed.notify_all()
+
+    async def listen(self, address: str, port: int) -> None:
+        self.states[address] = UP
+        self.open[address] = set()
+        await asyncio.start_server(lambda reader, writer: self.serve(address, reader, writer), address, port)
+
+    def set_state(self, address: str, state: str) -> None:
+        self.states[address] = state
+        if state == REFUSES:
+            for writer in list(self.open[address]):
+                writer.transport.abort()
+
+    async def serve(self, address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open[address].add(writer)
+        try:
+            while True:
+                head = await http1.read_head(reader)
+                while self.states[address] == HANGS:
+                    await asyncio.sleep(0.1)
+                if self.states[address] == REFUSES:
+                    writer.write(http1.message("HTTP/1.1 503 Busy", {}))
+                else:
+                    body = json.dumps(await self.answer(head.line.split(" ")[1])).encode()
+                    writer.write(http1.message("HTTP/1.1 200 OK", {"Content-Type": "application/json"}, body))
+                await writer.drain()
+        except (http1.Broken, ConnectionError):
+            pass
+        finally:
+            self.open[address].discard(writer)
+            writer.close()
+
+    async def answer(self, target: str) -> dict:
+        asked = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(asked.query).items()}
+        if asked.path == "/-/kv-range":
+            return {"Items": list(self.items.values()), "HasMore": False, "At": self.revision}
+        after, wait = int(query["After"]), int(query["WaitMs"]) / 1000
+        async with self.changed:
+            try:
+                await asyncio.wait_for(self.changed.wait_for(lambda: self.revision > after), wait)
+            except TimeoutError:
+                pass
+        return {"events": [event for event in self.events if event["Revision"] > after], "At": self.revision}
--- /dev/null
+++ b/tools/soak/targets.py
@@ -0,0 +1,118 @@
+"""Stand-ins of targets: plain answers and streams of events, with a record of all that ran."""
+
+import asyncio
+import hashlib
+from dataclasses import dataclass
+
+import http1
+
+SLOTS, QUEUED = 8, 8
+PLAIN_SECONDS, GAP_SECONDS = 0.03, 0.015
+EVENTS = 30
+
+
+def plain_body(request_id: str, body: bytes) -> bytes:
+    return hashlib.sha256(request_id.encode() + body).hexdigest().encode()
+
+
+def signature(request_id: str) -> str:
+    return hashlib.sha256(f"signed {request_id}".encode()).hexdigest()[:16]
+
+
+def event(request_id: str, number: int) -> bytes:
+    text = hashlib.sha256(f"{request_id} {number}".encode()).hexdigest()[:12]
+    return f"id: {number}\ndata: {text}\n\n".encode()
+
+
+@dataclass(frozen=True)
+class Run:
+    """A request that a target began to work on."""
+
+    request_id: str
+    line: str
+    body: bytes
+    service: str
+    target: str
+    customer: str
+    started: float
+
+
+class Target:
+    """One process of a service at an address; a restart gives it another id."""
+
+    def __init__(self, service: str, address: tuple[str, int], runs: list[Run]) -> None:
+        self.service, self.address, self.runs = service, address, runs
+        self.life, self.busy, self.is_mute, self.is_up = 0, 0, False, False
+        self.slots = asyncio.Semaphore(SLOTS)
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def id(self) -> str:
+        return f"i-{self.address[0].replace('.', '-')}-{self.life}"
+
+    async def listen(self) -> None:
+        await asyncio.start_server(self.serve, *self.address)
+
+    def start(self) -> None:
+        self.life += 1
+        self.slots, self.busy, self.is_up = asyncio.Semaphore(SLOTS), 0, True
+
+    def crash(self) -> None:
+        self.is_up = False
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if not self.is_up:
+            writer.transport.abort()
+            return
+        life = self.life
+        self.writers.add(writer)
+        try:
+            while life == self.life:
+                head = await http1.read_head(reader)
+                body = await http1.read_body(reader, head)
+                await self.answer(head, body, writer, life)
+        except (http1.Broken, ConnectionError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def answer(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, life: int) -> None:
+        request_id = head.headers.get("request-id", "")
+        if head.headers.get("expected-instance", self.id) != self.id:
+            writer.write(http1.message("HTTP/1.1 421 Other", {"Request-Id": request_id, "Instance-Id": self.id}))
+            return
+        if self.busy >= SLOTS + QUEUED:
+            writer.write(http1.message("HTTP/1.1 503 Full", {"Request-Id": request_id, "Not-Executed": "1"}))
+            return
+        self.busy += 1
+        try:
+            async with self.slots:
+                if life == self.life and self.is_up and not writer.is_closing():
+                    await self.run(head, body, writer, request_id)
+        finally:
+            if life == self.life:
+                self.busy -= 1
+
+    async def run(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
+        self.runs.append(Run(request_id, head.line, body, self.service, self.id,
+                             head.headers.get("tenant-name", ""), asyncio.get_running_loop().time()))
+        while self.is_mute and self.is_up:
+            await asyncio.sleep(0.05)
+        headers = {"Request-Id": request_id, "Response-Signature": signature(request_id)}
+        if "/s/" not in head.line:
+            await asyncio.sleep(PLAIN_SECONDS)
+            writer.write(http1.message("HTTP/1.1 200 OK", headers, plain_body(request_id, body)))
+            await writer.drain()
+            return
+        headers |= {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+        for number in range(int(head.headers.get("last-event-id", "0")) + 1, EVENTS + 1):
+            await asyncio.sleep(GAP_SECONDS)
+            writer.write(http1.chunk(event(request_id, number)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
--- /dev/null
+++ b/tools/soak/verdict.py
@@ -0,0 +1,96 @@
+"""What callers and targets saw, held against the promises. Each finding is a line."""
+
+from collections import defaultdict
+
+import callers
+import targets
+
+# A daemon counts only when nothing was done to it, its links or its store for so long.
+CALM_SECONDS = 4.0
+# The bound for a target's leaving and for a configuration, with a second for this machine's load.
+DRAIN_BOUND, APPLY_BOUND = 3.0, 3.0
+SERVICES = {"/u/": "plain", "/i/": "plain", "/r/": "streams", "/n/": "streams"}
+NOT_RUN = (408, 421, 429, 503)
+SERVED_AT_END = 0.9
+
+
+def findings(bench) -> list[str]:
+    sent = {seen.request_id: seen for seen in bench.callers.seen}
+    runs = defaultdict(list)
+    found = []
+    for run in bench.runs:
+        runs[run.request_id].append(run)
+        found += of_run(run, sent.get(run.request_id))
+    for seen in bench.callers.seen:
+        found += of_answer(seen, runs[seen.request_id])
+        found += of_key(seen, bench)
+    found += of_leaving(bench, sent)
+    found += [f"STOP vm-{index} ended with {status}" for index, status in bench.stops if status != 0]
+    return found + of_recovery(bench)
+
+
+def of_run(run, seen) -> list[str]:
+    if not seen:
+        return [f"UNASKED {run.request_id}: ran at {run.target}, nobody sent it"]
+    found = []
+    if (run.line, run.body) != (seen.line, seen.body):
+        found.append(f"UNASKED {run.request_id}: changed on the way to {run.target}: {run.line}")
+    if run.service != SERVICES[seen.line.split(" ")[1][:3]]:
+        found.append(f"ROUTE {run.request_id}: ran at {run.target} of {run.service}")
+    if run.customer != "customer":
+        found.append(f"UNASKED {run.request_id}: ran for '{run.customer}'")
+    return found
+
+
+def of_answer(seen, runs) -> list[str]:
+    found = []
+    if seen.kind in ("unsafe", "single") and len(runs) > 1:
+        found.append(f"TWICE {seen.request_id} ({seen.kind}): ran at {[run.target for run in runs]}")
+    if seen.status in NOT_RUN and runs and seen.kind in ("unsafe", "single"):
+        found.append(f"REFUSED {seen.request_id}: told {seen.status}, ran at {runs[0].target}")
+    if seen.status != 200:
+        if seen.status and seen.signature:
+            found.append(f"MIXED {seen.request_id}: status {seen.status} with a signature")
+        return found
+    expected = callers.expected_answer(seen)
+    if seen.signature != targets.signature(seen.request_id):
+        found.append(f"MIXED {seen.request_id}: signature {seen.signature}")
+    if seen.whole and seen.answer != expected:
+        found.append(f"MIXED {seen.request_id} ({seen.kind}): a whole answer of {len(seen.answer)} bytes, "
+                     f"not {len(expected)}")
+    if not expected.startswith(seen.answer):
+        found.append(f"ORDER {seen.request_id} ({seen.kind}): not a beginning of the target's answer")
+    return found
+
+
+def is_calm(bench, seen, since: float) -> bool:
+    return all(not since - CALM_SECONDS <= harm <= seen.sent + 1 for harm in bench.harms[seen.daemon])
+
+
+def of_key(seen, bench) -> list[str]:
+    revoked = bench.revoked.get(seen.key)
+    if seen.status != 200 or revoked is None or seen.sent < revoked + APPLY_BOUND:
+        return []
+    if not is_calm(bench, seen, revoked):
+        return []
+    return [f"CONFIG {seen.request_id}: served {seen.sent - revoked:.1f} s after its key was taken away"]
+
+
+def of_leaving(bench, sent) -> list[str]:
+    found = []
+    for run in bench.runs:
+        left = bench.left.get(run.target)
+        seen = sent.get(run.request_id)
+        if left is None or not seen or run.started < left + DRAIN_BOUND or not is_calm(bench, seen, left):
+            continue
+        found.append(f"DRAIN {run.request_id}: reached {run.target} {run.started - left:.1f} s after its leaving")
+    return found
+
+
+def of_recovery(bench) -> list[str]:
+    last = [seen for seen in bench.callers.seen if seen.sent > bench.calm_from and not seen.gave_up
+            and seen.key in bench.keys and seen.ended]
+    served = sum(seen.status == 200 and seen.whole for seen in last)
+    if last and served >= SERVED_AT_END * len(last):
+        return []
+    return [f"RECOVER: {served} of {len(last)} served after all faults had ended"]
