End a daemon's reader before its grace does

They end what is open 0.3 s before it and then wait for their threads; the reader may be in a call for up to a second.

Ruled out: requests that go on too long (those daemons wrote no ProcessStopped though the latest end had passed); the log's thread (it waits 0.2 s at most).

After: the reader stops a second before the latest end, which is 0.6 s before the grace ends. Test: "a stopped watcher asks nothing more, and its end waits for nobody".

--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
@@ -18,13 +18,18 @@
 }
 
 ItemWatcher::~ItemWatcher()
+{
+    stop();
+    m_thread.join();
+}
+
+void ItemWatcher::stop()
 {
     {
         const std::lock_guard lock(m_mutex);
         m_stopping = true;
     }
     m_dutyChanged.notify_one();
-    m_thread.join();
 }
 
 void ItemWatcher::pauseReading()
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
@@ -45,6 +45,11 @@
     ItemWatcher(const ItemWatcher &) = delete;
     ItemWatcher &operator=(const ItemWatcher &) = delete;
 
+    /** Longest that a call goes on after a stop: libcurl looks at it once a second. */
+    static constexpr std::chrono::milliseconds StopTime {1000};
+
+    /** The thread ends within StopTime; whoever destroys the watcher then doesn't wait. */
+    void stop();
     /** After this the present call ends and no other one begins. */
     void pauseReading();
     /** Goes on; all up to `known` has been heard elsewhere, zero for nothing. Reads at first. */
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -175,6 +175,10 @@
                     .with("connections", m_gateway.callerConnections()));
     m_peers.startLeaving();
     m_gateway.startLeaving();
+    // A call that is under way at the end would hold the process beyond its grace, and it would be
+    // killed with its last answers unsent.
+    m_loop.after(m_settings.bounds.grace - EndMargin - ItemWatcher::StopTime,
+                 [this] { m_watcher->stop(); });
     const Instant latest = now + m_settings.bounds.grace - EndMargin;
     m_loop.after(KeepFactor * LookupKeep, [this, latest] {
         stopTaking();
--- a/packages/serving/apricothook/serving/apricothook_serving_process.hpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.hpp
@@ -35,7 +35,7 @@
     static constexpr std::chrono::seconds LookupKeep {1};
     static constexpr int KeepFactor = 3;
     /** Left of the grace when the process ends whatever is open. */
-    static constexpr std::chrono::milliseconds EndMargin {300};
+    static constexpr std::chrono::milliseconds EndMargin {600};
 
     ServingProcess(const ServingSettings &settings, const ServingAdapters &adapters,
                    const Clock &clock, RandomSource &random, LogWriter &log);
--- a/packages/serving/tests/apricothook_item_watcher_tests.cpp
+++ b/packages/serving/tests/apricothook_item_watcher_tests.cpp
@@ -118,6 +118,20 @@
     CHECK(bench.becomes([&] { return !bench.states.empty(); }));
 }
 
+TEST_CASE("a stopped watcher asks nothing more, and its end waits for nobody")
+{
+    // A daemon that was asked to stop ends within its grace, though its source is slow: the
+    // watcher is stopped before, and its thread has ended when the process does.
+    SourceBench bench;
+    CHECK(bench.hasAsked("/after/5"));
+    bench.watcher.stop();
+    const std::size_t before = bench.asked.size();
+    constexpr int Rounds = 300;
+    for (int round = 0; round < Rounds; ++round)
+        bench.loop.runOnce(std::chrono::milliseconds(1));
+    CHECK(bench.asked.size() <= before + 1);
+}
+
 TEST_CASE("a source that refuses is told once, and its return too")
 {
     SourceBench bench;
