Let a daemon that its peers can't serve read at the source itself

A cell's reader was asked by a dozen members for thousands of entries over a link of 10 Mbit/s, and for all entries when more than 1,024 changes lay between; the questions timed out and were asked again (880 KB/s at the busiest daemon).

Change: who is behind its peers for a second reads at the source for three seconds; members ask ten times a second at most, so that changes gather; 4,096 changes are kept.

Ruled out: members passing items on in a chain (each link adds a round and the same link carries it); longer answer times (the configuration would be later still).

Test first: "a daemon whose peers don't give what they have is stuck until it has it".

--- a/packages/fleetview/apricothook/fleetview/apricothook_item_replica.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_replica.hpp
@@ -46,8 +46,11 @@
 class ItemReplica
 {
 public:
-    /** Changes that are kept for peers that ask what happened since a revision. */
-    static constexpr std::size_t KeptChanges = 1024;
+    /**
+     * Changes that are kept for peers that ask what happened since a revision; without them they
+     * get all items. Enough for each of 3,000 targets to come in one go.
+     */
+    static constexpr std::size_t KeptChanges = 4096;
     using Changed = std::function<void(const ItemChange &)>;
 
     /** `changed` is called for each change that is new. */
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -58,7 +58,11 @@
     if (!m_reads && m_published.hasLostSource() && now - m_readingChanged > LostMemory)
         m_published.forgetSourceState();
     // A process without a configuration knows nothing that a peer could add to.
-    const bool reads = !m_published.hasConfiguration() || m_directory.isReader(ownBrief(), now);
+    // Whoever had to help itself goes on with it for a while: the reason is seldom gone at once.
+    if (m_revisions.isStuck())
+        m_stuckUntil = now + LostMemory;
+    const bool reads = !m_published.hasConfiguration() || m_directory.isReader(ownBrief(), now)
+        || now < m_stuckUntil;
     if (reads == std::exchange(m_reads, reads))
         return;
     m_readingChanged = now;
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -65,6 +65,7 @@
     bool m_leaving = false;
     bool m_reads = true;
     Instant m_readingChanged {};
+    Instant m_stuckUntil {};
     std::function<void(bool reads)> m_tellReading;
     bool m_revisionTold = true;
     FleetDirectory m_directory;
--- a/packages/serving/apricothook/serving/apricothook_revision_follower.cpp
+++ b/packages/serving/apricothook/serving/apricothook_revision_follower.cpp
@@ -29,6 +29,12 @@
                     .with("peer_revision", update ? update->revision : m_laterRevision));
 }
 
+bool RevisionFollower::isStuck() const
+{
+    return m_behindSince && m_published.replica().revision() < m_laterRevision
+        && m_loop.now() - *m_behindSince > PeerTime;
+}
+
 void RevisionFollower::note(const MemberBrief &peer, Revision revision)
 {
     const Revision own = m_published.replica().revision();
@@ -43,7 +49,9 @@
     }
     if (m_reads && now - *m_behindSince < OwnSourceTime)
         return;
-    m_fetcher.fetch(peer, own);
+    if (now - m_fetched < FetchPause || !m_fetcher.fetch(peer, own))
+        return;
+    m_fetched = now;
 }
 
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_revision_follower.hpp
+++ b/packages/serving/apricothook/serving/apricothook_revision_follower.hpp
@@ -18,10 +18,20 @@
     /** A peer's later revision is asked for when the own source hasn't told it by then. */
     static constexpr std::chrono::milliseconds OwnSourceTime {250};
 
+    /**
+     * Behind a peer for so long, peers don't do: a reader on a small link can't give a dozen
+     * daemons the entries of thousands of targets. Half of what a configuration may take.
+     */
+    static constexpr std::chrono::milliseconds PeerTime {1000};
+    /** Between fetches, so that changes gather. */
+    static constexpr std::chrono::milliseconds FetchPause {100};
+
     RevisionFollower(EventLoop &loop, PublishedState &published, LogWriter &log);
 
     /** `reads`: this daemon reads at the source itself, and waits a moment for it. */
     void setReads(bool reads) { m_reads = reads; }
+    /** Peers have had a later revision for PeerTime and didn't give it. */
+    bool isStuck() const;
     /** A peer has told its revision. */
     void note(const MemberBrief &peer, Revision revision);
 
@@ -35,6 +45,7 @@
     /** Since when a peer has had a later revision than this daemon. */
     std::optional<Instant> m_behindSince;
     Revision m_laterRevision = 0;
+    Instant m_fetched {};
     /** What the fetcher's thread has posted may run after this has gone. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     /** Last: its thread uses the members above. */
--- a/packages/serving/tests/apricothook_revision_follower_tests.cpp
+++ b/packages/serving/tests/apricothook_revision_follower_tests.cpp
@@ -75,7 +75,28 @@
     CHECK(bench.becomes([&] { return bench.asked == 1; }));
     bench.isBroken = false;
     CHECK(bench.becomes([&] {
+        bench.clock.advance(std::chrono::milliseconds(10));
         bench.hear();
         return bench.state.replica().revision() == 7;
     }));
 }
+
+TEST_CASE("a daemon whose peers don't give what they have is stuck until it has it")
+{
+    // Callers are served by the new configuration though the reader of the cell can't pass it on:
+    // its link is too small for a dozen daemons that ask for thousands of entries. Who is stuck
+    // reads at the source.
+    FollowerBench bench;
+    bench.follower.setReads(false);
+    bench.write("c", "1");
+    bench.peer.apply({{{"c", "2", 7}}, true, 7});
+    bench.isBroken = true;
+    bench.hear();
+    CHECK(bench.becomes([&] { return bench.asked == 1; }));
+    CHECK_FALSE(bench.follower.isStuck());
+    bench.pass(RevisionFollower::PeerTime + std::chrono::milliseconds(1));
+    bench.hear();
+    CHECK(bench.follower.isStuck());
+    bench.state.apply(bench.peer.since(1));
+    CHECK_FALSE(bench.follower.isStuck());
+}
