--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -57,10 +57,10 @@
     noteSource();
     if (!m_reads && m_published.hasLostSource() && now - m_readingChanged > LostMemory)
         m_published.forgetSourceState();
-    // A process without a configuration knows nothing that a peer could add to.
-    // Whoever had to help itself goes on with it for a while: the reason is seldom gone at once.
+    // Who had to help itself goes on with it for a while: the reason is seldom gone at once.
     if (m_revisions.isStuck())
-        m_stuckUntil = now + LostMemory;
+        m_stuckUntil = now + StuckTime;
+    // A process without a configuration can't wait for a peer that may have none either.
     const bool reads = !m_published.hasConfiguration() || m_directory.isReader(ownBrief(), now)
         || now < m_stuckUntil;
     if (reads == std::exchange(m_reads, reads))
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -21,6 +21,8 @@
      * next in the cell have shown whether they reach it.
      */
     static constexpr std::chrono::seconds LostMemory {3};
+    /** A daemon that peers couldn't serve reads for itself for so long. */
+    static constexpr std::chrono::seconds StuckTime {3};
 
     PeerExchange(EventLoop &loop, const ServingSettings &settings, Incarnation process,
                  Gateway &gateway, PublishedState &published, RandomSource &random,
