Let the watcher's tests wait in one place

Cause: two tests of the watcher had the same loop, one without its reason. Ruled out: a hand clock (the watcher's thread waits in real time).

--- a/packages/serving/tests/apricothook_item_watcher_tests.cpp
+++ b/packages/serving/tests/apricothook_item_watcher_tests.cpp
@@ -69,6 +69,12 @@
             loop.runOnce(std::chrono::milliseconds(1));
         return isTrue();
     }
+    /** Three times as long as a watcher that goes on takes between two calls. */
+    void passThreePauses()
+    {
+        for (auto left = 3 * ItemWatcher::GatherPause; left.count() > 0; --left)
+            loop.runOnce(std::chrono::milliseconds(1));
+    }
     bool hasAsked(const std::string &path)
     {
         return becomes([&] { return std::ranges::find(asked, path) != asked.end(); });
@@ -104,10 +110,7 @@
     bench.watcher.pauseReading();
     // The call that is under way ends; the answer to it is the last that is taken.
     const std::size_t before = bench.asked.size();
-    // Three times as long as a watcher that goes on takes between two calls.
-    constexpr int Rounds = 300;
-    for (int round = 0; round < Rounds; ++round)
-        bench.loop.runOnce(std::chrono::milliseconds(1));
+    bench.passThreePauses();
     CHECK(bench.asked.size() <= before + 1);
     bench.asked.clear();
     bench.states.clear();
@@ -126,9 +129,7 @@
     CHECK(bench.hasAsked("/after/5"));
     bench.watcher.stop();
     const std::size_t before = bench.asked.size();
-    constexpr int Rounds = 300;
-    for (int round = 0; round < Rounds; ++round)
-        bench.loop.runOnce(std::chrono::milliseconds(1));
+    bench.passThreePauses();
     CHECK(bench.asked.size() <= before + 1);
 }
 
