Log the sequence of a target's write, so that an older one shows

Cause: the log told a target's state and the item's revision, but not whether a ready after draining was the target's newer word or an older write that took effect late. Tests of platform and serving pass.

--- a/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
@@ -124,6 +124,8 @@
     TargetId id;
     /** As in TargetStart. */
     std::uint64_t startedAt = 0;
+    /** Grows with each write of this start; a write may take effect after later ones. */
+    std::uint64_t sequence = 0;
     ServiceId service;
     Endpoint address;
     DataCentreId dataCentre;
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -16,8 +16,8 @@
                               ///< Operator: none.
     ItemRejected = 858,       ///< error: a published item can't be read and is passed over; key,
                               ///< field. Operator: mend the item.
-    TargetChanged = 859,      ///< info: a target came, changed or left; target, state, revision.
-                              ///< Operator: none.
+    TargetChanged = 859,      ///< info: a target came, changed or left; target, state, sequence of
+                              ///< the target's write, revision. Operator: none.
     RemovalHeld = 860,        ///< info: a target's entry went while the service was away; the
                               ///< target is kept until it had time to register. Operator: none.
     MemberHeard = 861,        ///< info: a daemon's beacon came after silence; member, process.
--- a/packages/serving/apricothook/serving/apricothook_published_state.cpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.cpp
@@ -96,6 +96,7 @@
                     .with("address", target.address.text())
                     .with("state", std::string(target.isDraining ? "draining" : "ready"))
                     .with("started_at", target.startedAt)
+                    .with("sequence", target.sequence)
                     .with("revision", change.revision));
     m_gateway.putTarget(target);
 }
