--- a/packages/serving/tests/apricothook_published_state_tests.cpp
+++ b/packages/serving/tests/apricothook_published_state_tests.cpp
@@ -131,6 +131,28 @@
     CHECK(bench.has("a"));
 }
 
+TEST_CASE("an older write of a target that is leaving doesn't bring it back")
+{
+    // Callers' requests are cut off when the target ends. It writes that it is ready, the write is
+    // held up on its way, and it writes that it is leaving. Then the older write takes effect, with
+    // a later revision, and daemons that go by the revision send it requests until it is gone: they
+    // log TargetChanged with ready and sequence 6 after draining and sequence 8.
+    StateBench bench;
+    bench.write("t/a", "ready#5");
+    bench.write("t/a", "draining#8");
+    bench.write("t/a", "ready#6");
+    CHECK_FALSE(bench.isOffered("a"));
+    bench.write("t/a", std::nullopt);
+    bench.write("t/a", "ready#7");
+    CHECK_FALSE(bench.isOffered("a"));
+    // Its own newer word counts, and so does that of its next start.
+    bench.write("t/a", "ready#9");
+    CHECK(bench.isOffered("a"));
+    bench.write("t/a", "draining#10");
+    bench.write("t/a", "ready@77#1");
+    CHECK(bench.isOffered("a"));
+}
+
 TEST_CASE("an entry without a start that its target always told comes from another writer")
 {
     StateBench bench;
--- a/packages/serving/tests/apricothook_state_bench.hpp
+++ b/packages/serving/tests/apricothook_state_bench.hpp
@@ -9,7 +9,10 @@
 
 namespace Apricothook {
 
-/** Items named "c" hold a generation, items named "t/ID" a state and perhaps "@" and a start. */
+/**
+ * Items named "c" hold a generation, items named "t/ID" a state and perhaps "@" and a start or "#"
+ * and a sequence.
+ */
 class TestDecoder : public ItemDecoder
 {
 public:
@@ -40,9 +43,11 @@
         entry.id = targetOfKey(key);
         entry.service = ServiceId("s");
         entry.address = {"127.0.0.1", 1};
-        entry.isDraining = value == "draining";
+        entry.isDraining = value.starts_with("draining");
         if (const std::size_t at = value.find('@'); at != std::string_view::npos)
             entry.startedAt = std::stoul(std::string(value.substr(at + 1)));
+        if (const std::size_t at = value.find('#'); at != std::string_view::npos)
+            entry.sequence = std::stoul(std::string(value.substr(at + 1)));
         return entry;
     }
 };
@@ -104,6 +109,12 @@
         state.setSourceState(source);
         state.noteSource({state.reachesSource(), state.hasLostSource()});
     }
+    /** Its target may get requests. */
+    bool isOffered(const std::string &target)
+    {
+        const BelievedTarget *known = gateway.targets().find(TargetId(target));
+        return known && !known->entry.isDraining;
+    }
     bool has(const std::string &target)
     {
         return gateway.targets().find(TargetId(target)) != nullptr;
