Let an older write of a leaving target not bring it back

Cause: of one target's writes the one with the latest revision counted. Ruled out: comparing all entries by sequence, as a target that starts again without telling its start would stay unknown under its former address. Change: a target's leaving is remembered by start and sequence for a minute, also when it is gone; an entry with a lower sequence is logged as OldEntryIgnored and changes nothing.

--- a/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -31,6 +31,9 @@
     ReadingChanged = 865,     ///< info: this daemon reads at the configuration service from now on,
                               ///< or leaves that to others of its cell; reads, revision. Operator:
                               ///< none.
+    OldEntryIgnored = 866, ///< info: a target that is leaving had written an entry before it said
+                           ///< so, and the entry came into force only now; target, sequences,
+                           ///< revision. Operator: none.
 };
 
 } // namespace Apricothook
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -115,6 +115,7 @@
     EventName {863, "ItemsFromPeer", EventLevel::Info},
     EventName {864, "PeerItemsFailed", EventLevel::Warning},
     EventName {865, "ReadingChanged", EventLevel::Info},
+    EventName {866, "OldEntryIgnored", EventLevel::Info},
 };
 
 } // namespace
--- a/packages/serving/apricothook/serving/apricothook_published_state.cpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.cpp
@@ -89,6 +89,18 @@
         rejectTarget(change, {"start"});
         return;
     }
+    // A write that was held up takes effect with a later revision than the target's newer word.
+    // Taken for the present one, requests went on to a target that was about to end; its sequence
+    // tells.
+    if (isOlderThanLeaving(target)) {
+        m_log.write(LogEvent(FleetviewEvent::OldEntryIgnored)
+                        .with("target", target.id.text())
+                        .with("sequence", target.sequence)
+                        .with("leaving_sequence", m_leaving.at(target.start()).sequence)
+                        .with("revision", change.revision));
+        return;
+    }
+    noteLeaving(target);
     releaseHeld(target.id);
     m_log.write(LogEvent(FleetviewEvent::TargetChanged)
                     .with("target", target.id.text())
@@ -101,6 +113,23 @@
     m_gateway.putTarget(target);
 }
 
+bool PublishedState::isOlderThanLeaving(const TargetEntry &target) const
+{
+    const auto leaving = m_leaving.find(target.start());
+    return leaving != m_leaving.end() && target.sequence < leaving->second.sequence;
+}
+
+void PublishedState::noteLeaving(const TargetEntry &target)
+{
+    const Instant now = m_loop.now();
+    std::erase_if(m_leaving,
+                  [now](const auto &entry) { return now - entry.second.heard > LeavingMemory; });
+    if (target.isDraining)
+        m_leaving[target.start()] = {target.sequence, now};
+    else
+        m_leaving.erase(target.start());
+}
+
 void PublishedState::removeTarget(const TargetId &target, Revision revision)
 {
     const Instant now = m_loop.now();
--- a/packages/serving/apricothook/serving/apricothook_published_state.hpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.hpp
@@ -24,6 +24,12 @@
 class PublishedState
 {
 public:
+    /**
+     * A target's leaving is remembered for so long. A held-up write and a target's drain take some
+     * seconds each; ten times as much is enough, and a fleet has few leaving targets a minute.
+     */
+    static constexpr std::chrono::seconds LeavingMemory {60};
+
     PublishedState(EventLoop &loop, Gateway &gateway, const ItemDecoder &decoder, LogWriter &log);
     ~PublishedState();
     PublishedState(const PublishedState &) = delete;
@@ -48,6 +54,9 @@
     void removeTarget(const TargetId &target, Revision revision);
     void reject(const ItemChange &change, const ItemFault &fault);
     void rejectTarget(const ItemChange &change, const ItemFault &fault);
+    /** The target wrote this entry before the one that told of its leaving. */
+    bool isOlderThanLeaving(const TargetEntry &target) const;
+    void noteLeaving(const TargetEntry &target);
     void releaseHeld(const TargetId &target);
 
     EventLoop &m_loop;
@@ -60,6 +69,13 @@
     SourceOutage m_outage;
     /** Removals that wait, by target. */
     std::map<TargetId, TimerId> m_held;
+    struct Leaving
+    {
+        std::uint64_t sequence = 0;
+        Instant heard {};
+    };
+    /** Starts of targets that told of their leaving, also after they are gone. */
+    std::map<TargetStart, Leaving> m_leaving;
 };
 
 } // namespace Apricothook
