Take what other cells admit of a customer with the own cell's units

Cause: a customer's bound broke when all daemons were killed in its surge. Three parts: cells counted each other's admissions by a rate over the last second, so that a surge overdrew the bucket by half, and the debt died with the processes; a new process began with half a second of the rate; what mates had admitted before a daemon first heard of them was left out, so that after the kill daemons believed 1.0 to 2.6 million units used of the same 2.6. Change: with each unit of the own cell the others' part (0.9) is taken, and what they tell later is set against it; buckets begin empty; mates that started with this daemon tell all that they admitted. The test of cells that stand for others states the constant's new figures.

--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.cpp
@@ -33,7 +33,7 @@
 CustomerAllowance::Account &CustomerAllowance::refilled(const CustomerRule &customer, Instant now)
 {
     Account &account = m_accounts[customerNumber(customer.name)];
-    double seconds = StartSeconds;
+    double seconds = 0;
     if (std::exchange(account.isStarted, true))
         seconds = static_cast<double>((now - account.refilled).count()) / MicrosecondsPerSecond;
     else
@@ -70,7 +70,7 @@
     const bool isLimited = customer.ratePerSecond > 0;
     if (isLimited && account.level < neededLevel(account, claim))
         return false;
-    account.level -= claim.units;
+    take(account, claim.units);
     account.recentHere += claim.units;
     account.admitted += static_cast<std::uint64_t>(claim.units);
     return true;
@@ -90,10 +90,50 @@
 void CustomerAllowance::addUseOfOthers(std::uint64_t customer, double units)
 {
     Account &account = m_accounts[customer];
-    account.level = std::max(account.level - units, -LowestSeconds * account.perSecond);
+    take(account, units);
     account.recentOfOthers += units;
 }
 
+void CustomerAllowance::take(Account &account, double units)
+{
+    const double elsewhere = units * account.partElsewhere;
+    account.untold += elsewhere;
+    lower(account, units + elsewhere);
+}
+
+void CustomerAllowance::lower(Account &account, double units)
+{
+    account.level = std::max(account.level - units, -LowestSeconds * account.perSecond);
+}
+
+void CustomerAllowance::countElsewhere(const std::vector<UseElsewhere> &uses)
+{
+    std::map<std::uint64_t, double> before;
+    for (auto &[customer, account] : m_accounts)
+        before[customer] = std::exchange(account.partElsewhere, 0);
+    for (const UseElsewhere &use : uses) {
+        Account &account = m_accounts[use.customer];
+        // What was admitted before the others were expected to admit anything.
+        if (before[use.customer] == 0) {
+            account.untold += use.fresh;
+            lower(account, use.fresh);
+        }
+        countElsewhere(account, use);
+    }
+}
+
+void CustomerAllowance::countElsewhere(Account &account, const UseElsewhere &use)
+{
+    account.partElsewhere = use.part;
+    const double known = std::min(account.untold, use.told);
+    account.untold -= known;
+    lower(account, use.told - known);
+    account.recentOfOthers += use.told;
+    const double surplus = std::max(account.untold - use.mostUntold, 0.0);
+    account.untold -= surplus;
+    account.level += surplus;
+}
+
 CustomerStanding CustomerAllowance::standing(const CustomerRule &customer, const LimitClaim &claim,
                                              Instant now)
 {
--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
@@ -15,6 +15,22 @@
     auto operator<=>(const CustomerUse &) const = default;
 };
 
+/** What cells other than the own one admit of a customer; units of its limit. */
+struct UseElsewhere
+{
+    std::uint64_t customer = 0;
+    /** What they have told since the last count. */
+    double told = 0;
+    /** What they are expected to admit for each unit that the own cell does. */
+    double part = 0;
+    /** What they are expected to have admitted since the last count. */
+    double fresh = 0;
+    /** What they may have admitted and not told yet. */
+    double mostUntold = 0;
+
+    auto operator<=>(const UseElsewhere &) const = default;
+};
+
 /** What a request asks of its customer's limit. */
 struct LimitClaim
 {
@@ -53,6 +69,10 @@
  * what the bucket holds; the sum then stays within the limit on both sides. The part comes back
  * with the member, less what it admitted meanwhile.
  *
+ * A bucket begins empty: a new process doesn't know what was admitted before, and all daemons may
+ * have started at once. With half a second of the rate in it, the bound was broken by what a fleet
+ * that is killed in a surge admits after it.
+ *
  * The bound is on windows of some seconds and leaves an overshoot and a slack. A bucket of the
  * plain burst would refuse what the bound allows, so this one holds most of that room.
  */
@@ -63,11 +83,6 @@
     static constexpr double UsedRoom = 0.85;
     /** Part of the overshoot that the refill uses; the bucket's size gets the rest. */
     static constexpr double UsedOvershoot = 0.7;
-    /**
-     * What a bucket holds at a process's start, in seconds of the rate: it doesn't know what was
-     * admitted before, and all daemons may have started at once.
-     */
-    static constexpr double StartSeconds = 0.5;
     /**
      * A bucket falls no lower, in seconds of the rate. What others use is an estimate; without the
      * bound one wrong estimate would shut a customer out for as long as it takes to refill.
@@ -89,8 +104,18 @@
     Duration timeUntil(const CustomerRule &customer, const LimitClaim &claim, Instant now);
     /** What decided whether a request of `units` was admitted, for the log. */
     CustomerStanding standing(const CustomerRule &customer, const LimitClaim &claim, Instant now);
-    /** What another member admitted since it last told. */
+    /** What another member of the own cell admitted since it last told. */
     void addUseOfOthers(std::uint64_t customer, double units);
+    /**
+     * What other cells admitted; all customers of which anything is told or expected.
+     *
+     * What they are expected to admit is taken with each unit of the own cell, and not once more
+     * when they tell it. Taken only when told, a second late, it let a customer that sent eight
+     * times as much overdraw the bucket of a fleet of eight cells by half; it was paid back by what
+     * was refused later, but daemons that were all killed meanwhile forgot the debt, and the
+     * customer got 1.10 of its bound.
+     */
+    void countElsewhere(const std::vector<UseElsewhere> &uses);
     /** `heard` members of `known`, both with this one. */
     void setMembers(std::size_t heard, std::size_t known);
     /** What this daemon admitted so far. */
@@ -105,6 +130,10 @@
         double size = 0;
         Instant refilled {};
         std::uint64_t admitted = 0;
+        /** As in UseElsewhere. */
+        double partElsewhere = 0;
+        /** Taken for other cells before they told it. */
+        double untold = 0;
         /** Of the last seconds, for standing(). */
         double recentHere = 0;
         double recentOfOthers = 0;
@@ -112,6 +141,10 @@
     };
 
     Account &refilled(const CustomerRule &customer, Instant now);
+    /** Takes what the own cell admitted, and what the others are expected to admit with it. */
+    static void take(Account &account, double units);
+    static void lower(Account &account, double units);
+    static void countElsewhere(Account &account, const UseElsewhere &use);
     double neededLevel(const Account &account, const LimitClaim &claim) const;
     void resize(Account &account, const CustomerRule &customer) const;
 
--- a/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+bool BeaconTable::startedWithThisOne(Incarnation process) const
+{
+    return process.value() + StartedTogether.count() >= m_process.value();
+}
+
 BeaconEffect BeaconTable::take(const Beacon &beacon, Instant now)
 {
     BeaconEffect effect;
@@ -47,8 +52,11 @@
     std::vector<ReportedUse> use
         = effect.isNewProcess ? std::vector<ReportedUse>() : std::move(mate.report.use);
     std::vector<ReportedUse> admitted = addUse(use, beacon.report.use);
-    // What a member admitted before this daemon knew it lies in the past of its own limits.
-    if (isKnown)
+    // What a member admitted before this daemon started lies in the past of its own limits. After
+    // all were killed at once each hears of the others some tenths of a second later, and what they
+    // admitted until then is the present: left out, daemons of one fleet believed 1.0 to 2.6
+    // million units used, and a customer got nearly twice its rate for three seconds.
+    if (isKnown || startedWithThisOne(beacon.report.process))
         effect.admitted = std::move(admitted);
     mate = {beacon.sender, beacon.report, now, true};
     mate.report.use = std::move(use);
--- a/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.hpp
@@ -47,7 +47,15 @@
     /** What a silent member admitted until then is remembered, to tell its next word's news. */
     static constexpr std::chrono::seconds MemoryLimit {60};
 
-    explicit BeaconTable(MemberId self) : m_self(std::move(self)) { }
+    /**
+     * Processes that start within so long of each other were started together. Their incarnations
+     * are times of day; VMs that are started at once take some tenths of a second, and their clocks
+     * differ by less.
+     */
+    static constexpr std::chrono::milliseconds StartedTogether {1000};
+
+    BeaconTable(MemberId self, Incarnation process)
+        : m_self(std::move(self)), m_process(process) { }
 
     BeaconEffect take(const Beacon &beacon, Instant now);
     /** A report counts only for the process whose beacon is known. */
@@ -61,7 +69,11 @@
     std::vector<const CellMate *> heard() const;
 
 private:
+    /** The process started with this one or after it. */
+    bool startedWithThisOne(Incarnation process) const;
+
     const MemberId m_self;
+    const Incarnation m_process;
     /** By memberNumber(). */
     std::map<std::uint64_t, CellMate> m_mates;
 };
--- a/packages/fleetview/apricothook/fleetview/apricothook_other_cells_use.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_other_cells_use.cpp
@@ -16,27 +16,29 @@
     });
 }
 
-std::vector<CustomerRate> OtherCellsUse::estimate(const std::vector<CustomerRate> &ownRates,
-                                                  const CellBalance &balance) const
+std::vector<UseElsewhere> OtherCellsUse::count(const std::vector<RecentUse> &own,
+                                               const CellBalance &balance, double seconds) const
 {
-    std::map<std::uint64_t, std::uint64_t> units;
+    std::map<std::uint64_t, UseElsewhere> uses;
     for (const auto &[cell, told] : m_cells) {
         for (const CustomerRate &rate : told.rates)
-            units[rate.customer] += rate.unitsPerSecond;
+            uses[rate.customer].told += static_cast<double>(rate.unitsPerSecond) * seconds;
     }
-    if (balance.own >= FewestDaemons) {
-        const double others = OwnPart * balance.others / balance.own;
-        for (const CustomerRate &own : ownRates) {
-            std::uint64_t &rate = units[own.customer];
-            const double expected = static_cast<double>(own.unitsPerSecond) * others;
-            rate = std::max(rate, static_cast<std::uint64_t>(expected));
-        }
+    const bool standsForOthers = balance.own >= FewestDaemons;
+    const double part = standsForOthers ? OwnPart * balance.others / balance.own : 0;
+    for (const RecentUse &use : own) {
+        uses[use.customer].part = part;
+        uses[use.customer].fresh = part * static_cast<double>(use.fresh);
+        // No more than summaries can be late by: where callers don't spread evenly, the others
+        // never tell what was counted for them.
+        uses[use.customer].mostUntold = part * static_cast<double>(use.inWindow);
     }
-    std::vector<CustomerRate> rates;
-    rates.reserve(units.size());
-    for (const auto &[customer, rate] : units)
-        rates.push_back({customer, rate});
-    return rates;
+    std::vector<UseElsewhere> counted;
+    for (auto &[customer, use] : uses) {
+        use.customer = customer;
+        counted.push_back(use);
+    }
+    return counted;
 }
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_other_cells_use.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_other_cells_use.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <apricothook/dispatch/apricothook_customer_allowance.hpp>
 #include <apricothook/fleetview/apricothook_peer_datagram.hpp>
+#include <apricothook/fleetview/apricothook_rate_meter.hpp>
 #include <apricothook/model/apricothook_time.hpp>
 
 #include <map>
@@ -21,15 +23,14 @@
  * What the other cells admit of each customer, from their summaries and from the own cell.
  *
  * A summary is about a second old, and a customer that suddenly sends eight times as much would get
- * all cells' admissions of that second beyond its limit. Callers spread over the daemons, so what
- * the own cell admits shows the surge half a second after it begins: the others are taken to admit
- * most of the same, each by its weight, unless their summaries tell more.
+ * all cells' admissions of that second beyond its limit. Callers spread over the daemons, so the
+ * others are taken to admit most of what the own cell does, each by its weight, until they tell.
  */
 class OtherCellsUse
 {
 public:
-    /** Part of the own cell's rate that the others are taken to have; the rest is for chance. */
-    static constexpr double OwnPart = 0.8;
+    /** Part of the own cell's use that the others are taken to have; the rest is for chance. */
+    static constexpr double OwnPart = 0.9;
     /**
      * Daemons from which the own cell stands for the others. When all have restarted, the first
      * ones get everybody's callers for some seconds.
@@ -39,9 +40,9 @@
     void note(std::uint32_t cell, const std::vector<CustomerRate> &rates, Instant now);
     /** Drops cells from `cells` on, and what is older than `limit`. */
     void forget(std::uint32_t cells, Duration limit, Instant now);
-    /** The other cells' rates together; `ownRates` are those that aren't chance. */
-    std::vector<CustomerRate> estimate(const std::vector<CustomerRate> &ownRates,
-                                       const CellBalance &balance) const;
+    /** The other cells' use since the last count, `seconds` ago, as far as told and expected. */
+    std::vector<UseElsewhere> count(const std::vector<RecentUse> &own, const CellBalance &balance,
+                                    double seconds) const;
 
 private:
     struct Told
--- a/packages/fleetview/apricothook/fleetview/apricothook_rate_meter.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_rate_meter.cpp
@@ -1,6 +1,7 @@
 #include <apricothook/fleetview/apricothook_rate_meter.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Apricothook {
 
@@ -11,6 +12,7 @@
     Sum &sum = m_sums[customer];
     sum.units += units;
     ++sum.admissions;
+    sum.fresh += units;
 }
 
 void RateMeter::forgetBefore(Instant start)
@@ -27,28 +29,27 @@
 
 std::vector<CustomerRate> RateMeter::rates(std::size_t most, Instant now)
 {
-    std::vector<CustomerRate> rates = ratesFrom(1, now);
+    forgetBefore(now - Window);
+    constexpr double WindowSeconds = std::chrono::duration<double>(Window).count();
+    std::vector<CustomerRate> rates;
+    for (const auto &[customer, sum] : m_sums) {
+        const double perSecond = static_cast<double>(sum.units) / WindowSeconds;
+        rates.push_back({customer, static_cast<std::uint64_t>(perSecond)});
+    }
     std::ranges::sort(rates, std::greater<>(), &CustomerRate::unitsPerSecond);
     rates.resize(std::min(rates.size(), most));
     return rates;
 }
 
-std::vector<CustomerRate> RateMeter::certainRates(Instant now)
-{
-    return ratesFrom(EnoughAdmissions, now);
-}
-
-std::vector<CustomerRate> RateMeter::ratesFrom(std::uint64_t admissions, Instant now)
+std::vector<RecentUse> RateMeter::takeRecent(Instant now)
 {
     forgetBefore(now - Window);
-    constexpr double WindowSeconds = std::chrono::duration<double>(Window).count();
-    std::vector<CustomerRate> rates;
-    for (const auto &[customer, sum] : m_sums) {
-        const double perSecond = static_cast<double>(sum.units) / WindowSeconds;
-        if (sum.admissions >= admissions)
-            rates.push_back({customer, static_cast<std::uint64_t>(perSecond)});
+    std::vector<RecentUse> recent;
+    for (auto &[customer, sum] : m_sums) {
+        if (sum.admissions >= EnoughAdmissions)
+            recent.push_back({customer, sum.units, std::exchange(sum.fresh, 0)});
     }
-    return rates;
+    return recent;
 }
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_rate_meter.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_rate_meter.hpp
@@ -8,6 +8,18 @@
 
 namespace Apricothook {
 
+/** What the own cell has lately admitted of one customer, in the limit's unit. */
+struct RecentUse
+{
+    std::uint64_t customer = 0;
+    /** In RateMeter::Window. */
+    std::uint64_t inWindow = 0;
+    /** Since it was asked before. */
+    std::uint64_t fresh = 0;
+
+    auto operator<=>(const RecentUse &) const = default;
+};
+
 /** What the own cell admits of each customer in a second, from the last second. */
 class RateMeter
 {
@@ -21,8 +33,8 @@
 
     /** The largest rates first, at most `most`. */
     std::vector<CustomerRate> rates(std::size_t most, Instant now);
-    /** Those of EnoughAdmissions or more. */
-    std::vector<CustomerRate> certainRates(Instant now);
+    /** Customers of EnoughAdmissions or more; what is fresh now won't be the next time. */
+    std::vector<RecentUse> takeRecent(Instant now);
 
 private:
     struct Admitted
@@ -36,10 +48,10 @@
     {
         std::uint64_t units = 0;
         std::uint64_t admissions = 0;
+        std::uint64_t fresh = 0;
     };
 
     void forgetBefore(Instant start);
-    std::vector<CustomerRate> ratesFrom(std::uint64_t admissions, Instant now);
 
     std::deque<Admitted> m_admitted;
     std::map<std::uint64_t, Sum> m_sums;
--- a/packages/fleetview/tests/apricothook_beacon_table_tests.cpp
+++ b/packages/fleetview/tests/apricothook_beacon_table_tests.cpp
@@ -28,7 +28,7 @@
 struct Bench
 {
     HandClock clock;
-    BeaconTable mates {MemberId("self")};
+    BeaconTable mates {MemberId("self"), Incarnation(1'000'000)};
     BeaconEffect take(const Beacon &beacon) { return mates.take(beacon, clock.now()); }
     BeaconEffect take(const CellReport &report) { return mates.take(report, clock.now()); }
 };
@@ -115,3 +115,21 @@
     second.report.use = {{1, 125}, {2, 14}};
     CHECK(bench.take(second).admitted == std::vector<ReportedUse> {{1, 5}, {2, 4}});
 }
+
+TEST_CASE("what daemons that started together admitted before they knew each other counts")
+{
+    // A customer keeps to its limit right after all daemons were killed at once. Each serves from
+    // its start on and hears of the others some tenths of a second later. With what they admitted
+    // meanwhile left out, some daemons of a fleet believed 1.0 million units used and others 2.6
+    // million of the same 2.6, and the customer got 1.2 to 1.7 million a second at a rate of 0.9.
+    Bench bench;
+    const auto used = [](std::uint64_t process) {
+        Beacon made = beacon("m" + std::to_string(process), process, 1);
+        made.report.use = {{5, 300}};
+        return made;
+    };
+    CHECK(bench.take(used(999'200)).admitted == std::vector<ReportedUse> {{5, 300}});
+    CHECK(bench.take(used(1'000'400)).admitted == std::vector<ReportedUse> {{5, 300}});
+    // One that has run for long admitted it at any time.
+    CHECK(bench.take(used(900'000)).admitted.empty());
+}
--- a/packages/fleetview/tests/apricothook_other_cells_use_tests.cpp
+++ b/packages/fleetview/tests/apricothook_other_cells_use_tests.cpp
@@ -56,10 +56,8 @@
     void count(Instant now)
     {
         const double seconds = std::chrono::duration<double>(Tick).count();
-        for (const CustomerRate &rate :
-             others.estimate(meter.certainRates(now), {8, 8 * (Cells - 1)}))
-            allowance.addUseOfOthers(rate.customer,
-                                     static_cast<double>(rate.unitsPerSecond) * seconds);
+        const CellBalance balance {8, 8 * (Cells - 1)};
+        allowance.countElsewhere(others.count(meter.takeRecent(now), balance, seconds));
     }
 };
 
@@ -178,12 +176,12 @@
     OtherCellsUse use;
     use.note(1, {{5, 100}}, clock.now());
     use.note(6, {{5, 30}}, clock.now());
-    CHECK(use.estimate({}, {1, 1}) == std::vector<CustomerRate> {{5, 130}});
+    CHECK(use.count({}, {1, 1}, 1) == std::vector<UseElsewhere> {{5, 130, 0, 0, 0}});
     use.forget(4, std::chrono::seconds(3), clock.now());
-    CHECK(use.estimate({}, {1, 1}) == std::vector<CustomerRate> {{5, 100}});
+    CHECK(use.count({}, {1, 1}, 1) == std::vector<UseElsewhere> {{5, 100, 0, 0, 0}});
     clock.advance(std::chrono::seconds(4));
     use.forget(4, std::chrono::seconds(3), clock.now());
-    CHECK(use.estimate({}, {1, 1}).empty());
+    CHECK(use.count({}, {1, 1}, 1).empty());
 }
 
 TEST_CASE("a cell of few daemons doesn't stand for the others")
@@ -192,6 +190,7 @@
     // gets everybody's requests; if it took the others to admit as much each, it would shut the
     // customers out for seconds.
     const OtherCellsUse use;
-    CHECK(use.estimate({{5, 1000}}, {1, 60}).empty());
-    CHECK(use.estimate({{5, 1000}}, {10, 60}) == std::vector<CustomerRate> {{5, 4800}});
+    CHECK(use.count({{5, 1000, 500}}, {1, 60}, 1) == std::vector<UseElsewhere> {{5, 0, 0, 0, 0}});
+    CHECK(use.count({{5, 1000, 500}}, {10, 60}, 1)
+          == std::vector<UseElsewhere> {{5, 0, 5.4, 2700, 5400}});
 }
--- a/packages/serving/apricothook/serving/apricothook_cell_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_cell_exchange.cpp
@@ -34,7 +34,7 @@
     , m_sender(sender)
     , m_gateway(gateway)
     , m_log(log)
-    , m_mates(sender.ownBrief().member)
+    , m_mates(sender.ownBrief().member, sender.ownBrief().process)
 {
 }
 
@@ -171,9 +171,9 @@
     return m_rates.rates(most, m_loop.now());
 }
 
-std::vector<CustomerRate> CellExchange::certainRates()
+std::vector<RecentUse> CellExchange::takeRecentUse()
 {
-    return m_rates.certainRates(m_loop.now());
+    return m_rates.takeRecent(m_loop.now());
 }
 
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_cell_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_cell_exchange.hpp
@@ -36,7 +36,7 @@
     /** What the cell, this daemon with it, admits. */
     std::vector<CustomerRate> rates(std::size_t most);
     /** Of it, what isn't chance. */
-    std::vector<CustomerRate> certainRates();
+    std::vector<RecentUse> takeRecentUse();
 
 private:
     enum class UseTold {
--- a/packages/serving/apricothook/serving/apricothook_fleet_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_fleet_exchange.cpp
@@ -130,22 +130,23 @@
         m_otherCells.note(summary.cell, summary.rates, now);
 }
 
-void FleetExchange::countUseOfOtherCells(const std::vector<CustomerRate> &ownRates)
+void FleetExchange::countUseOfOtherCells(const std::vector<RecentUse> &own)
 {
     const Instant now = m_loop.now();
     const double seconds = std::chrono::duration<double>(now - m_useCounted).count();
     m_useCounted = now;
-    if (m_directory.cells() == 1)
+    if (m_directory.cells() == 1) {
+        m_customers.countElsewhere({});
         return;
+    }
     // What was heard with another number of cells, or too long ago, tells nothing of now.
     m_otherCells.forget(m_directory.cells(), m_directory.otherCellLimit(), now);
     const CellWeights weights = m_directory.weights(now);
-    const std::uint32_t own = weights.weights[weights.own];
+    const std::uint32_t ownDaemons = weights.weights[weights.own];
     const std::uint32_t all
         = std::accumulate(weights.weights.begin(), weights.weights.end(), std::uint32_t {0});
-    for (const CustomerRate &rate : m_otherCells.estimate(ownRates, {own, all - own}))
-        m_customers.addUseOfOthers(rate.customer,
-                                   static_cast<double>(rate.unitsPerSecond) * seconds);
+    const CellBalance balance {ownDaemons, all - ownDaemons};
+    m_customers.countElsewhere(m_otherCells.count(own, balance, seconds));
 }
 
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_fleet_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_fleet_exchange.hpp
@@ -39,8 +39,8 @@
 
     /** `ownRates`: what the own cell admits. */
     void start(std::function<std::vector<CustomerRate>(std::size_t most)> ownRates);
-    /** Counts what other cells have admitted since the last call; `ownRates`: the own cell. */
-    void countUseOfOtherCells(const std::vector<CustomerRate> &ownRates);
+    /** Counts what other cells have admitted since the last call; `own`: the own cell. */
+    void countUseOfOtherCells(const std::vector<RecentUse> &own);
     /** Tells all members at once what this daemon now is; for what can't wait for summaries. */
     void announce();
     /** To one member of each other cell, and no more often than its pause allows. */
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -45,7 +45,7 @@
     countMembers();
     m_gateway.targets().setCells(m_directory.weights(now));
     reviewReading();
-    m_fleet.countUseOfOtherCells(m_cell.certainRates());
+    m_fleet.countUseOfOtherCells(m_cell.takeRecentUse());
     m_cell.tick();
     m_fleet.sendSummaries();
     m_tick = m_loop.after(IdlePause, [this] { tick(); });
