--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -15,13 +15,21 @@
 class Faults:
     """Plays faults on a bench; each marks the daemons that it touches."""
 
-    def __init__(self, bench, seed: int) -> None:
+    def __init__(self, bench, seed: int, chosen: str = "on") -> None:
+        """`chosen`: on, off, or the names of some kinds with commas between; another name is an error."""
         self.bench, self.random = bench, random.Random(seed)
         self.running: set[asyncio.Task] = set()
         self.told: list[str] = []
         self.kinds = [self.kill, self.kill_many, self.freeze, self.terminate, self.reload, self.harm_caller_link,
                       self.harm_target_link, self.reset_links, self.store_away, self.store_outage, self.crash_target,
                       self.mute_target, self.replace_target, self.change_configuration, self.revoke_key]
+        if chosen != "on":
+            known = {kind.__name__: kind for kind in self.kinds}
+            names = [] if chosen == "off" else chosen.split(",")
+            unknown = [name for name in names if name not in known]
+            if unknown:
+                raise SystemExit(f"soak: no faults named {', '.join(unknown)}; there are {', '.join(known)}")
+            self.kinds = [known[name] for name in names]
 
     async def play(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
@@ -135,13 +143,16 @@
         target.is_mute = False
 
     async def replace_target(self) -> None:
-        """A planned one: it drains, serves on for a while, leaves, and another process comes."""
+        """A planned one: it drains, an older write of it takes effect, it leaves, and another process comes."""
         target = self.random.choice(self.bench.targets)
         if not target.is_up:
             return
         leaving = target.id
         await self.bench.announce(target, "draining")
-        await asyncio.sleep(DRAIN_SECONDS + 2)
+        late = self.random.uniform(0.1, DRAIN_SECONDS)
+        await asyncio.sleep(late)
+        await self.bench.announce_late(leaving)
+        await asyncio.sleep(DRAIN_SECONDS + 2 - late)
         if not target.is_up or target.id != leaving:
             return
         target.crash()
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -36,10 +36,15 @@
         self.writers -= {writer, there_writer}
 
     async def copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut: str) -> None:
+        swallowed = False
         try:
             while data := await reader.read(65536):
                 if self.state in (SILENT, cut):
+                    swallowed = True
                     continue
+                if swallowed:
+                    # A network loses the rest of a connection, never a piece of its middle.
+                    raise ConnectionResetError
                 if self.state == DELAYED:
                     await asyncio.sleep(random.uniform(*DELAY_SECONDS))
                 writer.write(data)
