--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.cpp
@@ -125,9 +125,9 @@
 void CustomerAllowance::countElsewhere(Account &account, const UseElsewhere &use)
 {
     account.partElsewhere = use.part;
-    const double known = std::min(account.untold, use.told);
-    account.untold -= known;
-    lower(account, use.told - known);
+    const double takenBefore = std::min(account.untold, use.told);
+    account.untold -= takenBefore;
+    lower(account, use.told - takenBefore);
     account.recentOfOthers += use.told;
     const double surplus = std::max(account.untold - use.mostUntold, 0.0);
     account.untold -= surplus;
--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
@@ -70,8 +70,8 @@
  * with the member, less what it admitted meanwhile.
  *
  * A bucket begins empty: a new process doesn't know what was admitted before, and all daemons may
- * have started at once. With half a second of the rate in it, the bound was broken by what a fleet
- * that is killed in a surge admits after it.
+ * have started at once. With half a second of the rate in it, a fleet that is killed in a surge
+ * admits more than the bound in the surge and after it.
  *
  * The bound is on windows of some seconds and leaves an overshoot and a slack. A bucket of the
  * plain burst would refuse what the bound allows, so this one holds most of that room.
@@ -110,10 +110,10 @@
      * What other cells admitted; all customers of which anything is told or expected.
      *
      * What they are expected to admit is taken with each unit of the own cell, and not once more
-     * when they tell it. Taken only when told, a second late, it let a customer that sent eight
-     * times as much overdraw the bucket of a fleet of eight cells by half; it was paid back by what
-     * was refused later, but daemons that were all killed meanwhile forgot the debt, and the
-     * customer got 1.10 of its bound.
+     * when they tell it. Taken only when told, a second late, a surge overdraws the bucket of a
+     * fleet of eight cells by half. Later refusals pay that back, but not when all daemons are
+     * killed meanwhile: the customer got 1.10 of its bound in eight simulated cells, with this and
+     * empty buckets 0.92.
      */
     void countElsewhere(const std::vector<UseElsewhere> &uses);
     /** `heard` members of `known`, both with this one. */
@@ -144,6 +144,7 @@
     /** Takes what the own cell admitted, and what the others are expected to admit with it. */
     static void take(Account &account, double units);
     static void lower(Account &account, double units);
+    /** Sets what is told against what was taken before. */
     static void countElsewhere(Account &account, const UseElsewhere &use);
     double neededLevel(const Account &account, const LimitClaim &claim) const;
     void resize(Account &account, const CustomerRule &customer) const;
--- a/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.cpp
@@ -54,8 +54,8 @@
     std::vector<ReportedUse> admitted = addUse(use, beacon.report.use);
     // What a member admitted before this daemon started lies in the past of its own limits. After
     // all were killed at once each hears of the others some tenths of a second later, and what they
-    // admitted until then is the present: left out, daemons of one fleet believed 1.0 to 2.6
-    // million units used, and a customer got nearly twice its rate for three seconds.
+    // admitted until then is the present. Left out, daemons of one fleet believed 1.0 to 2.6
+    // million units used, and a customer got 1.4 million a second where its bucket gains 0.9.
     if (isKnown || startedWithThisOne(beacon.report.process))
         effect.admitted = std::move(admitted);
     mate = {beacon.sender, beacon.report, now, true};
