Give back nothing of what is taken for other cells, and use less of a customer's room

Change: no more is taken than two windows of the own use, and none given back; 0.82 of the room above the rate is used, not 0.85.

--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.cpp
@@ -107,7 +107,8 @@
 
 void CustomerAllowance::take(Account &account, double units)
 {
-    const double elsewhere = units * account.partElsewhere;
+    const double room = std::max(account.mostUntold - account.untold, 0.0);
+    const double elsewhere = std::min(units * account.partElsewhere, room);
     account.untold += elsewhere;
     lower(account, units + elsewhere);
 }
@@ -140,13 +141,11 @@
 void CustomerAllowance::countElsewhere(Account &account, const UseElsewhere &use)
 {
     account.partElsewhere = use.part;
+    account.mostUntold = use.mostUntold;
     const double takenBefore = std::min(account.untold, use.told);
     account.untold -= takenBefore;
     lower(account, use.told - takenBefore);
     account.recentOfOthers += use.told;
-    const double surplus = std::max(account.untold - use.mostUntold, 0.0);
-    account.untold -= surplus;
-    account.level += surplus;
 }
 
 CustomerStanding CustomerAllowance::standing(const CustomerRule &customer, const LimitClaim &claim,
--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
@@ -25,7 +25,7 @@
     double part = 0;
     /** What they are expected to have admitted since the last count. */
     double fresh = 0;
-    /** What they may have admitted and not told yet. */
+    /** What they may have admitted and not told yet; no more is taken for them. */
     double mostUntold = 0;
 
     auto operator<=>(const UseElsewhere &) const = default;
@@ -76,7 +76,7 @@
 {
 public:
     /** Part of the room above the rate that is used; the rest is for what beacons tell too late. */
-    static constexpr double UsedRoom = 0.85;
+    static constexpr double UsedRoom = 0.82;
     /** Part of the overshoot that the refill uses; the bucket's size gets the rest. */
     static constexpr double UsedOvershoot = 0.7;
     /**
@@ -137,6 +137,7 @@
         std::uint64_t admitted = 0;
         /** As in UseElsewhere. */
         double partElsewhere = 0;
+        double mostUntold = 0;
         /** Of what the bucket held at the start, the rest to be paid back. */
         double lent = 0;
         /** Taken for other cells before they told it. */
--- a/packages/fleetview/apricothook/fleetview/apricothook_other_cells_use.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_other_cells_use.cpp
@@ -31,7 +31,7 @@
         uses[use.customer].fresh = part * static_cast<double>(use.fresh);
         // No more than summaries can be late by: where callers don't spread evenly, the others
         // never tell what was counted for them.
-        uses[use.customer].mostUntold = part * static_cast<double>(use.inWindow);
+        uses[use.customer].mostUntold = UntoldWindows * part * static_cast<double>(use.inWindow);
     }
     std::vector<UseElsewhere> counted;
     for (auto &[customer, use] : uses) {
--- a/packages/fleetview/apricothook/fleetview/apricothook_other_cells_use.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_other_cells_use.hpp
@@ -31,6 +31,11 @@
 public:
     /** Part of the own cell's use that the others are taken to have; the rest is for chance. */
     static constexpr double OwnPart = 0.9;
+    /**
+     * Rates are those of the last RateMeter::Window, and a summary comes almost as long after the
+     * one before it: what a cell admits is told within two windows.
+     */
+    static constexpr double UntoldWindows = 2;
     /**
      * Daemons from which the own cell stands for the others. When all have restarted, the first
      * ones get everybody's callers for some seconds.
--- a/packages/fleetview/tests/apricothook_other_cells_use_tests.cpp
+++ b/packages/fleetview/tests/apricothook_other_cells_use_tests.cpp
@@ -192,5 +192,5 @@
     const OtherCellsUse use;
     CHECK(use.count({{5, 1000, 500}}, {1, 60}, 1) == std::vector<UseElsewhere> {{5, 0, 0, 0, 0}});
     CHECK(use.count({{5, 1000, 500}}, {10, 60}, 1)
-          == std::vector<UseElsewhere> {{5, 0, 5.4, 2700, 5400}});
+          == std::vector<UseElsewhere> {{5, 0, 5.4, 2700, 10800}});
 }
