--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_customer_allowance.hpp
@@ -76,7 +76,7 @@
 {
 public:
     /** Part of the room above the rate that is used; the rest is for what beacons tell too late. */
-    static constexpr double UsedRoom = 0.82;
+    static constexpr double UsedRoom = 0.77;
     /** Part of the overshoot that the refill uses; the bucket's size gets the rest. */
     static constexpr double UsedOvershoot = 0.7;
     /**
