--- /dev/null
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_limits.hpp
@@ -0,0 +1,209 @@
+#pragma once
+
+#include <apricothook/dispatch/apricothook_grantor_office.hpp>
+#include <apricothook/dispatch/apricothook_unit_stock.hpp>
+#include <apricothook/model/apricothook_identifiers.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace Apricothook {
+
+/** What decided whether a request had its customer's units. */
+enum class LimitSource {
+    Unlimited, ///< The customer has no limit.
+    Stock,     ///< Units that were granted before.
+    Grantor,   ///< The grantor's answer.
+    Credit,    ///< This daemon's part of the credit; no grantor had answered.
+    Nobody,    ///< No grantor answered, and the credit was used up.
+};
+
+std::string_view nameOf(LimitSource source);
+
+/** Whether a request has its customer's units, and what decided that; all but parts in units. */
+struct LimitVerdict
+{
+    bool isAdmitted = false;
+    LimitSource source = LimitSource::Unlimited;
+    LimitClaim claim;
+    /** Of the customer's bucket, as the grantor told; zero where it wasn't asked. */
+    double level = 0;
+    double bucket = 0;
+    double perSecond = 0;
+    /** memberNumber() of the daemon that decided; zero where none did. */
+    std::uint64_t grantor = 0;
+    /** How long the request waited for this, and how often somebody was asked. */
+    Duration waited {};
+    unsigned asks = 0;
+    /** When a refused caller may have what it asked for. */
+    Duration retryAfter {};
+
+    auto operator<=>(const LimitVerdict &) const = default;
+};
+
+/** Is told of verdicts that take() couldn't give at once. */
+class LimitListener
+{
+public:
+    virtual ~LimitListener() = default;
+    virtual void onLimitDecided(ExchangeId exchange, const LimitVerdict &verdict) = 0;
+};
+
+/** The fleet as far as customers' limits depend on it. */
+struct KnownFleet
+{
+    /** All live members, this one among them. */
+    std::vector<GrantorCandidate> members;
+    /** With those that may be serving out of sight. */
+    std::size_t known = 1;
+    /** This daemon has heard of the others, so that counting them tells something. */
+    bool isComplete = true;
+    /** When this daemon started, if all others started with it: nobody granted before. */
+    std::optional<Instant> startedTogether;
+};
+
+/**
+ * The limits of customers over the whole fleet, as one daemon enforces them.
+ *
+ * A request runs on units that the customer's grantor took from the customer's one bucket. The
+ * daemon asks for them when the request comes; where it sees many requests of a customer it asks
+ * ahead, so that most have their units at once. CustomerBudget tells why the bound holds whatever
+ * is lost, dies or is cut off.
+ *
+ * A daemon whose question isn't answered uses its part of a small credit, and goes on to ask the
+ * next in the order. A question is answered in a few milliseconds, and a first event is due in some
+ * hundreds, so callers don't notice.
+ */
+class FleetLimits
+{
+public:
+    /** A grantor that lives answers within this, also while it is busy. */
+    static constexpr std::chrono::milliseconds AnswerTime {80};
+    /** Before a daemon that isn't ready yet is asked again. */
+    static constexpr std::chrono::milliseconds SoonPause {50};
+    /**
+     * Longer, a request isn't kept without units: its caller may fare better elsewhere. Until then
+     * a dead grantor's successor has mostly taken over.
+     */
+    static constexpr std::chrono::milliseconds LongestAsk {400};
+    /** After three unanswered questions in a row a daemon is passed over for so long. */
+    static constexpr std::chrono::milliseconds SilenceTime {500};
+    /** Time for whose requests units are asked ahead, in lives of a grant. */
+    static constexpr double AheadPart = 0.5;
+
+    FleetLimits(const FleetBounds &bounds, LimitPeer self, LimitMessenger &messenger,
+                LimitListener &listener, OfficeListener &officeListener, RandomSource &random);
+
+    void setCustomers(const std::vector<CustomerRule> &customers, Instant now);
+    void setFleet(const KnownFleet &fleet, Instant now);
+    /** Part of the fleet that this daemon reaches, 0 to 1. */
+    void setPart(double part, Instant now) { m_office.setPart(part, now); }
+
+    /**
+     * Takes the request's units if there are any at hand or the customer is over its limit; nothing
+     * where somebody must be asked. They stay taken when the request is refused later: what came in
+     * time goes before what comes after it.
+     */
+    std::optional<LimitVerdict> take(ExchangeId exchange, const CustomerRule &customer,
+                                     const LimitClaim &claim, Instant now);
+    /** The request no longer waits for its units; nothing happens if it didn't. */
+    void withdraw(ExchangeId exchange);
+    /** Deals with what has waited too long, and with this daemon's own grants. */
+    void review(Instant now);
+    /** When review() has something to do again; nothing while nobody waits. */
+    std::optional<Instant> nextReview() const;
+
+    void take(const UnitsAsk &ask, Instant now);
+    void take(const UnitsAnswer &answer, Instant now);
+    void take(const GrantorClaim &claim, Instant now) { m_office.take(claim, now); }
+    void take(const GrantorHandover &handover, Instant now) { m_office.take(handover, now); }
+
+    /** This daemon may grant units; setPart() is to be told. */
+    bool isCandidate() const { return m_office.isCandidate(); }
+
+private:
+    struct Waiting
+    {
+        ExchangeId exchange;
+        std::uint64_t customer = 0;
+        CustomerBudget budget;
+        LimitClaim claim;
+        Instant since {};
+        /** The present question; zero while none is open. */
+        std::uint64_t ask = 0;
+        LimitPeer asked;
+        Instant sent {};
+        /** When something is to be done without an answer. */
+        Instant due {};
+        unsigned asks = 0;
+        /** Members that said that they aren't the grantor. */
+        std::set<std::uint64_t> notThere;
+        /** Whom the last of them takes for it. */
+        std::optional<LimitPeer> named;
+    };
+
+    struct Peer
+    {
+        unsigned misses = 0;
+        Instant silentUntil {};
+    };
+
+    struct Account
+    {
+        UnitStock stock;
+        /** Who granted or refused last; no member at first. */
+        LimitPeer grantor;
+        /** When units were last asked ahead, with no request that waits for them. */
+        Instant aheadSent {};
+        Duration grantLife {};
+    };
+
+    /** A question for units ahead that wasn't answered yet. */
+    struct AheadAsk
+    {
+        std::uint64_t customer = 0;
+        Instant sent {};
+    };
+
+    /** Who is to be asked; nothing while nobody is left. */
+    std::optional<LimitPeer> chooseGrantor(const Waiting &waiting, Instant now) const;
+    bool isSilent(std::uint64_t member, Instant now) const;
+    void ask(Waiting &waiting, Instant now);
+    void askAhead(std::uint64_t customer, Account &account, const CustomerBudget &budget,
+                  Instant now);
+    UnitsAsk question(std::uint64_t ask, std::uint64_t customer, const LimitClaim &claim,
+                      double ahead) const;
+    double ahead(Account &account, const CustomerBudget &budget, Instant now) const;
+    void noteMissed(std::uint64_t member, Instant now);
+    /** As the grantor itself. */
+    LimitVerdict decideHere(Waiting &waiting, Instant now);
+    LimitVerdict grantorVerdict(const Waiting &waiting, const UnitsAnswer &answer, bool isAdmitted,
+                                Instant now) const;
+    /** True when the answer was to a question for units ahead. */
+    bool takeAhead(const UnitsAnswer &answer, Instant now);
+    /** Decides for a request whose question wasn't answered; nothing where it waits on. */
+    std::optional<LimitVerdict> withoutAnswer(Waiting &waiting, Instant now);
+    LimitVerdict verdict(const Waiting &waiting, LimitSource source, bool isAdmitted,
+                         Instant now) const;
+    void reviewWaiting(Instant now);
+
+    const FleetBounds m_bounds;
+    const LimitPeer m_self;
+    LimitMessenger &m_messenger;
+    LimitListener &m_listener;
+    RandomSource &m_random;
+    GrantorOffice m_office;
+    std::map<std::uint64_t, Account> m_accounts;
+    std::vector<Waiting> m_waiting;
+    /** By the number of the question. */
+    std::map<std::uint64_t, AheadAsk> m_aheadAsks;
+    std::map<std::uint64_t, Peer> m_peers;
+    std::size_t m_known = 1;
+    bool m_isComplete = true;
+    std::uint64_t m_lastAsk;
+};
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/dispatch/tests/apricothook_emulated_limits.cpp
@@ -0,0 +1,307 @@
+#include <apricothook_emulated_limits.hpp>
+
+#include <apricothook/dispatch/apricothook_reach_meter.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Apricothook {
+
+namespace {
+
+constexpr std::chrono::milliseconds Step {1};
+constexpr std::chrono::milliseconds Tick {200};
+/** Silent daemons may be serving out of sight for so long. */
+constexpr std::chrono::seconds KnownTime {12};
+/** Until a started daemon and the others have heard of each other, at most. */
+constexpr std::chrono::milliseconds LongestDiscovery {800};
+/** A daemon knows the fleet when it has heard of nobody new for so long. */
+constexpr std::chrono::milliseconds QuietTime {400};
+constexpr std::chrono::milliseconds YoungTime {500};
+constexpr std::chrono::seconds OldTime {5};
+/** A daemon that hears nobody at all takes itself for alone after so long. */
+constexpr std::chrono::seconds LoneTime {20};
+constexpr std::chrono::seconds StartedTogether {1};
+
+LimitPeer peerOf(std::size_t daemon)
+{
+    return {(daemon + 1) * 0x9E3779B97F4A7C15ULL,
+            {"10.0.0.1", static_cast<std::uint16_t>(daemon + 1)}};
+}
+
+} // namespace
+
+struct EmulatedLimits::Node : private LimitMessenger, private LimitListener, private OfficeListener
+{
+    Node(EmulatedLimits &fleet, std::size_t index, Duration firstTick)
+        : fleet(fleet)
+        , index(index)
+        , limits(fleet.m_bounds, peerOf(index), *this, *this, *this, fleet.random)
+        , started(fleet.now())
+        , news(fleet.now())
+        , ticked(fleet.now() - Tick + firstTick)
+    {
+    }
+
+    void send(const Endpoint &to, const LimitMessage &message) override
+    {
+        fleet.post(index, to, message);
+    }
+    void onLimitDecided(ExchangeId exchange, const LimitVerdict &verdict) override
+    {
+        fleet.decided(exchange.value(), verdict);
+    }
+    void onOfficeChanged(std::uint64_t customer, OfficeChange change, double) override
+    {
+        if (change == OfficeChange::TakenOver || change == OfficeChange::TakenEmpty)
+            grants.insert(customer);
+        else
+            grants.erase(customer);
+    }
+
+    EmulatedLimits &fleet;
+    std::size_t index;
+    FleetLimits limits;
+    ReachMeter reach;
+    Instant started {};
+    Instant news {};
+    Instant ticked {};
+    std::map<std::size_t, Instant> heard;
+    std::set<std::uint64_t> grants;
+    bool isAlive = true;
+    bool isFrozen = false;
+};
+
+EmulatedLimits::EmulatedLimits(std::size_t daemons, std::vector<CustomerRule> customers,
+                               const FleetBounds &bounds, std::uint64_t seed)
+    : random(seed)
+    , m_bounds(bounds)
+    , m_customers(std::move(customers))
+    , m_counts(m_customers.size())
+    , m_admitted(m_customers.size())
+{
+    m_nodes.resize(daemons);
+    for (std::size_t daemon = 0; daemon < daemons; ++daemon)
+        start(daemon);
+}
+
+EmulatedLimits::~EmulatedLimits() = default;
+
+double EmulatedLimits::chance()
+{
+    constexpr double Scale = 1.0 / 18446744073709551616.0;
+    return static_cast<double>(random.next()) * Scale;
+}
+
+void EmulatedLimits::start(std::size_t daemon)
+{
+    const auto firstTick = std::chrono::duration_cast<Duration>(Tick * chance());
+    m_nodes[daemon] = std::make_unique<Node>(*this, daemon, firstTick);
+    m_nodes[daemon]->limits.setFleet({{}, 1, false, std::nullopt}, now());
+    m_nodes[daemon]->limits.setCustomers(m_customers, now());
+}
+
+void EmulatedLimits::kill(std::size_t daemon)
+{
+    m_nodes[daemon]->isAlive = false;
+    m_nodes[daemon]->grants.clear();
+}
+
+void EmulatedLimits::setFrozen(std::size_t daemon, bool frozen)
+{
+    m_nodes[daemon]->isFrozen = frozen;
+}
+
+void EmulatedLimits::setCustomers(const std::vector<CustomerRule> &customers)
+{
+    m_customers = customers;
+    for (const auto &node : m_nodes)
+        node->limits.setCustomers(customers, now());
+}
+
+bool EmulatedLimits::reaches(std::size_t from, std::size_t to) const
+{
+    return !network.isCut || !network.isCut(from, to);
+}
+
+void EmulatedLimits::post(std::size_t from, const Endpoint &to, const LimitMessage &message)
+{
+    const std::size_t receiver = to.port - 1U;
+    const std::size_t copies = 1 + (chance() < network.twice ? 1 : 0);
+    for (std::size_t copy = 0; copy < copies; ++copy) {
+        if (chance() < network.lost || !reaches(from, receiver))
+            continue;
+        const auto more = std::chrono::duration_cast<Duration>(network.jitter * chance());
+        m_way.push({now() + network.delay + more, ++m_posted, from, receiver, message});
+    }
+}
+
+void EmulatedLimits::deliver()
+{
+    std::vector<Datagram> kept;
+    while (!m_way.empty() && m_way.top().at <= now()) {
+        const Datagram datagram = m_way.top();
+        m_way.pop();
+        Node &node = *m_nodes[datagram.to];
+        if (node.isFrozen) {
+            kept.push_back(datagram);
+            continue;
+        }
+        if (!node.isAlive)
+            continue;
+        std::visit([&](const auto &message) { node.limits.take(message, now()); },
+                   datagram.message);
+    }
+    for (const Datagram &datagram : kept)
+        m_way.push(datagram);
+}
+
+void EmulatedLimits::tellFleet(std::size_t daemon)
+{
+    Node &node = *m_nodes[daemon];
+    for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+        const Node &mate = *m_nodes[other];
+        if (other == daemon || !mate.isAlive || mate.isFrozen || !reaches(other, daemon))
+            continue;
+        const Instant met = std::max(node.started, mate.started);
+        const Duration discovery
+            = LongestDiscovery * static_cast<std::int64_t>((daemon * 7 + other * 13) % 16) / 16;
+        if (now() - met < discovery)
+            continue;
+        const auto [known, isNew] = node.heard.try_emplace(other, now());
+        if (isNew || known->second < mate.started)
+            node.news = now();
+        known->second = now();
+    }
+    std::erase_if(node.heard,
+                  [this](const auto &entry) { return now() - entry.second > KnownTime; });
+    const Duration age = now() - node.started;
+    KnownFleet fleet;
+    fleet.known = node.heard.size() + 1;
+    const bool isAlone = m_nodes.size() > 1 && node.news == node.started;
+    fleet.isComplete = isAlone
+        ? age > LoneTime
+        : age > OldTime || (age > YoungTime && now() - node.news > QuietTime);
+    fleet.members.push_back({peerOf(daemon), 1, false});
+    const auto isOlder = [&](const auto &entry) {
+        return m_nodes[entry.first]->started + StartedTogether < node.started;
+    };
+    if (std::ranges::none_of(node.heard, isOlder))
+        fleet.startedTogether = node.started;
+    for (const auto &[other, heard] : node.heard) {
+        if (now() - heard <= network.silence)
+            fleet.members.push_back({peerOf(other), 1, false});
+        if (!node.limits.isCandidate()
+            || random.next() % node.heard.size() >= ReachMeter::ProbesOfRound)
+            continue;
+        const std::uint64_t probe = random.next();
+        node.reach.sent(probe, now());
+        const Node &mate = *m_nodes[other];
+        if (mate.isAlive && !mate.isFrozen && reaches(daemon, other) && reaches(other, daemon)
+            && chance() >= 2 * network.lost)
+            node.reach.answered(probe);
+    }
+    node.limits.setPart(limitPartOf(node.reach.reach(node.heard.size(), now())), now());
+    node.limits.setFleet(fleet, now());
+}
+
+void EmulatedLimits::run(Duration time, const std::function<void()> &step)
+{
+    const Instant end = now() + time;
+    while (now() < end) {
+        clock.advance(Step);
+        deliver();
+        for (std::size_t daemon = 0; daemon < m_nodes.size(); ++daemon) {
+            Node &node = *m_nodes[daemon];
+            if (!node.isAlive || node.isFrozen)
+                continue;
+            if (now() - node.ticked >= Tick) {
+                node.ticked = now();
+                tellFleet(daemon);
+                node.limits.review(now());
+            }
+            const std::optional<Instant> next = node.limits.nextReview();
+            if (next && *next <= now())
+                node.limits.review(now());
+        }
+        if (step)
+            step();
+    }
+}
+
+void EmulatedLimits::send(std::size_t daemon, std::size_t customer, double units)
+{
+    std::size_t at = daemon;
+    while (!m_nodes[at]->isAlive) {
+        at = (at + 1) % m_nodes.size();
+        if (at == daemon)
+            return;
+    }
+    LimitCounts &counts = m_counts[customer];
+    counts.askedUnits += units;
+    ++counts.asked;
+    if (m_nodes[at]->isFrozen)
+        return;
+    // The exchange tells whose it is when its verdict comes.
+    const ExchangeId exchange(++m_posted * m_customers.size() + customer);
+    const std::optional<LimitVerdict> verdict
+        = m_nodes[at]->limits.take(exchange, m_customers[customer], {units, 0}, now());
+    if (verdict)
+        decided(exchange.value(), *verdict);
+    else
+        ++counts.waited;
+}
+
+void EmulatedLimits::decided(std::size_t exchange, const LimitVerdict &verdict)
+{
+    const std::size_t customer = exchange % m_customers.size();
+    LimitCounts &counts = m_counts[customer];
+    counts.longestWait = std::max(counts.longestWait, verdict.waited);
+    if (!verdict.isAdmitted) {
+        ++counts.refused;
+        return;
+    }
+    ++counts.admitted;
+    counts.admittedUnits += verdict.claim.units;
+    m_admitted[customer].push_back({now(), verdict.claim.units});
+}
+
+std::size_t EmulatedLimits::grantors(std::size_t customer) const
+{
+    const std::uint64_t number = customerNumber(m_customers[customer].name);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_nodes, [number](const auto &node) { return node->grants.contains(number); }));
+}
+
+std::optional<std::size_t> EmulatedLimits::grantor(std::size_t customer) const
+{
+    const std::uint64_t number = customerNumber(m_customers[customer].name);
+    const auto found = std::ranges::find_if(
+        m_nodes, [number](const auto &node) { return node->grants.contains(number); });
+    if (found == m_nodes.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(found - m_nodes.begin());
+}
+
+double EmulatedLimits::worstRatio(std::size_t customer) const
+{
+    // Over any window at most what the whole window's rate allows; shorter ones get less of it.
+    const CustomerRule &rule = m_customers[customer];
+    const std::vector<Admitted> &admitted = m_admitted[customer];
+    double worst = 0;
+    const double window = std::chrono::duration<double>(m_bounds.customerWindow).count();
+    const double bound
+        = (rule.ratePerSecond * window + rule.burst) * (1 + m_bounds.customerOvershoot)
+        + m_bounds.customerSlack;
+    double sum = 0;
+    std::size_t first = 0;
+    for (const Admitted &last : admitted) {
+        sum += last.units;
+        while (last.at - admitted[first].at > m_bounds.customerWindow)
+            sum -= admitted[first++].units;
+        worst = std::max(worst, sum / bound);
+    }
+    return worst;
+}
+
+} // namespace Apricothook
--- /dev/null
+++ b/packages/dispatch/tests/apricothook_emulated_limits.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <apricothook/dispatch/apricothook_fleet_limits.hpp>
+#include <apricothook/testsupport/apricothook_hand_clock.hpp>
+#include <apricothook/testsupport/apricothook_repeatable_random.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <tuple>
+#include <vector>
+
+namespace Apricothook {
+
+/** How the emulated network treats a datagram between two daemons. */
+struct LimitNetwork
+{
+    Duration delay = std::chrono::milliseconds(2);
+    Duration jitter = std::chrono::milliseconds(2);
+    double lost = 0;
+    double twice = 0;
+    /** The way from one daemon to another is cut. */
+    std::function<bool(std::size_t from, std::size_t to)> isCut;
+    /** After so long without a word a daemon is taken for gone. */
+    Duration silence = std::chrono::seconds(1);
+};
+
+/** What became of a customer's requests. */
+struct LimitCounts
+{
+    double askedUnits = 0;
+    double admittedUnits = 0;
+    std::size_t asked = 0;
+    std::size_t admitted = 0;
+    std::size_t refused = 0;
+    /** Verdicts that weren't there at once. */
+    std::size_t waited = 0;
+    Duration longestWait {};
+    std::size_t messages = 0;
+};
+
+/**
+ * The limits of many daemons in virtual time, with a network that loses, delays, doubles and cuts.
+ * What each believes of the others is what a test tells it.
+ */
+class EmulatedLimits
+{
+public:
+    EmulatedLimits(std::size_t daemons, std::vector<CustomerRule> customers,
+                   const FleetBounds &bounds, std::uint64_t seed);
+    ~EmulatedLimits();
+
+    Instant now() const { return clock.now(); }
+    /** Lets time pass in steps of a millisecond; `step` runs at each. */
+    void run(Duration time, const std::function<void()> &step = {});
+    /** A request at the daemon; a dead one's caller goes to the next. */
+    void send(std::size_t daemon, std::size_t customer, double units);
+    void kill(std::size_t daemon);
+    /** With an empty memory. */
+    void start(std::size_t daemon);
+    /** Neither gets nor does anything; its messages wait. */
+    void setFrozen(std::size_t daemon, bool frozen);
+    void setCustomers(const std::vector<CustomerRule> &customers);
+    /** The daemon that grants the customer's units; the first of them. */
+    std::optional<std::size_t> grantor(std::size_t customer) const;
+    std::size_t grantors(std::size_t customer) const;
+    /** Largest sum over any window of the customer's admissions, against its bound. */
+    double worstRatio(std::size_t customer) const;
+    const LimitCounts &counts(std::size_t customer) const { return m_counts[customer]; }
+    std::size_t size() const { return m_nodes.size(); }
+
+    HandClock clock;
+    LimitNetwork network;
+    RepeatableRandom random;
+
+private:
+    struct Node;
+    struct Datagram
+    {
+        Instant at {};
+        std::uint64_t number = 0;
+        std::size_t from = 0;
+        std::size_t to = 0;
+        LimitMessage message;
+        bool operator<(const Datagram &other) const
+        {
+            return std::tie(other.at, other.number) < std::tie(at, number);
+        }
+    };
+    struct Admitted
+    {
+        Instant at {};
+        double units = 0;
+    };
+
+    void post(std::size_t from, const Endpoint &to, const LimitMessage &message);
+    void deliver();
+    void tellFleet(std::size_t daemon);
+    void decided(std::size_t customer, const LimitVerdict &verdict);
+    bool reaches(std::size_t from, std::size_t to) const;
+    double chance();
+
+    FleetBounds m_bounds;
+    std::vector<CustomerRule> m_customers;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::priority_queue<Datagram> m_way;
+    std::uint64_t m_posted = 0;
+    std::vector<LimitCounts> m_counts;
+    std::vector<std::vector<Admitted>> m_admitted;
+};
+
+} // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.cpp
@@ -5,32 +5,6 @@
 
 namespace Apricothook {
 
-namespace {
-
-/** Takes later totals into `known` and returns what was added. */
-std::vector<ReportedUse> addUse(std::vector<ReportedUse> &known,
-                                const std::vector<ReportedUse> &later)
-{
-    std::vector<ReportedUse> difference;
-    for (const ReportedUse &use : later) {
-        auto before = std::ranges::find(known, use.customer, &ReportedUse::customer);
-        if (before == known.end())
-            before = known.insert(before, {use.customer, 0});
-        if (use.admitted <= before->admitted)
-            continue;
-        difference.push_back({use.customer, use.admitted - before->admitted});
-        before->admitted = use.admitted;
-    }
-    return difference;
-}
-
-} // namespace
-
-bool BeaconTable::startedWithThisOne(Incarnation process) const
-{
-    return process.value() + StartedTogether.count() >= m_process.value();
-}
-
 BeaconEffect BeaconTable::take(const Beacon &beacon, Instant now)
 {
     BeaconEffect effect;
@@ -48,18 +22,7 @@
     effect.isNews = true;
     effect.isNewProcess = !isKnown || isOther;
     effect.isBack = !mate.isHeard;
-    // A new process counts from zero; what its first beacon tells was admitted since its start.
-    std::vector<ReportedUse> use
-        = effect.isNewProcess ? std::vector<ReportedUse>() : std::move(mate.report.use);
-    std::vector<ReportedUse> admitted = addUse(use, beacon.report.use);
-    // What a member admitted before this daemon started lies in the past of its own limits. After
-    // all were killed at once each hears of the others some tenths of a second later, and what they
-    // admitted until then is the present. Left out, daemons of one fleet believed 1.0 to 2.6
-    // million units used, and a customer got 1.4 million a second where its bucket gains 0.9.
-    if (isKnown || startedWithThisOne(beacon.report.process))
-        effect.admitted = std::move(admitted);
     mate = {beacon.sender, beacon.report, now, true};
-    mate.report.use = std::move(use);
     return effect;
 }
 
@@ -74,10 +37,7 @@
     BeaconEffect effect;
     effect.isNews = true;
     effect.isBack = !mate.isHeard;
-    std::vector<ReportedUse> use = std::move(mate.report.use);
-    effect.admitted = addUse(use, report.use);
     mate.report = report;
-    mate.report.use = std::move(use);
     mate.heard = now;
     mate.isHeard = true;
     return effect;
--- a/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_beacon_table.hpp
@@ -17,8 +17,6 @@
     bool isNewProcess = false;
     /** The sender was silent or unknown. */
     bool isBack = false;
-    /** What the sender admitted of each customer since its last word. */
-    std::vector<ReportedUse> admitted;
 };
 
 /** Another daemon of the cell as it tells itself. */
@@ -44,18 +42,10 @@
      * one before it. Beacons of the old process can't be on their way for so long.
      */
     static constexpr std::chrono::milliseconds OldBeaconTime {500};
-    /** What a silent member admitted until then is remembered, to tell its next word's news. */
+    /** A silent member's process is remembered for so long, to tell its next word's news. */
     static constexpr std::chrono::seconds MemoryLimit {60};
 
-    /**
-     * Processes that start within so long of each other were started together. Their incarnations
-     * are times of day; VMs that are started at once take some tenths of a second, and their clocks
-     * differ by less.
-     */
-    static constexpr std::chrono::milliseconds StartedTogether {1000};
-
-    BeaconTable(MemberId self, Incarnation process)
-        : m_self(std::move(self)), m_process(process) { }
+    explicit BeaconTable(MemberId self) : m_self(std::move(self)) { }
 
     BeaconEffect take(const Beacon &beacon, Instant now);
     /** A report counts only for the process whose beacon is known. */
@@ -69,11 +59,7 @@
     std::vector<const CellMate *> heard() const;
 
 private:
-    /** The process started with this one or after it. */
-    bool startedWithThisOne(Incarnation process) const;
-
     const MemberId m_self;
-    const Incarnation m_process;
     /** By memberNumber(). */
     std::map<std::uint64_t, CellMate> m_mates;
 };
--- a/packages/fleetview/apricothook/fleetview/apricothook_cell_report.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_cell_report.hpp
@@ -37,23 +37,9 @@
     auto operator<=>(const ReportedWaiting &) const = default;
 };
 
-/** What the sender admitted of a customer since it started. */
-struct ReportedUse
-{
-    std::uint64_t customer = 0; ///< customerNumber() of the name.
-    std::uint64_t admitted = 0;
-
-    template <typename Archive, typename Self>
-    static void fields(Archive &archive, Self &self)
-    {
-        archive(self.customer, self.admitted);
-    }
-    auto operator<=>(const ReportedUse &) const = default;
-};
-
 /**
  * What a daemon does now, told to its cell. Loads and waiting requests are always whole, so a lost
- * report costs only time; of the customers' use only what has changed lately is told, as totals.
+ * report costs only time.
  */
 struct CellReport
 {
@@ -64,12 +50,11 @@
     std::uint64_t sequence = 0;
     std::vector<ReportedLoad> loads;
     std::vector<ReportedWaiting> waiting;
-    std::vector<ReportedUse> use;
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.member, self.process, self.sequence, self.loads, self.waiting, self.use);
+        archive(self.member, self.process, self.sequence, self.loads, self.waiting);
     }
     auto operator<=>(const CellReport &) const = default;
 };
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
@@ -49,14 +49,46 @@
     const auto known = m_members.find(brief.member);
     if (known != m_members.end() && known->second.heard >= heard)
         return;
+    if (known == m_members.end() || known->second.brief.process != brief.process)
+        m_news = now;
     m_members[brief.member] = {brief, heard, cellOf(brief.member)};
 }
 
+bool FleetDirectory::knowsFleet(bool areOthers, Instant now) const
+{
+    if (!m_started)
+        return false;
+    const Duration age = now - *m_started;
+    if (!m_news)
+        return !areOthers || age > LoneTime;
+    return age > LongestLearning || (age > QuietTime && now - *m_news > QuietTime);
+}
+
 void FleetDirectory::review(Instant now)
 {
+    m_started = m_started.value_or(now);
     std::erase_if(m_members,
                   [now](const auto &entry) { return now - entry.second.heard > AddressLimit; });
-    const std::uint32_t cells = cellsFor(knownCount(now));
+    const std::size_t known = knownCount(now);
+    if (!mayHave(m_cells, known))
+        setCells(cellsFor(known));
+}
+
+bool FleetDirectory::mayHave(std::uint32_t cells, std::size_t daemons)
+{
+    const auto fewest = static_cast<std::size_t>(JoiningPart * LargestCell * cells / 2);
+    return daemons <= cells * LargestCell && (cells == 1 || daemons > fewest);
+}
+
+void FleetDirectory::noteCells(std::uint32_t cells, Instant now)
+{
+    const bool isNumber = std::has_single_bit(cells) && cells > m_cells;
+    if (isNumber && mayHave(cells, knownCount(now)))
+        setCells(cells);
+}
+
+void FleetDirectory::setCells(std::uint32_t cells)
+{
     if (cells == m_cells)
         return;
     m_cells = cells;
@@ -105,16 +137,6 @@
     return static_cast<std::size_t>(std::ranges::count_if(m_members, isHeard)) + 1;
 }
 
-std::size_t FleetDirectory::undoubtedCount(Instant now) const
-{
-    const auto isSure = [&](const auto &entry) {
-        const KnownMember &member = entry.second;
-        const bool isInDoubt = member.cell == ownCell() && now - member.heard > DoubtLimit;
-        return isLive(member, now) && !isInDoubt;
-    };
-    return static_cast<std::size_t>(std::ranges::count_if(m_members, isSure)) + 1;
-}
-
 std::size_t FleetDirectory::knownCount(Instant now) const
 {
     const auto counts = [&](const auto &entry) { return isKnown(entry.second, now); };
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
@@ -37,18 +37,25 @@
      * share some hundred slots, and few enough for some reports a second to each other.
      */
     static constexpr std::size_t LargestCell = 12;
-    /** A silent member of the own cell leaves lookups; five beacons of an idle daemon. */
-    static constexpr std::chrono::milliseconds OwnCellLimit {1000};
     /**
-     * A member of the own cell that is silent for so long may be cut off: two of its beacons are
-     * missing. Customers' limits count on it no more; with OwnCellLimit both sides of a partition
-     * spent what a customer had left, 2% above its bound over eight seconds.
+     * Part of LargestCell that the cells of half the number would have to stay below. What is known
+     * varies by a few members at any time: a fleet of 195 daemons, three above sixteen cells of
+     * twelve, changed to and fro, and daemons with sixteen cells missed up to a third of the others
+     * for a second, as they waited for half as long for summaries that come half as often.
      */
-    static constexpr std::chrono::milliseconds DoubtLimit {450};
+    static constexpr double JoiningPart = 0.8;
+    /** A silent member of the own cell leaves lookups; five beacons of an idle daemon. */
+    static constexpr std::chrono::milliseconds OwnCellLimit {1000};
     /** A silent member that may still admit requests elsewhere; then it counts as gone. */
     static constexpr std::chrono::seconds KnownLimit {12};
     /** Addresses of silent members are tried for so long. */
     static constexpr std::chrono::seconds AddressLimit {60};
+    /** Three exchanges of all names with others without any news. */
+    static constexpr std::chrono::milliseconds QuietTime {300};
+    /** In a fleet where some daemon starts all the time nobody would know it otherwise. */
+    static constexpr std::chrono::seconds LongestLearning {4};
+    /** Longer than all seeds take to start again together. */
+    static constexpr std::chrono::seconds LoneTime {20};
     /** Between summaries to each other cell, for each cell of the fleet, and at least. */
     static constexpr std::chrono::milliseconds SummaryPauseForEachCell {100};
     static constexpr std::chrono::milliseconds ShortestSummaryPause {500};
@@ -65,6 +72,9 @@
     void take(const MemberBrief &brief, Instant now);
     /** Forgets whom nobody has heard for long, and settles the number of cells. */
     void review(Instant now);
+    /** Takes the number of cells of another daemon over, if it is larger and this one may have it.
+     */
+    void noteCells(std::uint32_t cells, Instant now);
 
     std::uint32_t cells() const { return m_cells; }
     std::uint32_t ownCell() const { return cellOf(m_self); }
@@ -78,9 +88,12 @@
     bool isLive(const KnownMember &member, Instant now) const;
     /** Members that may be alive; this daemon among them. */
     std::size_t liveCount(Instant now) const;
-    /** Live members that aren't in doubt; this daemon among them. */
-    std::size_t undoubtedCount(Instant now) const;
     std::size_t knownCount(Instant now) const;
+    /**
+     * This daemon has heard of the others: of nobody new for a while, or it has run for long. One
+     * that hears nobody at all isn't alone before LoneTime, if there `areOthers`.
+     */
+    bool knowsFleet(bool areOthers, Instant now) const;
     CellWeights weights(Instant now) const;
     /** `self` is one of those who read at the source. All are while too few are known to reach it.
      */
@@ -97,12 +110,19 @@
     static constexpr int MissedSummaries = 3;
 
     Duration liveLimit(const KnownMember &member) const;
+    /** So many daemons may be in so many cells; the number may also be one that fits better. */
+    static bool mayHave(std::uint32_t cells, std::size_t daemons);
+    void setCells(std::uint32_t cells);
     std::vector<const KnownMember *> liveOfOwnCell(Instant now) const;
     bool isKnown(const KnownMember &member, Instant now) const;
 
     const MemberId m_self;
     std::uint32_t m_cells = 1;
     std::map<MemberId, KnownMember> m_members;
+    /** The first review. */
+    std::optional<Instant> m_started;
+    /** When a member or a process of it was first heard of. */
+    std::optional<Instant> m_news;
 };
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <apricothook/dispatch/apricothook_limit_messages.hpp>
 #include <apricothook/fleetview/apricothook_cell_report.hpp>
 #include <apricothook/fleetview/apricothook_member_brief.hpp>
 #include <apricothook/model/apricothook_failure.hpp>
@@ -18,7 +19,6 @@
     MemberBrief sender;
     /** The highest revision of a published item that the sender has. */
     std::uint64_t revision = 0;
-    /** With all customers' use. */
     CellReport report;
 
     template <typename Archive, typename Self>
@@ -29,20 +29,6 @@
     auto operator<=>(const Beacon &) const = default;
 };
 
-/** What a cell admits of a customer at present. */
-struct CustomerRate
-{
-    std::uint64_t customer = 0; ///< customerNumber() of the name.
-    std::uint64_t unitsPerSecond = 0;
-
-    template <typename Archive, typename Self>
-    static void fields(Archive &archive, Self &self)
-    {
-        archive(self.customer, self.unitsPerSecond);
-    }
-    auto operator<=>(const CustomerRate &) const = default;
-};
-
 /**
  * What the members of one cell tell those of the others, each in turn to another daemon. It holds
  * the present state, no differences, so it doesn't matter which member tells it or whether some
@@ -56,12 +42,11 @@
     std::uint64_t revision = 0;
     /** The members of the cell that the sender hears, itself first. */
     std::vector<MemberBrief> members;
-    std::vector<CustomerRate> rates;
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.cell, self.cells, self.revision, self.members, self.rates);
+        archive(self.cell, self.cells, self.revision, self.members);
     }
     auto operator<=>(const CellSummary &) const = default;
 };
@@ -72,18 +57,47 @@
     MemberBrief sender;
     /** The receiver is asked to greet back. */
     bool wantsAnswer = false;
+    /** With all that it knows: the sender has just started. */
+    bool wantsAll = false;
     std::vector<MemberBrief> others;
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.sender, self.wantsAnswer, self.others);
+        archive(self.sender, self.wantsAnswer, self.wantsAll, self.others);
     }
     auto operator<=>(const Greeting &) const = default;
 };
 
+/** Asks whether the receiver can be reached, and answers back. */
+struct ReachProbe
+{
+    Endpoint sender;
+    std::uint64_t probe = 0;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.sender, self.probe);
+    }
+    auto operator<=>(const ReachProbe &) const = default;
+};
+
+struct ReachAnswer
+{
+    std::uint64_t probe = 0;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.probe);
+    }
+    auto operator<=>(const ReachAnswer &) const = default;
+};
+
 /** What one datagram between daemons holds. */
-using PeerDatagram = std::variant<Beacon, CellReport, CellSummary, Greeting>;
+using PeerDatagram = std::variant<Beacon, CellReport, CellSummary, Greeting, UnitsAsk, UnitsAnswer,
+                                  GrantorClaim, GrantorHandover, ReachProbe, ReachAnswer>;
 
 std::string writePeerDatagram(const PeerDatagram &datagram);
 Result<PeerDatagram, CodecError> parsePeerDatagram(std::string_view bytes);
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds ShortestStall {1000};
 /** The same in pauses that are still on time. */
 constexpr int StallFactor = 4;
+/** Shortest time after which a customer over its limit is asked to come back. */
+constexpr std::chrono::milliseconds LimitPause {100};
 /** After each target refused: they were full a moment ago. */
 constexpr std::chrono::milliseconds UsualRetryAfter {500};
 
@@ -76,7 +78,6 @@
     m_lastEvent = m_admitted.fields.lastEvent;
     if (!admitted) {
         const AdmissionRefusal &refusal = admitted.error();
-        m_standing = refusal.standing;
         answerOwn(refusal.end, refusal.status, refusal.retryAfter);
         return;
     }
@@ -84,11 +85,55 @@
         m_deadlineTimer = 0;
         onDeadline();
     });
+    takeUnits();
+}
+
+void ForwardedRequest::takeUnits()
+{
+    if (!m_admitted.customer) {
+        start();
+        return;
+    }
+    const std::optional<LimitVerdict> verdict = m_context.limits.take(
+        m_id, *m_admitted.customer, limitClaim(m_context, m_admitted), m_arrived);
+    m_waitsForUnits = !verdict;
+    if (verdict)
+        limitDecided(*verdict);
+    else
+        m_context.limitAsked();
+}
+
+void ForwardedRequest::start()
+{
     m_context.retriesOf(m_admitted.service).countRequest(m_arrived);
     noteSize(m_context, m_admitted);
     offer();
 }
 
+void ForwardedRequest::limitDecided(const LimitVerdict &verdict)
+{
+    m_waitsForUnits = false;
+    m_limit = verdict;
+    if (verdict.isAdmitted) {
+        start();
+        return;
+    }
+    const Duration retryAfter = std::max<Duration>(verdict.retryAfter, LimitPause);
+    // Without a grantor nobody knows whether the customer is over its limit.
+    if (verdict.source == LimitSource::Nobody)
+        answerOwn(RequestEnd::NoGrantor, HttpStatus::Unavailable, retryAfter);
+    else
+        answerOwn(RequestEnd::OverLimit, HttpStatus::TooManyRequests, retryAfter);
+}
+
+void ForwardedRequest::stopWaiting()
+{
+    if (std::exchange(m_waiting, false))
+        m_context.dispatcher.withdraw(m_id);
+    if (std::exchange(m_waitsForUnits, false))
+        m_context.limits.withdraw(m_id);
+}
+
 void ForwardedRequest::offer()
 {
     m_waiting = true;
@@ -423,8 +468,7 @@
         endAttempt(m_attempt->hasFirstEvent ? TargetOutcome::Withdrawn
                                             : TargetOutcome::Unreachable);
     }
-    if (std::exchange(m_waiting, false))
-        m_context.dispatcher.withdraw(m_id);
+    stopWaiting();
     if (m_progress != Progress::Nothing)
         abort(RequestEnd::TimedOut);
     else if (m_mayHaveRun)
@@ -437,8 +481,7 @@
 {
     if (m_progress == Progress::Ended)
         return;
-    if (std::exchange(m_waiting, false))
-        m_context.dispatcher.withdraw(m_id);
+    stopWaiting();
     if (m_attempt) {
         const bool wasSilent
             = !m_attempt->hasHead && m_context.loop.now() - m_attempt->started > firstEventLimit();
@@ -499,7 +542,7 @@
         .left = m_admitted.deadline - now,
         .first = std::nullopt,
         .refusal = m_refusal,
-        .standing = m_standing,
+        .limit = m_limit,
     };
     if (m_firstAnswer)
         record.first = *m_firstAnswer - m_arrived;
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -34,6 +34,8 @@
     void begin();
     void placed(const TargetEntry &target);
     void refused(const RefusalFacts &facts);
+    /** The customer's limit has the request's units, or not. */
+    void limitDecided(const LimitVerdict &verdict);
     /** What an earlier start of the target had of the request is lost with it. */
     void targetRestarted(const TargetStart &present);
     void onCallerGone() override;
@@ -48,7 +50,11 @@
     void onAnswerComplete() override;
     void onAnswerFailed(ChannelFailure failure) override;
 
+    void takeUnits();
+    void start();
     void offer();
+    /** Neither for units nor for a target any longer. */
+    void stopWaiting();
     void send(const TargetEntry &target);
     void watchSilence(Duration limit);
     Duration firstEventLimit() const;
@@ -78,6 +84,7 @@
     TimerId m_deadlineTimer = 0;
     Progress m_progress = Progress::Nothing;
     bool m_waiting = false;
+    bool m_waitsForUnits = false;
     /** Some target may have run the request. */
     bool m_mayHaveRun = false;
     unsigned m_runs = 0;
@@ -92,8 +99,7 @@
     std::optional<Instant> m_firstAnswer;
     /** Set when the dispatcher found no room. */
     std::optional<RefusalFacts> m_refusal;
-    /** Set when the customer is over its limit. */
-    std::optional<CustomerStanding> m_standing;
+    std::optional<LimitVerdict> m_limit;
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -1,16 +1,18 @@
 #include <apricothook/gateway/apricothook_gateway.hpp>
 
+#include <apricothook/gateway/apricothook_gateway_event.hpp>
+
 #include <algorithm>
 
 namespace Apricothook {
 
 Gateway::Gateway(EventLoop &loop, const WireDialect &dialect, RandomSource &random, LogWriter &log,
                  Metrics &metrics, const FleetBounds &bounds, const DataCentreId &dataCentre,
-                 const PolicySwitches &policies)
+                 const PolicySwitches &policies, const LimitPeer &self)
     : m_loop(loop)
     , m_bounds(bounds)
     , m_targets(dataCentre, policies)
-    , m_customers(m_bounds)
+    , m_limits(m_bounds, self, *this, *this, *this, random)
     , m_dispatcher(m_targets, *this, policies)
     , m_channels(loop, dialect, log)
     , m_context {.loop = loop,
@@ -23,7 +25,7 @@
                  .targets = m_targets,
                  .dispatcher = m_dispatcher,
                  .channels = m_channels,
-                 .customers = m_customers,
+                 .limits = m_limits,
                  .routes = nullptr,
                  .members = 1,
                  .refusesNew = false,
@@ -31,13 +33,22 @@
                  .urgency = {},
                  .sizes = {},
                  .limitReserve = {},
+                 .limitAsked = [this] { scheduleLimits(); },
                  .roomFreed = [this] { reviewSoon(); }}
 {
+    m_limits.setFleet({{{self, 1, false}}, 1, true, std::nullopt}, loop.now());
 }
 
 Gateway::~Gateway()
 {
     m_loop.cancel(m_refusalTimer);
+    m_loop.cancel(m_limitTimer);
+}
+
+void Gateway::setLimitMessenger(LimitMessenger &messenger)
+{
+    m_limitMessenger = &messenger;
+    m_limits.setFleet({{}, 1, false, std::nullopt}, m_loop.now());
 }
 
 Result<void, ListenError> Gateway::listen(const Endpoint &address)
@@ -72,13 +83,7 @@
 void Gateway::setConfiguration(std::shared_ptr<const RouteTable> routes)
 {
     m_context.routes = std::move(routes);
-    m_customers.prepare(m_context.routes->configuration().customers, m_loop.now());
-}
-
-void Gateway::setMembers(const MemberCounts &counts)
-{
-    m_context.members = counts.live;
-    m_customers.setMembers(counts.undoubted, counts.known);
+    m_limits.setCustomers(m_context.routes->configuration().customers, m_loop.now());
 }
 
 void Gateway::putTarget(const TargetEntry &target)
@@ -164,6 +169,47 @@
         found->second->refused(facts);
 }
 
+void Gateway::onLimitDecided(ExchangeId exchange, const LimitVerdict &verdict)
+{
+    const auto found = m_exchanges.find(exchange.value());
+    if (found != m_exchanges.end())
+        found->second->limitDecided(verdict);
+}
+
+void Gateway::onOfficeChanged(std::uint64_t customer, OfficeChange change, double level)
+{
+    CustomerId name;
+    if (m_context.routes) {
+        for (const CustomerRule &rule : m_context.routes->configuration().customers)
+            name = customerNumber(rule.name) == customer ? rule.name : name;
+    }
+    m_context.log.write(LogEvent(GatewayEvent::GrantorChanged)
+                            .with("customer", name.text())
+                            .with("change", std::string(nameOf(change)))
+                            .with("level", level)
+                            .with("members", m_context.members));
+}
+
+void Gateway::send(const Endpoint &to, const LimitMessage &message)
+{
+    if (m_limitMessenger)
+        m_limitMessenger->send(to, message);
+}
+
+void Gateway::scheduleLimits()
+{
+    m_loop.cancel(m_limitTimer);
+    const std::optional<Instant> next = m_limits.nextReview();
+    if (!next)
+        return;
+    const Duration wait = std::max<Duration>(*next - m_loop.now(), Duration::zero());
+    m_limitTimer = m_loop.after(wait, [this] {
+        m_limitTimer = 0;
+        m_limits.review(m_loop.now());
+        scheduleLimits();
+    });
+}
+
 void Gateway::reviewSoon()
 {
     if (m_loadChanged)
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -10,25 +10,17 @@
 
 namespace Apricothook {
 
-/** Daemons of the fleet as this one believes; it is counted itself. */
-struct MemberCounts
-{
-    std::size_t live = 1;
-    /** Live ones that were heard just now. */
-    std::size_t undoubted = 1;
-    /** With those that may be serving out of sight. */
-    std::size_t known = 1;
-
-    auto operator<=>(const MemberCounts &) const = default;
-};
-
 /** Serves callers: their connections, the requests on them and the channels to targets. */
-class Gateway : private CallerRequestHandler, private DispatchListener
+class Gateway : private CallerRequestHandler,
+                private DispatchListener,
+                private LimitListener,
+                private OfficeListener,
+                private LimitMessenger
 {
 public:
     Gateway(EventLoop &loop, const WireDialect &dialect, RandomSource &random, LogWriter &log,
             Metrics &metrics, const FleetBounds &bounds, const DataCentreId &dataCentre,
-            const PolicySwitches &policies = {});
+            const PolicySwitches &policies = {}, const LimitPeer &self = {});
     ~Gateway() override;
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
@@ -37,7 +29,8 @@
     /** The port of the callers' address; zero while not listening. */
     std::uint16_t port() const { return m_listener ? m_listener->port() : 0; }
     void setConfiguration(std::shared_ptr<const RouteTable> routes);
-    void setMembers(const MemberCounts &counts);
+    /** Daemons that are believed to serve, this one with them. */
+    void setMembers(std::size_t live) { m_context.members = live; }
     /** Takes a target over as it now is. */
     void putTarget(const TargetEntry &target);
     void removeTarget(const TargetId &target);
@@ -53,7 +46,11 @@
 
     TargetTable &targets() { return m_targets; }
     Dispatcher &dispatcher() { return m_dispatcher; }
-    CustomerAllowance &customers() { return m_customers; }
+    FleetLimits &limits() { return m_limits; }
+    /** Without one, this daemon takes itself for alone. */
+    void setLimitMessenger(LimitMessenger &messenger);
+    /** To be called when the limits were told something. */
+    void scheduleLimits();
     /** `changed` is called when this daemon's load or waiting requests have changed. */
     void setLoadListener(std::function<void()> changed) { m_loadChanged = std::move(changed); }
     /** Looks for room for what waits, after the present event. */
@@ -71,6 +68,10 @@
     void onPlaced(ExchangeId exchange, const TargetEntry &target) override;
     void onRefused(ExchangeId exchange, const RefusalFacts &facts) override;
 
+    void onLimitDecided(ExchangeId exchange, const LimitVerdict &verdict) override;
+    void onOfficeChanged(std::uint64_t customer, OfficeChange change, double level) override;
+    void send(const Endpoint &to, const LimitMessage &message) override;
+
     void accept(int descriptor);
     void targetRestarted(const TargetStart &present);
     void connectionClosed(CallerConnection &connection);
@@ -80,7 +81,8 @@
     EventLoop &m_loop;
     const FleetBounds m_bounds;
     TargetTable m_targets;
-    CustomerAllowance m_customers;
+    LimitMessenger *m_limitMessenger = nullptr;
+    FleetLimits m_limits;
     Dispatcher m_dispatcher;
     ChannelPool m_channels;
     GatewayContext m_context;
@@ -91,6 +93,7 @@
     bool m_leaving = false;
     bool m_reviewPending = false;
     TimerId m_refusalTimer = 0;
+    TimerId m_limitTimer = 0;
     std::function<void()> m_loadChanged;
 };
 
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_customer_allowance.hpp>
 #include <apricothook/dispatch/apricothook_dispatcher.hpp>
+#include <apricothook/dispatch/apricothook_fleet_limits.hpp>
 #include <apricothook/dispatch/apricothook_limit_reserve.hpp>
 #include <apricothook/dispatch/apricothook_policy_switches.hpp>
 #include <apricothook/dispatch/apricothook_retry_allowance.hpp>
@@ -30,7 +30,7 @@
     TargetTable &targets;
     Dispatcher &dispatcher;
     ChannelPool &channels;
-    CustomerAllowance &customers;
+    FleetLimits &limits;
     /** Null until the first configuration is known. */
     std::shared_ptr<const RouteTable> routes;
     /** Daemons that are believed to serve, this one with them. */
@@ -41,6 +41,8 @@
     RouteUrgency urgency;
     SizeOrder sizes;
     LimitReserve limitReserve;
+    /** Called when a request waits for its customer's units. */
+    std::function<void()> limitAsked;
     /** Called when a slot of a target may have become free. */
     std::function<void()> roomFreed;
 
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -22,6 +22,9 @@
                            ///< Operator: none.
     RetryDenied = 809,     ///< warning: a request isn't sent again as the fleet's allowance for
                            ///< repeated sends is used up. Operator: look for failing targets.
+    GrantorChanged = 810,  ///< info: this daemon grants a customer's units from now on, or no
+                           ///< longer; customer, change, units left. Operator: none; see
+                           ///< docs/OPERATIONS.md when a customer hears "too many".
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_request_end.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_request_end.cpp
@@ -19,6 +19,8 @@
         return "unknown-key";
     case RequestEnd::OverLimit:
         return "over-limit";
+    case RequestEnd::NoGrantor:
+        return "no-grantor";
     case RequestEnd::NoRoom:
         return "no-room";
     case RequestEnd::TargetsRefused:
--- a/packages/gateway/apricothook/gateway/apricothook_request_end.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_request_end.hpp
@@ -13,6 +13,7 @@
     NoRoute,
     UnknownKey,
     OverLimit,
+    NoGrantor,
     NoRoom,
     TargetsRefused,
     TargetFailed,
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.cpp
@@ -11,19 +11,16 @@
 
 /** When there is nothing to reckon with. */
 constexpr std::chrono::milliseconds UsualRetryAfter {500};
-/** Shortest time after which a customer over its limit is asked to come back. */
-constexpr std::chrono::milliseconds LimitPause {100};
 
 Result<void, AdmissionRefusal> findRoute(GatewayContext &context, AdmittedRequest &request)
 {
     const RouteTable &routes = *request.routes;
     request.route = routes.route(request.fields.host, request.fields.path);
     if (!request.route)
-        return AdmissionRefusal {RequestEnd::NoRoute, HttpStatus::NotFound, std::nullopt, {}};
+        return AdmissionRefusal {RequestEnd::NoRoute, HttpStatus::NotFound, std::nullopt};
     request.customer = routes.customerOfKey(request.fields.customerKey);
     if (!request.customer && routes.hasCustomers() && !request.route->isPublic)
-        return AdmissionRefusal {
-            RequestEnd::UnknownKey, HttpStatus::Unauthorized, std::nullopt, {}};
+        return AdmissionRefusal {RequestEnd::UnknownKey, HttpStatus::Unauthorized, std::nullopt};
     request.service = serviceOf(*request.route, context.random.next());
     request.lot = static_cast<double>(context.random.next())
         / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
@@ -50,30 +47,6 @@
     return static_cast<double>(request.fields.totalTokens.value_or(request.customer->plainTokens));
 }
 
-LimitClaim limitClaim(GatewayContext &context, const AdmittedRequest &request)
-{
-    const LimitUnit unit = request.customer->unit;
-    LimitClaim claim {limitUnits(request), 0};
-    context.limitReserve.noteUnits(unit, *request.route, claim.units);
-    if (context.policies.limitReserve)
-        claim.partLeft = context.limitReserve.partAbove(unit, *request.route);
-    return claim;
-}
-
-Result<void, AdmissionRefusal> takeLimit(Instant now, GatewayContext &context,
-                                         const AdmittedRequest &request)
-{
-    if (!request.customer)
-        return Outcomes::success();
-    const LimitClaim claim = limitClaim(context, request);
-    if (context.customers.tryTake(*request.customer, claim, now))
-        return Outcomes::success();
-    const Duration wait = context.customers.timeUntil(*request.customer, claim, now);
-    return AdmissionRefusal {RequestEnd::OverLimit, HttpStatus::TooManyRequests,
-                             std::max<Duration>(wait, LimitPause),
-                             context.customers.standing(*request.customer, claim, now)};
-}
-
 } // namespace
 
 Generation AdmittedRequest::generation() const
@@ -86,20 +59,29 @@
 {
     const Result<RequestFields, RequestFieldsError> fields = context.dialect.callerRequest(head);
     if (!fields)
-        return AdmissionRefusal {RequestEnd::BadRequest, HttpStatus::BadRequest, std::nullopt, {}};
+        return AdmissionRefusal {RequestEnd::BadRequest, HttpStatus::BadRequest, std::nullopt};
     request.fields = fields.value();
     if (!context.routes) {
-        return AdmissionRefusal {
-            RequestEnd::NoConfiguration, HttpStatus::Unavailable, UsualRetryAfter, {}};
+        return AdmissionRefusal {RequestEnd::NoConfiguration, HttpStatus::Unavailable,
+                                 UsualRetryAfter};
     }
     if (context.refusesNew)
-        return AdmissionRefusal {
-            RequestEnd::Leaving, HttpStatus::Unavailable, Duration::zero(), {}};
+        return AdmissionRefusal {RequestEnd::Leaving, HttpStatus::Unavailable, Duration::zero()};
     request.routes = context.routes;
     BOOST_OUTCOME_TRY(findRoute(context, request));
     const Instant now = context.loop.now();
     describeWork(now, request);
-    return takeLimit(now, context, request);
+    return Outcomes::success();
+}
+
+LimitClaim limitClaim(GatewayContext &context, const AdmittedRequest &request)
+{
+    const LimitUnit unit = request.customer->unit;
+    LimitClaim claim {limitUnits(request), 0};
+    context.limitReserve.noteUnits(unit, *request.route, claim.units);
+    if (context.policies.limitReserve)
+        claim.partLeft = context.limitReserve.partAbove(unit, *request.route);
+    return claim;
 }
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.hpp
@@ -34,15 +34,13 @@
     RequestEnd end = RequestEnd::BadRequest;
     unsigned status = 0;
     std::optional<Duration> retryAfter;
-    /** Set when the customer is over its limit. */
-    std::optional<CustomerStanding> standing;
 };
 
-/**
- * Finds the request's route and customer and takes its units from the customer's limit. What was
- * read of the request by then is in `request`, for the log.
- */
+/** Finds the request's route and customer. What was read by then is in `request`, for the log. */
 Result<void, AdmissionRefusal> admit(const RequestHead &head, GatewayContext &context,
                                      AdmittedRequest &request);
 
+/** What an admitted request with a customer asks of the customer's limit. */
+LimitClaim limitClaim(GatewayContext &context, const AdmittedRequest &request);
+
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
@@ -35,16 +35,19 @@
         .with("retry_after_ms", refusal.retryAfter);
 }
 
-void addStanding(LogEvent &line, const CustomerStanding &standing)
+void addLimit(LogEvent &line, const LimitVerdict &limit)
 {
-    line.with("units", standing.claim.units)
-        .with("part_left", standing.claim.partLeft)
-        .with("level", standing.level)
-        .with("bucket", standing.size)
-        .with("units_per_s", standing.perSecond)
-        .with("used_here", standing.usedHere)
-        .with("used_by_others", standing.usedByOthers)
-        .with("heard_part", standing.heardPart);
+    line.with("limit_from", std::string(nameOf(limit.source)))
+        .with("limit_asks", limit.asks)
+        .with("limit_wait_ms", limit.waited)
+        .with("units", limit.claim.units);
+    if (limit.isAdmitted)
+        return;
+    line.with("part_left", limit.claim.partLeft)
+        .with("level", limit.level)
+        .with("bucket", limit.bucket)
+        .with("units_per_s", limit.perSecond)
+        .with("retry_after_ms", limit.retryAfter);
 }
 
 } // namespace
@@ -71,8 +74,8 @@
         line.with("first_ms", *record.first);
     if (record.refusal)
         addRefusal(line, *record.refusal);
-    if (record.standing)
-        addStanding(line, *record.standing);
+    if (record.limit)
+        addLimit(line, *record.limit);
     if (record.end == RequestEnd::Answered)
         line.isRoutine();
     log.write(line);
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_customer_allowance.hpp>
 #include <apricothook/dispatch/apricothook_dispatcher.hpp>
+#include <apricothook/dispatch/apricothook_fleet_limits.hpp>
 #include <apricothook/gateway/apricothook_request_end.hpp>
 #include <apricothook/observe/apricothook_metrics.hpp>
 #include <apricothook/observe/apricothook_structured_log.hpp>
@@ -31,8 +31,8 @@
     std::optional<Duration> first;
     /** Set when there was no room. */
     std::optional<RefusalFacts> refusal;
-    /** Set when the customer was over its limit. */
-    std::optional<CustomerStanding> standing;
+    /** What decided whether the customer's limit had its units; unset where there is none. */
+    std::optional<LimitVerdict> limit;
 };
 
 /** Counts the request and writes its last line. */
--- a/packages/serving/apricothook/serving/apricothook_cell_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_cell_exchange.cpp
@@ -34,7 +34,7 @@
     , m_sender(sender)
     , m_gateway(gateway)
     , m_log(log)
-    , m_mates(sender.ownBrief().member, sender.ownBrief().process)
+    , m_mates(sender.ownBrief().member)
 {
 }
 
@@ -47,10 +47,6 @@
 {
     for (const MemberId &silent : m_mates.noteSilent(m_loop.now()))
         forget(silent);
-    // The rates were those of another set of members.
-    if (std::exchange(m_cells, m_directory.cells()) != m_directory.cells())
-        m_rates = {};
-    meterOwnUse();
     sendBeacon();
 }
 
@@ -73,19 +69,16 @@
 {
     m_loop.cancel(m_change);
     m_changed = false;
-    const Beacon beacon {m_sender.ownBrief(), m_sender.ownRevision(), ownReport(UseTold::All)};
-    for (const ReportedUse &use : beacon.report.use)
-        m_toldUse[use.customer] = use.admitted;
-    m_sender.send(addresses(), beacon);
+    m_sender.send(addresses(), Beacon {m_sender.ownBrief(), m_sender.ownRevision(), ownReport()});
 }
 
 void CellExchange::sendReport()
 {
     m_changed = false;
-    m_sender.send(addresses(), ownReport(UseTold::Changed));
+    m_sender.send(addresses(), ownReport());
 }
 
-CellReport CellExchange::ownReport(UseTold told)
+CellReport CellExchange::ownReport()
 {
     const MemberBrief self = m_sender.ownBrief();
     CellReport report {
@@ -94,19 +87,12 @@
         .sequence = ++m_sequence,
         .loads = {},
         .waiting = {},
-        .use = {},
     };
     for (const TargetLoad &load : m_gateway.targets().ownLoad())
         report.loads.push_back({load.target, load.running});
     for (const WaitingCount &count : m_gateway.dispatcher().ownWaiting())
         report.waiting.push_back(
             {count.service, count.rank.customer, count.rank.route, count.waiting});
-    for (const CustomerUse &use : m_gateway.customers().ownUse()) {
-        const auto before = m_toldUse.find(use.customer);
-        const bool isTold = before != m_toldUse.end() && before->second == use.admitted;
-        if (told == UseTold::All || !isTold)
-            report.use.push_back({use.customer, use.admitted});
-    }
     return report;
 }
 
@@ -133,15 +119,6 @@
         return;
     m_gateway.targets().setLoadOfMember(member, loadsOf(mate->report));
     m_gateway.dispatcher().setWaitingOfMember(member, waitingOf(mate->report));
-    // A member that counts fewer cells tells more daemons than its cell; what it admits is in its
-    // cell's summary.
-    const bool isOfCell = m_directory.cellOf(mate->brief.member) == m_directory.ownCell();
-    for (const ReportedUse &use : effect.admitted) {
-        if (!isOfCell)
-            break;
-        m_gateway.customers().addUseOfOthers(use.customer, static_cast<double>(use.admitted));
-        m_rates.add(use.customer, use.admitted, m_loop.now());
-    }
     if (m_gateway.dispatcher().waiting() > 0)
         m_gateway.reviewSoon();
 }
@@ -156,24 +133,4 @@
     m_gateway.dispatcher().setWaitingOfMember(memberNumber(member), {});
 }
 
-void CellExchange::meterOwnUse()
-{
-    for (const CustomerUse &use : m_gateway.customers().ownUse()) {
-        std::uint64_t &metered = m_meteredUse[use.customer];
-        if (use.admitted > metered)
-            m_rates.add(use.customer, use.admitted - std::exchange(metered, use.admitted),
-                        m_loop.now());
-    }
-}
-
-std::vector<CustomerRate> CellExchange::rates(std::size_t most)
-{
-    return m_rates.rates(most, m_loop.now());
-}
-
-std::vector<RecentUse> CellExchange::takeRecentUse()
-{
-    return m_rates.takeRecent(m_loop.now());
-}
-
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_cell_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_cell_exchange.hpp
@@ -2,7 +2,6 @@
 
 #include <apricothook/fleetview/apricothook_beacon_table.hpp>
 #include <apricothook/fleetview/apricothook_fleet_directory.hpp>
-#include <apricothook/fleetview/apricothook_rate_meter.hpp>
 #include <apricothook/gateway/apricothook_gateway.hpp>
 #include <apricothook/serving/apricothook_peer_sender.hpp>
 
@@ -33,23 +32,13 @@
     void sendBeacon();
     void take(const Beacon &beacon);
     void take(const CellReport &report);
-    /** What the cell, this daemon with it, admits. */
-    std::vector<CustomerRate> rates(std::size_t most);
-    /** Of it, what isn't chance. */
-    std::vector<RecentUse> takeRecentUse();
 
 private:
-    enum class UseTold {
-        All,
-        Changed, ///< Since the last beacon.
-    };
-
     void sendReport();
-    CellReport ownReport(UseTold told);
+    CellReport ownReport();
     std::vector<Endpoint> addresses() const;
     void apply(std::uint64_t member, const BeaconEffect &effect);
     void forget(const MemberId &member);
-    void meterOwnUse();
 
     EventLoop &m_loop;
     const FleetDirectory &m_directory;
@@ -57,14 +46,9 @@
     Gateway &m_gateway;
     LogWriter &m_log;
     BeaconTable m_mates;
-    RateMeter m_rates;
-    std::uint32_t m_cells = 1;
     std::uint64_t m_sequence = 0;
     bool m_changed = false;
     TimerId m_change = 0;
-    /** Customers' totals at the last beacon, and those that are in m_rates already. */
-    std::map<std::uint64_t, std::uint64_t> m_toldUse;
-    std::map<std::uint64_t, std::uint64_t> m_meteredUse;
 };
 
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_fleet_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_fleet_exchange.cpp
@@ -1,17 +1,15 @@
 #include <apricothook/serving/apricothook_fleet_exchange.hpp>
 
-#include <numeric>
+#include <algorithm>
 #include <utility>
 
 namespace Apricothook {
 
 FleetExchange::FleetExchange(EventLoop &loop, FleetDirectory &directory, PeerSender &sender,
-                             CustomerAllowance &customers, RandomSource &random,
-                             std::vector<Endpoint> seeds)
+                             RandomSource &random, std::vector<Endpoint> seeds)
     : m_loop(loop)
     , m_directory(directory)
     , m_sender(sender)
-    , m_customers(customers)
     , m_random(random)
     , m_seeds(std::move(seeds))
     , m_round(random.next())
@@ -23,19 +21,16 @@
     m_loop.cancel(m_greeting);
 }
 
-void FleetExchange::start(std::function<std::vector<CustomerRate>(std::size_t most)> ownRates)
+void FleetExchange::start()
 {
-    m_ownRates = std::move(ownRates);
     m_started = m_loop.now();
-    m_useCounted = m_started;
     greet();
 }
 
 void FleetExchange::greet()
 {
-    m_sender.send(greeted(), ownGreeting(true));
-    const bool isStarting = m_loop.now() - m_started < StartingTime;
-    const Duration pause = isStarting ? Duration(StartingPause) : Duration(GreetingPause);
+    sendGreetings(greeted(), true, isStarting());
+    const Duration pause = isStarting() ? Duration(StartingPause) : Duration(GreetingPause);
     m_greeting = m_loop.after(pause, [this] { greet(); });
 }
 
@@ -53,10 +48,19 @@
     return {member->second.brief.beaconAddress};
 }
 
-Greeting FleetExchange::ownGreeting(bool wantsAnswer)
+void FleetExchange::sendGreetings(const std::vector<Endpoint> &to, bool wantsAnswer, bool all)
 {
-    return {m_sender.ownBrief(), wantsAnswer,
-            m_directory.sample(MostOthers, m_random, m_loop.now())};
+    const std::size_t names = all ? m_directory.members().size() : MostOthers;
+    const std::vector<MemberBrief> told = m_directory.sample(names, m_random, m_loop.now());
+    std::size_t next = 0;
+    do {
+        const std::size_t end = std::min(next + MostOthers, told.size());
+        Greeting greeting {m_sender.ownBrief(), wantsAnswer && next == 0, all, {}};
+        greeting.others.assign(told.begin() + static_cast<std::ptrdiff_t>(next),
+                               told.begin() + static_cast<std::ptrdiff_t>(end));
+        m_sender.send(to, greeting);
+        next = end;
+    } while (next < told.size());
 }
 
 void FleetExchange::take(const Greeting &greeting)
@@ -66,7 +70,7 @@
     for (const MemberBrief &other : greeting.others)
         m_directory.take(other, now);
     if (greeting.wantsAnswer)
-        m_sender.send(greeting.sender.beaconAddress, ownGreeting(false));
+        sendGreetings({greeting.sender.beaconAddress}, false, greeting.wantsAll);
 }
 
 void FleetExchange::announce()
@@ -74,7 +78,7 @@
     std::vector<Endpoint> all;
     for (const auto &[id, member] : m_directory.members())
         all.push_back(member.brief.beaconAddress);
-    m_sender.send(all, Greeting {m_sender.ownBrief(), false, {}});
+    m_sender.send(all, Greeting {m_sender.ownBrief(), false, false, {}});
 }
 
 void FleetExchange::sendSummaries()
@@ -110,7 +114,6 @@
         .cells = m_directory.cells(),
         .revision = m_sender.ownRevision(),
         .members = {m_sender.ownBrief()},
-        .rates = m_ownRates(MostRates),
     };
     for (const KnownMember *member : m_directory.membersOfCell(summary.cell)) {
         if (m_directory.isLive(*member, now))
@@ -124,29 +127,7 @@
     const Instant now = m_loop.now();
     for (const MemberBrief &member : summary.members)
         m_directory.take(member, now);
-    // A sender with another number of cells counts another set of members; it will agree soon.
-    const bool isOther = summary.cell != m_directory.ownCell();
-    if (summary.cells == m_directory.cells() && isOther)
-        m_otherCells.note(summary.cell, summary.rates, now);
-}
-
-void FleetExchange::countUseOfOtherCells(const std::vector<RecentUse> &own)
-{
-    const Instant now = m_loop.now();
-    const double seconds = std::chrono::duration<double>(now - m_useCounted).count();
-    m_useCounted = now;
-    if (m_directory.cells() == 1) {
-        m_customers.countElsewhere({});
-        return;
-    }
-    // What was heard with another number of cells, or too long ago, tells nothing of now.
-    m_otherCells.forget(m_directory.cells(), m_directory.otherCellLimit(), now);
-    const CellWeights weights = m_directory.weights(now);
-    const std::uint32_t ownDaemons = weights.weights[weights.own];
-    const std::uint32_t all
-        = std::accumulate(weights.weights.begin(), weights.weights.end(), std::uint32_t {0});
-    const CellBalance balance {ownDaemons, all - ownDaemons};
-    m_customers.countElsewhere(m_otherCells.count(own, balance, seconds));
+    m_directory.noteCells(summary.cells, now);
 }
 
 } // namespace Apricothook
--- /dev/null
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
@@ -0,0 +1,109 @@
+#include <apricothook/serving/apricothook_limit_exchange.hpp>
+
+#include <algorithm>
+
+namespace Apricothook {
+
+namespace {
+
+GrantorCandidate candidateOf(const MemberBrief &brief)
+{
+    return {{memberNumber(brief.member), brief.beaconAddress}, brief.capacity, brief.isLeaving};
+}
+
+} // namespace
+
+LimitExchange::LimitExchange(EventLoop &loop, const FleetDirectory &directory, PeerSender &sender,
+                             Gateway &gateway, RandomSource &random,
+                             const std::vector<Endpoint> &seeds)
+    : m_loop(loop)
+    , m_directory(directory)
+    , m_sender(sender)
+    , m_gateway(gateway)
+    , m_random(random)
+    , m_seeds(seeds)
+    , m_started(loop.now())
+{
+    m_gateway.setLimitMessenger(*this);
+}
+
+void LimitExchange::tick()
+{
+    const Instant now = m_loop.now();
+    const Endpoint own = m_sender.ownBrief().beaconAddress;
+    const bool areOthers
+        = std::ranges::any_of(m_seeds, [&own](const Endpoint &seed) { return seed != own; });
+    FleetLimits &limits = m_gateway.limits();
+    limits.setPart(limitPartOf(m_reach.reach(knownMembers().size(), now)), now);
+    limits.setFleet({.members = candidates(),
+                     .known = m_directory.knownCount(now),
+                     .isComplete = m_directory.knowsFleet(areOthers, now),
+                     .startedTogether = startedTogether()},
+                    now);
+    sendProbes();
+    m_gateway.scheduleLimits();
+}
+
+std::optional<Instant> LimitExchange::startedTogether() const
+{
+    const Incarnation own = m_sender.ownBrief().process;
+    const auto isOlder = [own](const auto &entry) {
+        return entry.second.brief.process.value() + StartedTogether.count() < own.value();
+    };
+    if (std::ranges::any_of(m_directory.members(), isOlder))
+        return std::nullopt;
+    return m_started;
+}
+
+std::vector<GrantorCandidate> LimitExchange::candidates() const
+{
+    std::vector<GrantorCandidate> candidates {candidateOf(m_sender.ownBrief())};
+    for (const auto &[id, member] : m_directory.members()) {
+        if (m_directory.isLive(member, m_loop.now()))
+            candidates.push_back(candidateOf(member.brief));
+    }
+    return candidates;
+}
+
+std::vector<const KnownMember *> LimitExchange::knownMembers() const
+{
+    std::vector<const KnownMember *> known;
+    for (const auto &[id, member] : m_directory.members()) {
+        const bool isRecent = m_loop.now() - member.heard <= FleetDirectory::KnownLimit;
+        if (isRecent && !member.brief.isLeaving)
+            known.push_back(&member);
+    }
+    return known;
+}
+
+void LimitExchange::sendProbes()
+{
+    if (!m_gateway.limits().isCandidate())
+        return;
+    const Endpoint own = m_sender.ownBrief().beaconAddress;
+    std::vector<const KnownMember *> known = knownMembers();
+    for (std::size_t sent = 0; sent < ReachMeter::ProbesOfRound && !known.empty(); ++sent) {
+        const std::size_t drawn = m_random.next() % known.size();
+        const ReachProbe probe {own, m_random.next()};
+        m_reach.sent(probe.probe, m_loop.now());
+        m_sender.send(known[drawn]->brief.beaconAddress, probe);
+        known.erase(known.begin() + static_cast<std::ptrdiff_t>(drawn));
+    }
+}
+
+void LimitExchange::take(const ReachProbe &probe)
+{
+    m_sender.send(probe.sender, ReachAnswer {probe.probe});
+}
+
+void LimitExchange::take(const ReachAnswer &answer)
+{
+    m_reach.answered(answer.probe);
+}
+
+void LimitExchange::send(const Endpoint &to, const LimitMessage &message)
+{
+    std::visit([&](const auto &one) { m_sender.send(to, PeerDatagram(one)); }, message);
+}
+
+} // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -15,7 +15,8 @@
     , m_metrics(metrics)
     , m_directory(settings.member)
     , m_cell(loop, m_directory, *this, gateway, log)
-    , m_fleet(loop, m_directory, *this, gateway.customers(), random, settings.seeds)
+    , m_fleet(loop, m_directory, *this, random, settings.seeds)
+    , m_limits(loop, m_directory, *this, gateway, random, settings.seeds)
     , m_revisions(loop, published, log)
 {
 }
@@ -33,7 +34,7 @@
     if (!socket)
         return socket.error();
     m_socket = std::move(socket).value();
-    m_fleet.start([this](std::size_t most) { return m_cell.rates(most); });
+    m_fleet.start();
     tick();
     return Outcomes::success();
 }
@@ -45,8 +46,8 @@
     countMembers();
     m_gateway.targets().setCells(m_directory.weights(now));
     reviewReading();
-    m_fleet.countUseOfOtherCells(m_cell.takeRecentUse());
     m_cell.tick();
+    m_limits.tick();
     m_fleet.sendSummaries();
     m_tick = m_loop.after(IdlePause, [this] { tick(); });
 }
@@ -54,9 +55,7 @@
 void PeerExchange::countMembers()
 {
     const Instant now = m_loop.now();
-    m_gateway.setMembers({.live = m_directory.liveCount(now),
-                          .undoubted = m_directory.undoubtedCount(now),
-                          .known = m_directory.knownCount(now)});
+    m_gateway.setMembers(m_directory.liveCount(now));
 }
 
 void PeerExchange::reviewReading()
@@ -151,8 +150,6 @@
 void PeerExchange::take(const Beacon &beacon)
 {
     m_directory.take(beacon.sender, m_loop.now());
-    // Not only with the next tick: meanwhile both sides of a partition would go on spending.
-    countMembers();
     m_cell.take(beacon);
     // Before its items come: whether their removals are true depends on it.
     noteSource();
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -3,6 +3,7 @@
 #include <apricothook/eventloop/apricothook_datagram_socket.hpp>
 #include <apricothook/serving/apricothook_cell_exchange.hpp>
 #include <apricothook/serving/apricothook_fleet_exchange.hpp>
+#include <apricothook/serving/apricothook_limit_exchange.hpp>
 #include <apricothook/serving/apricothook_revision_follower.hpp>
 #include <apricothook/serving/apricothook_serving_settings.hpp>
 
@@ -59,6 +60,12 @@
     void take(const CellReport &report) { m_cell.take(report); }
     void take(const CellSummary &summary);
     void take(const Greeting &greeting) { m_fleet.take(greeting); }
+    /** All that customers' limits need. */
+    template <typename Message>
+    void take(const Message &message)
+    {
+        m_limits.take(message);
+    }
 
     EventLoop &m_loop;
     const ServingSettings &m_settings;
@@ -75,6 +82,7 @@
     FleetDirectory m_directory;
     CellExchange m_cell;
     FleetExchange m_fleet;
+    LimitExchange m_limits;
     RevisionFollower m_revisions;
     std::unique_ptr<DatagramSocket> m_socket;
     TimerId m_tick = 0;
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -33,7 +33,7 @@
     , m_log(log)
     , m_loop(clock)
     , m_gateway(m_loop, adapters.wire, random, log, m_metrics, settings.bounds, settings.dataCentre,
-                settings.policies)
+                settings.policies, {memberNumber(settings.member), settings.beaconAddress})
     , m_published(m_loop, m_gateway, adapters.decoder, log)
     , m_peers(m_loop, m_settings, m_incarnation, m_gateway, m_published, random, m_metrics, log)
 {
