--- a/packages/dispatch/apricothook/dispatch/apricothook_fleet_limits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_limits.cpp
@@ -188,6 +188,15 @@
     m_messenger.send(peer->address, question);
 }
 
+void FleetLimits::askNext(Waiting &waiting, Instant now)
+{
+    const bool hasNext = chooseGrantor(waiting, now).has_value();
+    if (m_isComplete || hasNext)
+        ask(waiting, now);
+    else
+        waiting.due = now;
+}
+
 void FleetLimits::askAhead(std::uint64_t customer, Account &account, const CustomerBudget &budget,
                            Instant now)
 {
@@ -244,10 +253,10 @@
             waiting.named = answer.grantor;
         if (account.grantor.member == answer.member)
             account.grantor = {};
-        ask(waiting, now);
+        askNext(waiting, now);
         return;
     case UnitsOutcome::Soon:
-        waiting.due = now + SoonPause;
+        waiting.due = now + (m_isComplete ? Duration(SoonPause) : Duration::zero());
         return;
     case UnitsOutcome::Granted:
     case UnitsOutcome::Refused:
@@ -283,7 +292,8 @@
         && account.stock.tryTakeCredit(waiting.claim.units, waiting.budget, m_known, now);
     if (hasCredit)
         return verdict(waiting, LimitSource::Credit, true, now);
-    if (now - waiting.since < LongestAsk)
+    // Where the fleet has just started, whoever was asked knows no more.
+    if (m_isComplete && now - waiting.since < LongestAsk)
         return std::nullopt;
     LimitVerdict decided = verdict(waiting, LimitSource::Nobody, false, now);
     decided.retryAfter = NobodyRetryAfter;
--- a/packages/dispatch/apricothook/dispatch/apricothook_fleet_limits.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_limits.hpp
@@ -120,6 +120,7 @@
     void take(const UnitsAnswer &answer, Instant now);
     void take(const GrantorClaim &claim, Instant now) { m_office.take(claim, now); }
     void take(const GrantorHandover &handover, Instant now) { m_office.take(handover, now); }
+    void take(const GrantorDenial &denial, Instant now) { m_office.take(denial, now); }
 
     /** This daemon may grant units; setPart() is to be told. */
     bool isCandidate() const { return m_office.isCandidate(); }
@@ -172,6 +173,8 @@
     std::optional<LimitPeer> chooseGrantor(const Waiting &waiting, Instant now) const;
     bool isSilent(std::uint64_t member, Instant now) const;
     void ask(Waiting &waiting, Instant now);
+    /** After one that isn't the grantor; a daemon that has just started gives up soon. */
+    void askNext(Waiting &waiting, Instant now);
     void askAhead(std::uint64_t customer, Account &account, const CustomerBudget &budget,
                   Instant now);
     UnitsAsk question(std::uint64_t ask, std::uint64_t customer, const LimitClaim &claim,
--- a/packages/dispatch/apricothook/dispatch/apricothook_grantor_office.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_grantor_office.cpp
@@ -166,6 +166,9 @@
     office.state = State::Claiming;
     office.since = now;
     office.claim = m_random.next() | 1;
+    office.asked.clear();
+    for (const LimitPeer &peer : m_order.incumbents(customer, m_self.member))
+        office.asked.insert(peer.member);
     if (m_order.incumbents(customer, m_self.member).empty())
         enter(customer, office, 0, OfficeChange::TakenEmpty, now);
     else
@@ -195,13 +198,17 @@
     m_listener.onOfficeChanged(customer, change, office.bucket.level());
 }
 
+bool GrantorOffice::isAllNew(Instant now) const
+{
+    // Later, another may have granted and died since.
+    return m_startedTogether && now - *m_startedTogether <= LongestVacancy;
+}
+
 Instant GrantorOffice::vacantSince(const Office &office, Instant now) const
 {
     if (office.state != State::Claiming)
         return now;
-    // Later, another may have granted and died since.
-    const bool isFresh = m_startedTogether && now - *m_startedTogether <= LongestVacancy;
-    return isFresh ? *m_startedTogether : office.since;
+    return isAllNew(now) ? *m_startedTogether : office.since;
 }
 
 void GrantorOffice::handOver(const GrantorClaim &claim, Office &office, Instant now)
@@ -263,7 +270,7 @@
     if (reachesLess || m_order.isBefore(claim.sender, m_self, claim.customer))
         yield(claim, office, now);
     else
-        claimFrom(claim.sender, claim.customer, office, now);
+        claimFrom(claim, office, now);
 }
 
 void GrantorOffice::yield(const GrantorClaim &claim, Office &office, Instant now)
@@ -277,18 +284,41 @@
     office.kept = 0;
     if (office.sent.claim == claim.claim)
         m_messenger.send(claim.sender.address, office.sent);
+    else
+        deny(claim);
 }
 
-void GrantorOffice::claimFrom(const LimitPeer &sender, std::uint64_t customer, Office &office,
-                              Instant now)
+void GrantorOffice::deny(const GrantorClaim &claim)
 {
-    if (office.state == State::Elsewhere && mayClaim(customer, office, now))
-        startClaim(customer, office, now);
+    m_messenger.send(claim.sender.address,
+                     GrantorDenial {m_self.member, claim.claim, claim.customer});
+}
+
+void GrantorOffice::take(const GrantorDenial &denial, Instant now)
+{
+    const auto found = m_offices.find(denial.customer);
+    if (found == m_offices.end())
+        return;
+    Office &office = found->second;
+    if (office.state != State::Claiming || office.claim != denial.claim)
+        return;
+    office.asked.erase(denial.member);
+    if (office.asked.empty() && isAllNew(now))
+        enter(denial.customer, office, 0, OfficeChange::TakenEmpty, now);
+}
+
+void GrantorOffice::claimFrom(const GrantorClaim &claim, Office &office, Instant now)
+{
+    if (office.state == State::Elsewhere && mayClaim(claim.customer, office, now))
+        startClaim(claim.customer, office, now);
+    if (office.state == State::Elsewhere)
+        deny(claim);
     // Two that differ about who goes first don't answer each other without a pause.
     if (office.state == State::Elsewhere || now - office.answered < ClaimPause)
         return;
     office.answered = now;
-    m_messenger.send(sender.address, GrantorClaim {m_self, office.claim, customer, reachesFleet()});
+    m_messenger.send(claim.sender.address,
+                     GrantorClaim {m_self, office.claim, claim.customer, reachesFleet()});
 }
 
 bool GrantorOffice::isNew(std::uint64_t handover)
--- a/packages/dispatch/apricothook/dispatch/apricothook_grantor_office.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_grantor_office.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -36,9 +37,9 @@
  * both grant together is what one bucket gives. A message that is lost loses units and makes none.
  *
  * Whoever goes first by GrantorOrder claims the customer from those that come next and waits
- * ClaimTime for an answer. A daemon that is asked because those before it are silent does the same.
- * Of two that want a customer, the one that goes after the other yields, and hands over what it
- * has.
+ * ClaimTime for an answer. A daemon that is asked because those before it are
+ * silent does the same. Of two that want a customer, the one that goes after the other yields, and
+ * hands over what it has.
  */
 class GrantorOffice
 {
@@ -80,6 +81,11 @@
     UnitsAnswer answer(const UnitsAsk &ask, Instant now);
     void take(const GrantorClaim &claim, Instant now);
     void take(const GrantorHandover &handover, Instant now);
+    /**
+     * When all that were asked have denied right after a start of all daemons, the claim waits no
+     * longer. Later a daemon that this one doesn't think of may be the grantor, and tell it.
+     */
+    void take(const GrantorDenial &denial, Instant now);
     const GrantorOrder &order() const { return m_order; }
 
 private:
@@ -101,6 +107,8 @@
         /** When a claim was last answered with one of this daemon. */
         Instant answered {};
         std::uint64_t claim = 0;
+        /** Members that were asked and haven't denied. */
+        std::set<std::uint64_t> asked;
         /** The last one sent; sent again when its claim comes again. */
         GrantorHandover sent;
     };
@@ -111,11 +119,14 @@
     /** Claims of such daemons reach each other, so that all but one of them yield. */
     bool isAmongFirst(std::uint64_t customer) const;
     void review(std::uint64_t customer, Office &office, Instant now);
+    /** All daemons have started a moment ago; nobody granted before. */
+    bool isAllNew(Instant now) const;
     /** Since when nobody but a former grantor that lives unheard can have granted. */
     Instant vacantSince(const Office &office, Instant now) const;
     /** Another daemon may have taken all customers while this one stood still. */
     void noteStandstill(Instant now);
     void startClaim(std::uint64_t customer, Office &office, Instant now);
+    void deny(const GrantorClaim &claim);
     void sendClaim(std::uint64_t customer, Office &office, Instant now);
     void enter(std::uint64_t customer, Office &office, double level, OfficeChange change,
                Instant now);
@@ -123,7 +134,7 @@
     /** Lets the sender, which goes before this daemon, have the customer. */
     void yield(const GrantorClaim &claim, Office &office, Instant now);
     /** Wants the customer of the sender, which goes after this daemon and may be its grantor. */
-    void claimFrom(const LimitPeer &sender, std::uint64_t customer, Office &office, Instant now);
+    void claimFrom(const GrantorClaim &claim, Office &office, Instant now);
     bool isNew(std::uint64_t handover);
 
     const LimitPeer m_self;
--- a/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
@@ -129,7 +129,24 @@
     auto operator<=>(const GrantorHandover &) const = default;
 };
 
-using LimitMessage = std::variant<UnitsAsk, UnitsAnswer, GrantorClaim, GrantorHandover>;
+/** The sender isn't the customer's grantor, and leaves it to whoever claims it. */
+struct GrantorDenial
+{
+    std::uint64_t member = 0; ///< memberNumber() of the sender.
+    /** The claim that it answers. */
+    std::uint64_t claim = 0;
+    std::uint64_t customer = 0;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.member, self.claim, self.customer);
+    }
+    auto operator<=>(const GrantorDenial &) const = default;
+};
+
+using LimitMessage
+    = std::variant<UnitsAsk, UnitsAnswer, GrantorClaim, GrantorHandover, GrantorDenial>;
 
 /** Carries messages about limits to other daemons; each may be lost, late or come twice. */
 class LimitMessenger
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
@@ -20,6 +20,13 @@
     return static_cast<std::uint32_t>(std::bit_ceil(std::max<std::size_t>(cells, 1)));
 }
 
+/** Small VMs have the least processor time and bandwidth to spare for the others. */
+bool readsBefore(const MemberBrief &one, const MemberBrief &other)
+{
+    return std::tuple(other.capacity, memberNumber(one.member))
+        < std::tuple(one.capacity, memberNumber(other.member));
+}
+
 std::uint32_t millisecondsOf(Duration duration)
 {
     const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -54,14 +61,22 @@
     m_members[brief.member] = {brief, heard, cellOf(brief.member)};
 }
 
-bool FleetDirectory::knowsFleet(bool areOthers, Instant now) const
+bool FleetDirectory::knowsFleet(const std::vector<Endpoint> &seeds, const Endpoint &own,
+                                Instant now) const
 {
     if (!m_started)
         return false;
+    const auto isHeard = [&](const Endpoint &seed) {
+        return seed == own || std::ranges::any_of(m_members, [&seed](const auto &entry) {
+                   return entry.second.brief.beaconAddress == seed;
+               });
+    };
     const Duration age = now - *m_started;
-    if (!m_news)
-        return !areOthers || age > LoneTime;
-    return age > LongestLearning || (age > QuietTime && now - *m_news > QuietTime);
+    const auto heard = static_cast<std::size_t>(std::ranges::count_if(seeds, isHeard));
+    if (2 * heard < seeds.size() + 1 && !seeds.empty())
+        return age > LoneTime;
+    const bool isQuiet = now - m_news.value_or(*m_started) > QuietTime;
+    return age > LongestLearning || (age > QuietTime && isQuiet);
 }
 
 void FleetDirectory::review(Instant now)
@@ -163,11 +178,6 @@
 
 bool FleetDirectory::isReader(const MemberBrief &self, Instant now) const
 {
-    // Small VMs have the least processor time and bandwidth to spare for the others.
-    const auto goesBefore = [](const MemberBrief &one, const MemberBrief &other) {
-        return std::tuple(other.capacity, memberNumber(one.member))
-            < std::tuple(one.capacity, memberNumber(other.member));
-    };
     std::size_t candidates = 0;
     std::size_t before = 0;
     std::size_t wanted = ReadersOfCell;
@@ -179,7 +189,7 @@
         if (!brief.isReady || brief.isLeaving || brief.hasLostSource)
             continue;
         ++candidates;
-        before += goesBefore(brief, self) ? 1 : 0;
+        before += readsBefore(brief, self) ? 1 : 0;
     }
     const bool isCandidate = !self.hasLostSource && !self.isLeaving;
     if (candidates + (isCandidate ? 1 : 0) < ReadersOfCell)
@@ -187,6 +197,41 @@
     return isCandidate && before < wanted;
 }
 
+bool FleetDirectory::mayServe(const KnownMember &member, Instant now) const
+{
+    return isLive(member, now) && member.brief.isReady && !member.brief.isLeaving;
+}
+
+bool FleetDirectory::isFleetReader(const MemberBrief &self, Instant now) const
+{
+    if (m_cells == 1 || self.isLeaving || self.hasLostSource)
+        return false;
+    const auto goesBefore = [&](const auto &entry) {
+        const KnownMember &member = entry.second;
+        return mayServe(member, now) && !member.brief.hasLostSource
+            && readsBefore(member.brief, self);
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(m_members, goesBefore)) < ReadersOfFleet;
+}
+
+std::vector<Endpoint> FleetDirectory::readersOfOtherCells(Instant now) const
+{
+    std::vector<std::vector<const MemberBrief *>> cells(m_cells);
+    for (const auto &[id, member] : m_members) {
+        if (member.cell != ownCell() && mayServe(member, now))
+            cells[member.cell].push_back(&member.brief);
+    }
+    std::vector<Endpoint> readers;
+    for (std::vector<const MemberBrief *> &cell : cells) {
+        std::ranges::sort(
+            cell, [](const auto *one, const auto *other) { return readsBefore(*one, *other); });
+        cell.resize(std::min(cell.size(), ReadersOfCell));
+        for (const MemberBrief *brief : cell)
+            readers.push_back(brief->beaconAddress);
+    }
+    return readers;
+}
+
 SourceContact FleetDirectory::sourceContact(const MemberBrief &self, Instant now) const
 {
     SourceContact contact {self.reachesSource, self.hasLostSource};
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
@@ -54,7 +54,7 @@
     static constexpr std::chrono::milliseconds QuietTime {300};
     /** In a fleet where some daemon starts all the time nobody would know it otherwise. */
     static constexpr std::chrono::seconds LongestLearning {4};
-    /** Longer than all seeds take to start again together. */
+    /** Seeds that aren't heard for so long are gone, and what is known is the fleet. */
     static constexpr std::chrono::seconds LoneTime {20};
     /** Between summaries to each other cell, for each cell of the fleet, and at least. */
     static constexpr std::chrono::milliseconds SummaryPauseForEachCell {100};
@@ -66,6 +66,13 @@
      */
     static constexpr std::size_t ReadersOfCell = 2;
 
+    /**
+     * Daemons that read at the source for all cells. With two for each cell 195 daemons made 64
+     * watches, and a quarter of a second after each change as many calls; one of three may die and
+     * another be turned away while the last still tells all of it.
+     */
+    static constexpr std::size_t ReadersOfFleet = 3;
+
     explicit FleetDirectory(MemberId self);
 
     /** News of a member; older ones than what is known are passed over. */
@@ -90,14 +97,19 @@
     std::size_t liveCount(Instant now) const;
     std::size_t knownCount(Instant now) const;
     /**
-     * This daemon has heard of the others: of nobody new for a while, or it has run for long. One
-     * that hears nobody at all isn't alone before LoneTime, if there `areOthers`.
+     * This daemon has heard of the others: of most of the `seeds`, and of nobody new for a while or
+     * it has run for long. Daemons that all start while they are cut in two would otherwise take
+     * each side for the whole fleet; only one of them hears most seeds.
      */
-    bool knowsFleet(bool areOthers, Instant now) const;
+    bool knowsFleet(const std::vector<Endpoint> &seeds, const Endpoint &own, Instant now) const;
     CellWeights weights(Instant now) const;
     /** `self` is one of those who read at the source. All are while too few are known to reach it.
      */
     bool isReader(const MemberBrief &self, Instant now) const;
+    /** `self` is one of those who read for all cells; none is in a fleet of one cell. */
+    bool isFleetReader(const MemberBrief &self, Instant now) const;
+    /** Whom the readers of the fleet tell what they have read. */
+    std::vector<Endpoint> readersOfOtherCells(Instant now) const;
     /** What `self` and the live members of its cell tell of the source. */
     SourceContact sourceContact(const MemberBrief &self, Instant now) const;
     /** Some members, as they are to be told to others. */
@@ -110,6 +122,8 @@
     static constexpr int MissedSummaries = 3;
 
     Duration liveLimit(const KnownMember &member) const;
+    /** Ready, staying and live; may read for others. */
+    bool mayServe(const KnownMember &member, Instant now) const;
     /** So many daemons may be in so many cells; the number may also be one that fits better. */
     static bool mayHave(std::uint32_t cells, std::size_t daemons);
     void setCells(std::uint32_t cells);
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
@@ -69,6 +69,21 @@
     auto operator<=>(const Greeting &) const = default;
 };
 
+/** What a reader of the fleet has read; told to the readers of the other cells. */
+struct ReaderNote
+{
+    MemberBrief sender;
+    /** The highest revision of a published item that the sender has. */
+    std::uint64_t revision = 0;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.sender, self.revision);
+    }
+    auto operator<=>(const ReaderNote &) const = default;
+};
+
 /** Asks whether the receiver can be reached, and answers back. */
 struct ReachProbe
 {
@@ -96,8 +111,9 @@
 };
 
 /** What one datagram between daemons holds. */
-using PeerDatagram = std::variant<Beacon, CellReport, CellSummary, Greeting, UnitsAsk, UnitsAnswer,
-                                  GrantorClaim, GrantorHandover, ReachProbe, ReachAnswer>;
+using PeerDatagram
+    = std::variant<Beacon, CellReport, CellSummary, Greeting, UnitsAsk, UnitsAnswer, GrantorClaim,
+                   GrantorHandover, ReachProbe, ReachAnswer, ReaderNote, GrantorDenial>;
 
 std::string writePeerDatagram(const PeerDatagram &datagram);
 Result<PeerDatagram, CodecError> parsePeerDatagram(std::string_view bytes);
--- a/packages/fleetview/tests/apricothook_fleet_directory_tests.cpp
+++ b/packages/fleetview/tests/apricothook_fleet_directory_tests.cpp
@@ -216,3 +216,57 @@
     self.hasLostSource = true;
     CHECK(bench.directory.isReader(self, bench.clock.now()));
 }
+
+TEST_CASE("a fleet at the border of two numbers of cells keeps the one that it has")
+{
+    // Callers are served by the cell's own part of the targets, and find the daemons that live.
+    // Of 195 daemons some three aren't heard of at any time, and 192 are sixteen cells of twelve.
+    // A daemon that changed to and fro missed a third of the others for a second at a time.
+    Bench bench;
+    bench.fleet(194);
+    REQUIRE(bench.directory.cells() == 32);
+    const auto hearOnly = [&bench](std::size_t others) {
+        bench.pass(FleetDirectory::KnownLimit);
+        bench.fleet(others);
+        bench.pass(std::chrono::milliseconds(1));
+    };
+    hearOnly(185);
+    CHECK(bench.directory.cells() == 32);
+    hearOnly(140);
+    CHECK(bench.directory.cells() == 16);
+    // One that has just started hears from the others how many cells there are.
+    Bench started;
+    started.fleet(185);
+    REQUIRE(started.directory.cells() == 16);
+    started.directory.noteCells(32, started.clock.now());
+    CHECK(started.directory.cells() == 32);
+    started.directory.noteCells(64, started.clock.now());
+    started.directory.noteCells(33, started.clock.now());
+    CHECK(started.directory.cells() == 32);
+}
+
+TEST_CASE("a daemon knows the fleet when most seeds are heard and nobody new comes")
+{
+    // Daemons that all start while they are cut in two don't take each side for the fleet.
+    Bench bench;
+    const std::vector<Endpoint> seeds {{"10.0.0.1", 1}, {"10.0.0.2", 1}, {"10.0.0.3", 1}};
+    const Endpoint own {"10.0.0.9", 1};
+    const auto knows = [&] { return bench.directory.knowsFleet(seeds, own, bench.clock.now()); };
+    const auto takeSeed = [&](std::size_t index) {
+        MemberBrief seed = brief("seed" + std::to_string(index));
+        seed.beaconAddress = seeds[index];
+        bench.take(seed);
+    };
+    takeSeed(0);
+    bench.pass(std::chrono::seconds(5));
+    CHECK_FALSE(knows());
+    takeSeed(1);
+    CHECK(knows());
+    Bench alone;
+    alone.pass(std::chrono::milliseconds(1));
+    alone.pass(std::chrono::milliseconds(500));
+    CHECK(alone.directory.knowsFleet({own}, own, alone.clock.now()));
+    CHECK_FALSE(alone.directory.knowsFleet(seeds, own, alone.clock.now()));
+    alone.pass(FleetDirectory::LoneTime);
+    CHECK(alone.directory.knowsFleet(seeds, own, alone.clock.now()));
+}
--- a/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
+++ b/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
@@ -42,6 +42,8 @@
     GrantorHandover {9, 5, 4, 6000},
     ReachProbe {{"10.0.0.1", 1}, 11},
     ReachAnswer {11},
+    ReaderNote {brief("a"), 78},
+    GrantorDenial {7, 5, 4},
 };
 
 } // namespace
--- a/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
@@ -31,13 +31,11 @@
 {
     const Instant now = m_loop.now();
     const Endpoint own = m_sender.ownBrief().beaconAddress;
-    const bool areOthers
-        = std::ranges::any_of(m_seeds, [&own](const Endpoint &seed) { return seed != own; });
     FleetLimits &limits = m_gateway.limits();
     limits.setPart(limitPartOf(m_reach.reach(knownMembers().size(), now)), now);
     limits.setFleet({.members = candidates(),
                      .known = m_directory.knownCount(now),
-                     .isComplete = m_directory.knowsFleet(areOthers, now),
+                     .isComplete = m_directory.knowsFleet(m_seeds, own, now),
                      .startedTogether = startedTogether()},
                     now);
     sendProbes();
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -34,6 +34,7 @@
     if (!socket)
         return socket.error();
     m_socket = std::move(socket).value();
+    m_started = m_loop.now();
     m_fleet.start();
     tick();
     return Outcomes::success();
@@ -49,7 +50,10 @@
     m_cell.tick();
     m_limits.tick();
     m_fleet.sendSummaries();
-    m_tick = m_loop.after(IdlePause, [this] { tick(); });
+    if (m_loop.now() - m_noted >= ReadingDuty::NotePause)
+        sendReaderNote();
+    const bool isStarting = m_loop.now() - m_started < StartingTime;
+    m_tick = m_loop.after(isStarting ? StartingPause : IdlePause, [this] { tick(); });
 }
 
 void PeerExchange::countMembers()
@@ -68,7 +72,9 @@
     if (m_revisions.isStuck())
         m_stuckUntil = now + StuckTime;
     // A process without a configuration can't wait for a peer that may have none either.
-    const bool reads = !m_published.hasConfiguration() || m_directory.isReader(ownBrief(), now)
+    const MemberBrief self = ownBrief();
+    m_isCellReader = m_directory.isReader(self, now);
+    const bool reads = !m_published.hasConfiguration() || m_duty.isToRead(m_directory, self, now)
         || now < m_stuckUntil;
     if (reads == std::exchange(m_reads, reads))
         return;
@@ -79,25 +85,45 @@
 
 void PeerExchange::noteSource()
 {
-    m_published.noteSource(m_directory.sourceContact(ownBrief(), m_loop.now()));
+    const Instant now = m_loop.now();
+    SourceContact contact = m_directory.sourceContact(ownBrief(), now);
+    const SourceContact ofFleet = m_duty.contact(now);
+    contact.someReach |= ofFleet.someReach;
+    contact.someLost |= ofFleet.someLost;
+    m_published.noteSource(contact);
 }
 
 void PeerExchange::noteOwnSource()
 {
     noteSource();
     // Whoever is to read instead hears it at once, not with the next beacon.
-    if (m_published.hasLostSource())
-        m_cell.sendBeacon();
+    if (!m_published.hasLostSource())
+        return;
+    m_cell.sendBeacon();
+    sendReaderNote();
+}
+
+void PeerExchange::sendReaderNote()
+{
+    const Instant now = m_loop.now();
+    const MemberBrief self = ownBrief();
+    // One that has just lost the source is no reader any more, and says so.
+    const bool isReader = m_directory.isFleetReader(self, now) || self.hasLostSource;
+    if (!m_reads || m_directory.cells() == 1 || !isReader)
+        return;
+    m_noted = now;
+    send(m_directory.readersOfOtherCells(now), ReaderNote {self, ownRevision()});
 }
 
 void PeerExchange::noteRevision()
 {
     // Those who follow a reader hear at once; what they pass on can wait for their next beacon.
-    if (!m_reads || !std::exchange(m_revisionTold, false))
+    if ((!m_reads && !m_isCellReader) || !std::exchange(m_revisionTold, false))
         return;
     m_loop.defer([this] {
         m_revisionTold = true;
         m_cell.sendBeacon();
+        sendReaderNote();
     });
 }
 
@@ -122,6 +148,8 @@
 
 MemberBrief PeerExchange::ownBrief() const
 {
+    // The members of its cell know no other way whether the source answers anybody.
+    const bool followsReader = !m_reads && m_duty.reaching(m_loop.now()) > 0;
     return {
         .member = m_settings.member,
         .process = m_process,
@@ -131,7 +159,7 @@
         .itemAddress = m_settings.controlAddress,
         .isReady = isReady(),
         .isLeaving = m_leaving,
-        .reachesSource = m_published.reachesSource(),
+        .reachesSource = m_published.reachesSource() || followsReader,
         .hasLostSource = m_published.hasLostSource(),
         .capacity = m_settings.capacity,
         .age = 0,
@@ -158,6 +186,16 @@
     m_revisions.note(beacon.sender, beacon.revision);
 }
 
+void PeerExchange::take(const ReaderNote &note)
+{
+    m_duty.note(note, m_loop.now());
+    m_directory.take(note.sender, m_loop.now());
+    noteSource();
+    if (note.sender.hasLostSource)
+        reviewReading();
+    m_revisions.note(note.sender, note.revision);
+}
+
 void PeerExchange::take(const CellSummary &summary)
 {
     m_fleet.take(summary);
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <apricothook/eventloop/apricothook_datagram_socket.hpp>
+#include <apricothook/fleetview/apricothook_reading_duty.hpp>
 #include <apricothook/serving/apricothook_cell_exchange.hpp>
 #include <apricothook/serving/apricothook_fleet_exchange.hpp>
 #include <apricothook/serving/apricothook_limit_exchange.hpp>
@@ -17,6 +18,9 @@
 public:
     /** Between beacons of an idle daemon. */
     static constexpr std::chrono::milliseconds IdlePause {200};
+    /** The same in a process's first StartingTime: others wait to know it. */
+    static constexpr std::chrono::milliseconds StartingPause {100};
+    static constexpr std::chrono::seconds StartingTime {2};
     /**
      * A reader that lost the source and was relieved tries again after so long; until then the
      * next in the cell have shown whether they reach it.
@@ -55,11 +59,14 @@
     void countMembers();
     void noteSource();
     void reviewReading();
+    /** To the readers of the other cells, if this daemon reads for them. */
+    void sendReaderNote();
     void receive(std::string_view bytes);
     void take(const Beacon &beacon);
     void take(const CellReport &report) { m_cell.take(report); }
     void take(const CellSummary &summary);
     void take(const Greeting &greeting) { m_fleet.take(greeting); }
+    void take(const ReaderNote &note);
     /** All that customers' limits need. */
     template <typename Message>
     void take(const Message &message)
@@ -73,13 +80,18 @@
     Gateway &m_gateway;
     PublishedState &m_published;
     Metrics &m_metrics;
+    Instant m_started {};
     bool m_leaving = false;
     bool m_reads = true;
+    /** The cell's other members get the items from this one. */
+    bool m_isCellReader = true;
     Instant m_readingChanged {};
+    Instant m_noted {};
     Instant m_stuckUntil {};
     std::function<void(bool reads)> m_tellReading;
     bool m_revisionTold = true;
     FleetDirectory m_directory;
+    ReadingDuty m_duty;
     CellExchange m_cell;
     FleetExchange m_fleet;
     LimitExchange m_limits;
