--- a/packages/dispatch/apricothook/dispatch/apricothook_size_order.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_size_order.cpp
@@ -17,6 +17,8 @@
         return 0;
     const double doublings = std::log2(expected / *usual->second.value());
     const double level = std::round(doublings * LevelsForEachDoubling);
+    if (level > 0 && lot < FirstLotPart)
+        return -MostLevels;
     if (level > 0 && lot < LotPart)
         return 0;
     return static_cast<int>(std::clamp<double>(level, -MostLevels, MostLevels));
--- a/packages/dispatch/apricothook/dispatch/apricothook_size_order.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_size_order.hpp
@@ -32,6 +32,14 @@
      * first of all instead, and half of the gain is lost.
      */
     static constexpr double LotPart = 0.25;
+    /**
+     * Part of the large requests that go with the smallest. While the short ones alone ask for more
+     * than there is nothing else gives the longest a place: of 40 in a burst of three times the
+     * slots' time none was served. Each takes the time of twenty short ones: with twice as much the
+     * part of the payoff that is served fell by 0.010 on a day of 6 daemons in surges and by 0.005
+     * on one of 66.
+     */
+    static constexpr double FirstLotPart = 0.01;
 
     /** Learns what a request of the route is expected to take, in milliseconds. */
     void note(const ClassId &route, double expected);
