--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -58,25 +58,16 @@
     }
 }
 
-bool Dispatcher::isLate(const WaitingWork &work, Instant now) const
+void Dispatcher::sortByUrgency(Queue &queue)
 {
-    return m_policies.lateLast
-        && now + m_targets.expectedFirstEvent(work.service, work.size)
-        > work.arrived + work.objective;
-}
-
-void Dispatcher::sortByUrgency(Queue &queue, Instant now) const
-{
-    const auto urgency = [&](const WaitingWork &work) {
-        // What is late already is worth least, so it must not make others late too.
-        return std::tuple(isLate(work, now), work.rank, work.arrived + work.objective);
-    };
-    std::ranges::stable_sort(queue, {}, urgency);
+    std::ranges::stable_sort(queue, {}, [](const WaitingWork &work) {
+        return std::tuple(work.rank, work.arrived + work.objective);
+    });
 }
 
 void Dispatcher::placeAll(Queue &queue, Instant now)
 {
-    sortByUrgency(queue, now);
+    sortByUrgency(queue);
     // Work that waits for a fast target must not keep what a slow one can do from it.
     for (std::size_t next = 0;
          next < queue.size() && m_targets.hasRoom(queue[next].service, now);) {
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -121,8 +121,7 @@
 private:
     using Queue = std::vector<WaitingWork>;
 
-    bool isLate(const WaitingWork &work, Instant now) const;
-    void sortByUrgency(Queue &queue, Instant now) const;
+    static void sortByUrgency(Queue &queue);
     bool place(const WaitingWork &work, Instant now);
     void placeAll(Queue &queue, Instant now);
     void refuseOverdue(Queue &queue, Instant now);
--- a/packages/dispatch/apricothook/dispatch/apricothook_fleet_limits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_limits.cpp
@@ -263,8 +263,12 @@
         break;
     }
     account.grantor = waiting.asked;
-    account.stock.add(static_cast<double>(answer.units), waiting.sent + account.grantLife);
-    const bool isAdmitted = account.stock.tryTake(waiting.claim.units, now);
+    const bool isGranted = answer.outcome == UnitsOutcome::Granted
+        && static_cast<double>(answer.units) >= waiting.claim.units;
+    const double ahead = static_cast<double>(answer.units) - (isGranted ? waiting.claim.units : 0);
+    if (ahead > 0)
+        account.stock.add(ahead, waiting.sent + account.grantLife);
+    const bool isAdmitted = isGranted || account.stock.tryTake(waiting.claim.units, now);
     if (isAdmitted)
         account.stock.noteAdmitted(waiting.claim.units, now);
     const LimitVerdict decided = grantorVerdict(waiting, answer, isAdmitted, now);
--- a/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.cpp
@@ -18,7 +18,6 @@
     NamedSwitch {"urgency", &PolicySwitches::urgency},
     NamedSwitch {"late-return", &PolicySwitches::lateReturn},
     NamedSwitch {"size-order", &PolicySwitches::sizeOrder},
-    NamedSwitch {"late-last", &PolicySwitches::lateLast},
     NamedSwitch {"others-first", &PolicySwitches::othersFirst},
     NamedSwitch {"forecast", &PolicySwitches::forecast},
     NamedSwitch {"scarcity", &PolicySwitches::scarcity},
--- a/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.hpp
@@ -18,7 +18,6 @@
     bool urgency = true;     ///< Without: a service's routes are ordered by their tiers alone.
     bool lateReturn = true;  ///< Without: refused callers come back by the queue's length.
     bool sizeOrder = true;   ///< Without: a route's requests are taken in order of arrival.
-    bool lateLast = true;    ///< Without: what can't be on time any more keeps its turn.
     bool othersFirst = true; ///< Without: a free slot isn't left to other daemons' urgent requests.
     bool forecast = true;    ///< Without: the target with the smallest part of its slots taken.
     bool scarcity = true;    ///< Without: a target's last slot is as cheap as its first.
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -0,0 +1,165 @@
+#include <apricothook/gateway/apricothook_forwarded_request.hpp>
+
+#include <apricothook/http1/apricothook_http_status.hpp>
+
+#include <apricothook/gateway/internal/apricothook_attempt_failure.hpp>
+
+#include <algorithm>
+#include <utility>
+
+// The way of a target's answer to the caller; the request's own way is in
+// apricothook_forwarded_request.cpp.
+
+namespace Apricothook {
+
+namespace {
+
+/** Body of a plain answer that is kept whole, so that a broken one can be replaced. */
+constexpr std::size_t MostKeptBody = 1 << 20;
+/** Bytes that a slow caller may be behind before its target is no longer read. */
+constexpr std::size_t MostUnsentBytes = 1 << 18;
+/** Shortest silence within a stream after which another target goes on. */
+constexpr std::chrono::milliseconds ShortestStall {1000};
+/** The same in pauses that are still on time. */
+constexpr int StallFactor = 4;
+
+TargetOutcome outcomeOf(ChannelFailure failure)
+{
+    return failure == ChannelFailure::Malformed ? TargetOutcome::Failed
+                                                : TargetOutcome::Unreachable;
+}
+
+} // namespace
+
+bool ForwardedRequest::isStreaming() const
+{
+    return m_admitted.route->isStream && m_attempt && m_attempt->head.status == HttpStatus::Ok;
+}
+
+void ForwardedRequest::onAnswerHead(const ResponseHead &head, const TargetVerdict &verdict)
+{
+    m_attempt->hasHead = true;
+    m_attempt->head = head;
+    if (verdict.isOtherTarget || verdict.isNotRun) {
+        m_attempt->isNotRun = true;
+        return;
+    }
+    // An error's body and end would be taken for those of the stream that it should go on with.
+    if (m_progress != Progress::Nothing && head.status != HttpStatus::Ok) {
+        m_attempt->channel->cancel();
+        m_mayHaveRun = true;
+        attemptFailed(TargetOutcome::Failed, "not-resumed");
+        return;
+    }
+    const bool isSuccess = head.status >= HttpStatus::Ok && head.status < HttpStatus::FirstRedirect;
+    if (isSuccess && (!verdict.isSigned || head.headers.find("Content-Encoding"))) {
+        m_attempt->channel->cancel();
+        m_mayHaveRun = true;
+        attemptFailed(TargetOutcome::Failed, "unsigned");
+    }
+}
+
+void ForwardedRequest::onAnswerBody(std::string_view bytes)
+{
+    if (m_attempt->isNotRun)
+        return;
+    if (isStreaming()) {
+        passEvents(bytes);
+        return;
+    }
+    m_attempt->body.append(bytes);
+    if (m_attempt->body.size() > MostKeptBody)
+        passLargeBody();
+}
+
+void ForwardedRequest::passLargeBody()
+{
+    if (m_progress == Progress::Nothing)
+        passOwnHead({BodyFraming::Kind::Chunked, 0});
+    m_responder.sendBody(std::exchange(m_attempt->body, {}));
+    if (m_responder.unsentBytes() > MostUnsentBytes)
+        m_attempt->channel->setReading(false);
+}
+
+void ForwardedRequest::passOwnHead(BodyFraming framing)
+{
+    m_progress = Progress::Head;
+    m_status = m_attempt->head.status;
+    m_firstAnswer = m_context.loop.now();
+    m_responder.sendHead(m_context.dialect.callerAnswer(m_attempt->head), framing);
+}
+
+void ForwardedRequest::passEvents(std::string_view bytes)
+{
+    const WholeEvents events = m_scanner.take(bytes);
+    if (events.count == 0)
+        return;
+    const Instant now = m_context.loop.now();
+    if (!std::exchange(m_attempt->hasFirstEvent, true)) {
+        m_context.targets.firstEvent(m_attempt->target.start(), m_admitted.size,
+                                     now - m_attempt->started);
+    } else if (BelievedTarget *target = m_context.targets.find(m_attempt->target.start())) {
+        target->speed.addGap((now - m_attempt->lastEvent) / static_cast<int>(events.count));
+    }
+    m_attempt->lastEvent = now;
+    if (m_progress == Progress::Nothing)
+        passOwnHead({BodyFraming::Kind::Chunked, 0});
+    m_responder.sendBody(events.bytes);
+    m_lastEvent = events.lastId ? events.lastId : m_lastEvent;
+    if (m_responder.unsentBytes() > MostUnsentBytes)
+        m_attempt->channel->setReading(false);
+    if (m_admitted.route->mayRunAgain())
+        watchSilence(
+            std::max<Duration>(ShortestStall, StallFactor * m_admitted.route->gapObjective));
+}
+
+void ForwardedRequest::onAnswerComplete()
+{
+    if (m_attempt->isNotRun)
+        attemptFailed(TargetOutcome::Full, "not-run");
+    else if (isStreaming())
+        completeStream();
+    else
+        completePlain();
+}
+
+void ForwardedRequest::completeStream()
+{
+    if (!m_scanner.rest().empty()) {
+        m_mayHaveRun = true;
+        attemptFailed(TargetOutcome::Failed, "cut-event");
+        return;
+    }
+    if (m_progress == Progress::Nothing)
+        passOwnHead({BodyFraming::Kind::Chunked, 0});
+    endAttempt(TargetOutcome::Served);
+    finish(RequestEnd::Answered);
+}
+
+void ForwardedRequest::completePlain()
+{
+    const bool isFailure = m_attempt->head.status >= HttpStatus::FirstServerError;
+    if (isFailure && m_progress == Progress::Nothing) {
+        m_mayHaveRun = true;
+        m_failedAnswer = m_attempt;
+        attemptFailed(TargetOutcome::Failed, "error-status");
+        return;
+    }
+    if (m_progress == Progress::Nothing)
+        passOwnHead({BodyFraming::Kind::Sized, m_attempt->body.size()});
+    m_responder.sendBody(m_attempt->body);
+    endAttempt(TargetOutcome::Served);
+    finish(RequestEnd::Answered);
+}
+
+void ForwardedRequest::onAnswerFailed(ChannelFailure failure)
+{
+    if (m_attempt->isNotRun) {
+        attemptFailed(TargetOutcome::Full, "not-run");
+        return;
+    }
+    m_mayHaveRun |= failure != ChannelFailure::NotConnected;
+    attemptFailed(outcomeOf(failure), AttemptFailure::causeOf(failure));
+}
+
+} // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -3,6 +3,7 @@
 #include <apricothook/http1/apricothook_http_status.hpp>
 
 #include <apricothook/gateway/apricothook_gateway_event.hpp>
+#include <apricothook/gateway/internal/apricothook_attempt_failure.hpp>
 #include <apricothook/gateway/internal/apricothook_request_rank.hpp>
 #include <apricothook/gateway/internal/apricothook_request_record.hpp>
 
@@ -15,44 +16,17 @@
 
 /** Sends of one request to any target, with those that a target refused. */
 constexpr unsigned MostSends = 4;
-/** Body of a plain answer that is kept whole, so that a broken one can be replaced. */
-constexpr std::size_t MostKeptBody = 1 << 20;
-/** Bytes that a slow caller may be behind before its target is no longer read. */
-constexpr std::size_t MostUnsentBytes = 1 << 18;
 /** A target stops at the deadline itself; its own answer is on its way then. */
 constexpr std::chrono::milliseconds AnswerOnItsWay {60};
 /** Least time left that makes another try worth it. */
 constexpr std::chrono::milliseconds LeastTimeToTry {100};
 /** Times the expected first event after which a target counts as silent. */
 constexpr int SilenceFactor = 3;
-/** Shortest silence within a stream after which another target goes on. */
-constexpr std::chrono::milliseconds ShortestStall {1000};
-/** The same in pauses that are still on time. */
-constexpr int StallFactor = 4;
 /** Shortest time after which a customer over its limit is asked to come back. */
 constexpr std::chrono::milliseconds LimitPause {100};
 /** After each target refused: they were full a moment ago. */
 constexpr std::chrono::milliseconds UsualRetryAfter {500};
 
-TargetOutcome outcomeOf(ChannelFailure failure)
-{
-    return failure == ChannelFailure::Malformed ? TargetOutcome::Failed
-                                                : TargetOutcome::Unreachable;
-}
-
-std::string_view causeOf(ChannelFailure failure)
-{
-    switch (failure) {
-    case ChannelFailure::NotConnected:
-        return "not-connected";
-    case ChannelFailure::Broken:
-        return "broken";
-    case ChannelFailure::Malformed:
-        break;
-    }
-    return "malformed";
-}
-
 } // namespace
 
 ForwardedRequest::ForwardedRequest(GatewayContext &context, ExchangeId id, ReceivedRequest request,
@@ -251,137 +225,6 @@
     });
 }
 
-bool ForwardedRequest::isStreaming() const
-{
-    return m_admitted.route->isStream && m_attempt && m_attempt->head.status == HttpStatus::Ok;
-}
-
-void ForwardedRequest::onAnswerHead(const ResponseHead &head, const TargetVerdict &verdict)
-{
-    m_attempt->hasHead = true;
-    m_attempt->head = head;
-    if (verdict.isOtherTarget || verdict.isNotRun) {
-        m_attempt->isNotRun = true;
-        return;
-    }
-    // An error's body and end would be taken for those of the stream that it should go on with.
-    if (m_progress != Progress::Nothing && head.status != HttpStatus::Ok) {
-        m_attempt->channel->cancel();
-        m_mayHaveRun = true;
-        attemptFailed(TargetOutcome::Failed, "not-resumed");
-        return;
-    }
-    const bool isSuccess = head.status >= HttpStatus::Ok && head.status < HttpStatus::FirstRedirect;
-    if (isSuccess && (!verdict.isSigned || head.headers.find("Content-Encoding"))) {
-        m_attempt->channel->cancel();
-        m_mayHaveRun = true;
-        attemptFailed(TargetOutcome::Failed, "unsigned");
-    }
-}
-
-void ForwardedRequest::onAnswerBody(std::string_view bytes)
-{
-    if (m_attempt->isNotRun)
-        return;
-    if (isStreaming()) {
-        passEvents(bytes);
-        return;
-    }
-    m_attempt->body.append(bytes);
-    if (m_attempt->body.size() > MostKeptBody)
-        passLargeBody();
-}
-
-void ForwardedRequest::passLargeBody()
-{
-    if (m_progress == Progress::Nothing)
-        passOwnHead({BodyFraming::Kind::Chunked, 0});
-    m_responder.sendBody(std::exchange(m_attempt->body, {}));
-    if (m_responder.unsentBytes() > MostUnsentBytes)
-        m_attempt->channel->setReading(false);
-}
-
-void ForwardedRequest::passOwnHead(BodyFraming framing)
-{
-    m_progress = Progress::Head;
-    m_status = m_attempt->head.status;
-    m_firstAnswer = m_context.loop.now();
-    m_responder.sendHead(m_context.dialect.callerAnswer(m_attempt->head), framing);
-}
-
-void ForwardedRequest::passEvents(std::string_view bytes)
-{
-    const WholeEvents events = m_scanner.take(bytes);
-    if (events.count == 0)
-        return;
-    const Instant now = m_context.loop.now();
-    if (!std::exchange(m_attempt->hasFirstEvent, true)) {
-        m_context.targets.firstEvent(m_attempt->target.start(), m_admitted.size,
-                                     now - m_attempt->started);
-    } else if (BelievedTarget *target = m_context.targets.find(m_attempt->target.start())) {
-        target->speed.addGap((now - m_attempt->lastEvent) / static_cast<int>(events.count));
-    }
-    m_attempt->lastEvent = now;
-    if (m_progress == Progress::Nothing)
-        passOwnHead({BodyFraming::Kind::Chunked, 0});
-    m_responder.sendBody(events.bytes);
-    m_lastEvent = events.lastId ? events.lastId : m_lastEvent;
-    if (m_responder.unsentBytes() > MostUnsentBytes)
-        m_attempt->channel->setReading(false);
-    if (m_admitted.route->mayRunAgain())
-        watchSilence(
-            std::max<Duration>(ShortestStall, StallFactor * m_admitted.route->gapObjective));
-}
-
-void ForwardedRequest::onAnswerComplete()
-{
-    if (m_attempt->isNotRun)
-        attemptFailed(TargetOutcome::Full, "not-run");
-    else if (isStreaming())
-        completeStream();
-    else
-        completePlain();
-}
-
-void ForwardedRequest::completeStream()
-{
-    if (!m_scanner.rest().empty()) {
-        m_mayHaveRun = true;
-        attemptFailed(TargetOutcome::Failed, "cut-event");
-        return;
-    }
-    if (m_progress == Progress::Nothing)
-        passOwnHead({BodyFraming::Kind::Chunked, 0});
-    endAttempt(TargetOutcome::Served);
-    finish(RequestEnd::Answered);
-}
-
-void ForwardedRequest::completePlain()
-{
-    const bool isFailure = m_attempt->head.status >= HttpStatus::FirstServerError;
-    if (isFailure && m_progress == Progress::Nothing) {
-        m_mayHaveRun = true;
-        m_failedAnswer = m_attempt;
-        attemptFailed(TargetOutcome::Failed, "error-status");
-        return;
-    }
-    if (m_progress == Progress::Nothing)
-        passOwnHead({BodyFraming::Kind::Sized, m_attempt->body.size()});
-    m_responder.sendBody(m_attempt->body);
-    endAttempt(TargetOutcome::Served);
-    finish(RequestEnd::Answered);
-}
-
-void ForwardedRequest::onAnswerFailed(ChannelFailure failure)
-{
-    if (m_attempt->isNotRun) {
-        attemptFailed(TargetOutcome::Full, "not-run");
-        return;
-    }
-    m_mayHaveRun |= failure != ChannelFailure::NotConnected;
-    attemptFailed(outcomeOf(failure), causeOf(failure));
-}
-
 void ForwardedRequest::attemptFailed(TargetOutcome outcome, std::string_view cause)
 {
     const Instant now = m_context.loop.now();
@@ -395,7 +238,7 @@
                             .with("took_ms", now - m_attempt->started)
                             .with("left_ms", m_admitted.deadline - now));
     // What never connected didn't arrive: it counts neither as a run nor as a repeated send.
-    const bool arrived = cause != causeOf(ChannelFailure::NotConnected);
+    const bool arrived = cause != AttemptFailure::NotConnected;
     m_runs += arrived && outcome != TargetOutcome::Full ? 1 : 0;
     endAttempt(outcome);
     if (arrived ? mayTryAgain() : m_sends < MostSends)
--- /dev/null
+++ b/packages/gateway/tests/apricothook_gateway_limit_tests.cpp
@@ -0,0 +1,129 @@
+#include <apricothook_gateway_bench.hpp>
+
+#include <doctest/doctest.h>
+
+#include <variant>
+
+using namespace Apricothook;
+
+namespace {
+
+/** Keeps what this daemon asks others for its customers. */
+class HeldMessages : public LimitMessenger
+{
+public:
+    void send(const Endpoint &to, const LimitMessage &message) override
+    {
+        if (const auto *ask = std::get_if<UnitsAsk>(&message))
+            asks.emplace_back(to, *ask);
+    }
+
+    std::vector<std::pair<Endpoint, UnitsAsk>> asks;
+};
+
+/** A gateway whose customer's units another daemon grants. */
+struct LimitBench : GatewayBench
+{
+    LimitBench()
+    {
+        ServingConfiguration limited = configuration();
+        limited.generation = Generation(2);
+        CustomerRule carrier;
+        carrier.name = CustomerId("carrier");
+        carrier.keys = {"secret"};
+        carrier.ratePerSecond = 100;
+        carrier.burst = 100;
+        limited.customers = {carrier};
+        gateway.setLimitMessenger(messages);
+        gateway.setConfiguration(std::make_shared<const RouteTable>(limited));
+        gateway.limits().setFleet({.members = {{Grantor, 100, false}},
+                                   .known = 2,
+                                   .isComplete = true,
+                                   .startedTogether = std::nullopt},
+                                  clock.now());
+    }
+    HeldConnection &send(const std::string &id)
+    {
+        HeldConnection &caller = connect();
+        caller.socket.send("GET /once/x HTTP/1.1\r\nHost: host\r\nKey: secret\r\nId: " + id
+                           + "\r\n\r\n");
+        return caller;
+    }
+    /** Waits for the question, and answers it. */
+    bool answer(UnitsOutcome outcome)
+    {
+        if (!until([&] { return !messages.asks.empty(); }))
+            return false;
+        UnitsAnswer told;
+        told.member = Grantor.member;
+        told.ask = messages.asks.front().second.ask;
+        told.outcome = outcome;
+        told.units = outcome == UnitsOutcome::Granted ? 1 : 0;
+        told.waitMs = 700;
+        gateway.limits().take(told, clock.now());
+        return true;
+    }
+
+    const LimitPeer Grantor {7, {"10.0.0.7", 1}};
+    HeldMessages messages;
+};
+
+} // namespace
+
+TEST_CASE("a request runs when its customer's grantor gives it units, not before")
+{
+    LimitBench bench;
+    bench.send("a");
+    REQUIRE(bench.until([&] { return !bench.messages.asks.empty(); }));
+    CHECK(bench.messages.asks.front().first == bench.Grantor.address);
+    CHECK(bench.messages.asks.front().second.units == 1);
+    CHECK(bench.target(0).requests() == 0);
+    REQUIRE(bench.answer(UnitsOutcome::Granted));
+    CHECK(bench.targetWith());
+}
+
+TEST_CASE("a caller whose customer is over its limit hears when the fleet will have units")
+{
+    LimitBench bench;
+    HeldConnection &caller = bench.send("a");
+    REQUIRE(bench.answer(UnitsOutcome::Refused));
+    REQUIRE(bench.until([&] { return caller.has("HTTP/1.1 429 "); }));
+    CHECK(caller.has("Retry-After: 700000\r\n"));
+    CHECK(bench.target(0).requests() == 0);
+}
+
+TEST_CASE("a caller isn't told that its customer is over its limit when nobody knows")
+{
+    // The caller hears 503, not run, and comes back. The grantor is dead; without an overshoot the
+    // daemon has no credit for such a time, and a request without units must not run.
+    LimitBench bench;
+    for (int id = 0; id < 40; ++id)
+        bench.send("a" + std::to_string(id));
+    HeldConnection &last = bench.send("last");
+    bench.settle();
+    for (int round = 0; round < 8; ++round) {
+        bench.clock.advance(FleetLimits::AnswerTime);
+        bench.settle();
+    }
+    REQUIRE(bench.until([&] { return last.has("HTTP/1.1 "); }));
+    CHECK(last.has("HTTP/1.1 503 "));
+    CHECK(last.has("Retry-After: "));
+    CHECK(bench.target(0).requests() == 0);
+}
+
+TEST_CASE("a caller that leaves while its request waits for units leaves nothing behind")
+{
+    // Its units come later and nothing runs; the next request is served as ever.
+    LimitBench bench;
+    HeldConnection &caller = bench.send("a");
+    REQUIRE(bench.until([&] { return !bench.messages.asks.empty(); }));
+    caller.socket.abort();
+    REQUIRE(bench.until([&] { return bench.gateway.openRequests() == 0; }));
+    REQUIRE(bench.answer(UnitsOutcome::Granted));
+    bench.settle();
+    CHECK(bench.target(0).requests() == 0);
+    bench.messages.asks.clear();
+    bench.send("b");
+    REQUIRE(bench.answer(UnitsOutcome::Granted));
+    CHECK(bench.targetWith());
+}
