--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
@@ -33,14 +33,18 @@
 {
 public:
     /**
-     * A fleet of no more daemons is one cell. Larger ones make cells of six to twelve: enough to
-     * share some hundred slots, and few enough for some reports a second to each other.
+     * A fleet of no more daemons is one cell. Larger ones make cells of eight to sixteen: few
+     * enough for some reports a second to each other, and enough to share some targets of unlike
+     * speed. With twelve, 195 daemons were cells of six with three targets each, and one waited
+     * where another had idle slots: with sixteen the part of the payoff that is served rose from
+     * 0.590 to 0.614 at high load and from 0.937 to 0.944 on a quiet day, for 0.1 GB more between
+     * data centres in 48 s.
      */
-    static constexpr std::size_t LargestCell = 12;
+    static constexpr std::size_t LargestCell = 16;
     /**
      * Part of LargestCell that the cells of half the number would have to stay below. What is known
-     * varies by a few members at any time: a fleet of 195 daemons, three above sixteen cells of
-     * twelve, changed to and fro, and daemons with sixteen cells missed up to a third of the others
+     * varies by a few members at any time: a fleet of 195 daemons, three above what sixteen cells
+     * held, changed to and fro, and daemons with sixteen cells missed up to a third of the others
      * for a second, as they waited for half as long for summaries that come half as often.
      */
     static constexpr double JoiningPart = 0.8;
