--- a/packages/dispatch/apricothook/dispatch/apricothook_fleet_limits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_limits.cpp
@@ -38,30 +38,30 @@
 }
 
 FleetLimits::FleetLimits(const FleetBounds &bounds, LimitPeer self, LimitMessenger &messenger,
-                         LimitListener &listener, OfficeListener &officeListener,
+                         LimitListener &listener, GrantorListener &grantorListener,
                          RandomSource &random)
     : m_bounds(bounds)
     , m_self(self)
     , m_messenger(messenger)
     , m_listener(listener)
     , m_random(random)
-    , m_office(std::move(self), messenger, officeListener, random)
+    , m_grantor(std::move(self), messenger, grantorListener, random)
     , m_lastAsk(random.next())
 {
 }
 
 void FleetLimits::setCustomers(const std::vector<CustomerRule> &customers, Instant now)
 {
-    m_office.setCustomers(customers, m_bounds, now);
-    m_office.review(m_isComplete, now);
+    m_grantor.setCustomers(customers, m_bounds, now);
+    m_grantor.review(m_isComplete, now);
 }
 
 void FleetLimits::setFleet(const KnownFleet &fleet, Instant now)
 {
     m_known = fleet.known;
     m_isComplete = fleet.isComplete;
-    m_office.setMembers(fleet.members, fleet.startedTogether);
-    m_office.review(m_isComplete, now);
+    m_grantor.setMembers(fleet.members, fleet.startedTogether);
+    m_grantor.review(m_isComplete, now);
 }
 
 std::optional<LimitVerdict> FleetLimits::take(ExchangeId exchange, const CustomerRule &customer,
@@ -82,7 +82,7 @@
         askAhead(waiting.customer, account, waiting.budget, now);
         return verdict(waiting, LimitSource::Stock, true, now);
     }
-    if (m_office.isGrantor(waiting.customer))
+    if (m_grantor.isGrantor(waiting.customer))
         return decideHere(waiting, now);
     // A daemon that has just started knows nobody to ask, and can't tell how long it will last.
     if (!m_isComplete && !chooseGrantor(waiting, now)) {
@@ -99,7 +99,7 @@
 {
     waiting.asked = m_self;
     const UnitsAnswer answer
-        = m_office.answer(question(0, waiting.customer, waiting.claim, 0), now);
+        = m_grantor.answer(question(0, waiting.customer, waiting.claim, 0), now);
     return grantorVerdict(waiting, answer, answer.outcome == UnitsOutcome::Granted, now);
 }
 
@@ -137,7 +137,7 @@
         return account->second.grantor;
     if (waiting.named && mayBeAsked(*waiting.named))
         return waiting.named;
-    std::vector<LimitPeer> ranks = m_office.order().ranks(waiting.customer);
+    std::vector<LimitPeer> ranks = m_grantor.order().ranks(waiting.customer);
     // Those after them don't take the customer over.
     ranks.resize(std::min(ranks.size(), GrantorOrder::MostAskedToHandOver));
     const auto next = std::ranges::find_if(ranks, mayBeAsked);
@@ -178,7 +178,7 @@
     // Where the next request isn't expected within a grant's life, its units would be void.
     const double wanted = expected >= waiting.claim.units ? expected : 0;
     UnitsAsk question = this->question(++m_lastAsk, waiting.customer, waiting.claim, wanted);
-    const LimitPeer *first = m_office.order().first(waiting.customer);
+    const LimitPeer *first = m_grantor.order().first(waiting.customer);
     question.firstIsSilent = first && isSilent(first->member, now);
     waiting.ask = question.ask;
     waiting.asked = *peer;
@@ -230,7 +230,7 @@
 
 void FleetLimits::take(const UnitsAsk &ask, Instant now)
 {
-    m_messenger.send(ask.sender.address, m_office.answer(ask, now));
+    m_messenger.send(ask.sender.address, m_grantor.answer(ask, now));
 }
 
 void FleetLimits::take(const UnitsAnswer &answer, Instant now)
@@ -286,7 +286,7 @@
 
 std::optional<LimitVerdict> FleetLimits::withoutAnswer(Waiting &waiting, Instant now)
 {
-    if (m_office.isGrantor(waiting.customer))
+    if (m_grantor.isGrantor(waiting.customer))
         return decideHere(waiting, now);
     Account &account = m_accounts[waiting.customer];
     // Another request's answer may have brought units meanwhile.
@@ -319,7 +319,7 @@
 
 void FleetLimits::review(Instant now)
 {
-    m_office.review(m_isComplete, now);
+    m_grantor.review(m_isComplete, now);
     reviewWaiting(now);
 }
 
@@ -349,7 +349,7 @@
 
 std::optional<Instant> FleetLimits::nextReview() const
 {
-    std::optional<Instant> next = m_office.nextReview();
+    std::optional<Instant> next = m_grantor.nextReview();
     for (const Waiting &waiting : m_waiting)
         next = std::min(next.value_or(Instant::max()), waiting.due);
     return next;
--- a/packages/dispatch/apricothook/dispatch/apricothook_fleet_limits.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_limits.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_grantor_office.hpp>
+#include <apricothook/dispatch/apricothook_grantor_role.hpp>
 #include <apricothook/dispatch/apricothook_unit_stock.hpp>
 #include <apricothook/model/apricothook_identifiers.hpp>
 
@@ -95,12 +95,12 @@
     static constexpr double AheadPart = 0.5;
 
     FleetLimits(const FleetBounds &bounds, LimitPeer self, LimitMessenger &messenger,
-                LimitListener &listener, OfficeListener &officeListener, RandomSource &random);
+                LimitListener &listener, GrantorListener &grantorListener, RandomSource &random);
 
     void setCustomers(const std::vector<CustomerRule> &customers, Instant now);
     void setFleet(const KnownFleet &fleet, Instant now);
     /** Part of the fleet that this daemon reaches, 0 to 1. */
-    void setPart(double part, Instant now) { m_office.setPart(part, now); }
+    void setPart(double part, Instant now) { m_grantor.setPart(part, now); }
 
     /**
      * Takes the request's units if there are any at hand or the customer is over its limit; nothing
@@ -118,12 +118,12 @@
 
     void take(const UnitsAsk &ask, Instant now);
     void take(const UnitsAnswer &answer, Instant now);
-    void take(const GrantorClaim &claim, Instant now) { m_office.take(claim, now); }
-    void take(const GrantorHandover &handover, Instant now) { m_office.take(handover, now); }
-    void take(const GrantorDenial &denial, Instant now) { m_office.take(denial, now); }
+    void take(const GrantorClaim &claim, Instant now) { m_grantor.take(claim, now); }
+    void take(const GrantorHandover &handover, Instant now) { m_grantor.take(handover, now); }
+    void take(const GrantorDenial &denial, Instant now) { m_grantor.take(denial, now); }
 
     /** This daemon may grant units; setPart() is to be told. */
-    bool isCandidate() const { return m_office.isCandidate(); }
+    bool isCandidate() const { return m_grantor.isCandidate(); }
 
 private:
     struct Waiting
@@ -198,7 +198,7 @@
     LimitMessenger &m_messenger;
     LimitListener &m_listener;
     RandomSource &m_random;
-    GrantorOffice m_office;
+    GrantorRole m_grantor;
     std::map<std::uint64_t, Account> m_accounts;
     std::vector<Waiting> m_waiting;
     /** By the number of the question. */
--- a/packages/dispatch/apricothook/dispatch/apricothook_grantor_office.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_grantor_role.hpp
@@ -13,20 +13,20 @@
 namespace Apricothook {
 
 /** How a daemon came to grant a customer's units, or ceased to. */
-enum class OfficeChange {
+enum class GrantorChange {
     TakenOver,  ///< Another daemon handed over what it had left.
     TakenEmpty, ///< Nobody answered; the bucket starts empty.
     HandedOver, ///< Another daemon claimed it.
 };
 
-std::string_view nameOf(OfficeChange change);
+std::string_view nameOf(GrantorChange change);
 
 /** Is told when this daemon becomes a customer's grantor or ceases to be it. */
-class OfficeListener
+class GrantorListener
 {
 public:
-    virtual ~OfficeListener() = default;
-    virtual void onOfficeChanged(std::uint64_t customer, OfficeChange change, double level) = 0;
+    virtual ~GrantorListener() = default;
+    virtual void onGrantorChanged(std::uint64_t customer, GrantorChange change, double level) = 0;
 };
 
 /**
@@ -41,15 +41,17 @@
  * silent does the same. Of two that want a customer, the one that goes after the other yields, and
  * hands over what it has.
  */
-class GrantorOffice
+class GrantorRole
 {
 public:
-    /** Callers wait for it. Three claims fit in, so that a lost datagram doesn't empty the bucket.
+    /**
+     * A new grantor waits so long for the former one to hand over, and callers wait with it. Three
+     * claims fit in, so that a lost datagram doesn't empty the bucket.
      */
     static constexpr std::chrono::milliseconds ClaimTime {240};
     static constexpr std::chrono::milliseconds ClaimPause {80};
-    /** Who handed over as it reached a part of the fleet only waits so long, or till it reaches
-     * all. */
+    /** Who handed over as it reached a part of the fleet only claims no sooner than this, or when
+     * it reaches all. */
     static constexpr std::chrono::seconds RestTime {5};
     /**
      * Time after a start of all daemons in which nobody was a grantor yet. They take most of it to
@@ -59,8 +61,8 @@
     /** Without a review for so long this daemon has stood still, and may have been replaced. */
     static constexpr std::chrono::milliseconds StandstillTime {500};
 
-    GrantorOffice(LimitPeer self, LimitMessenger &messenger, OfficeListener &listener,
-                  RandomSource &random);
+    GrantorRole(LimitPeer self, LimitMessenger &messenger, GrantorListener &listener,
+                RandomSource &random);
 
     /** Customers without a limit, and those that are gone, have no grantor. */
     void setCustomers(const std::vector<CustomerRule> &customers, const FleetBounds &bounds,
@@ -91,7 +93,7 @@
 private:
     enum class State { Elsewhere, Claiming, Here };
 
-    struct Office
+    struct Role
     {
         State state = State::Elsewhere;
         CustomerBudget budget;
@@ -115,34 +117,33 @@
 
     bool reachesFleet() const { return m_part >= 1; }
     bool isFirst(std::uint64_t customer) const;
-    bool mayClaim(std::uint64_t customer, const Office &office, Instant now) const;
+    bool mayClaim(std::uint64_t customer, const Role &role, Instant now) const;
     /** Claims of such daemons reach each other, so that all but one of them yield. */
     bool isAmongFirst(std::uint64_t customer) const;
-    void review(std::uint64_t customer, Office &office, Instant now);
+    void review(std::uint64_t customer, Role &role, Instant now);
     /** All daemons have started a moment ago; nobody granted before. */
     bool isAllNew(Instant now) const;
     /** Since when nobody but a former grantor that lives unheard can have granted. */
-    Instant vacantSince(const Office &office, Instant now) const;
+    Instant vacantSince(const Role &role, Instant now) const;
     /** Another daemon may have taken all customers while this one stood still. */
     void noteStandstill(Instant now);
-    void startClaim(std::uint64_t customer, Office &office, Instant now);
+    void startClaim(std::uint64_t customer, Role &role, Instant now);
     void deny(const GrantorClaim &claim);
-    void sendClaim(std::uint64_t customer, Office &office, Instant now);
-    void enter(std::uint64_t customer, Office &office, double level, OfficeChange change,
-               Instant now);
-    void handOver(const GrantorClaim &claim, Office &office, Instant now);
+    void sendClaim(std::uint64_t customer, Role &role, Instant now);
+    void enter(std::uint64_t customer, Role &role, double level, GrantorChange change, Instant now);
+    void handOver(const GrantorClaim &claim, Role &role, Instant now);
     /** Lets the sender, which goes before this daemon, have the customer. */
-    void yield(const GrantorClaim &claim, Office &office, Instant now);
+    void yield(const GrantorClaim &claim, Role &role, Instant now);
     /** Wants the customer of the sender, which goes after this daemon and may be its grantor. */
-    void claimFrom(const GrantorClaim &claim, Office &office, Instant now);
+    void claimFrom(const GrantorClaim &claim, Role &role, Instant now);
     bool isNew(std::uint64_t handover);
 
     const LimitPeer m_self;
     LimitMessenger &m_messenger;
-    OfficeListener &m_listener;
+    GrantorListener &m_listener;
     RandomSource &m_random;
     GrantorOrder m_order;
-    std::map<std::uint64_t, Office> m_offices;
+    std::map<std::uint64_t, Role> m_roles;
     bool m_knowsFleet = false;
     std::optional<Instant> m_startedTogether;
     Instant m_reviewed {};
--- a/packages/dispatch/tests/apricothook_emulated_limits.cpp
+++ b/packages/dispatch/tests/apricothook_emulated_limits.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-struct EmulatedLimits::Node : private LimitMessenger, private LimitListener, private OfficeListener
+struct EmulatedLimits::Node : private LimitMessenger, private LimitListener, private GrantorListener
 {
     Node(EmulatedLimits &fleet, std::size_t index, Duration firstTick)
         : fleet(fleet)
@@ -52,9 +52,9 @@
     {
         fleet.decided(exchange.value(), verdict);
     }
-    void onOfficeChanged(std::uint64_t customer, OfficeChange change, double) override
+    void onGrantorChanged(std::uint64_t customer, GrantorChange change, double) override
     {
-        if (change == OfficeChange::TakenOver || change == OfficeChange::TakenEmpty)
+        if (change == GrantorChange::TakenOver || change == GrantorChange::TakenEmpty)
             grants.insert(customer);
         else
             grants.erase(customer);
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -176,7 +176,7 @@
         found->second->limitDecided(verdict);
 }
 
-void Gateway::onOfficeChanged(std::uint64_t customer, OfficeChange change, double level)
+void Gateway::onGrantorChanged(std::uint64_t customer, GrantorChange change, double level)
 {
     CustomerId name;
     if (m_context.routes) {
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -14,7 +14,7 @@
 class Gateway : private CallerRequestHandler,
                 private DispatchListener,
                 private LimitListener,
-                private OfficeListener,
+                private GrantorListener,
                 private LimitMessenger
 {
 public:
@@ -69,7 +69,7 @@
     void onRefused(ExchangeId exchange, const RefusalFacts &facts) override;
 
     void onLimitDecided(ExchangeId exchange, const LimitVerdict &verdict) override;
-    void onOfficeChanged(std::uint64_t customer, OfficeChange change, double level) override;
+    void onGrantorChanged(std::uint64_t customer, GrantorChange change, double level) override;
     void send(const Endpoint &to, const LimitMessage &message) override;
 
     void accept(int descriptor);
