Send nothing to evacuated data centres, and bound what cold targets get

Cause: op/evacuate/ZONE was decoded as some other item, and the time for which a target stays cold was read and thrown away.

Evacuations come as items, in the order of their revisions, and take their targets out of the cells' slots at once. At the end all of the data centre's targets count as cold. One daemon sends to a cold target, by rendezvous over all members heard of within a minute; each uses half of the bound, as two views may differ. A daemon that neither hears the fleet nor what is published, or has just started, takes all targets for cold and sends one request a second to those for which it is among the first eleven.

Ruled out: an entry with a later revision than the evacuation's end as a proof of warmth (a write may take effect late); members that fall silent losing their targets (two halves of a cut would both send).

--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace Apricothook {
 
@@ -24,7 +25,9 @@
 void Dispatcher::offer(WaitingWork work, Instant now)
 {
     const WaitingWork newest = work;
-    if (!newest.excluded.empty() && !m_targets.hasOther(newest.service, newest.excluded)) {
+    const bool hadAll
+        = !newest.excluded.empty() && !m_targets.hasOther(newest.service, newest.excluded);
+    if (hadAll || m_targets.isEvacuated(newest.service)) {
         refuse(newest, now);
         return;
     }
@@ -51,7 +54,11 @@
 
 void Dispatcher::review(Instant now)
 {
+    m_targets.review(now);
     for (auto &[service, queue] : m_queues) {
+        // An evacuation lasts for longer than anything may wait.
+        if (m_targets.isEvacuated(service))
+            refuseAll(queue, now);
         placeAll(queue, now);
         refuseOverdue(queue, now);
         refuseOvertaken(queue, now);
@@ -94,11 +101,17 @@
                            now);
     if (!target)
         return false;
-    m_targets.started(target->entry.start(), work.size);
+    m_targets.started(target->entry.start(), work.size, now);
     m_listener.onPlaced(work.exchange, target->entry);
     return true;
 }
 
+void Dispatcher::refuseAll(Queue &queue, Instant now)
+{
+    for (const WaitingWork &work : std::exchange(queue, {}))
+        refuse(work, now);
+}
+
 void Dispatcher::refuseOverdue(Queue &queue, Instant now)
 {
     const auto overdue
@@ -140,7 +153,8 @@
         std::chrono::duration_cast<Duration>(left * LatestReturnPart), LongestRetryAfter);
     // Without a sound target it isn't load that stands in the way, and it may be gone at once.
     const bool isLoad = facts.room.slots > 0 && m_policies.lateReturn;
-    return isLoad ? latest
+    const bool isLong = isLoad || m_targets.isEvacuated(work.service);
+    return isLong ? latest
                   : std::min(std::max<Duration>(facts.expectedWait, ShortestRetryAfter), latest);
 }
 
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -124,6 +124,7 @@
     static void sortByUrgency(Queue &queue);
     bool place(const WaitingWork &work, Instant now);
     void placeAll(Queue &queue, Instant now);
+    void refuseAll(Queue &queue, Instant now);
     void refuseOverdue(Queue &queue, Instant now);
     /**
      * Refuses what more urgent requests have overtaken for longer than it may wait in all.
--- a/packages/dispatch/apricothook/dispatch/apricothook_grantor_order.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_grantor_order.cpp
@@ -1,5 +1,7 @@
 #include <apricothook/dispatch/apricothook_grantor_order.hpp>
 
+#include <apricothook/model/apricothook_hashing.hpp>
+
 #include <algorithm>
 #include <tuple>
 
@@ -7,13 +9,9 @@
 
 namespace {
 
-/** Both are hashes already; this mixes them (the finalizer of splitmix64). */
 std::uint64_t weight(std::uint64_t customer, const LimitPeer &peer)
 {
-    std::uint64_t mixed = customer ^ (peer.member * 0x9e3779b97f4a7c15ULL);
-    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebULL;
-    return mixed ^ (mixed >> 31);
+    return rendezvousWeight(customer, peer.member);
 }
 
 } // namespace
--- a/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
@@ -59,6 +59,10 @@
     std::uint32_t tokensPerEvent = 1;
     /** Connections that one target accepts from all daemons. */
     std::uint32_t maximumConnections = 0;
+    /** A target that has just started is cold for so long. */
+    Duration coldTime {};
+    /** Requests a second that a cold target bears; zero where it bears as many as a warm one. */
+    double coldPerSecond = 0;
 
     auto operator<=>(const ServiceRule &) const = default;
 };
@@ -132,6 +136,8 @@
     /** Requests that it works on at once. */
     std::uint32_t slots = 1;
     bool isDraining = false;
+    /** When it wrote this, it was still cold for so long. */
+    Duration coldFor {};
 
     TargetStart start() const { return {id, startedAt}; }
     auto operator<=>(const TargetEntry &) const = default;
@@ -151,6 +157,11 @@
     Duration customerWindow = std::chrono::seconds(8);
     double customerOvershoot = 0;
     double customerSlack = 0;
+    /** Requests that a cold target may get in any second: its rate times this, plus the slack. */
+    double coldOvershoot = 1;
+    double coldSlack = 0;
+    /** A target writes its entry once in it. */
+    Duration entryPause = std::chrono::milliseconds(1200);
     /** Within it, what is published is in force at every daemon. */
     Duration inForce = std::chrono::seconds(2);
     /** How long a stopping daemon may live on. */
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -53,7 +53,7 @@
     return hashOf(start.id.text(), start.startedAt);
 }
 
-void TargetTable::put(const TargetEntry &entry)
+void TargetTable::put(const TargetEntry &entry, Instant now)
 {
     BelievedTarget &target = m_targets[entry.id];
     const ServiceId before = target.entry.service;
@@ -62,6 +62,7 @@
         target = {};
     }
     target.entry = entry;
+    noteCold(target, now + entry.coldFor, now);
     m_numbers[targetNumber(entry.start())] = entry.id;
     target.requestsOfOthers = 0;
     for (const auto &[member, loads] : m_loadsOfMembers) {
@@ -91,10 +92,104 @@
     if (cells == m_cells)
         return;
     m_cells = cells;
+    divideAll();
+}
+
+void TargetTable::setServices(const std::vector<ServiceRule> &services, Instant now)
+{
+    m_cold.setServices(services);
+    for (auto &[id, target] : m_targets)
+        noteCold(target, target.coldUntil, now);
+    divideAll();
+}
+
+void TargetTable::setColdFleet(ColdFleet fleet)
+{
+    const bool doubtedAll = m_cold.doubtsAll();
+    if (!m_cold.setFleet(std::move(fleet)))
+        return;
+    if (doubtedAll || m_cold.doubtsAll())
+        divideAll();
+    else
+        divideCold();
+}
+
+void TargetTable::setEvacuated(const DataCentreId &dataCentre, bool isEvacuated, Instant now)
+{
+    const bool wasEvacuated = m_evacuated.contains(dataCentre);
+    if (wasEvacuated == isEvacuated)
+        return;
+    if (isEvacuated)
+        m_evacuated.insert(dataCentre);
+    else
+        m_evacuated.erase(dataCentre);
+    for (auto &[id, target] : m_targets) {
+        if (!isEvacuated && target.entry.dataCentre == dataCentre)
+            noteCold(target, now + m_cold.coldTime(target.entry.service), now);
+    }
+    divideAll();
+}
+
+std::size_t TargetTable::countOf(const DataCentreId &dataCentre) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_targets, [&](const auto &entry) { return entry.second.entry.dataCentre == dataCentre; }));
+}
+
+void TargetTable::noteCold(BelievedTarget &target, Instant until, Instant now) const
+{
+    // Never sooner than was heard before: entries may come into force out of order.
+    target.coldUntil = std::max(target.coldUntil, until);
+    target.isCold = target.coldUntil > now && m_cold.isBounded(target.entry.service);
+}
+
+void TargetTable::review(Instant now)
+{
+    if (!m_nextWarm || now < *m_nextWarm)
+        return;
+    std::set<ServiceId> warmed;
+    for (auto &[id, target] : m_targets) {
+        if (target.isCold && target.coldUntil <= now) {
+            target.isCold = false;
+            warmed.insert(target.entry.service);
+        }
+    }
+    m_nextWarm.reset();
+    for (const ServiceId &service : warmed)
+        divide(service);
+    divideCold();
+}
+
+bool TargetTable::takesWork(const BelievedTarget &target) const
+{
+    return !target.entry.isDraining && !m_evacuated.contains(target.entry.dataCentre);
+}
+
+std::uint32_t TargetTable::freeSlots(const BelievedTarget &target, Instant now) const
+{
+    const bool isBounded = target.mostInSecond != ColdGuard::Unlimited;
+    if (isBounded && target.sends.count(now) >= target.mostInSecond)
+        return 0;
+    return target.cellSlots - std::min(target.cellSlots, target.load());
+}
+
+void TargetTable::divideAll()
+{
     for (const auto &[service, targets] : m_services)
         divide(service);
 }
 
+void TargetTable::divideCold()
+{
+    std::set<ServiceId> services;
+    for (const auto &[id, target] : m_targets) {
+        if (target.isCold)
+            services.insert(target.entry.service);
+    }
+    for (const ServiceId &service : services)
+        divide(service);
+}
+
 void TargetTable::divide(const ServiceId &service)
 {
     ServiceTargets &targets = m_services[service];
@@ -106,17 +201,26 @@
             continue;
         targets.all.push_back(&target);
         target.cellSlots = 0;
-        // One that is draining has no part: the others' work must not count on it.
-        if (target.entry.isDraining)
+        // One that takes nothing has no part: the others' work must not count on it.
+        if (!takesWork(target))
             continue;
+        if (target.isCold)
+            m_nextWarm = std::min(m_nextWarm.value_or(target.coldUntil), target.coldUntil);
         taking.push_back(&target);
         // By the id alone: a target that starts again stays with its cell.
         slots.push_back({targetNumber({id}), target.entry.slots});
     }
     const std::vector<std::uint32_t> parts = slotsOfCell(slots, m_cells);
     for (std::size_t index = 0; index < taking.size(); ++index) {
-        taking[index]->cellSlots = parts[index];
-        if (parts[index] > 0)
+        BelievedTarget &target = *taking[index];
+        target.mostInSecond
+            = m_cold.mostInSecond(service, targetNumber(target.entry.start()), target.isCold);
+        // It stays in the line, so that the cells' other slots don't move for seconds.
+        const bool isOwn = target.mostInSecond > 0 && target.mostInSecond != ColdGuard::Unlimited;
+        target.cellSlots = isOwn ? target.entry.slots : parts[index];
+        if (target.mostInSecond == 0)
+            target.cellSlots = 0;
+        if (target.cellSlots > 0)
             targets.ofCell.push_back(taking[index]);
     }
 }
@@ -146,10 +250,13 @@
     return found && found->entry.start() == start ? found : nullptr;
 }
 
-void TargetTable::started(const TargetStart &target, const WorkSize &work)
+void TargetTable::started(const TargetStart &target, const WorkSize &work, Instant now)
 {
     if (BelievedTarget *found = find(target)) {
         ++found->ownRequests;
+        // Noted of warm ones too: what they got just before they turned cold counts.
+        if (m_cold.isBounded(found->entry.service))
+            found->sends.add(now);
         found->unreadTokens += work.promptTokens;
     }
 }
@@ -312,12 +419,16 @@
     bool fullOneWouldEnd = false;
     bool fullOneIsSound = false;
     for (const BelievedTarget *target : candidates) {
-        if (target->entry.isDraining || wish.excluded.contains(target->entry.start()))
+        if (!takesWork(*target) || wish.excluded.contains(target->entry.start()))
+            continue;
+        if (target->mostInSecond == 0)
             continue;
         const Forecast expected = forecast(*target, wish.size, usual);
         const Rank rank {target->avoidedUntil > now, expected.whole > untilEnd,
                          expected.first > untilFirst, cost(*target, expected)};
-        const bool hasRoom = ofOtherCells ? target->load() < SlotsAtOtherCells : target->hasRoom();
+        const bool isStranger = ofOtherCells && target->cellSlots == 0;
+        const bool hasRoom
+            = isStranger ? target->load() < SlotsAtOtherCells : freeSlots(*target, now) > 0;
         if (!hasRoom) {
             fullOneIsSound |= !rank.isAvoided;
             fullOneWouldEnd |= !rank.isAvoided && !rank.missesEnd;
@@ -338,19 +449,30 @@
 
 bool TargetTable::hasOther(const ServiceId &service, const std::set<TargetStart> &excluded) const
 {
-    return std::ranges::any_of(ofService(service).all, [&excluded](const BelievedTarget *target) {
-        return !target->entry.isDraining && !excluded.contains(target->entry.start());
+    return std::ranges::any_of(ofService(service).all, [&, this](const BelievedTarget *target) {
+        return takesWork(*target) && !excluded.contains(target->entry.start());
     });
 }
 
+bool TargetTable::isEvacuated(const ServiceId &service) const
+{
+    bool someEvacuated = false;
+    for (const BelievedTarget *target : ofService(service).all) {
+        if (takesWork(*target))
+            return false;
+        someEvacuated |= !target->entry.isDraining;
+    }
+    return someEvacuated;
+}
+
 bool TargetTable::hasRoom(const ServiceId &service, Instant now) const
 {
     const ServiceTargets &targets = ofService(service);
     const auto isSound = [now](const auto *target) { return target->avoidedUntil <= now; };
     const bool goesElsewhere = targets.ofCell.size() < targets.all.size()
         && std::ranges::none_of(targets.ofCell, isSound);
-    return goesElsewhere || std::ranges::any_of(targets.ofCell, [](const auto *target) {
-               return target->hasRoom();
+    return goesElsewhere || std::ranges::any_of(targets.ofCell, [this, now](const auto *target) {
+               return freeSlots(*target, now) > 0;
            });
 }
 
@@ -361,7 +483,11 @@
         if (target->avoidedUntil > now)
             continue;
         room.slots += target->cellSlots;
-        room.free += target->cellSlots - std::min(target->cellSlots, target->load());
+        room.free += freeSlots(*target, now);
+    }
+    for (const BelievedTarget *target : ofService(service).all) {
+        room.evacuated += m_evacuated.contains(target->entry.dataCentre) ? 1 : 0;
+        room.cold += target->isCold ? 1 : 0;
     }
     room.meanHold = usualSpeed(service).hold;
     return room;
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <apricothook/dispatch/apricothook_cold_guard.hpp>
 #include <apricothook/dispatch/apricothook_policy_switches.hpp>
+#include <apricothook/dispatch/apricothook_recent_sends.hpp>
 #include <apricothook/dispatch/apricothook_serving_configuration.hpp>
 #include <apricothook/dispatch/apricothook_slot_partition.hpp>
 #include <apricothook/dispatch/apricothook_target_speed.hpp>
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -61,12 +64,19 @@
     /** Chosen only where nothing else is left, until then. */
     Instant avoidedUntil {};
     std::uint32_t failuresInRow = 0;
+    /** Taken for cold until then, by what its entries tell and by the end of an evacuation. */
+    Instant coldUntil {};
+    /** It is cold and bears only a few requests. */
+    bool isCold = false;
+    /** Requests that this daemon may send it in any one second. */
+    std::uint32_t mostInSecond = ColdGuard::Unlimited;
+    /** Own requests to it, while its service bounds what cold targets get. */
+    RecentSends sends;
 
     /** Known requests: those of the own cell. */
     std::uint32_t load() const { return ownRequests + requestsOfOthers; }
     /** Part of the target that is taken, if other cells use their slots as much as the own one. */
     double usedPart() const { return load() / std::max<double>(cellSlots, 1); }
-    bool hasRoom() const { return load() < cellSlots; }
 };
 
 /** What a request needs of its target. */
@@ -89,6 +99,11 @@
     std::uint32_t free = 0;
     /** Milliseconds for which a request holds a slot. */
     double meanHold = 0;
+    /** Targets of the service, over all cells, that get nothing as their data centre is evacuated.
+     */
+    std::uint32_t evacuated = 0;
+    /** Targets of the service, over all cells, that are cold. */
+    std::uint32_t cold = 0;
 };
 
 /**
@@ -98,13 +113,14 @@
 class TargetTable
 {
 public:
-    explicit TargetTable(DataCentreId own, const PolicySwitches &policies = {})
-        : m_own(std::move(own)), m_policies(policies)
+    explicit TargetTable(DataCentreId own, const PolicySwitches &policies = {},
+                         ColdGuard cold = ColdGuard())
+        : m_own(std::move(own)), m_policies(policies), m_cold(std::move(cold))
     {
     }
 
     /** Nothing that is believed of a former start of the target holds for a new one. */
-    void put(const TargetEntry &entry);
+    void put(const TargetEntry &entry, Instant now);
     void remove(const TargetId &target);
     const BelievedTarget *find(const TargetId &target) const;
     BelievedTarget *find(const TargetId &target);
@@ -112,8 +128,19 @@
     BelievedTarget *find(const TargetStart &start);
     /** The cells that share the targets with this daemon's own. */
     void setCells(const CellWeights &cells);
-
-    void started(const TargetStart &target, const WorkSize &work);
+    void setServices(const std::vector<ServiceRule> &services, Instant now);
+    /** The daemons among which cold targets are divided. */
+    void setColdFleet(ColdFleet fleet);
+    /**
+     * Targets of an evacuated data centre take nothing new. At the end they are cold: they may have
+     * started again meanwhile, and an entry that says otherwise may be older.
+     */
+    void setEvacuated(const DataCentreId &dataCentre, bool isEvacuated, Instant now);
+    std::size_t countOf(const DataCentreId &dataCentre) const;
+    /** Lets targets that aren't cold any more take what they can. */
+    void review(Instant now);
+
+    void started(const TargetStart &target, const WorkSize &work, Instant now);
     void firstEvent(const TargetStart &target, const WorkSize &work, Duration took);
     /** `hadFirstEvent`: firstEvent() was called for this request. */
     void ended(const TargetStart &target, const WorkSize &work, TargetOutcome outcome,
@@ -125,6 +152,8 @@
     const BelievedTarget *choose(const TargetWish &wish, Instant now) const;
     /** Some target of the service takes requests and isn't among `excluded`. */
     bool hasOther(const ServiceId &service, const std::set<TargetStart> &excluded) const;
+    /** The service has targets, and all that could serve are in evacuated data centres. */
+    bool isEvacuated(const ServiceId &service) const;
     /** Some target may take a request now, even one that is avoided. */
     bool hasRoom(const ServiceId &service, Instant now) const;
     /** Sums over the targets that aren't avoided. */
@@ -152,6 +181,13 @@
     };
 
     void divide(const ServiceId &service);
+    void divideCold();
+    void divideAll();
+    /** Neither leaves nor is in an evacuated data centre. */
+    bool takesWork(const BelievedTarget &target) const;
+    /** Slots of the target that this daemon's cell may use now. */
+    std::uint32_t freeSlots(const BelievedTarget &target, Instant now) const;
+    void noteCold(BelievedTarget &target, Instant until, Instant now) const;
     const ServiceTargets &ofService(const ServiceId &service) const;
     UsualSpeed usualSpeed(const ServiceId &service) const;
     struct Forecast
@@ -177,6 +213,10 @@
 
     const DataCentreId m_own;
     const PolicySwitches m_policies;
+    ColdGuard m_cold;
+    std::set<DataCentreId> m_evacuated;
+    /** Some target is cold until then at least; nothing while none is. */
+    std::optional<Instant> m_nextWarm;
     std::map<TargetId, BelievedTarget> m_targets;
     std::map<ServiceId, ServiceTargets> m_services;
     CellWeights m_cells;
--- a/packages/dispatch/tests/apricothook_dispatcher_tests.cpp
+++ b/packages/dispatch/tests/apricothook_dispatcher_tests.cpp
@@ -1,9 +1,8 @@
-#include <apricothook/dispatch/apricothook_dispatcher.hpp>
+#include "apricothook_dispatch_bench.hpp"
+
 #include <apricothook/dispatch/apricothook_route_urgency.hpp>
 #include <apricothook/dispatch/apricothook_size_order.hpp>
 
-#include <apricothook/testsupport/apricothook_hand_clock.hpp>
-
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -13,84 +12,11 @@
 
 using namespace Apricothook;
 
-namespace {
-
-const ServiceId Service("s");
-
-class Placements : public DispatchListener
-{
-public:
-    void onPlaced(ExchangeId exchange, const TargetEntry &target) override
-    {
-        placed.push_back(exchange.value());
-        targets.push_back(target.id.text());
-    }
-    void onRefused(ExchangeId exchange, const RefusalFacts &facts) override
-    {
-        refused.push_back(exchange.value());
-        last = facts;
-    }
-
-    std::vector<std::uint64_t> placed;
-    std::vector<std::string> targets;
-    std::vector<std::uint64_t> refused;
-    RefusalFacts last;
-};
-
-struct Bench
-{
-    HandClock clock;
-    TargetTable targets {DataCentreId("here")};
-    Placements placements;
-    Dispatcher dispatcher {targets, placements};
-
-    void target(const std::string &id, std::uint32_t slots)
-    {
-        TargetEntry entry;
-        entry.id = TargetId(id);
-        entry.service = Service;
-        entry.address = {"127.0.0.1", 1};
-        entry.dataCentre = DataCentreId("here");
-        entry.slots = slots;
-        targets.put(entry);
-    }
-    WaitingWork work(std::uint64_t id, std::uint8_t tier = 1) const
-    {
-        WaitingWork work;
-        work.exchange = ExchangeId(id);
-        work.service = Service;
-        work.rank = {Tier(1), Tier(tier)};
-        work.size = {1000, 10, true};
-        work.arrived = clock.now();
-        work.objective = std::chrono::milliseconds(400);
-        work.deadline = clock.now() + std::chrono::seconds(15);
-        return work;
-    }
-    void offer(std::uint64_t id, std::uint8_t tier = 1)
-    {
-        dispatcher.offer(work(id, tier), clock.now());
-    }
-    void end(const std::string &target)
-    {
-        targets.ended({TargetId(target)}, {1000, 10, true}, TargetOutcome::Served,
-                      std::chrono::milliseconds(300), false, clock.now());
-        dispatcher.review(clock.now());
-    }
-    /** Two samples, so that the target's speed is known. */
-    void teach(const std::string &id, std::chrono::milliseconds gap)
-    {
-        targets.find(TargetId(id))->speed.addGap(gap);
-        targets.find(TargetId(id))->speed.addFirstEvent(1000, gap * 4);
-    }
-};
-
-} // namespace
-
 TEST_CASE("requests wait here when every slot is taken, the most important first")
 {
     // Callers of the higher tier are answered first. An engine serves first come first served, so
     // what waits there can't be overtaken.
-    Bench bench;
+    DispatchBench bench;
     bench.target("t", 4);
     for (std::uint64_t id = 1; id <= 4; ++id)
         bench.offer(id, 2);
@@ -106,7 +32,7 @@
 
 TEST_CASE("slots that other daemons have taken aren't free")
 {
-    Bench bench;
+    DispatchBench bench;
     bench.target("t", 2);
     bench.targets.setLoadOfMember(7, {{targetNumber({TargetId("t")}), 2}});
     bench.offer(1);
@@ -122,7 +48,7 @@
 
 TEST_CASE("a free slot is left to a more important request at another daemon")
 {
-    Bench bench;
+    DispatchBench bench;
     bench.target("t", 1);
     bench.dispatcher.setWaitingOfMember(7, {{serviceNumber(Service), {Tier(1), Tier(1)}, 1}});
     bench.offer(1, 2);
@@ -135,7 +61,7 @@
 {
     // The caller hears at once that its request didn't run and when there may be room. Held longer,
     // it would be late and make others late too.
-    Bench bench;
+    DispatchBench bench;
     bench.target("t", 4);
     for (std::uint64_t id = 1; id <= 5; ++id)
         bench.offer(id);
@@ -151,7 +77,7 @@
 
 TEST_CASE("a request behind a long queue is refused when it arrives")
 {
-    Bench bench;
+    DispatchBench bench;
     bench.target("t", 1);
     bench.offer(1);
     bench.dispatcher.setWaitingOfMember(7, {{serviceNumber(Service), {Tier(1), Tier(1)}, 50}});
@@ -162,12 +88,12 @@
 
 TEST_CASE("draining, tried and avoided targets get nothing new")
 {
-    Bench bench;
+    DispatchBench bench;
     bench.target("a", 4);
     bench.target("b", 4);
     TargetEntry draining = bench.targets.find(TargetId("a"))->entry;
     draining.isDraining = true;
-    bench.targets.put(draining);
+    bench.targets.put(draining, bench.clock.now());
     bench.offer(1);
     CHECK(bench.placements.targets == std::vector<std::string> {"b"});
     WaitingWork tried = bench.work(2);
@@ -178,13 +104,13 @@
 
 TEST_CASE("a target that can't be reached is avoided for longer each time")
 {
-    Bench bench;
+    DispatchBench bench;
     bench.target("a", 4);
     bench.target("b", 4);
     const WorkSize size {1000, 10, true};
     Duration before {};
     for (int i = 0; i < 3; ++i) {
-        bench.targets.started({TargetId("a")}, size);
+        bench.targets.started({TargetId("a")}, size, bench.clock.now());
         bench.targets.ended({TargetId("a")}, size, TargetOutcome::Unreachable, Duration(1000),
                             false, bench.clock.now());
         const Duration avoided
@@ -209,7 +135,7 @@
 {
     // The caller of a long stream sees its end. On the slow engine it would be cut at its deadline,
     // and all that was read for it would be lost.
-    Bench bench;
+    DispatchBench bench;
     bench.target("fast", 1);
     bench.target("slow", 4);
     bench.teach("fast", std::chrono::milliseconds(10));
@@ -251,7 +177,7 @@
 {
     // The caller is answered by a target of another cell after the own cell's target can't be
     // reached. Cells don't know each other's load, so only one request goes there.
-    Bench bench;
+    DispatchBench bench;
     for (int index = 0; index < 20; ++index)
         bench.target("t" + std::to_string(index), 8);
     bench.targets.setCells({{1, 1}, 0});
@@ -260,7 +186,7 @@
         bench.offer(++id);
     CHECK(bench.placements.placed.size() == 80);
 
-    Bench failing;
+    DispatchBench failing;
     for (int index = 0; index < 6; ++index)
         failing.target("t" + std::to_string(index), 8);
     failing.targets.setCells({{1, 1}, 0});
@@ -293,7 +219,7 @@
     // The caller is served by the new start at once. The former one was full, failing and slow; it
     // ends, and the target is back under its id. Loads that others still tell of the former start,
     // and the late end of a request that it had, don't count at the new one.
-    Bench bench;
+    DispatchBench bench;
     bench.target("a", 1);
     const WorkSize size {1000, 10, true};
     const TargetStart former {TargetId("a")};
@@ -307,7 +233,7 @@
 
     TargetEntry again = bench.targets.find(TargetId("a"))->entry;
     again.startedAt = 1000;
-    bench.targets.put(again);
+    bench.targets.put(again, bench.clock.now());
     const BelievedTarget &target = *bench.targets.find(TargetId("a"));
     CHECK(target.load() == 0);
     CHECK(target.avoidedUntil <= bench.clock.now());
@@ -322,13 +248,13 @@
 
 TEST_CASE("a request that a target's former start had may go to its new start")
 {
-    Bench bench;
+    DispatchBench bench;
     bench.target("a", 1);
     WaitingWork tried = bench.work(1);
     tried.excluded = {{TargetId("a")}};
     TargetEntry again = bench.targets.find(TargetId("a"))->entry;
     again.startedAt = 1000;
-    bench.targets.put(again);
+    bench.targets.put(again, bench.clock.now());
     bench.dispatcher.offer(tried, bench.clock.now());
     CHECK(bench.placements.placed == std::vector<std::uint64_t> {1});
 }
@@ -352,7 +278,7 @@
 {
     constexpr int Requests = 400;
     constexpr std::array Lengths {40, 40, 40, 40, 40, 80, 80, 160, 320, 1000};
-    Bench bench;
+    DispatchBench bench;
     bench.target("t", 4);
     SizeOrder sizes;
     const ClassId route("r");
@@ -443,7 +369,7 @@
 {
     // The caller hears at once that its request didn't run, and may come back in time. It would
     // have had a place when it came; then urgent requests came for longer than it may wait.
-    Bench bench;
+    DispatchBench bench;
     bench.target("t", 4);
     for (std::uint64_t id = 0; id < 4; ++id)
         bench.offer(id);
@@ -463,7 +389,7 @@
 {
     // The caller is served when the surge has passed. The queue's length promises a place in some
     // tenths of a second, but new requests keep coming; whoever returns by it is refused again.
-    Bench bench;
+    DispatchBench bench;
     bench.target("t", 1);
     for (std::uint64_t id = 0; id < 20; ++id)
         bench.offer(id);
@@ -483,7 +409,7 @@
 {
     // The caller is served as soon as the daemon knows a target: after a start of all daemons that
     // takes some hundred milliseconds, not seconds.
-    Bench bench;
+    DispatchBench bench;
     WaitingWork work = bench.work(1);
     work.objective = std::chrono::milliseconds(10);
     bench.dispatcher.offer(work, bench.clock.now());
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -31,9 +31,12 @@
     ReadingChanged = 865,     ///< info: this daemon reads at the configuration service from now on,
                               ///< or leaves that to others of its cell; reads, revision. Operator:
                               ///< none.
-    OldEntryIgnored = 866, ///< info: a target that is leaving had written an entry before it said
-                           ///< so, and the entry came into force only now; target, sequences,
-                           ///< revision. Operator: none.
+    OldEntryIgnored = 866,   ///< info: a target that is leaving had written an entry before it said
+                             ///< so, and the entry came into force only now; target, sequences,
+                             ///< revision. Operator: none.
+    EvacuationChanged = 867, ///< info: a data centre's targets get nothing more, or get requests
+                             ///< again, as cold ones first; data centre, state, targets,
+                             ///< revision. Operator: none.
 };
 
 } // namespace Apricothook
--- a/packages/fleetview/tests/apricothook_fleet_directory_tests.cpp
+++ b/packages/fleetview/tests/apricothook_fleet_directory_tests.cpp
@@ -270,3 +270,75 @@
     alone.pass(FleetDirectory::LoneTime);
     CHECK(alone.directory.knowsFleet(seeds, own, alone.clock.now()));
 }
+
+TEST_CASE("one part of a fleet that is cut is its main part, and its silent members stay counted")
+{
+    // Targets that have just started crash anew: both sides of a cut take themselves for the fleet,
+    // and each sends them what one may.
+    Bench bench;
+    const Endpoint own {"10.0.0.9", 1};
+    const std::vector<Endpoint> seeds {{"10.0.0.1", 1}, {"10.0.0.2", 1}, own};
+    const auto fleet = [&] {
+        return bench.directory.coldFleet(seeds, own, false, Duration::zero(), bench.clock.now());
+    };
+    const auto isMain = [&] { return fleet().view == ColdView::Main; };
+    const auto takeSeed = [&](std::size_t index) {
+        MemberBrief seed = brief("seed" + std::to_string(index));
+        seed.beaconAddress = seeds[index];
+        bench.take(seed);
+    };
+    takeSeed(0);
+    takeSeed(1);
+    bench.take(brief("a"));
+    bench.take(brief("b"));
+    // Until it has heard of nobody new for a while it may know a part only.
+    CHECK_FALSE(isMain());
+    bench.pass(FleetDirectory::QuietTime + std::chrono::milliseconds(10));
+    CHECK(isMain());
+    CHECK(fleet().members.size() == 5);
+    bench.pass(std::chrono::milliseconds(1500));
+    takeSeed(0);
+    // Itself and one seed are most seeds, but two of five members aren't most of them.
+    CHECK_FALSE(isMain());
+    CHECK(fleet().members.size() == 5);
+    bench.take(brief("a"));
+    CHECK(isMain());
+    // Without most seeds it isn't the main part, however many members it hears.
+    bench.pass(std::chrono::milliseconds(1500));
+    for (const char *member : {"a", "b", "c", "d"})
+        bench.take(brief(member));
+    bench.pass(FleetDirectory::QuietTime + std::chrono::milliseconds(10));
+    CHECK_FALSE(isMain());
+    MemberBrief leaving = brief("c");
+    leaving.isLeaving = true;
+    bench.take(leaving);
+    CHECK(fleet().members.size() == 6);
+    bench.pass(FleetDirectory::AddressLimit + std::chrono::milliseconds(100));
+    CHECK(fleet().members.size() == 1);
+}
+
+TEST_CASE("what a daemon may rely on where targets may be cold")
+{
+    // Targets crash anew as a daemon that is cut off, or has just started, takes them for warm.
+    Bench bench;
+    const Endpoint own {"10.0.0.9", 1};
+    const std::vector<Endpoint> seeds {{"10.0.0.1", 1}, own};
+    const auto view = [&](bool someReach) {
+        return bench.directory
+            .coldFleet(seeds, own, someReach, std::chrono::seconds(2), bench.clock.now())
+            .view;
+    };
+    CHECK(view(true) == ColdView::Alone);
+    MemberBrief seed = brief("seed");
+    seed.beaconAddress = seeds[0];
+    bench.take(seed);
+    CHECK(view(true) == ColdView::Alone);
+    bench.pass(FleetDirectory::QuietTime + std::chrono::milliseconds(10));
+    CHECK(view(true) == ColdView::Doubtful);
+    bench.pass(std::chrono::seconds(2));
+    bench.take(seed);
+    CHECK(view(false) == ColdView::Main);
+    bench.pass(std::chrono::seconds(2));
+    CHECK(view(true) == ColdView::Outside);
+    CHECK(view(false) == ColdView::Doubtful);
+}
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -11,7 +11,7 @@
                  const PolicySwitches &policies, const LimitPeer &self)
     : m_loop(loop)
     , m_bounds(bounds)
-    , m_targets(dataCentre, policies)
+    , m_targets(dataCentre, policies, ColdGuard(self.member, bounds))
     , m_limits(m_bounds, self, *this, *this, *this, random)
     , m_dispatcher(m_targets, *this, policies)
     , m_channels(loop, dialect, log)
@@ -49,6 +49,7 @@
 {
     m_limitMessenger = &messenger;
     m_limits.setFleet({{}, 1, false, std::nullopt}, m_loop.now());
+    m_targets.setColdFleet({});
 }
 
 Result<void, ListenError> Gateway::listen(const Endpoint &address)
@@ -84,13 +85,14 @@
 {
     m_context.routes = std::move(routes);
     m_limits.setCustomers(m_context.routes->configuration().customers, m_loop.now());
+    m_targets.setServices(m_context.routes->configuration().services, m_loop.now());
 }
 
 void Gateway::putTarget(const TargetEntry &target)
 {
     const BelievedTarget *known = m_targets.find(target.id);
     const bool isRestarted = known && known->entry.start() != target.start();
-    m_targets.put(target);
+    m_targets.put(target, m_loop.now());
     if (target.isDraining || isRestarted)
         m_channels.forget(target.id);
     if (isRestarted)
@@ -114,6 +116,12 @@
     m_channels.forget(target);
 }
 
+void Gateway::setEvacuated(const DataCentreId &dataCentre, bool isEvacuated)
+{
+    m_targets.setEvacuated(dataCentre, isEvacuated, m_loop.now());
+    reviewSoon();
+}
+
 void Gateway::stopListening()
 {
     m_listener.reset();
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -34,6 +34,8 @@
     /** Takes a target over as it now is. */
     void putTarget(const TargetEntry &target);
     void removeTarget(const TargetId &target);
+    /** Targets of an evacuated data centre get nothing; what waits is placed anew at once. */
+    void setEvacuated(const DataCentreId &dataCentre, bool isEvacuated);
 
     /** From now on every answer ends its connection. */
     void startLeaving() { m_leaving = true; }
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
@@ -28,6 +28,8 @@
 {
     line.with("slots", refusal.room.slots)
         .with("free", refusal.room.free)
+        .with("evacuated", refusal.room.evacuated)
+        .with("cold", refusal.room.cold)
         .with("urgency", refusal.rank.route.rank())
         .with("ahead", refusal.ahead)
         .with("hold_ms", refusal.room.meanHold)
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -117,6 +117,7 @@
     EventName {864, "PeerItemsFailed", EventLevel::Warning},
     EventName {865, "ReadingChanged", EventLevel::Info},
     EventName {866, "OldEntryIgnored", EventLevel::Info},
+    EventName {867, "EvacuationChanged", EventLevel::Info},
 };
 
 } // namespace
--- a/packages/serving/apricothook/serving/apricothook_item_decoder.hpp
+++ b/packages/serving/apricothook/serving/apricothook_item_decoder.hpp
@@ -8,7 +8,12 @@
 
 namespace Apricothook {
 
-enum class ItemKind { Configuration, Target, Other };
+enum class ItemKind {
+    Configuration,
+    Target,
+    Evacuation, ///< While it is there, its data centre's targets get nothing.
+    Other,
+};
 
 /** A published item that can't be read: the field that is wrong. */
 struct ItemFault
@@ -26,6 +31,8 @@
     virtual ItemKind kindOf(std::string_view key) const = 0;
     virtual Result<ServingConfiguration, ItemFault> configuration(std::string_view value) const = 0;
     virtual TargetId targetOfKey(std::string_view key) const = 0;
+    /** Of an evacuation's key. */
+    virtual DataCentreId dataCentreOfKey(std::string_view key) const = 0;
     virtual Result<TargetEntry, ItemFault> target(std::string_view key,
                                                   std::string_view value) const = 0;
 };
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include <apricothook/serving/apricothook_peer_exchange.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Apricothook {
@@ -45,7 +46,9 @@
     const Instant now = m_loop.now();
     m_directory.review(now);
     countMembers();
+    m_gateway.targets().review(now);
     m_gateway.targets().setCells(m_directory.weights(now));
+    m_gateway.targets().setColdFleet(coldFleet());
     reviewReading();
     m_cell.tick();
     m_limits.tick();
@@ -56,6 +59,17 @@
     m_tick = m_loop.after(isStarting ? StartingPause : IdlePause, [this] { tick(); });
 }
 
+ColdFleet PeerExchange::coldFleet() const
+{
+    ColdFleet fleet = m_directory.coldFleet(
+        m_settings.seeds, m_settings.beaconAddress, sourceContact().someReach,
+        EntryPauses * m_settings.bounds.entryPause, m_loop.now());
+    // Others hear that it leaves, and send in its place.
+    if (m_leaving)
+        fleet.view = std::min(fleet.view, ColdView::Outside);
+    return fleet;
+}
+
 void PeerExchange::countMembers()
 {
     const Instant now = m_loop.now();
@@ -83,14 +97,19 @@
     m_tellReading(reads);
 }
 
-void PeerExchange::noteSource()
+SourceContact PeerExchange::sourceContact() const
 {
     const Instant now = m_loop.now();
     SourceContact contact = m_directory.sourceContact(ownBrief(), now);
     const SourceContact ofFleet = m_duty.contact(now);
     contact.someReach |= ofFleet.someReach;
     contact.someLost |= ofFleet.someLost;
-    m_published.noteSource(contact);
+    return contact;
+}
+
+void PeerExchange::noteSource()
+{
+    m_published.noteSource(sourceContact());
 }
 
 void PeerExchange::noteOwnSource()
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -28,6 +28,8 @@
     static constexpr std::chrono::seconds LostMemory {3};
     /** A daemon that peers couldn't serve reads for itself for so long. */
     static constexpr std::chrono::seconds StuckTime {3};
+    /** In so many pauses all targets have written their entries, and those have come. */
+    static constexpr int EntryPauses = 2;
 
     PeerExchange(EventLoop &loop, const ServingSettings &settings, Incarnation process,
                  Gateway &gateway, PublishedState &published, RandomSource &random,
@@ -56,7 +58,11 @@
     std::uint64_t ownRevision() const override { return m_published.replica().revision(); }
 
     void tick();
+    /** Among whom cold targets are divided. */
+    ColdFleet coldFleet() const;
     void countMembers();
+    /** What this daemon, its cell and the readers of the fleet tell of the source. */
+    SourceContact sourceContact() const;
     void noteSource();
     void reviewReading();
     /** To the readers of the other cells, if this daemon reads for them. */
--- a/packages/serving/apricothook/serving/apricothook_published_state.cpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.cpp
@@ -50,6 +50,9 @@
         else
             removeTarget(m_decoder.targetOfKey(change.key), change.revision);
         return;
+    case ItemKind::Evacuation:
+        takeEvacuation(change);
+        return;
     case ItemKind::Other:
         return;
     }
@@ -108,11 +111,25 @@
                     .with("address", target.address.text())
                     .with("state", std::string(target.isDraining ? "draining" : "ready"))
                     .with("started_at", target.startedAt)
+                    .with("cold_ms", target.coldFor)
                     .with("sequence", target.sequence)
                     .with("revision", change.revision));
     m_gateway.putTarget(target);
 }
 
+void PublishedState::takeEvacuation(const ItemChange &change)
+{
+    const DataCentreId dataCentre = m_decoder.dataCentreOfKey(change.key);
+    // Its being there counts, whatever it holds.
+    const bool isEvacuated = change.value.has_value();
+    m_log.write(LogEvent(FleetviewEvent::EvacuationChanged)
+                    .with("data_centre", dataCentre.text())
+                    .with("state", std::string(isEvacuated ? "evacuated" : "taken back"))
+                    .with("targets", m_gateway.targets().countOf(dataCentre))
+                    .with("revision", change.revision));
+    m_gateway.setEvacuated(dataCentre, isEvacuated);
+}
+
 bool PublishedState::isOlderThanLeaving(const TargetEntry &target) const
 {
     const auto leaving = m_leaving.find(target.start());
--- a/packages/serving/apricothook/serving/apricothook_published_state.hpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.hpp
@@ -51,6 +51,7 @@
     void onChange(const ItemChange &change);
     void takeConfiguration(const ItemChange &change);
     void takeTarget(const ItemChange &change);
+    void takeEvacuation(const ItemChange &change);
     void removeTarget(const TargetId &target, Revision revision);
     void reject(const ItemChange &change, const ItemFault &fault);
     void rejectTarget(const ItemChange &change, const ItemFault &fault);
--- a/packages/serving/tests/apricothook_published_state_tests.cpp
+++ b/packages/serving/tests/apricothook_published_state_tests.cpp
@@ -181,3 +181,61 @@
           == Ports {{"10.0.0.1", 1}, {"10.0.0.1", 4}});
     CHECK(nearEntries({}, regions, question).empty());
 }
+
+TEST_CASE("an evacuation is in force while its item is there, whatever the item holds")
+{
+    // An operator empties a data centre for repairs, and requests still reach it.
+    StateBench bench;
+    bench.write("t/a", "ready");
+    bench.write("e/d", "\xff");
+    CHECK_FALSE(bench.takesWork("a"));
+    // A target that registers meanwhile gets nothing either.
+    bench.write("t/b", "ready");
+    CHECK_FALSE(bench.takesWork("b"));
+    bench.write("e/d", std::nullopt);
+    CHECK(bench.takesWork("a"));
+    CHECK(bench.takesWork("b"));
+}
+
+TEST_CASE("several data centres can be evacuated at once")
+{
+    StateBench bench;
+    bench.write("t/a", "ready");
+    bench.write("e/d", "{}");
+    bench.write("e/other", "{}");
+    bench.write("e/other", std::nullopt);
+    CHECK_FALSE(bench.takesWork("a"));
+}
+
+TEST_CASE("an older word of an evacuation doesn't change a newer one")
+{
+    // Requests reach an evacuated data centre, or it stays empty for good: a peer that was cut off
+    // tells late what it knew, or a listing was made before the change.
+    StateBench bench;
+    bench.write("t/a", "ready");
+    bench.write("e/d", "{}");
+    bench.write("e/d", std::nullopt);
+    bench.state.apply({{{"e/d", "{}", 2}}, false, 2});
+    CHECK(bench.takesWork("a"));
+    bench.write("e/d", "{}");
+    bench.state.apply({{{"t/a", "ready", 1}}, true, 3});
+    CHECK_FALSE(bench.takesWork("a"));
+}
+
+TEST_CASE("an evacuation that ended in a gap of the history ends with the next listing")
+{
+    StateBench bench;
+    bench.write("t/a", "ready");
+    bench.write("e/d", "{}");
+    bench.state.apply({{{"t/a", "ready", 1}}, true, 9});
+    CHECK(bench.takesWork("a"));
+}
+
+TEST_CASE("a daemon knows of an evacuation before it may send anything")
+{
+    // A daemon that starts during an evacuation hears everything in one listing, in whatever order.
+    StateBench bench;
+    bench.state.apply({{{"t/a", "ready", 1}, {"c", "3", 4}, {"e/d", "{}", 2}}, true, 5});
+    CHECK(bench.has("a"));
+    CHECK_FALSE(bench.takesWork("a"));
+}
--- a/packages/serving/tests/apricothook_state_bench.hpp
+++ b/packages/serving/tests/apricothook_state_bench.hpp
@@ -11,7 +11,7 @@
 
 /**
  * Items named "c" hold a generation, items named "t/ID" a state and perhaps "@" and a start or "#"
- * and a sequence.
+ * and a sequence; items named "e/DATACENTRE" evacuate it.
  */
 class TestDecoder : public ItemDecoder
 {
@@ -20,6 +20,8 @@
     {
         if (key == "c")
             return ItemKind::Configuration;
+        if (key.starts_with("e/"))
+            return ItemKind::Evacuation;
         return key.starts_with("t/") ? ItemKind::Target : ItemKind::Other;
     }
     Result<ServingConfiguration, ItemFault> configuration(std::string_view value) const override
@@ -34,6 +36,10 @@
     {
         return TargetId(std::string(key.substr(2)));
     }
+    DataCentreId dataCentreOfKey(std::string_view key) const override
+    {
+        return DataCentreId(std::string(key.substr(2)));
+    }
     Result<TargetEntry, ItemFault> target(std::string_view key,
                                           std::string_view value) const override
     {
@@ -43,6 +49,7 @@
         entry.id = targetOfKey(key);
         entry.service = ServiceId("s");
         entry.address = {"127.0.0.1", 1};
+        entry.dataCentre = DataCentreId("d");
         entry.isDraining = value.starts_with("draining");
         if (const std::size_t at = value.find('@'); at != std::string_view::npos)
             entry.startedAt = std::stoul(std::string(value.substr(at + 1)));
@@ -115,6 +122,12 @@
         const BelievedTarget *known = gateway.targets().find(TargetId(target));
         return known && !known->entry.isDraining;
     }
+    /** A cell may use slots of it. */
+    bool takesWork(const std::string &target)
+    {
+        const BelievedTarget *known = gateway.targets().find(TargetId(target));
+        return known && known->cellSlots > 0;
+    }
     bool has(const std::string &target)
     {
         return gateway.targets().find(TargetId(target)) != nullptr;
