Tell peers only the news of targets, and doubt what was known before a cut or a standstill

An entry that changes nothing but its sequence, or is less cold, is no news now; lapses are. A daemon that doesn't read tells no revision of its first listing, so that one restart doesn't make its cell ask for everything.

It takes all for cold until it has caught up; a listing comes with the evacuations that ended since its oldest entry was written; the clock counts the time for which a VM is suspended.

--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -116,9 +116,7 @@
 
 void TargetTable::setEvacuated(const DataCentreId &dataCentre, bool isEvacuated, Instant now)
 {
-    const bool wasEvacuated = m_evacuated.contains(dataCentre);
-    if (wasEvacuated == isEvacuated)
-        return;
+    // An end may be heard of an evacuation that wasn't: this daemon started between them.
     if (isEvacuated)
         m_evacuated.insert(dataCentre);
     else
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <bit>
 #include <limits>
-#include <set>
 #include <tuple>
 
 namespace Apricothook {
@@ -80,45 +79,6 @@
     return age > LongestLearning || (age > QuietTime && isQuiet);
 }
 
-bool FleetDirectory::isMainPart(const std::vector<Endpoint> &seeds, const Endpoint &own,
-                                Instant now) const
-{
-    std::size_t remembered = 1;
-    std::size_t live = 1;
-    std::set<Endpoint> heard {own};
-    for (const auto &[id, member] : m_members) {
-        if (member.brief.isLeaving)
-            continue;
-        ++remembered;
-        if (!isLive(member, now))
-            continue;
-        ++live;
-        heard.insert(member.brief.beaconAddress);
-    }
-    const auto heardSeeds = static_cast<std::size_t>(std::ranges::count_if(
-        seeds, [&heard](const Endpoint &seed) { return heard.contains(seed); }));
-    const bool hearsSeeds = seeds.empty() || 2 * heardSeeds > seeds.size();
-    return hearsSeeds && 2 * live > remembered;
-}
-
-ColdFleet FleetDirectory::coldFleet(const std::vector<Endpoint> &seeds, const Endpoint &own,
-                                    bool someReach, Duration settle, Instant now) const
-{
-    ColdFleet fleet {{memberNumber(m_self)}, ColdView::Alone};
-    const bool isMain = isMainPart(seeds, own, now);
-    if (knowsFleet(seeds, own, now)) {
-        const bool isCurrent = (isMain || someReach) && now - *m_started > settle;
-        const ColdView current = isMain ? ColdView::Main : ColdView::Outside;
-        fleet.view = isCurrent ? current : ColdView::Doubtful;
-    }
-    for (const auto &[id, member] : m_members) {
-        if (!member.brief.isLeaving)
-            fleet.members.push_back(memberNumber(id));
-    }
-    std::ranges::sort(fleet.members);
-    return fleet;
-}
-
 void FleetDirectory::review(Instant now)
 {
     m_started = m_started.value_or(now);
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_cold_guard.hpp>
 #include <apricothook/dispatch/apricothook_slot_partition.hpp>
 #include <apricothook/fleetview/apricothook_member_brief.hpp>
 #include <apricothook/fleetview/apricothook_source_outage.hpp>
@@ -88,6 +87,7 @@
      */
     void noteCells(std::uint32_t cells, Instant now);
 
+    const MemberId &self() const { return m_self; }
     std::uint32_t cells() const { return m_cells; }
     std::uint32_t ownCell() const { return cellOf(m_self); }
     std::uint32_t cellOf(const MemberId &member) const;
@@ -107,13 +107,6 @@
      * each side for the whole fleet; only one of them hears most seeds.
      */
     bool knowsFleet(const std::vector<Endpoint> &seeds, const Endpoint &own, Instant now) const;
-    /**
-     * Among whom cold targets are divided: all that were heard of in AddressLimit and stay.
-     * `someReach`: what is published reaches this daemon by its own reading or another's.
-     * `settle`: so long after its start it may not know yet which targets are cold.
-     */
-    ColdFleet coldFleet(const std::vector<Endpoint> &seeds, const Endpoint &own, bool someReach,
-                        Duration settle, Instant now) const;
     CellWeights weights(Instant now) const;
     /** `self` is one of those who read at the source. All are while too few are known to reach it.
      */
@@ -134,11 +127,6 @@
     static constexpr int MissedSummaries = 3;
 
     Duration liveLimit(const KnownMember &member) const;
-    /**
-     * Most of the `seeds` and of all members that were heard of in AddressLimit are live. Of two
-     * parts of a fleet that don't hear each other only one is so.
-     */
-    bool isMainPart(const std::vector<Endpoint> &seeds, const Endpoint &own, Instant now) const;
     /** Ready, staying and live; may read for others. */
     bool mayServe(const KnownMember &member, Instant now) const;
     /** So many daemons may be in so many cells; the number may also be one that fits better. */
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_replica.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_replica.cpp
@@ -12,8 +12,11 @@
         applyChange(change);
     if (update.isWhole)
         removeMissing(update);
-    if (isFirst)
+    if (isFirst) {
         m_historyStart = update.revision;
+        m_firstRevision = update.revision;
+        m_newsRevision = 0;
+    }
     m_revision = std::max(m_revision, update.revision);
 }
 
@@ -23,12 +26,14 @@
     if (change.revision <= item.revision)
         return;
     item = {change.value, change.revision};
+    if (!m_changed(change))
+        return;
+    m_newsRevision = std::max(m_newsRevision, change.revision);
     m_history.push_back(change);
     if (m_history.size() > KeptChanges) {
         m_historyStart = std::max(m_historyStart, m_history.front().revision);
         m_history.pop_front();
     }
-    m_changed(change);
 }
 
 void ItemReplica::removeMissing(const ItemUpdate &whole)
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_replica.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_replica.hpp
@@ -2,6 +2,7 @@
 
 #include <apricothook/model/apricothook_time.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -34,12 +35,21 @@
     bool isWhole = false;
     /** The revision up to which the source has told everything. */
     Revision revision = 0;
+    /** With the removals since each item was last written, of those that ItemProtocol names. */
+    bool hasRemovals = false;
 
     auto operator<=>(const ItemUpdate &) const = default;
 };
 
 /**
- * This daemon's copy of the published items. Sources may tell the same change twice or in any
+ * This daemon's copy of the published items.
+ *
+ * Each target writes its entry anew every second or so, mostly to say no more than that it lives.
+ * Passed on to all daemons, that grows with targets times daemons: with 1,000 targets it was most
+ * of what went between data centres. Only changes that matter are told to peers; that an entry
+ * lapses is one.
+ *
+ * Sources may tell the same change twice or in any
  * order; of each key the highest revision counts, and a removal is remembered so that an older copy
  * of the item doesn't bring it back.
  */
@@ -51,13 +61,17 @@
      * get all items. Enough for each of 3,000 targets to come in one go.
      */
     static constexpr std::size_t KeptChanges = 4096;
-    using Changed = std::function<void(const ItemChange &)>;
+    /** Called for each change that is new; true when it tells anything that matters to peers. */
+    using Changed = std::function<bool(const ItemChange &)>;
 
-    /** `changed` is called for each change that is new. */
     explicit ItemReplica(Changed changed) : m_changed(std::move(changed)) { }
 
     void apply(const ItemUpdate &update);
     Revision revision() const { return m_revision; }
+    /** Of the last change that matters to peers and came after the first update; zero at first. */
+    Revision newsRevision() const { return m_newsRevision; }
+    /** The same with all that the first update told, for those that others hear news from. */
+    Revision toldRevision() const { return std::max(m_firstRevision, m_newsRevision); }
     /** What a peer that knows all up to `after` lacks; everything when that isn't known any more.
      */
     ItemUpdate since(Revision after) const;
@@ -79,6 +93,8 @@
     /** since() answers with changes for revisions from here on. */
     Revision m_historyStart = 0;
     Revision m_revision = 0;
+    Revision m_firstRevision = 0;
+    Revision m_newsRevision = 0;
 };
 
 } // namespace Apricothook
--- a/packages/fleetview/tests/apricothook_item_replica_tests.cpp
+++ b/packages/fleetview/tests/apricothook_item_replica_tests.cpp
@@ -17,7 +17,12 @@
 struct Told
 {
     std::vector<ItemChange> changes;
-    ItemReplica replica {[this](const ItemChange &change) { changes.push_back(change); }};
+    /** Values that tell peers nothing. */
+    std::string beat = "beat";
+    ItemReplica replica {[this](const ItemChange &change) {
+        changes.push_back(change);
+        return change.value != beat;
+    }};
 };
 
 } // namespace
@@ -77,6 +82,25 @@
     CHECK(peer.replica.since(0) == told.replica.since(0));
 }
 
+TEST_CASE("peers aren't told of a change that only says that a target lives")
+{
+    // Daemons of a large fleet spend their links on entries that say the same again. What a peer
+    // lacks is told whole, with the latest word of each item.
+    Told told;
+    told.replica.apply({{written("a", "1", 5), written("b", "1", 6)}, true, 6});
+    CHECK(told.replica.newsRevision() == 0);
+    CHECK(told.replica.toldRevision() == 6);
+    told.replica.apply({{written("a", told.beat, 7)}, false, 7});
+    CHECK(told.replica.revision() == 7);
+    CHECK(told.replica.newsRevision() == 0);
+    CHECK(told.replica.since(6).changes.empty());
+    told.replica.apply({{written("b", "2", 8)}, false, 8});
+    CHECK(told.replica.newsRevision() == 8);
+    CHECK(told.replica.since(6).changes == std::vector<ItemChange> {written("b", "2", 8)});
+    CHECK(told.replica.since(0).changes
+          == std::vector<ItemChange> {written("a", told.beat, 7), written("b", "2", 8)});
+}
+
 TEST_CASE("a long history is cut and answered with everything")
 {
     Told told;
--- a/packages/ports/apricothook/ports/apricothook_system_clock.cpp
+++ b/packages/ports/apricothook/ports/apricothook_system_clock.cpp
@@ -1,10 +1,17 @@
 #include <apricothook/ports/apricothook_system_clock.hpp>
 
+#include <ctime>
+
 namespace Apricothook {
 
 Instant SystemClock::now() const
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    // The steady clock stands still while a VM is suspended: when it wakes, what it knew seconds
+    // ago would count as heard just now, and it would act on grants and members that are gone.
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    const auto since = std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    return Instant(std::chrono::duration_cast<Duration>(since));
 }
 
 std::uint64_t SystemClock::wallMilliseconds() const
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -15,6 +15,7 @@
     , m_published(published)
     , m_metrics(metrics)
     , m_directory(settings.member)
+    , m_cold(m_directory, settings.seeds, settings.beaconAddress, settings.bounds.entryPause)
     , m_cell(loop, m_directory, *this, gateway, log)
     , m_fleet(loop, m_directory, *this, random, settings.seeds)
     , m_limits(loop, m_directory, *this, gateway, random, settings.seeds)
@@ -46,9 +47,8 @@
     const Instant now = m_loop.now();
     m_directory.review(now);
     countMembers();
-    m_gateway.targets().review(now);
     m_gateway.targets().setCells(m_directory.weights(now));
-    m_gateway.targets().setColdFleet(coldFleet());
+    reviewColdTargets();
     reviewReading();
     m_cell.tick();
     m_limits.tick();
@@ -59,15 +59,16 @@
     m_tick = m_loop.after(isStarting ? StartingPause : IdlePause, [this] { tick(); });
 }
 
-ColdFleet PeerExchange::coldFleet() const
+void PeerExchange::reviewColdTargets()
 {
-    ColdFleet fleet = m_directory.coldFleet(
-        m_settings.seeds, m_settings.beaconAddress, sourceContact().someReach,
-        EntryPauses * m_settings.bounds.entryPause, m_loop.now());
+    TargetTable &targets = m_gateway.targets();
+    targets.review(m_loop.now());
+    ColdFleet fleet
+        = m_cold.review({sourceContact().someReach, m_published.knowsRemovals()}, m_loop.now());
     // Others hear that it leaves, and send in its place.
     if (m_leaving)
         fleet.view = std::min(fleet.view, ColdView::Outside);
-    return fleet;
+    targets.setColdFleet(std::move(fleet));
 }
 
 void PeerExchange::countMembers()
@@ -137,7 +138,8 @@
 void PeerExchange::noteRevision()
 {
     // Those who follow a reader hear at once; what they pass on can wait for their next beacon.
-    if ((!m_reads && !m_isCellReader) || !std::exchange(m_revisionTold, false))
+    const bool isNews = std::exchange(m_lastTold, ownRevision()) != ownRevision();
+    if (!isNews || (!m_reads && !m_isCellReader) || !std::exchange(m_revisionTold, false))
         return;
     m_loop.defer([this] {
         m_revisionTold = true;
@@ -185,6 +187,14 @@
     };
 }
 
+std::uint64_t PeerExchange::ownRevision() const
+{
+    // What one that doesn't read heard at its start is no news, and its peers would ask it for
+    // everything.
+    const ItemReplica &replica = m_published.replica();
+    return m_reads || m_isCellReader ? replica.toldRevision() : replica.newsRevision();
+}
+
 void PeerExchange::receive(std::string_view bytes)
 {
     m_metrics.controlBytes(Direction::Received, bytes.size());
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <apricothook/eventloop/apricothook_datagram_socket.hpp>
+#include <apricothook/fleetview/apricothook_cold_outlook.hpp>
 #include <apricothook/fleetview/apricothook_reading_duty.hpp>
 #include <apricothook/serving/apricothook_cell_exchange.hpp>
 #include <apricothook/serving/apricothook_fleet_exchange.hpp>
@@ -28,8 +29,6 @@
     static constexpr std::chrono::seconds LostMemory {3};
     /** A daemon that peers couldn't serve reads for itself for so long. */
     static constexpr std::chrono::seconds StuckTime {3};
-    /** In so many pauses all targets have written their entries, and those have come. */
-    static constexpr int EntryPauses = 2;
 
     PeerExchange(EventLoop &loop, const ServingSettings &settings, Incarnation process,
                  Gateway &gateway, PublishedState &published, RandomSource &random,
@@ -55,11 +54,10 @@
     void send(const Endpoint &to, const PeerDatagram &datagram) override;
     void send(const std::vector<Endpoint> &to, const PeerDatagram &datagram) override;
     MemberBrief ownBrief() const override;
-    std::uint64_t ownRevision() const override { return m_published.replica().revision(); }
+    std::uint64_t ownRevision() const override;
 
     void tick();
-    /** Among whom cold targets are divided. */
-    ColdFleet coldFleet() const;
+    void reviewColdTargets();
     void countMembers();
     /** What this daemon, its cell and the readers of the fleet tell of the source. */
     SourceContact sourceContact() const;
@@ -96,7 +94,9 @@
     Instant m_stuckUntil {};
     std::function<void(bool reads)> m_tellReading;
     bool m_revisionTold = true;
+    Revision m_lastTold = 0;
     FleetDirectory m_directory;
+    ColdOutlook m_cold;
     ReadingDuty m_duty;
     CellExchange m_cell;
     FleetExchange m_fleet;
--- a/packages/serving/apricothook/serving/apricothook_published_state.cpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.cpp
@@ -10,7 +10,7 @@
     , m_gateway(gateway)
     , m_decoder(decoder)
     , m_log(log)
-    , m_replica([this](const ItemChange &change) { onChange(change); })
+    , m_replica([this](const ItemChange &change) { return onChange(change); })
 {
 }
 
@@ -22,6 +22,7 @@
 
 void PublishedState::apply(const ItemUpdate &update)
 {
+    m_knowsRemovals |= update.hasRemovals;
     m_replica.apply(update);
 }
 
@@ -37,25 +38,25 @@
     m_sourceState = state;
 }
 
-void PublishedState::onChange(const ItemChange &change)
+bool PublishedState::onChange(const ItemChange &change)
 {
     switch (m_decoder.kindOf(change.key)) {
     case ItemKind::Configuration:
         if (change.value)
             takeConfiguration(change);
-        return;
+        return true;
     case ItemKind::Target:
         if (change.value)
-            takeTarget(change);
-        else
-            removeTarget(m_decoder.targetOfKey(change.key), change.revision);
-        return;
+            return takeTarget(change);
+        removeTarget(m_decoder.targetOfKey(change.key), change.revision);
+        return true;
     case ItemKind::Evacuation:
         takeEvacuation(change);
-        return;
+        return true;
     case ItemKind::Other:
-        return;
+        break;
     }
+    return true;
 }
 
 void PublishedState::takeConfiguration(const ItemChange &change)
@@ -77,20 +78,20 @@
     m_gateway.setConfiguration(std::make_shared<const RouteTable>(std::move(read).value()));
 }
 
-void PublishedState::takeTarget(const ItemChange &change)
+bool PublishedState::takeTarget(const ItemChange &change)
 {
     const Result<TargetEntry, ItemFault> read = m_decoder.target(change.key, *change.value);
     if (!read) {
         rejectTarget(change, read.error());
-        return;
+        return true;
     }
     const TargetEntry &target = read.value();
-    const BelievedTarget *known = m_gateway.targets().find(target.id);
+    BelievedTarget *known = m_gateway.targets().find(target.id);
     // Targets that tell their start always do; taken for a new one, this entry would end all that
     // runs there.
     if (known && known->entry.startedAt != 0 && target.startedAt == 0) {
         rejectTarget(change, {"start"});
-        return;
+        return true;
     }
     // A write that was held up takes effect with a later revision than the target's newer word.
     // Taken for the present one, requests went on to a target that was about to end; its sequence
@@ -101,10 +102,14 @@
                         .with("sequence", target.sequence)
                         .with("leaving_sequence", m_leaving.at(target.start()).sequence)
                         .with("revision", change.revision));
-        return;
+        return true;
     }
     noteLeaving(target);
     releaseHeld(target.id);
+    if (known && isBeat(known->entry, target)) {
+        known->entry = target;
+        return false;
+    }
     m_log.write(LogEvent(FleetviewEvent::TargetChanged)
                     .with("target", target.id.text())
                     .with("service", target.service.text())
@@ -115,6 +120,16 @@
                     .with("sequence", target.sequence)
                     .with("revision", change.revision));
     m_gateway.putTarget(target);
+    return true;
+}
+
+bool PublishedState::isBeat(const TargetEntry &before, TargetEntry now)
+{
+    if (now.coldFor > before.coldFor)
+        return false;
+    now.sequence = before.sequence;
+    now.coldFor = before.coldFor;
+    return now == before;
 }
 
 void PublishedState::takeEvacuation(const ItemChange &change)
--- a/packages/serving/apricothook/serving/apricothook_published_state.hpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.hpp
@@ -45,12 +45,15 @@
     bool reachesSource() const { return m_sourceState == SourceState::Reachable; }
     bool hasLostSource() const { return m_sourceState && !reachesSource(); }
     const ItemReplica &replica() const { return m_replica; }
+    /** No evacuation ended unheard after some target had written the entry that is known. */
+    bool knowsRemovals() const { return m_knowsRemovals; }
     bool hasConfiguration() const { return m_generation.has_value(); }
 
 private:
-    void onChange(const ItemChange &change);
+    /** True when peers need to hear of it. */
+    bool onChange(const ItemChange &change);
     void takeConfiguration(const ItemChange &change);
-    void takeTarget(const ItemChange &change);
+    bool takeTarget(const ItemChange &change);
     void takeEvacuation(const ItemChange &change);
     void removeTarget(const TargetId &target, Revision revision);
     void reject(const ItemChange &change, const ItemFault &fault);
@@ -58,6 +61,8 @@
     /** The target wrote this entry before the one that told of its leaving. */
     bool isOlderThanLeaving(const TargetEntry &target) const;
     void noteLeaving(const TargetEntry &target);
+    /** The target says only that it lives; that it is less cold than before is known without it. */
+    static bool isBeat(const TargetEntry &before, TargetEntry now);
     void releaseHeld(const TargetId &target);
 
     EventLoop &m_loop;
@@ -66,6 +71,7 @@
     LogWriter &m_log;
     ItemReplica m_replica;
     std::optional<Generation> m_generation;
+    bool m_knowsRemovals = false;
     std::optional<SourceState> m_sourceState;
     SourceOutage m_outage;
     /** Removals that wait, by target. */
--- a/packages/serving/tests/apricothook_emulated_cold_fleet.cpp
+++ b/packages/serving/tests/apricothook_emulated_cold_fleet.cpp
@@ -22,10 +22,10 @@
     return {"10.0.0.1", static_cast<std::uint16_t>(number + 1)};
 }
 
-std::vector<Endpoint> seeds()
+std::vector<Endpoint> seedsOf(std::size_t daemons)
 {
     std::vector<Endpoint> addresses;
-    for (std::size_t number = 0; number < Seeds; ++number)
+    for (std::size_t number = 0; number < std::min(Seeds, daemons); ++number)
         addresses.push_back(addressOf(number));
     return addresses;
 }
@@ -62,7 +62,8 @@
     , m_loop(loop)
     , m_startedAt(startedAt)
     , m_directory(memberOf(number))
-    , m_exchange(loop, m_directory, *this, fleet.random, seeds())
+    , m_cold(m_directory, seedsOf(fleet.daemons()), addressOf(number), HeartbeatPause)
+    , m_exchange(loop, m_directory, *this, fleet.random, seedsOf(fleet.daemons()))
     , m_dispatcher(targets, *this)
 {
     targets.setColdFleet({});
@@ -109,8 +110,7 @@
     targets.review(now);
     targets.setCells(m_directory.weights(now));
     const bool isCut = m_fleet.m_daemons[m_number].cutUntil > m_fleet.m_now;
-    targets.setColdFleet(
-        m_directory.coldFleet(seeds(), addressOf(m_number), !isCut, 2 * HeartbeatPause, now));
+    targets.setColdFleet(m_cold.review({!isCut, knowsRemovals}, now));
     for (const KnownMember *member : m_directory.membersOfCell(m_directory.ownCell()))
         send(member->brief.beaconAddress, Greeting {ownBrief(), false, false, {}});
     m_exchange.sendSummaries();
@@ -194,10 +194,8 @@
     deliver();
     for (std::size_t index = 0; index < m_daemons.size(); ++index) {
         Daemon &daemon = m_daemons[index];
-        if (daemon.frozenUntil > m_now)
-            continue;
         daemon.clock->advance(Step);
-        if (daemon.downUntil > m_now)
+        if (daemon.frozenUntil > m_now || daemon.downUntil > m_now)
             continue;
         if (!daemon.process)
             start(index);
@@ -223,6 +221,13 @@
         apply(*starting.process, Evacuated {dataCentre, true}, starting.loop->now());
     for (const auto &[id, entry] : m_listedTargets)
         apply(*starting.process, entry, starting.loop->now());
+    // Now and then the source has forgotten its history, and only time tells which are cold.
+    starting.process->knowsRemovals = random.next() % 4 != 0;
+    for (const auto &[dataCentre, ended] : m_ended) {
+        const bool isNews = m_now - ended <= HeartbeatPause && starting.process->knowsRemovals;
+        if (isNews && !m_listedEvacuations.contains(dataCentre))
+            apply(*starting.process, Evacuated {dataCentre, false}, starting.loop->now());
+    }
     starting.taken = m_changes.size();
 }
 
@@ -260,8 +265,10 @@
         m_listedTargets.erase(*removed);
     else if (const auto *evacuated = std::get_if<Evacuated>(&news); evacuated->isEvacuated)
         m_listedEvacuations.insert(evacuated->dataCentre);
-    else
+    else {
         m_listedEvacuations.erase(evacuated->dataCentre);
+        m_ended[evacuated->dataCentre] = m_now;
+    }
 }
 
 void EmulatedColdFleet::writeEntries()
--- a/packages/serving/tests/apricothook_emulated_cold_fleet.hpp
+++ b/packages/serving/tests/apricothook_emulated_cold_fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <apricothook/dispatch/apricothook_dispatcher.hpp>
+#include <apricothook/fleetview/apricothook_cold_outlook.hpp>
 #include <apricothook/serving/apricothook_fleet_exchange.hpp>
 
 #include <apricothook/testsupport/apricothook_hand_clock.hpp>
@@ -29,6 +30,8 @@
     void take(const PeerDatagram &datagram);
 
     TargetTable targets;
+    /** It has heard of the evacuations that ended since the entries were written. */
+    bool knowsRemovals = false;
 
 private:
     struct Running
@@ -50,6 +53,7 @@
     EventLoop &m_loop;
     const std::uint64_t m_startedAt;
     FleetDirectory m_directory;
+    ColdOutlook m_cold;
     FleetExchange m_exchange;
     Dispatcher m_dispatcher;
     std::vector<Running> m_running;
@@ -90,7 +94,6 @@
     unsigned lostOfThousand = 5;
 
     void kill(std::size_t daemon, Time downFor);
-    /** Its clock stands still too. */
     void freeze(std::size_t daemon, Time time);
     /** Neither the others nor what is published reach it. */
     void cutOff(std::size_t daemon, Time time);
@@ -163,6 +166,7 @@
     /** What is published now. */
     std::map<TargetId, TargetEntry> m_listedTargets;
     std::set<DataCentreId> m_listedEvacuations;
+    std::map<DataCentreId, Time> m_ended;
     std::vector<Way> m_way;
     struct Evacuation
     {
--- a/packages/serving/tests/apricothook_published_state_tests.cpp
+++ b/packages/serving/tests/apricothook_published_state_tests.cpp
@@ -239,3 +239,39 @@
     CHECK(bench.has("a"));
     CHECK_FALSE(bench.takesWork("a"));
 }
+
+TEST_CASE("the end of an evacuation that a daemon never heard of leaves its targets cold")
+{
+    // A daemon that started just after the end would send to targets that have just started too.
+    StateBench bench;
+    ServiceRule rule;
+    rule.name = ServiceId("s");
+    rule.coldTime = std::chrono::seconds(3);
+    rule.coldPerSecond = 12;
+    bench.gateway.targets().setServices({rule}, bench.clock.now());
+    bench.state.apply({{{"t/a", "ready", 4}, {"e/d", std::nullopt, 5}}, true, 6, true});
+    CHECK(bench.state.knowsRemovals());
+    CHECK(bench.gateway.targets().find(TargetId("a"))->isCold);
+}
+
+TEST_CASE("an entry that changes nothing but its sequence is no news")
+{
+    // Each target writes its entry anew every second. That it leaves, or comes, or is cold again
+    // is told to all; that it lives only by its being there.
+    StateBench bench;
+    bench.write("c", "1");
+    bench.write("t/a", "ready#1");
+    const Revision known = bench.state.replica().newsRevision();
+    bench.write("t/a", "ready#2");
+    bench.write("t/a", "ready#3");
+    CHECK(bench.state.replica().newsRevision() == known);
+    // The sequence is kept: an older write that comes late is told by it.
+    bench.write("t/a", "draining#4");
+    CHECK(bench.state.replica().newsRevision() == bench.revision);
+    bench.write("t/a", "draining#5");
+    CHECK(bench.state.replica().newsRevision() == bench.revision - 1);
+    bench.write("t/a", "ready#4");
+    CHECK_FALSE(bench.isOffered("a"));
+    bench.write("t/a", std::nullopt);
+    CHECK(bench.state.replica().newsRevision() == bench.revision);
+}
--- a/packages/serving/tests/apricothook_revision_follower_tests.cpp
+++ b/packages/serving/tests/apricothook_revision_follower_tests.cpp
@@ -13,7 +13,7 @@
 /** A daemon that hears nothing from its source, and a peer that has all. */
 struct FollowerBench : StateBench
 {
-    ItemReplica peer {[](const ItemChange &) {}};
+    ItemReplica peer {[](const ItemChange &) { return true; }};
     std::unique_ptr<SmallHttpServer> server
         = SmallHttpServer::open(loop, {"127.0.0.1", 0}, [this](const RequestHead &request) {
               ++asked;
