Doubt what was published before a start for as long as entries take, and tell why a target is cold

Now a daemon that has just started reads at the source itself for one pause between entries and 0.3 s, where cold targets are bounded, and doubts for that long; one that can't read itself for 1.2 s more.

--- a/packages/dispatch/apricothook/dispatch/apricothook_cold_guard.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_cold_guard.cpp
@@ -8,6 +8,21 @@
 
 namespace Apricothook {
 
+std::string_view nameOf(ColdView view)
+{
+    switch (view) {
+    case ColdView::Alone:
+        return "alone";
+    case ColdView::Doubtful:
+        return "doubtful";
+    case ColdView::Outside:
+        return "outside";
+    case ColdView::Main:
+        break;
+    }
+    return "main";
+}
+
 ColdGuard::ColdGuard(std::uint64_t self, const FleetBounds &bounds)
     : m_self(self), m_bounds(bounds), m_fleet {{self}, ColdView::Main}
 {
--- a/packages/dispatch/apricothook/dispatch/apricothook_cold_guard.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_cold_guard.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <string_view>
 #include <vector>
 
 namespace Apricothook {
@@ -17,6 +18,8 @@
     Main,     ///< It knows that too, and hears most of the fleet.
 };
 
+std::string_view nameOf(ColdView view);
+
 /** The fleet as far as it matters who sends to cold targets. */
 struct ColdFleet
 {
@@ -67,6 +70,7 @@
     Duration coldTime(const ServiceId &service) const;
     /** The service's cold targets must not get more than a few requests. */
     bool isBounded(const ServiceId &service) const;
+    bool boundsAny() const { return !m_rules.empty(); }
     /** Targets that are warm may be so no longer. */
     bool doubtsAll() const { return m_fleet.view < ColdView::Outside; }
 
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -134,6 +134,19 @@
         m_targets, [&](const auto &entry) { return entry.second.entry.dataCentre == dataCentre; }));
 }
 
+std::size_t TargetTable::evacuatedCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_targets, [this](const auto &entry) {
+        return m_evacuated.contains(entry.second.entry.dataCentre);
+    }));
+}
+
+std::size_t TargetTable::coldCount() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_targets, [](const auto &entry) { return entry.second.isCold; }));
+}
+
 void TargetTable::noteCold(BelievedTarget &target, Instant until, Instant now) const
 {
     // Never sooner than was heard before: entries may come into force out of order.
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -114,8 +114,8 @@
 {
 public:
     explicit TargetTable(DataCentreId own, const PolicySwitches &policies = {},
-                         ColdGuard cold = ColdGuard())
-        : m_own(std::move(own)), m_policies(policies), m_cold(std::move(cold))
+                         const ColdGuard &cold = ColdGuard())
+        : m_own(std::move(own)), m_policies(policies), m_cold(cold)
     {
     }
 
@@ -137,6 +137,10 @@
      */
     void setEvacuated(const DataCentreId &dataCentre, bool isEvacuated, Instant now);
     std::size_t countOf(const DataCentreId &dataCentre) const;
+    std::size_t evacuatedCount() const;
+    /** Some service bounds what its cold targets get. */
+    bool boundsCold() const { return m_cold.boundsAny(); }
+    std::size_t coldCount() const;
     /** Lets targets that aren't cold any more take what they can. */
     void review(Instant now);
 
--- a/packages/fleetview/apricothook/fleetview/apricothook_cold_outlook.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_cold_outlook.cpp
@@ -17,7 +17,7 @@
 {
 }
 
-ColdFleet ColdOutlook::review(const ItemOutlook &items, Instant now)
+ColdFleet ColdOutlook::review(const ItemReach &items, Instant now)
 {
     ColdFleet fleet {{memberNumber(m_directory.self())}, view(items, now)};
     for (const auto &[id, member] : m_directory.members()) {
@@ -28,23 +28,27 @@
     return fleet;
 }
 
-ColdView ColdOutlook::view(const ItemOutlook &items, Instant now)
+ColdView ColdOutlook::view(const ItemReach &items, Instant now)
 {
     const bool isFirst = !m_started;
     m_started = m_started.value_or(now);
     const bool stoodStill = now - std::exchange(m_reviewed, now) > StandstillTime;
     const bool isMain = isMainPart(now);
-    if (!isFirst && (stoodStill || !(isMain || items.someReach)))
+    if (!isFirst && (stoodStill || !(isMain || items.byAnybody)))
         m_doubtUntil = now + CatchUpTime;
     if (!m_directory.knowsFleet(m_seeds, m_own, now))
         return ColdView::Alone;
-    const bool hasOldEntries
-        = !items.knowsRemovals && now - *m_started <= EntryPauses * m_entryPause;
-    if (now < m_doubtUntil || hasOldEntries)
+    if (now < m_doubtUntil || hasOldEntries(items.byOwnReading, now))
         return ColdView::Doubtful;
     return isMain ? ColdView::Main : ColdView::Outside;
 }
 
+bool ColdOutlook::hasOldEntries(bool ownReaches, Instant now) const
+{
+    const Duration way = ownReaches ? OwnReadingTime : OthersReadingTime;
+    return !m_started || now - *m_started <= m_entryPause + way;
+}
+
 bool ColdOutlook::isMainPart(Instant now) const
 {
     std::size_t remembered = 1;
--- a/packages/fleetview/apricothook/fleetview/apricothook_cold_outlook.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_cold_outlook.hpp
@@ -5,22 +5,22 @@
 
 namespace Apricothook {
 
-/** What this daemon knows of the published items. */
-struct ItemOutlook
+/** How what is published reaches this daemon. */
+struct ItemReach
 {
-    /** They reach it, by its own reading or another's. */
-    bool someReach = false;
-    /** No evacuation ended unheard after some target had written the entry that is known. */
-    bool knowsRemovals = false;
+    bool byOwnReading = false;
+    /** By its own reading or another's. */
+    bool byAnybody = false;
 
-    auto operator<=>(const ItemOutlook &) const = default;
+    auto operator<=>(const ItemReach &) const = default;
 };
 
 /**
  * Judges what this daemon may rely on where targets may be cold.
  *
  * Whoever was cut off, or stood still, believes for a moment what was true before: an evacuation
- * may have begun and ended meanwhile, and its targets turned cold. Until what was missed must have
+ * may have begun and ended meanwhile, and its targets turned cold. One that has just started may
+ * have read entries of before such an end, which no listing shows. Until what was missed must have
  * come, such a daemon takes all targets for cold.
  */
 class ColdOutlook
@@ -30,18 +30,22 @@
     static constexpr std::chrono::milliseconds CatchUpTime {2000};
     /** Between two reviews this daemon has stood still. */
     static constexpr std::chrono::milliseconds StandstillTime {1000};
-    /** In so many pauses between entries all targets have written theirs, and those have come. */
-    static constexpr int EntryPauses = 2;
+    /** What a target writes has come by then, to one that reads at the source and to others. */
+    static constexpr std::chrono::milliseconds OwnReadingTime {300};
+    static constexpr std::chrono::milliseconds OthersReadingTime {1500};
 
     /** `own`: where this daemon receives datagrams; `seeds` are such addresses of others. */
     ColdOutlook(const FleetDirectory &directory, std::vector<Endpoint> seeds, Endpoint own,
                 Duration entryPause);
 
     /** To be called some times a second. */
-    ColdFleet review(const ItemOutlook &items, Instant now);
+    ColdFleet review(const ItemReach &items, Instant now);
+    /** It has just started: reading at the source itself, it knows sooner which targets are cold.
+     */
+    bool hasOldEntries(bool ownReaches, Instant now) const;
 
 private:
-    ColdView view(const ItemOutlook &items, Instant now);
+    ColdView view(const ItemReach &items, Instant now);
     /**
      * Most of the seeds and of all members that were heard of in AddressLimit are live. Of two
      * parts of a fleet that don't hear each other only one is so.
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
@@ -141,6 +141,11 @@
     return now - member.heard <= liveLimit(member);
 }
 
+bool FleetDirectory::mayBeNamed(const KnownMember &member, Instant now) const
+{
+    return isLive(member, now) && now - member.heard <= LongestNamed;
+}
+
 bool FleetDirectory::isKnown(const KnownMember &member, Instant now) const
 {
     return isLive(member, now) || (now - member.heard <= KnownLimit && !member.brief.isLeaving);
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
@@ -52,6 +52,12 @@
     static constexpr std::chrono::milliseconds OwnCellLimit {1000};
     /** A silent member that may still admit requests elsewhere; then it counts as gone. */
     static constexpr std::chrono::seconds KnownLimit {12};
+    /**
+     * Callers aren't named a daemon that was last heard longer ago. In a fleet of many cells it
+     * counts as live for longer, as summaries of its cell come seldom, and callers would be sent
+     * to one that died ten seconds ago.
+     */
+    static constexpr std::chrono::seconds LongestNamed {5};
     /** Addresses of silent members are tried for so long. */
     static constexpr std::chrono::seconds AddressLimit {60};
     /** Three exchanges of all names with others without any news. */
@@ -98,6 +104,8 @@
     const std::map<MemberId, KnownMember> &members() const { return m_members; }
     std::vector<const KnownMember *> membersOfCell(std::uint32_t cell) const;
     bool isLive(const KnownMember &member, Instant now) const;
+    /** Live, and heard within LongestNamed: callers may be sent to it. */
+    bool mayBeNamed(const KnownMember &member, Instant now) const;
     /** Members that may be alive; this daemon among them. */
     std::size_t liveCount(Instant now) const;
     std::size_t knownCount(Instant now) const;
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -37,6 +37,9 @@
     EvacuationChanged = 867, ///< info: a data centre's targets get nothing more, or get requests
                              ///< again, as cold ones first; data centre, state, targets,
                              ///< revision. Operator: none.
+    ColdViewChanged = 868,   ///< info: this daemon relies on more, or on less, where targets may be
+                             ///< cold; view, members. Operator: none; see docs/OPERATIONS.md when
+                             ///< callers are refused while a data centre warms up.
 };
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_protocol.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_protocol.hpp
@@ -41,13 +41,6 @@
     /** Path and query that wait up to `wait` for changes after a revision. */
     virtual std::string watchPath(Revision after, std::chrono::milliseconds wait) const = 0;
     virtual Result<ItemUpdate, ItemProtocolError> watched(const SourceAnswer &answer) const = 0;
-    /** Its writer writes the item anew every second or so, with what has changed until then. */
-    virtual bool isRewritten(std::string_view key) const = 0;
-    /**
-     * Path and query that ask for changes since a revision of the items whose removal alters what
-     * rewritten ones stand for; the answer is for watched().
-     */
-    virtual std::string removalsPath(Revision after) const = 0;
 };
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_replica.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_replica.hpp
@@ -35,8 +35,6 @@
     bool isWhole = false;
     /** The revision up to which the source has told everything. */
     Revision revision = 0;
-    /** With the removals since each item was last written, of those that ItemProtocol names. */
-    bool hasRemovals = false;
 
     auto operator<=>(const ItemUpdate &) const = default;
 };
@@ -44,10 +42,9 @@
 /**
  * This daemon's copy of the published items.
  *
- * Each target writes its entry anew every second or so, mostly to say no more than that it lives.
- * Passed on to all daemons, that grows with targets times daemons: with 1,000 targets it was most
- * of what went between data centres. Only changes that matter are told to peers; that an entry
- * lapses is one.
+ * A target may write its entry anew to say no more than that it lives, or that it is less cold than
+ * before. Passed on to all daemons that would grow with targets times daemons, so only changes that
+ * matter are told to peers; that an entry lapses is one.
  *
  * Sources may tell the same change twice or in any
  * order; of each key the highest revision counts, and a removal is remembered so that an older copy
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
@@ -117,32 +117,12 @@
         after = update.changes.back().key;
     }
     whole.revision = *revision;
-    addRemovals(whole);
     m_revision = revision;
     tell(SourceState::Reachable);
     m_updated(std::move(whole));
     return true;
 }
 
-void ItemWatcher::addRemovals(ItemUpdate &whole)
-{
-    Revision oldest = whole.revision;
-    for (const ItemChange &item : whole.changes) {
-        if (m_protocol.isRewritten(item.key))
-            oldest = std::min(oldest, item.revision);
-    }
-    const std::optional<SourceAnswer> answer
-        = m_client->get(m_protocol.removalsPath(oldest), AnswerTime);
-    if (!answer)
-        return;
-    const Result<ItemUpdate, ItemProtocolError> removals = m_protocol.watched(*answer);
-    if (!removals)
-        return;
-    const std::vector<ItemChange> &changes = removals.value().changes;
-    whole.changes.insert(whole.changes.end(), changes.begin(), changes.end());
-    whole.hasRemovals = true;
-}
-
 bool ItemWatcher::watchOnce()
 {
     // After a failure a short wait shows soon whether the source is back.
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
@@ -72,11 +72,6 @@
     void run();
     /** False when the call failed. */
     bool readAll();
-    /**
-     * Adds what was removed since the oldest of the rewritten items was written. A listing doesn't
-     * show it, and the items may be of before it.
-     */
-    void addRemovals(ItemUpdate &whole);
     bool watchOnce();
     void tell(SourceState state);
     void pauseAfterFailure();
--- a/packages/fleetview/tests/apricothook_fleet_directory_tests.cpp
+++ b/packages/fleetview/tests/apricothook_fleet_directory_tests.cpp
@@ -270,3 +270,24 @@
     alone.pass(FleetDirectory::LoneTime);
     CHECK(alone.directory.knowsFleet(seeds, own, alone.clock.now()));
 }
+
+TEST_CASE("callers aren't named a daemon that was last heard many seconds ago")
+{
+    // A caller connects to a daemon that died ten seconds ago. The daemon was of another cell, and
+    // in a fleet of many cells that counts as live until its next summaries have been missed.
+    Bench bench;
+    bench.fleet(300);
+    REQUIRE(bench.directory.otherCellLimit() > std::chrono::seconds(10));
+    const auto namedAndLive = [&] {
+        std::pair<std::size_t, std::size_t> counts;
+        for (const auto &[id, member] : bench.directory.members()) {
+            counts.first += bench.directory.mayBeNamed(member, bench.clock.now()) ? 1 : 0;
+            counts.second += bench.directory.isLive(member, bench.clock.now()) ? 1 : 0;
+        }
+        return counts;
+    };
+    CHECK(namedAndLive().first == 300);
+    bench.pass(std::chrono::seconds(6));
+    CHECK(namedAndLive().first == 0);
+    CHECK(namedAndLive().second > 200);
+}
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -118,6 +118,7 @@
     EventName {865, "ReadingChanged", EventLevel::Info},
     EventName {866, "OldEntryIgnored", EventLevel::Info},
     EventName {867, "EvacuationChanged", EventLevel::Info},
+    EventName {868, "ColdViewChanged", EventLevel::Info},
 };
 
 } // namespace
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -57,6 +57,10 @@
         return "apricothook_kept_keys";
     case Level::KeptAnswerBytes:
         return "apricothook_kept_answer_bytes";
+    case Level::EvacuatedTargets:
+        return "apricothook_evacuated_targets";
+    case Level::ColdTargets:
+        return "apricothook_cold_targets";
     }
     return "apricothook_unnamed";
 }
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -24,6 +24,8 @@
     RunningRequests,
     KeptKeys,
     KeptAnswerBytes,
+    EvacuatedTargets,
+    ColdTargets,
 };
 
 /** What became of prompt tokens that were sent to an engine. */
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -1,5 +1,7 @@
 #include <apricothook/serving/apricothook_peer_exchange.hpp>
 
+#include <apricothook/fleetview/apricothook_fleetview_event.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -14,6 +16,7 @@
     , m_gateway(gateway)
     , m_published(published)
     , m_metrics(metrics)
+    , m_log(log)
     , m_directory(settings.member)
     , m_cold(m_directory, settings.seeds, settings.beaconAddress, settings.bounds.entryPause)
     , m_cell(loop, m_directory, *this, gateway, log)
@@ -64,10 +67,15 @@
     TargetTable &targets = m_gateway.targets();
     targets.review(m_loop.now());
     ColdFleet fleet
-        = m_cold.review({sourceContact().someReach, m_published.knowsRemovals()}, m_loop.now());
+        = m_cold.review({m_published.reachesSource(), sourceContact().someReach}, m_loop.now());
     // Others hear that it leaves, and send in its place.
     if (m_leaving)
         fleet.view = std::min(fleet.view, ColdView::Outside);
+    if (fleet.view != std::exchange(m_coldView, fleet.view)) {
+        m_log.write(LogEvent(FleetviewEvent::ColdViewChanged)
+                        .with("view", std::string(nameOf(fleet.view)))
+                        .with("members", fleet.members.size()));
+    }
     targets.setColdFleet(std::move(fleet));
 }
 
@@ -89,8 +97,11 @@
     // A process without a configuration can't wait for a peer that may have none either.
     const MemberBrief self = ownBrief();
     m_isCellReader = m_directory.isReader(self, now);
+    // Where targets are bounded while they are cold, a daemon that has just started soon knows
+    // which are, and may use the others.
+    const bool looksForCold = m_gateway.targets().boundsCold() && m_cold.hasOldEntries(true, now);
     const bool reads = !m_published.hasConfiguration() || m_duty.isToRead(m_directory, self, now)
-        || now < m_stuckUntil;
+        || now < m_stuckUntil || looksForCold;
     if (reads == std::exchange(m_reads, reads))
         return;
     m_readingChanged = now;
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -84,6 +84,7 @@
     Gateway &m_gateway;
     PublishedState &m_published;
     Metrics &m_metrics;
+    LogWriter &m_log;
     Instant m_started {};
     bool m_leaving = false;
     bool m_reads = true;
@@ -97,6 +98,7 @@
     Revision m_lastTold = 0;
     FleetDirectory m_directory;
     ColdOutlook m_cold;
+    ColdView m_coldView = ColdView::Alone;
     ReadingDuty m_duty;
     CellExchange m_cell;
     FleetExchange m_fleet;
--- a/packages/serving/apricothook/serving/apricothook_published_state.cpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.cpp
@@ -22,7 +22,6 @@
 
 void PublishedState::apply(const ItemUpdate &update)
 {
-    m_knowsRemovals |= update.hasRemovals;
     m_replica.apply(update);
 }
 
--- a/packages/serving/apricothook/serving/apricothook_published_state.hpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.hpp
@@ -45,8 +45,6 @@
     bool reachesSource() const { return m_sourceState == SourceState::Reachable; }
     bool hasLostSource() const { return m_sourceState && !reachesSource(); }
     const ItemReplica &replica() const { return m_replica; }
-    /** No evacuation ended unheard after some target had written the entry that is known. */
-    bool knowsRemovals() const { return m_knowsRemovals; }
     bool hasConfiguration() const { return m_generation.has_value(); }
 
 private:
@@ -71,7 +69,6 @@
     LogWriter &m_log;
     ItemReplica m_replica;
     std::optional<Generation> m_generation;
-    bool m_knowsRemovals = false;
     std::optional<SourceState> m_sourceState;
     SourceOutage m_outage;
     /** Removals that wait, by target. */
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -117,6 +117,9 @@
     m_metrics.set(Level::CallerConnections, static_cast<double>(m_gateway.callerConnections()));
     m_metrics.set(Level::CallerExchanges, static_cast<double>(m_gateway.openRequests()));
     m_metrics.set(Level::WaitingRequests, static_cast<double>(m_gateway.dispatcher().waiting()));
+    const TargetTable &targets = m_gateway.targets();
+    m_metrics.set(Level::EvacuatedTargets, static_cast<double>(targets.evacuatedCount()));
+    m_metrics.set(Level::ColdTargets, static_cast<double>(targets.coldCount()));
     m_loop.after(RankPause, [this] { rankCustomers(); });
 }
 
@@ -128,7 +131,7 @@
     const FleetDirectory &directory = m_peers.directory();
     for (const auto &[id, member] : directory.members()) {
         const MemberBrief &brief = member.brief;
-        if (directory.isLive(member, m_loop.now()) && brief.isReady && !brief.isLeaving)
+        if (directory.mayBeNamed(member, m_loop.now()) && brief.isReady && !brief.isLeaving)
             entries.push_back({brief.callerAddress, brief.dataCentre});
     }
     return entries;
--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -6,15 +6,19 @@
 import signal
 from dataclasses import dataclass
 
+import targets
+
 GRACE_SECONDS = 8
 SETTINGS = """NodeName = "vm-{index}"
-Zone = "z"
+Zone = "z{zone}"
 Region = "r"
 IpAddress = "127.0.1.{index}"
 InternalPortRange = [{internal}, {internal}]
 SeedNodes = [{seeds}]
 [Zones]
-z = "r"
+z0 = "r"
+z1 = "r"
+z2 = "r"
 [ListenAddresses]
 Frontend = "127.0.1.{index}:{base}"
 Ready = "127.0.1.{index}:{ready}"
@@ -32,6 +36,9 @@
 QuotaWindowS = 8
 QuotaOvershoot = 0.25
 QuotaSlack = 140000
+ColdOvershoot = {overshoot}
+ColdSlack = {slack}
+EvacuationMs = 3000
 ttl_max_s = 5
 [Platform]
 Address = "127.0.2.{index}:{base}"
@@ -63,8 +70,9 @@
     def write_settings(self) -> pathlib.Path:
         path = self.folder / f"vm-{self.index}.toml"
         path.write_text(SETTINGS.format(
-            index=self.index, base=self.base, ready=self.base + 1, control=self.base + 2,
+            index=self.index, zone=self.index % targets.ZONES, base=self.base, ready=self.base + 1, control=self.base + 2,
             directory=self.base + 3, internal=self.base + 4, grace=GRACE_SECONDS,
+            overshoot=targets.COLD_OVERSHOOT, slack=targets.COLD_SLACK,
             share=0.5 if self.index % 4 == 0 else 0.12,
             seeds=", ".join(f'"127.0.1.{seed}:{self.base + 2}"' for seed in self.seeds)))
         return path
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -6,6 +6,7 @@
 
 import links
 import store
+import targets
 
 # A runner's entry lapses after three heartbeats of silence.
 LAPSE_SECONDS = 3.6
@@ -20,9 +21,10 @@
         self.bench, self.random = bench, random.Random(seed)
         self.running: set[asyncio.Task] = set()
         self.told: list[str] = []
+        self.evacuated: set[str] = set()
         self.kinds = [self.kill, self.kill_many, self.freeze, self.terminate, self.reload, self.harm_caller_link,
                       self.harm_target_link, self.reset_links, self.store_away, self.store_outage, self.crash_target,
-                      self.mute_target, self.replace_target, self.change_configuration, self.revoke_key]
+                      self.mute_target, self.replace_target, self.change_configuration, self.revoke_key, self.evacuate]
         if chosen != "on":
             known = {kind.__name__: kind for kind in self.kinds}
             names = [] if chosen == "off" else chosen.split(",")
@@ -161,6 +163,14 @@
         target.start()
         await self.bench.announce(target)
 
+    async def evacuate(self) -> None:
+        zone = f"z{self.random.randrange(targets.ZONES)}"
+        if zone in self.evacuated:
+            return
+        self.evacuated.add(zone)
+        await self.bench.evacuate(zone, self.random.uniform(3, 7))
+        self.evacuated.discard(zone)
+
     async def change_configuration(self) -> None:
         await self.bench.configure()
 
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -7,6 +7,9 @@
 import http1
 
 SLOTS, QUEUED = 8, 8
+ZONES = 3
+COLD_SECONDS, COLD_PER_SECOND, COLD_OVERSHOOT, COLD_SLACK = 3.0, 4, 1.5, 2
+COLD_BOUND = int(COLD_PER_SECOND * COLD_OVERSHOOT + COLD_SLACK)
 PLAIN_SECONDS, GAP_SECONDS = 0.03, 0.015
 EVENTS = 30
 
@@ -35,6 +38,8 @@
     target: str
     customer: str
     started: float
+    zone: str = ""
+    is_cold: bool = False
 
 
 class Target:
@@ -43,6 +48,7 @@
     def __init__(self, service: str, address: tuple[str, int], runs: list[Run]) -> None:
         self.service, self.address, self.runs = service, address, runs
         self.life, self.busy, self.is_mute, self.is_up = 0, 0, False, False
+        self.zone, self.cold_until = "", 0.0
         self.slots = asyncio.Semaphore(SLOTS)
         self.writers: set[asyncio.StreamWriter] = set()
 
@@ -56,6 +62,13 @@
     def start(self) -> None:
         self.life += 1
         self.slots, self.busy, self.is_up = asyncio.Semaphore(SLOTS), 0, True
+        self.turn_cold()
+
+    def turn_cold(self) -> None:
+        self.cold_until = asyncio.get_running_loop().time() + COLD_SECONDS
+
+    def cold_ms(self) -> int:
+        return max(0, int((self.cold_until - asyncio.get_running_loop().time()) * 1000))
 
     def crash(self) -> None:
         self.is_up = False
@@ -98,7 +111,8 @@
 
     async def run(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
         self.runs.append(Run(request_id, head.line, body, self.service, self.id,
-                             head.headers.get("tenant-name", ""), asyncio.get_running_loop().time()))
+                             head.headers.get("tenant-name", ""), asyncio.get_running_loop().time(), self.zone,
+                             self.cold_ms() > 0))
         while self.is_mute and self.is_up:
             await asyncio.sleep(0.05)
         headers = {"Request-Id": request_id, "Response-Signature": signature(request_id)}
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -8,7 +8,7 @@
 # A daemon counts only when nothing was done to it, its links or its store for so long.
 CALM_SECONDS = 4.0
 # The bound for a target's leaving and for a configuration, with a second for this machine's load.
-DRAIN_BOUND, APPLY_BOUND = 3.0, 3.0
+DRAIN_BOUND, APPLY_BOUND, EVACUATION_BOUND = 3.0, 3.0, 4.0
 SERVICES = {"/u/": "plain", "/i/": "plain", "/r/": "streams", "/n/": "streams"}
 NOT_RUN = (408, 421, 429, 503)
 SERVED_AT_END = 0.9
@@ -25,6 +25,8 @@
         found += of_answer(seen, runs[seen.request_id])
         found += of_key(seen, bench)
     found += of_leaving(bench, sent)
+    found += of_evacuation(bench, sent)
+    found += of_cold(bench)
     found += [f"STOP vm-{index} ended with {status}" for index, status in bench.stops if status != 0]
     return found + of_recovery(bench)
 
@@ -87,6 +89,29 @@
     return found
 
 
+def of_evacuation(bench, sent) -> list[str]:
+    found = []
+    for zone, began, ended in bench.evacuations:
+        for run in bench.runs:
+            seen = sent.get(run.request_id)
+            if not seen or run.zone != zone or not began + EVACUATION_BOUND < run.started < ended:
+                continue
+            if is_calm(bench, seen, began):
+                found.append(f"EVAC {run.request_id}: reached {run.target} {run.started - began:.1f} s after")
+    return found
+
+
+def of_cold(bench) -> list[str]:
+    found, recent = [], defaultdict(list)
+    for run in bench.runs:
+        if not run.is_cold:
+            continue
+        recent[run.target] = [start for start in recent[run.target] if start > run.started - 1] + [run.started]
+        if len(recent[run.target]) > targets.COLD_BOUND:
+            found.append(f"FAILBACK {run.request_id}: cold {run.target} got {len(recent[run.target])} in a second")
+    return found
+
+
 def of_recovery(bench) -> list[str]:
     last = [seen for seen in bench.callers.seen if seen.sent > bench.calm_from and not seen.gave_up
             and seen.key in bench.keys and seen.ended]
