--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -212,6 +212,8 @@
             continue;
         targets.all.push_back(&target);
         target.cellSlots = 0;
+        targets.evacuated += m_evacuated.contains(target.entry.dataCentre) ? 1 : 0;
+        targets.cold += target.isCold ? 1 : 0;
         // One that takes nothing has no part: the others' work must not count on it.
         if (!takesWork(target))
             continue;
@@ -496,10 +498,8 @@
         room.slots += target->cellSlots;
         room.free += freeSlots(*target, now);
     }
-    for (const BelievedTarget *target : ofService(service).all) {
-        room.evacuated += m_evacuated.contains(target->entry.dataCentre) ? 1 : 0;
-        room.cold += target->isCold ? 1 : 0;
-    }
+    room.evacuated = ofService(service).evacuated;
+    room.cold = ofService(service).cold;
     room.meanHold = usualSpeed(service).hold;
     return room;
 }
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -182,6 +182,8 @@
         std::vector<const BelievedTarget *> all;
         /** Those with slots for this daemon's cell. */
         std::vector<const BelievedTarget *> ofCell;
+        std::uint32_t evacuated = 0;
+        std::uint32_t cold = 0;
     };
 
     void divide(const ServiceId &service);
