Let no daemon take a cold target while new names come

Ruled out: daemons in doubt (their requests were single ones), late news of the target (all took it for cold).

Now none is a sender for a second after a name was added; names that are heard again were counted all the time.

--- a/packages/fleetview/apricothook/fleetview/apricothook_cold_outlook.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_cold_outlook.cpp
@@ -19,15 +19,24 @@
 
 ColdFleet ColdOutlook::review(const ItemReach &items, Instant now)
 {
-    ColdFleet fleet {{memberNumber(m_directory.self())}, view(items, now)};
+    ColdFleet fleet {{memberNumber(m_directory.self())}, ColdView::Alone};
     for (const auto &[id, member] : m_directory.members()) {
         if (!member.brief.isLeaving)
             fleet.members.push_back(memberNumber(id));
     }
     std::ranges::sort(fleet.members);
+    noteMembers(fleet.members, now);
+    fleet.view = view(items, now);
     return fleet;
 }
 
+void ColdOutlook::noteMembers(const std::vector<std::uint64_t> &members, Instant now)
+{
+    if (!std::ranges::includes(m_members, members))
+        m_nameAdded = now;
+    m_members = members;
+}
+
 ColdView ColdOutlook::view(const ItemReach &items, Instant now)
 {
     const bool isFirst = !m_started;
@@ -40,7 +49,8 @@
         return ColdView::Alone;
     if (now < m_doubtUntil || hasOldEntries(items.byOwnReading, now))
         return ColdView::Doubtful;
-    return isMain ? ColdView::Main : ColdView::Outside;
+    const bool isSettled = now - m_nameAdded >= NameTime;
+    return isMain && isSettled ? ColdView::Main : ColdView::Outside;
 }
 
 bool ColdOutlook::hasOldEntries(bool ownReaches, Instant now) const
--- a/packages/fleetview/apricothook/fleetview/apricothook_cold_outlook.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_cold_outlook.hpp
@@ -22,6 +22,9 @@
  * may have begun and ended meanwhile, and its targets turned cold. One that has just started may
  * have read entries of before such an end, which no listing shows. Until what was missed must have
  * come, such a daemon takes all targets for cold.
+ *
+ * When parts of a fleet find each other again, names come one after the other, and one daemon after
+ * the other would take itself for a target's sender. While new names come none does.
  */
 class ColdOutlook
 {
@@ -30,6 +33,8 @@
     static constexpr std::chrono::milliseconds CatchUpTime {2000};
     /** Between two reviews this daemon has stood still. */
     static constexpr std::chrono::milliseconds StandstillTime {1000};
+    /** After a new name the senders stay as they are for as long as any bound's window lasts. */
+    static constexpr std::chrono::milliseconds NameTime {1000};
     /** What a target writes has come by then, to one that reads at the source and to others. */
     static constexpr std::chrono::milliseconds OwnReadingTime {300};
     static constexpr std::chrono::milliseconds OthersReadingTime {1500};
@@ -46,6 +51,7 @@
 
 private:
     ColdView view(const ItemReach &items, Instant now);
+    void noteMembers(const std::vector<std::uint64_t> &members, Instant now);
     /**
      * Most of the seeds and of all members that were heard of in AddressLimit are live. Of two
      * parts of a fleet that don't hear each other only one is so.
@@ -59,6 +65,10 @@
     std::optional<Instant> m_started;
     Instant m_reviewed {};
     Instant m_doubtUntil {};
+    /** Of the last review; sorted. */
+    std::vector<std::uint64_t> m_members;
+    /** When a name was last added to them. */
+    Instant m_nameAdded {};
 };
 
 } // namespace Apricothook
--- a/packages/fleetview/tests/apricothook_cold_outlook_tests.cpp
+++ b/packages/fleetview/tests/apricothook_cold_outlook_tests.cpp
@@ -41,11 +41,15 @@
     /** Passes its first seconds, with the seeds and these members. */
     ColdView startedAndHeard(const std::vector<std::string> &members)
     {
+        const auto hearAll = [&] {
+            hearSeeds();
+            for (const std::string &member : members)
+                hear(member);
+        };
+        hearAll();
         view();
         viewAfter(milliseconds(1700));
-        hearSeeds();
-        for (const std::string &member : members)
-            hear(member);
+        hearAll();
         return view();
     }
     /** Reviews while nobody is heard. */
@@ -85,6 +89,9 @@
     CHECK(bench.view() == ColdView::Main);
     // Without most seeds it isn't the main part, however many members it hears.
     bench.viewAfter(milliseconds(1500));
+    for (const char *member : {"a", "b", "c", "d"})
+        bench.hear(member);
+    bench.viewAfter(milliseconds(900));
     for (const char *member : {"a", "b", "c", "d"})
         bench.hear(member);
     CHECK(bench.viewAfter(milliseconds(400)) == ColdView::Outside);
@@ -93,6 +100,26 @@
     CHECK(bench.review().members.size() == 1);
 }
 
+TEST_CASE("while parts of a fleet find each other no daemon takes itself for a target's sender")
+{
+    // A target crashes anew: names come one after the other, and with each another daemon takes
+    // itself for the first. Four of them sent to one target within a second.
+    OutlookBench bench;
+    REQUIRE(bench.startedAndHeard({}) == ColdView::Main);
+    bench.hear("a");
+    CHECK(bench.view() != ColdView::Main);
+    bench.viewAfter(milliseconds(600));
+    bench.hear("b");
+    bench.viewAfter(milliseconds(600));
+    bench.hearSeeds();
+    CHECK(bench.view() != ColdView::Main);
+    bench.viewAfter(milliseconds(500));
+    CHECK(bench.view() == ColdView::Main);
+    // One that is heard again was counted all the time.
+    bench.hear("a");
+    CHECK(bench.view() == ColdView::Main);
+}
+
 TEST_CASE("a daemon that nothing reached doubts all targets until it has caught up")
 {
     // Targets crash anew: an evacuation began and ended while a daemon was cut off. When it hears
