--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -9,6 +9,7 @@
 import targets
 
 GRACE_SECONDS = 8
+RETRY_RATIO, RETRY_WINDOW, RETRY_SLACK = 0.2, 10, 56
 SETTINGS = """NodeName = "vm-{index}"
 Zone = "z{zone}"
 Region = "r"
@@ -30,9 +31,9 @@
 GraceS = {grace}
 ConfigApplyMs = 2000
 DrainMs = 2000
-RetryBudgetRatio = 0.2
-BudgetWindowS = 10
-RetryBudgetSlack = 60
+RetryBudgetRatio = {retry_ratio}
+BudgetWindowS = {retry_window}
+RetryBudgetSlack = {retry_slack}
 QuotaWindowS = 8
 QuotaOvershoot = 0.25
 QuotaSlack = 140000
@@ -72,6 +73,7 @@
         path.write_text(SETTINGS.format(
             index=self.index, zone=self.index % targets.ZONES, base=self.base, ready=self.base + 1, control=self.base + 2,
             directory=self.base + 3, internal=self.base + 4, grace=GRACE_SECONDS,
+            retry_ratio=RETRY_RATIO, retry_window=RETRY_WINDOW, retry_slack=RETRY_SLACK,
             overshoot=targets.COLD_OVERSHOOT, slack=targets.COLD_SLACK,
             share=0.5 if self.index % 4 == 0 else 0.12,
             seeds=", ".join(f'"127.0.1.{seed}:{self.base + 2}"' for seed in self.seeds)))
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -24,7 +24,8 @@
         self.evacuated: set[str] = set()
         self.kinds = [self.kill, self.kill_many, self.freeze, self.terminate, self.reload, self.harm_caller_link,
                       self.harm_target_link, self.reset_links, self.store_away, self.store_outage, self.crash_target,
-                      self.mute_target, self.replace_target, self.change_configuration, self.revoke_key, self.evacuate]
+                      self.mute_target, self.replace_target, self.change_configuration, self.revoke_key, self.evacuate,
+                      self.fail_service, self.kill_in_series, self.freeze_others]
         if chosen != "on":
             known = {kind.__name__: kind for kind in self.kinds}
             names = [] if chosen == "off" else chosen.split(",")
@@ -78,6 +79,11 @@
         chosen = self.random.sample(self.bench.daemons, count)
         await asyncio.gather(*(self.restart(daemon, signal.SIGKILL) for daemon in chosen))
 
+    async def kill_in_series(self) -> None:
+        """All daemons, again and again, so that none remembers what it did in the retry window."""
+        for _ in range(self.random.randint(2, 4)):
+            await asyncio.gather(*(self.restart(daemon, signal.SIGKILL) for daemon in self.bench.daemons))
+
     async def terminate(self) -> None:
         await self.restart(self.daemon(), signal.SIGTERM)
 
@@ -87,6 +93,17 @@
         await self.harm([daemon], self.random.uniform(0.3, 3))
         daemon.send(signal.SIGCONT)
 
+    async def freeze_others(self) -> None:
+        """One daemon hears nobody for as long; each of a few in turn."""
+        for alone in self.random.sample(self.bench.daemons, 3):
+            others = [daemon for daemon in self.bench.daemons if daemon is not alone]
+            for daemon in others:
+                daemon.send(signal.SIGSTOP)
+            await self.harm(self.bench.daemons, self.random.uniform(1.2, 2.5))
+            for daemon in others:
+                daemon.send(signal.SIGCONT)
+            await self.harm(others, 0.2)
+
     async def reload(self) -> None:
         daemon = self.daemon()
         daemon.send(signal.SIGHUP)
@@ -144,6 +161,17 @@
         await self.harm(self.bench.daemons, self.random.uniform(0.5, 2.5))
         target.is_mute = False
 
+    async def fail_service(self) -> None:
+        """All targets of a service fail a part of their requests, in one way."""
+        service = self.random.choice(sorted({target.service for target in self.bench.targets}))
+        failing = [target for target in self.bench.targets if target.service == service]
+        failure = self.random.choice((targets.REJECTS, targets.FAILS, targets.RESETS))
+        for target in failing:
+            target.failure, target.failing_part = failure, self.random.uniform(0.5, 1)
+        await self.harm(self.bench.daemons, self.random.uniform(2, 6))
+        for target in failing:
+            target.failure = ""
+
     async def replace_target(self) -> None:
         """A planned one: it drains, an older write of it takes effect, it leaves, and another process comes."""
         target = self.random.choice(self.bench.targets)
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import random
 from dataclasses import dataclass
 
 import http1
@@ -12,6 +13,8 @@
 COLD_BOUND = int(COLD_PER_SECOND * COLD_OVERSHOOT + COLD_SLACK)
 PLAIN_SECONDS, GAP_SECONDS = 0.03, 0.015
 EVENTS = 30
+# What a failing target does with a request: rejects it as not run, answers with an error, or resets the connection.
+REJECTS, FAILS, RESETS = "rejects", "fails", "resets"
 
 
 def plain_body(request_id: str, body: bytes) -> bytes:
@@ -42,12 +45,24 @@
     is_cold: bool = False
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request that a target read, whether or not it ran it."""
+
+    request_id: str
+    service: str
+    at: float
+
+
 class Target:
     """One process of a service at an address; a restart gives it another id."""
 
-    def __init__(self, service: str, address: tuple[str, int], runs: list[Run]) -> None:
-        self.service, self.address, self.runs = service, address, runs
+    def __init__(self, service: str, address: tuple[str, int], runs: list[Run], arrivals: list[Arrival]) -> None:
+        self.service, self.address, self.runs, self.arrivals = service, address, runs, arrivals
+        # How it fails, and which part of its requests.
+        self.failure, self.failing_part, self.random = "", 0.0, random.Random(address[0])
         self.life, self.busy, self.is_mute, self.is_up = 0, 0, False, False
+        self.cold_seconds = COLD_SECONDS
         self.zone, self.cold_until = "", 0.0
         self.slots = asyncio.Semaphore(SLOTS)
         self.writers: set[asyncio.StreamWriter] = set()
@@ -65,7 +80,7 @@
         self.turn_cold()
 
     def turn_cold(self) -> None:
-        self.cold_until = asyncio.get_running_loop().time() + COLD_SECONDS
+        self.cold_until = asyncio.get_running_loop().time() + self.cold_seconds
 
     def cold_ms(self) -> int:
         return max(0, int((self.cold_until - asyncio.get_running_loop().time()) * 1000))
@@ -94,10 +109,20 @@
 
     async def answer(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, life: int) -> None:
         request_id = head.headers.get("request-id", "")
+        self.arrivals.append(Arrival(request_id, self.service, asyncio.get_running_loop().time()))
         if head.headers.get("expected-instance", self.id) != self.id:
             writer.write(http1.message("HTTP/1.1 421 Other", {"Request-Id": request_id, "Instance-Id": self.id}))
             return
-        if self.busy >= SLOTS + QUEUED:
+        failure = self.failure if self.random.random() < self.failing_part else ""
+        if failure == RESETS:
+            self.note_run(head, body, request_id)
+            writer.transport.abort()
+            return
+        if failure == FAILS:
+            self.note_run(head, body, request_id)
+            writer.write(http1.message("HTTP/1.1 500 Failed", {"Request-Id": request_id}))
+            return
+        if failure == REJECTS or self.busy >= SLOTS + QUEUED:
             writer.write(http1.message("HTTP/1.1 503 Full", {"Request-Id": request_id, "Not-Executed": "1"}))
             return
         self.busy += 1
@@ -109,10 +134,13 @@
             if life == self.life:
                 self.busy -= 1
 
-    async def run(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
+    def note_run(self, head: http1.Head, body: bytes, request_id: str) -> None:
         self.runs.append(Run(request_id, head.line, body, self.service, self.id,
                              head.headers.get("tenant-name", ""), asyncio.get_running_loop().time(), self.zone,
                              self.cold_ms() > 0))
+
+    async def run(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
+        self.note_run(head, body, request_id)
         while self.is_mute and self.is_up:
             await asyncio.sleep(0.05)
         headers = {"Request-Id": request_id, "Response-Signature": signature(request_id)}
--- a/tools/soak/test_verdict.py
+++ b/tools/soak/test_verdict.py
@@ -9,6 +9,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 import callers
+import daemons
 import targets
 import verdict
 
@@ -29,7 +30,7 @@
 
 
 def findings(seen: list, runs: list, **changes) -> list[str]:
-    bench = SimpleNamespace(callers=SimpleNamespace(seen=seen), runs=runs, revoked={}, left={}, stops=[], evacuations=[],
+    bench = SimpleNamespace(callers=SimpleNamespace(seen=seen), runs=runs, revoked={}, left={}, stops=[], evacuations=[], arrivals=[], started=0.0,
                             harms=defaultdict(list), keys=["key-a"], calm_from=0.0)
     vars(bench).update(changes)
     return [line.split(" ")[0].rstrip(":") for line in verdict.findings(bench)]
@@ -47,6 +48,21 @@
         self.assertEqual(findings([seen], [run_of(seen, customer="someone")]), ["UNASKED"])
         self.assertEqual(findings([seen], [run_of(seen, service="streams")]), ["ROUTE"])
 
+    def test_repeats_count_against_the_requests_for_their_service(self):
+        """Rejected sends count, a request's first arrival doesn't, and old ones leave the window."""
+        seen = [request("safe", request_id=f"r{number}", status=0, gave_up=True) for number in range(99)]
+        seen.append(request("safe"))
+        allowed = int(daemons.RETRY_RATIO * len(seen)) + daemons.RETRY_SLACK
+
+        def arrivals(repeats: int, service: str, request_id: str = "r1", at: float = SENT) -> list:
+            return [targets.Arrival(request_id, service, at)] * (repeats + 1)
+
+        self.assertEqual(findings(seen, [], arrivals=arrivals(allowed, "plain")), [])
+        self.assertEqual(findings(seen, [], arrivals=arrivals(allowed + 1, "plain")), ["BUDGET"])
+        self.assertEqual(findings(seen, [], arrivals=arrivals(daemons.RETRY_SLACK + 1, "streams")), ["BUDGET"])
+        apart = arrivals(allowed, "plain") + arrivals(allowed, "plain", "r2", SENT + daemons.RETRY_WINDOW)
+        self.assertEqual(findings(seen, [], arrivals=apart), [])
+
     def test_a_second_run_counts_only_where_one_is_allowed(self):
         for kind, expected in (("unsafe", ["TWICE"]), ("single", ["TWICE"]), ("safe", []), ("resumable", [])):
             seen = request(kind)
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -1,8 +1,10 @@
 """What callers and targets saw, held against the promises. Each finding is a line."""
 
+from bisect import bisect_right
 from collections import defaultdict
 
 import callers
+import daemons
 import targets
 
 # A daemon counts only when nothing was done to it, its links or its store for so long.
@@ -27,6 +29,7 @@
     found += of_leaving(bench, sent)
     found += of_evacuation(bench, sent)
     found += of_cold(bench)
+    found += of_repeats(bench)
     found += [f"STOP vm-{index} ended with {status}" for index, status in bench.stops if status != 0]
     return found + of_recovery(bench)
 
@@ -112,6 +115,42 @@
     return found
 
 
+def worst_repeats(bench) -> tuple[float, str]:
+    """The largest part of the retry budget that a service got in any window, and the words for it."""
+    worst = (0.0, "no repeats")
+    for service in sorted({arrival.service for arrival in bench.arrivals}):
+        sent = sorted(seen.sent for seen in bench.callers.seen if SERVICES[seen.line.split(" ")[1][:3]] == service)
+        repeats = repeats_at(bench, service)
+        for last, at in enumerate(repeats):
+            window = last + 1 - bisect_right(repeats, at - daemons.RETRY_WINDOW)
+            budget = daemons.RETRY_RATIO * most_sent(sent, at) + daemons.RETRY_SLACK
+            worst = max(worst, (window / budget, f"{service} got {window} repeats of {budget:.0f} by "
+                                                 f"{at - bench.started:.1f} s"))
+    return worst
+
+
+def repeats_at(bench, service: str) -> list[float]:
+    known, repeats = set(), []
+    for arrival in bench.arrivals:
+        if arrival.service != service:
+            continue
+        if arrival.request_id in known:
+            repeats.append(arrival.at)
+        known.add(arrival.request_id)
+    return repeats
+
+
+def most_sent(sent: list[float], until: float) -> int:
+    """In the window that ends then, the one before it, or the one half a window before it."""
+    ends = [until - part * daemons.RETRY_WINDOW for part in (0, 0.5, 1)]
+    return max(bisect_right(sent, end) - bisect_right(sent, end - daemons.RETRY_WINDOW) for end in ends)
+
+
+def of_repeats(bench) -> list[str]:
+    part, words = worst_repeats(bench)
+    return [f"BUDGET: {words}"] if part > 1 else []
+
+
 def of_recovery(bench) -> list[str]:
     last = [seen for seen in bench.callers.seen if seen.sent > bench.calm_from and not seen.gave_up
             and seen.key in bench.keys and seen.ended]
