Tell the inputs of each decision on a repeated send

Callers saw repeated sends pile up, and the log couldn't tell why: a granted one left no line, a denied one only the number of members. RetryGranted and RetryDenied now tell requests and repeats of the window, what it may hold and the members that the slack was divided among; a counter tells both by service. No decision changes.

--- a/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.cpp
@@ -4,17 +4,20 @@
 
 namespace Apricothook {
 
-bool RetryAllowance::tryTake(Instant now, std::size_t daemons)
+RetryVerdict RetryAllowance::tryTake(Instant now, std::size_t daemons)
 {
     forgetBefore(now - m_bounds.retryWindow);
-    const double share
-        = m_bounds.retrySlack / static_cast<double>(std::max<std::size_t>(daemons, 1));
-    const double allowed
-        = UsedPart * (m_bounds.retryRatio * static_cast<double>(m_requests.size()) + share);
-    if (static_cast<double>(m_repeats.size()) + 1 > allowed)
-        return false;
-    m_repeats.push_back(now);
-    return true;
+    RetryVerdict verdict;
+    verdict.requests = m_requests.size();
+    verdict.repeats = m_repeats.size();
+    verdict.daemons = std::max<std::size_t>(daemons, 1);
+    const double share = m_bounds.retrySlack / static_cast<double>(verdict.daemons);
+    verdict.allowed
+        = UsedPart * (m_bounds.retryRatio * static_cast<double>(verdict.requests) + share);
+    verdict.isGranted = static_cast<double>(verdict.repeats) + 1 <= verdict.allowed;
+    if (verdict.isGranted)
+        m_repeats.push_back(now);
+    return verdict;
 }
 
 void RetryAllowance::forgetBefore(Instant start)
--- a/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.hpp
@@ -6,6 +6,22 @@
 
 namespace Apricothook {
 
+/** Whether a request may be sent again, and what decided it. */
+struct RetryVerdict
+{
+    bool isGranted = false;
+    /** The service's requests at this daemon within the window. */
+    std::size_t requests = 0;
+    /** Repeats within the window, without this one. */
+    std::size_t repeats = 0;
+    /** Repeats that the window may hold. */
+    double allowed = 0;
+    /** Among so many daemons the slack is divided. */
+    std::size_t daemons = 0;
+
+    auto operator<=>(const RetryVerdict &) const = default;
+};
+
 /**
  * One daemon's part of the fleet's allowance for repeated sends to one service.
  *
@@ -26,7 +42,7 @@
 
     void countRequest(Instant now) { m_requests.push_back(now); }
     /** Takes one repeat if the allowance has it. */
-    bool tryTake(Instant now, std::size_t daemons);
+    RetryVerdict tryTake(Instant now, std::size_t daemons);
 
 private:
     void forgetBefore(Instant start);
--- a/packages/dispatch/tests/apricothook_allowance_tests.cpp
+++ b/packages/dispatch/tests/apricothook_allowance_tests.cpp
@@ -36,7 +36,7 @@
 int repeatsTaken(RetryAllowance &allowance, Instant now, std::size_t daemons)
 {
     int taken = 0;
-    while (allowance.tryTake(now, daemons))
+    while (allowance.tryTake(now, daemons).isGranted)
         ++taken;
     return taken;
 }
@@ -67,9 +67,9 @@
     HandClock clock;
     RetryAllowance allowance(bounds());
     CHECK(repeatsTaken(allowance, clock.now(), 1) > 0);
-    CHECK_FALSE(allowance.tryTake(clock.now(), 1));
+    CHECK_FALSE(allowance.tryTake(clock.now(), 1).isGranted);
     clock.advance(std::chrono::seconds(11));
-    CHECK(allowance.tryTake(clock.now(), 1));
+    CHECK(allowance.tryTake(clock.now(), 1).isGranted);
 }
 
 namespace {
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -257,13 +257,26 @@
         && m_admitted.deadline - now > LeastTimeToTry;
     if (!allowed)
         return false;
-    if (m_context.retriesOf(m_admitted.service).tryTake(now, m_context.members))
-        return true;
-    m_context.log.write(LogEvent(GatewayEvent::RetryDenied)
-                            .about(m_admitted.fields.id)
-                            .with("service", m_admitted.service.text())
-                            .with("members", m_context.members));
-    return false;
+    return takeRetry(now);
+}
+
+bool ForwardedRequest::takeRetry(Instant now)
+{
+    const RetryVerdict verdict
+        = m_context.retriesOf(m_admitted.service).tryTake(now, m_context.members);
+    LogEvent line(verdict.isGranted ? GatewayEvent::RetryGranted : GatewayEvent::RetryDenied);
+    line.about(m_admitted.fields.id)
+        .with("service", m_admitted.service.text())
+        .with("attempt", m_sends)
+        .with("window_requests", verdict.requests)
+        .with("window_repeats", verdict.repeats)
+        .with("window_allowed", verdict.allowed)
+        .with("members", verdict.daemons);
+    if (verdict.isGranted)
+        line.isRoutine();
+    m_context.log.write(line);
+    m_context.metrics.repeatDecided(m_admitted.service, verdict.isGranted);
+    return verdict.isGranted;
 }
 
 void ForwardedRequest::endAttempt(TargetOutcome outcome)
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -67,6 +67,8 @@
     void attemptFailed(TargetOutcome outcome, std::string_view cause);
     void endAttempt(TargetOutcome outcome);
     bool mayTryAgain();
+    /** Takes a repeated send from the retry budget, if that has one. */
+    bool takeRetry(Instant now);
     void giveUp();
     void onDeadline();
     void answerOwn(RequestEnd end, unsigned status, std::optional<Duration> retryAfter);
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -20,11 +20,14 @@
                            ///< another one; target. Operator: report the target.
     BadRequest = 808,      ///< info: a caller's bytes aren't a request that can be served; cause.
                            ///< Operator: none.
-    RetryDenied = 809,     ///< warning: a request isn't sent again as the fleet's allowance for
-                           ///< repeated sends is used up. Operator: look for failing targets.
+    RetryDenied = 809,     ///< warning: a request isn't sent again as this daemon's part of the
+                           ///< retry budget is used up; requests and repeats of the window, what
+                           ///< it may hold. Operator: look for failing targets.
     GrantorChanged = 810,  ///< info: this daemon grants a customer's units from now on, or no
                            ///< longer; customer, change, units left. Operator: none; see
                            ///< docs/OPERATIONS.md when a customer hears "too many".
+    RetryGranted = 811,    ///< info: a request may be sent again; requests and repeats of the
+                           ///< window, what it may hold. Operator: none.
 };
 
 } // namespace Apricothook
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -101,6 +101,7 @@
     EventName {808, "BadRequest", EventLevel::Info},
     EventName {809, "RetryDenied", EventLevel::Warning},
     EventName {810, "GrantorChanged", EventLevel::Info},
+    EventName {811, "RetryGranted", EventLevel::Info},
     EventName {851, "ProcessStarted", EventLevel::Info},
     EventName {852, "ProcessStopping", EventLevel::Info},
     EventName {853, "ProcessStopped", EventLevel::Info},
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -151,6 +151,15 @@
         .Set(lowest.rank());
 }
 
+void Metrics::repeatDecided(const ServiceId &service, bool isGranted)
+{
+    const std::string verdict = isGranted ? "granted" : "denied";
+    const std::lock_guard lock(m_tables->mutex);
+    m_tables->repeats
+        .Add({{"service", m_tables->services.label(service.text())}, {"verdict", verdict}})
+        .Increment();
+}
+
 void Metrics::controlBytes(Direction direction, std::uint64_t bytes)
 {
     const std::string name = direction == Direction::Sent ? "sent" : "received";
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -70,6 +70,8 @@
     void setRing(std::string_view ring, std::size_t items);
     /** The lowest tier that a service admits. */
     void setFloor(const ServiceId &service, Tier lowest);
+    /** A request to the service would be sent again: the retry budget grants it or not. */
+    void repeatDecided(const ServiceId &service, bool isGranted);
     void controlBytes(Direction direction, std::uint64_t bytes);
     /** Call about once a second: gives places to the customers with the most traffic. */
     void rankCustomers(Instant now);
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
@@ -58,6 +58,8 @@
                             "Prompt tokens sent to engines, by what became of them"))
     , controlBytes(
           counter(registry, "apricothook_control_bytes_total", "Bytes of messages between daemons"))
+    , repeats(counter(registry, "apricothook_repeated_sends_total",
+                      "Sends of a request after its first one, by the retry budget's verdict"))
     , customerRequests(counter(registry, "apricothook_customer_requests_total",
                                "Requests that ended, by customer and result"))
     , requestSeconds(histogram(registry, "apricothook_request_seconds",
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
@@ -61,6 +61,7 @@
     CounterFamily &refusals;
     CounterFamily &prefillTokens;
     CounterFamily &controlBytes;
+    CounterFamily &repeats;
     CounterFamily &customerRequests;
     ClassHistograms requestSeconds;
     ClassHistograms firstTokenSeconds;
--- a/packages/observe/tests/apricothook_observe_tests.cpp
+++ b/packages/observe/tests/apricothook_observe_tests.cpp
@@ -142,6 +142,9 @@
         metrics.set(Level::Generation, 8);
         metrics.setRing("core", 3);
         metrics.setFloor(ServiceId("llm"), Tier(4));
+        metrics.repeatDecided(ServiceId("llm"), true);
+        metrics.repeatDecided(ServiceId("llm"), false);
+        metrics.repeatDecided(ServiceId("llm"), false);
         const std::string text = metrics.text();
         for (const char *line :
              {"apricothook_requests_total{class=\"chat\",result=\"answered\",tier=\"2\"} 1",
@@ -153,7 +156,9 @@
               "apricothook_prefill_tokens_total{tier=\"2\",use=\"wasted\"} 1200",
               "apricothook_refusals_total{reason=\"shed\",tier=\"3\"} 1",
               "apricothook_generation 8", "apricothook_ring_items{ring=\"core\"} 3",
-              "apricothook_floor_tier{service=\"llm\"} 4"})
+              "apricothook_floor_tier{service=\"llm\"} 4",
+              "apricothook_repeated_sends_total{service=\"llm\",verdict=\"granted\"} 1",
+              "apricothook_repeated_sends_total{service=\"llm\",verdict=\"denied\"} 2"})
             CHECK_MESSAGE(contains(text, line), line);
     }
 
