Give the emulated fleet's daemons and network a class of their own

Repeated sends need the same kills, freezes, cuts and lossy network in virtual time that cold targets have.

Cause: one class held network, daemons and targets. Ruled out: a second network for the new test, which would differ in what it loses.

--- a/packages/serving/tests/apricothook_emulated_cold_fleet.cpp
+++ b/packages/serving/tests/apricothook_emulated_cold_fleet.cpp
@@ -9,7 +9,6 @@
 
 using Time = EmulatedColdFleet::Time;
 
-constexpr std::size_t Seeds = 3;
 constexpr Time Hold {30};
 constexpr Time TickPause {200};
 constexpr Time HeartbeatPause {1200};
@@ -19,24 +18,6 @@
 constexpr Time OwnHearing {300};
 const ServiceId Service("s");
 
-Endpoint addressOf(std::size_t number)
-{
-    return {"10.0.0.1", static_cast<std::uint16_t>(number + 1)};
-}
-
-std::vector<Endpoint> seedsOf(std::size_t daemons)
-{
-    std::vector<Endpoint> addresses;
-    for (std::size_t number = 0; number < std::min(Seeds, daemons); ++number)
-        addresses.push_back(addressOf(number));
-    return addresses;
-}
-
-MemberId memberOf(std::size_t number)
-{
-    return MemberId("vm-" + std::to_string(number));
-}
-
 FleetBounds bounds()
 {
     FleetBounds bounds;
@@ -58,14 +39,14 @@
 
 EmulatedProcess::EmulatedProcess(EmulatedColdFleet &fleet, std::uint16_t number, EventLoop &loop,
                                  std::uint64_t startedAt)
-    : targets(DataCentreId("dc-0"), {}, ColdGuard(memberNumber(memberOf(number)), bounds()))
+    : EmulatedDaemon(fleet, number, startedAt)
+    , targets(DataCentreId("dc-0"), {},
+              ColdGuard(memberNumber(EmulatedFleet::memberOf(number)), bounds()))
     , m_fleet(fleet)
-    , m_number(number)
     , m_loop(loop)
-    , m_startedAt(startedAt)
-    , m_directory(memberOf(number))
-    , m_cold(m_directory, seedsOf(fleet.daemons()), addressOf(number), HeartbeatPause)
-    , m_exchange(loop, m_directory, *this, fleet.random, seedsOf(fleet.daemons()))
+    , m_directory(EmulatedFleet::memberOf(number))
+    , m_cold(m_directory, fleet.seeds(), EmulatedFleet::addressOf(number), HeartbeatPause)
+    , m_exchange(loop, m_directory, *this, fleet.random, fleet.seeds())
     , m_dispatcher(targets, *this)
 {
     targets.setColdFleet({});
@@ -111,7 +92,7 @@
     m_directory.review(now);
     targets.review(now);
     targets.setCells(m_directory.weights(now));
-    const bool isCut = m_fleet.m_daemons[m_number].cutUntil > m_fleet.m_now;
+    const bool isCut = m_fleet.isCutOff(number());
     targets.setColdFleet(m_cold.review({!isCut && isFresh(), !isCut}, now));
     for (const KnownMember *member : m_directory.membersOfCell(m_directory.ownCell()))
         send(member->brief.beaconAddress, Greeting {ownBrief(), false, false, {}});
@@ -126,27 +107,6 @@
         m_exchange.take(std::get<CellSummary>(datagram));
 }
 
-void EmulatedProcess::send(const Endpoint &to, const PeerDatagram &datagram)
-{
-    m_fleet.post(m_number, to, datagram);
-}
-
-void EmulatedProcess::send(const std::vector<Endpoint> &to, const PeerDatagram &datagram)
-{
-    for (const Endpoint &receiver : to)
-        send(receiver, datagram);
-}
-
-MemberBrief EmulatedProcess::ownBrief() const
-{
-    MemberBrief brief;
-    brief.member = memberOf(m_number);
-    brief.process = Incarnation(m_startedAt);
-    brief.beaconAddress = addressOf(m_number);
-    brief.isReady = true;
-    return brief;
-}
-
 void EmulatedProcess::onPlaced(ExchangeId, const TargetEntry &target)
 {
     m_running.push_back({target.start(), m_loop.now() + Hold});
@@ -154,7 +114,7 @@
 }
 
 EmulatedColdFleet::EmulatedColdFleet(std::size_t daemons, std::size_t targets, std::uint64_t seed)
-    : random(seed), m_daemons(daemons), m_targets(targets)
+    : EmulatedFleet(daemons, seed), m_targets(targets), m_taken(daemons)
 {
     for (std::size_t index = 0; index < targets; ++index) {
         TargetEntry &entry = m_targets[index].entry;
@@ -166,11 +126,7 @@
         m_targets[index].wrote = Time(random.next() % HeartbeatPause.count());
         publish(entry);
     }
-    for (std::size_t index = 0; index < daemons; ++index) {
-        m_daemons[index].clock = std::make_unique<HandClock>();
-        m_daemons[index].loop = std::make_unique<EventLoop>(*m_daemons[index].clock);
-        start(index);
-    }
+    startAll();
 }
 
 DataCentreId EmulatedColdFleet::dataCentreOf(std::size_t target) const
@@ -183,62 +139,32 @@
     return static_cast<double>(m_worst) / (ColdPerSecond * ColdOvershoot + ColdSlack);
 }
 
-void EmulatedColdFleet::run(Time time)
+std::unique_ptr<EmulatedDaemon> EmulatedColdFleet::start(std::uint16_t number, EventLoop &loop)
 {
-    for (const Time end = m_now + time; m_now < end;)
-        step();
-}
-
-void EmulatedColdFleet::step()
-{
-    m_now += Step;
-    writeEntries();
-    deliver();
-    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
-        Daemon &daemon = m_daemons[index];
-        daemon.clock->advance(Step);
-        if (daemon.frozenUntil > m_now || daemon.downUntil > m_now)
-            continue;
-        if (!daemon.process)
-            start(index);
-        hear(index);
-        for (const PeerDatagram &datagram : std::exchange(daemon.held, {}))
-            daemon.process->take(datagram);
-        const auto stepsOfSecond = static_cast<unsigned>(Time(1000) / Step);
-        const unsigned part = requestsPerSecond % stepsOfSecond;
-        const unsigned more = random.next() % stepsOfSecond < part ? 1 : 0;
-        daemon.process->step(requestsPerSecond / stepsOfSecond + more);
-    }
-}
-
-void EmulatedColdFleet::start(std::size_t daemon)
-{
-    Daemon &starting = m_daemons[daemon];
-    starting.held.clear();
-    starting.process = std::make_unique<EmulatedProcess>(
-        *this, static_cast<std::uint16_t>(daemon), *starting.loop,
-        static_cast<std::uint64_t>(m_now.count()) + 1);
+    auto process = std::make_unique<EmulatedProcess>(*this, number, loop,
+                                                     static_cast<std::uint64_t>(now().count()) + 1);
     // It reads all that is published before it serves.
     for (const DataCentreId &dataCentre : m_listedEvacuations)
-        apply(*starting.process, Evacuated {dataCentre, true}, starting.loop->now());
+        apply(*process, Evacuated {dataCentre, true}, loop.now());
     for (const auto &[id, entry] : m_listedTargets)
-        apply(*starting.process, entry, starting.loop->now());
-    starting.taken = m_changes.size();
+        apply(*process, entry, loop.now());
+    m_taken[number] = m_changes.size();
+    return process;
 }
 
-void EmulatedColdFleet::hear(std::size_t daemon)
+void EmulatedColdFleet::beforeTurn(std::size_t number)
 {
-    Daemon &hearing = m_daemons[daemon];
-    if (hearing.cutUntil > m_now)
+    if (isCutOff(number))
         return;
-    while (hearing.taken < m_changes.size()) {
-        const Change &change = m_changes[hearing.taken];
-        const Time latest = hearing.process->isFresh() ? OwnHearing : LatestHearing;
-        const bool isHeard = change.at + latest <= m_now || random.next() % 50 == 0;
+    auto &process = static_cast<EmulatedProcess &>(daemon(number));
+    while (m_taken[number] < m_changes.size()) {
+        const Change &change = m_changes[m_taken[number]];
+        const Time latest = process.isFresh() ? OwnHearing : LatestHearing;
+        const bool isHeard = change.at + latest <= now() || random.next() % 50 == 0;
         if (!isHeard)
             return;
-        apply(*hearing.process, change.news, hearing.loop->now());
-        ++hearing.taken;
+        apply(process, change.news, timeAt(number));
+        ++m_taken[number];
     }
 }
 
@@ -254,7 +180,7 @@
 
 void EmulatedColdFleet::publish(const News &news)
 {
-    m_changes.push_back({m_now, news});
+    m_changes.push_back({now(), news});
     if (const auto *entry = std::get_if<TargetEntry>(&news))
         m_listedTargets[entry->id] = *entry;
     else if (const auto *removed = std::get_if<TargetId>(&news))
@@ -268,104 +194,45 @@
 void EmulatedColdFleet::writeEntries()
 {
     for (Target &target : m_targets) {
-        if (target.upAt > m_now || m_now - target.wrote < HeartbeatPause)
+        if (target.upAt > now() || now() - target.wrote < HeartbeatPause)
             continue;
-        target.wrote = m_now;
-        const Duration coldFor = std::max<Duration>(target.coldUntil - m_now, Duration::zero());
+        target.wrote = now();
+        const Duration coldFor = std::max<Duration>(target.coldUntil - now(), Duration::zero());
         if (coldFor != std::exchange(target.entry.coldFor, coldFor))
             publish(target.entry);
     }
     for (const Evacuation &ended : m_evacuations) {
-        if (ended.ends > m_now)
+        if (ended.ends > now())
             continue;
         for (std::size_t index = ended.dataCentre; index < m_targets.size(); index += DataCentres)
-            m_targets[index].coldUntil = m_now + ColdTime;
+            m_targets[index].coldUntil = now() + ColdTime;
         publish(Evacuated {dataCentreOf(ended.dataCentre), false});
     }
-    std::erase_if(m_evacuations, [this](const auto &one) { return one.ends <= m_now; });
-}
-
-void EmulatedColdFleet::post(std::uint16_t from, const Endpoint &to, const PeerDatagram &datagram)
-{
-    const std::size_t receiver = to.port - 1U;
-    if (receiver >= m_daemons.size() || receiver == from || isCut(from, receiver))
-        return;
-    const std::uint64_t draw = random.next();
-    if (draw % 1000 < lostOfThousand)
-        return;
-    const Time delay(1 + (draw >> 16) % 20);
-    m_way.push_back({m_now + delay, static_cast<std::uint16_t>(receiver), datagram});
-    if ((draw >> 32) % 1000 < lostOfThousand)
-        m_way.push_back({m_now + 10 * delay, static_cast<std::uint16_t>(receiver), datagram});
-}
-
-void EmulatedColdFleet::deliver()
-{
-    const auto due = std::stable_partition(m_way.begin(), m_way.end(),
-                                           [this](const Way &way) { return way.due > m_now; });
-    const std::vector<Way> arrived(due, m_way.end());
-    m_way.erase(due, m_way.end());
-    for (const Way &way : arrived) {
-        if (m_daemons[way.to].process)
-            m_daemons[way.to].held.push_back(way.datagram);
-    }
-}
-
-bool EmulatedColdFleet::isCut(std::size_t from, std::size_t to) const
-{
-    if (m_daemons[from].cutUntil > m_now || m_daemons[to].cutUntil > m_now)
-        return true;
-    if (m_splitUntil <= m_now || (from < m_splitAt) == (to < m_splitAt))
-        return false;
-    return !m_splitOneWay || from < m_splitAt;
+    std::erase_if(m_evacuations, [this](const auto &one) { return one.ends <= now(); });
 }
 
 void EmulatedColdFleet::received(const TargetEntry &entry)
 {
     Target &target = m_targets[entry.address.port - 1U];
     // Another start of it refuses the request, and that doesn't count.
-    if (target.upAt > m_now || target.entry.id != entry.id)
+    if (target.upAt > now() || target.entry.id != entry.id)
         return;
     ++m_served;
-    if (target.coldUntil <= m_now)
+    if (target.coldUntil <= now())
         return;
-    while (!target.sends.empty() && m_now - target.sends.front() >= Time(1000))
+    while (!target.sends.empty() && now() - target.sends.front() >= Time(1000))
         target.sends.pop_front();
-    target.sends.push_back(m_now);
+    target.sends.push_back(now());
     m_worst = std::max(m_worst, target.sends.size());
 }
 
-void EmulatedColdFleet::kill(std::size_t daemon, Time downFor)
-{
-    m_daemons[daemon].process.reset();
-    m_daemons[daemon].held.clear();
-    m_daemons[daemon].downUntil = m_now + downFor;
-}
-
-void EmulatedColdFleet::freeze(std::size_t daemon, Time time)
-{
-    m_daemons[daemon].frozenUntil = m_now + time;
-}
-
-void EmulatedColdFleet::cutOff(std::size_t daemon, Time time)
-{
-    m_daemons[daemon].cutUntil = m_now + time;
-}
-
-void EmulatedColdFleet::split(std::size_t first, Time time, bool oneWay)
-{
-    m_splitAt = first;
-    m_splitUntil = m_now + time;
-    m_splitOneWay = oneWay;
-}
-
 void EmulatedColdFleet::crash(std::size_t target, Time downFor)
 {
     Target &crashed = m_targets[target];
-    if (crashed.upAt > m_now)
+    if (crashed.upAt > now())
         return;
     publish(crashed.entry.id);
-    crashed.upAt = m_now + downFor;
+    crashed.upAt = now() + downFor;
     crashed.coldUntil = crashed.upAt + ColdTime;
     crashed.wrote = crashed.upAt - HeartbeatPause;
     const std::string text = crashed.entry.id.text();
@@ -385,7 +252,7 @@
     if (m_listedEvacuations.contains(dataCentreOf(dataCentre)))
         return;
     publish(Evacuated {dataCentreOf(dataCentre), true});
-    m_evacuations.push_back({dataCentre, m_now + time});
+    m_evacuations.push_back({dataCentre, now() + time});
 }
 
 } // namespace Apricothook
--- a/packages/serving/tests/apricothook_emulated_cold_fleet.hpp
+++ b/packages/serving/tests/apricothook_emulated_cold_fleet.hpp
@@ -4,8 +4,7 @@
 #include <apricothook/fleetview/apricothook_cold_outlook.hpp>
 #include <apricothook/serving/apricothook_fleet_exchange.hpp>
 
-#include <apricothook/testsupport/apricothook_hand_clock.hpp>
-#include <apricothook/testsupport/apricothook_repeatable_random.hpp>
+#include <apricothook_emulated_fleet.hpp>
 
 #include <deque>
 #include <map>
@@ -19,15 +18,14 @@
 class EmulatedColdFleet;
 
 /** The parts of one daemon's process that decide about cold targets, as they are assembled. */
-class EmulatedProcess : private PeerSender, private DispatchListener
+class EmulatedProcess : public EmulatedDaemon, private DispatchListener
 {
 public:
     EmulatedProcess(EmulatedColdFleet &fleet, std::uint16_t number, EventLoop &loop,
                     std::uint64_t startedAt);
 
-    /** One step of its life: what is due, and `requests` new ones. */
-    void step(unsigned requests);
-    void take(const PeerDatagram &datagram);
+    void step(unsigned requests) override;
+    void take(const PeerDatagram &datagram) override;
 
     /** It has just started, and reads at the source itself. */
     bool isFresh() const { return m_cold.hasOldEntries(true, m_loop.now()); }
@@ -41,18 +39,12 @@
         Instant ends {};
     };
 
-    void send(const Endpoint &to, const PeerDatagram &datagram) override;
-    void send(const std::vector<Endpoint> &to, const PeerDatagram &datagram) override;
-    MemberBrief ownBrief() const override;
-    std::uint64_t ownRevision() const override { return 0; }
     void onPlaced(ExchangeId exchange, const TargetEntry &target) override;
     void onRefused(ExchangeId, const RefusalFacts &) override { }
     void tick();
 
     EmulatedColdFleet &m_fleet;
-    const std::uint16_t m_number;
     EventLoop &m_loop;
-    const std::uint64_t m_startedAt;
     FleetDirectory m_directory;
     ColdOutlook m_cold;
     FleetExchange m_exchange;
@@ -63,15 +55,12 @@
 };
 
 /**
- * A fleet of daemons before targets that crash, come back and are evacuated, in virtual time. The
- * network delays, loses and doubles datagrams; daemons die, freeze and are cut off; what is
- * published reaches each at another moment. It counts what each cold target gets in any second.
+ * A fleet of daemons before targets that crash, come back and are evacuated. What is published
+ * reaches each daemon at another moment. It counts what each cold target gets in any second.
  */
-class EmulatedColdFleet
+class EmulatedColdFleet : public EmulatedFleet
 {
 public:
-    using Time = std::chrono::milliseconds;
-    static constexpr Time Step {10};
     static constexpr std::size_t DataCentres = 3;
     static constexpr Time ColdTime {3000};
     static constexpr double ColdPerSecond = 12;
@@ -80,48 +69,20 @@
 
     EmulatedColdFleet(std::size_t daemons, std::size_t targets, std::uint64_t seed);
 
-    void run(Time time);
-    std::size_t daemons() const { return m_daemons.size(); }
     std::size_t targets() const { return m_targets.size(); }
-    Time now() const { return m_now; }
     /** The most that a cold target got in any second, against its bound. */
     double worstRatio() const;
     /** Requests that reached targets which worked. */
     std::size_t served() const { return m_served; }
 
-    /** Requests that each daemon takes in a second. */
-    unsigned requestsPerSecond = 50;
-    /** Part of the datagrams that is lost, in thousandths. */
-    unsigned lostOfThousand = 5;
-
-    void kill(std::size_t daemon, Time downFor);
-    void freeze(std::size_t daemon, Time time);
-    /** Neither the others nor what is published reach it. */
-    void cutOff(std::size_t daemon, Time time);
-    /** Datagrams from the daemons before `first` to the others are lost, and back too. */
-    void split(std::size_t first, Time time, bool oneWay);
     void crash(std::size_t target, Time downFor);
     void crashDataCentre(std::size_t dataCentre, Time downFor);
     /** The targets are cold when it ends. */
     void evacuate(std::size_t dataCentre, Time time);
 
-    RepeatableRandom random;
-
 private:
     friend class EmulatedProcess;
 
-    struct Daemon
-    {
-        std::unique_ptr<HandClock> clock;
-        std::unique_ptr<EventLoop> loop;
-        std::unique_ptr<EmulatedProcess> process;
-        Time downUntil {};
-        Time frozenUntil {};
-        Time cutUntil {};
-        /** Changes that it has taken, of those that are published. */
-        std::size_t taken = 0;
-        std::vector<PeerDatagram> held;
-    };
     struct Target
     {
         TargetEntry entry;
@@ -142,42 +103,29 @@
         Time at {};
         News news;
     };
-    struct Way
-    {
-        Time due {};
-        std::uint16_t to = 0;
-        PeerDatagram datagram;
-    };
-
-    void step();
-    void start(std::size_t daemon);
-    void deliver();
+    std::unique_ptr<EmulatedDaemon> start(std::uint16_t number, EventLoop &loop) override;
+    void beforeStep() override { writeEntries(); }
+    /** It hears what has been published. */
+    void beforeTurn(std::size_t number) override;
     void publish(const News &news);
-    void hear(std::size_t daemon);
     static void apply(EmulatedProcess &process, const News &news, Instant now);
     void writeEntries();
-    void post(std::uint16_t from, const Endpoint &to, const PeerDatagram &datagram);
     void received(const TargetEntry &target);
-    bool isCut(std::size_t from, std::size_t to) const;
     DataCentreId dataCentreOf(std::size_t target) const;
 
-    std::vector<Daemon> m_daemons;
     std::vector<Target> m_targets;
     std::vector<Change> m_changes;
+    /** Changes that each daemon has taken. */
+    std::vector<std::size_t> m_taken;
     /** What is published now. */
     std::map<TargetId, TargetEntry> m_listedTargets;
     std::set<DataCentreId> m_listedEvacuations;
-    std::vector<Way> m_way;
     struct Evacuation
     {
         std::size_t dataCentre = 0;
         Time ends {};
     };
     std::vector<Evacuation> m_evacuations;
-    std::size_t m_splitAt = 0;
-    Time m_splitUntil {};
-    bool m_splitOneWay = false;
-    Time m_now {};
     std::size_t m_worst = 0;
     std::size_t m_served = 0;
 };
--- /dev/null
+++ b/packages/serving/tests/apricothook_emulated_fleet.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <apricothook/eventloop/apricothook_event_loop.hpp>
+#include <apricothook/fleetview/apricothook_member_brief.hpp>
+#include <apricothook/fleetview/apricothook_peer_datagram.hpp>
+#include <apricothook/serving/apricothook_peer_sender.hpp>
+
+#include <apricothook/testsupport/apricothook_hand_clock.hpp>
+#include <apricothook/testsupport/apricothook_repeatable_random.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace Apricothook {
+
+class EmulatedFleet;
+
+/** One start of a daemon in an emulated fleet. */
+class EmulatedDaemon : protected PeerSender
+{
+public:
+    EmulatedDaemon(EmulatedFleet &fleet, std::uint16_t number, std::uint64_t startedAt);
+    ~EmulatedDaemon() override = default;
+    EmulatedDaemon(const EmulatedDaemon &) = delete;
+    EmulatedDaemon &operator=(const EmulatedDaemon &) = delete;
+
+    /** One step of its life: what is due, and `requests` new ones. */
+    virtual void step(unsigned requests) = 0;
+    virtual void take(const PeerDatagram &datagram) = 0;
+
+protected:
+    void send(const Endpoint &to, const PeerDatagram &datagram) override;
+    void send(const std::vector<Endpoint> &to, const PeerDatagram &datagram) override;
+    MemberBrief ownBrief() const override;
+    std::uint64_t ownRevision() const override { return 0; }
+    std::uint16_t number() const { return m_number; }
+
+private:
+    EmulatedFleet &m_fleet;
+    const std::uint16_t m_number;
+    const std::uint64_t m_startedAt;
+};
+
+/**
+ * Daemons in virtual time on a network that delays, loses and doubles datagrams. They die, start
+ * again, freeze and are cut off.
+ */
+class EmulatedFleet
+{
+public:
+    using Time = std::chrono::milliseconds;
+    static constexpr Time Step {10};
+
+    EmulatedFleet(std::size_t daemons, std::uint64_t seed);
+    virtual ~EmulatedFleet() = default;
+    EmulatedFleet(const EmulatedFleet &) = delete;
+    EmulatedFleet &operator=(const EmulatedFleet &) = delete;
+
+    void run(Time time);
+    std::size_t daemons() const { return m_daemons.size(); }
+    Time now() const { return m_now; }
+    static MemberId memberOf(std::size_t daemon);
+    static Endpoint addressOf(std::size_t daemon);
+    std::vector<Endpoint> seeds() const;
+
+    /** Requests that each daemon takes in a second. */
+    unsigned requestsPerSecond = 50;
+    /** Part of the datagrams that is lost, in thousandths. */
+    unsigned lostOfThousand = 5;
+
+    void kill(std::size_t daemon, Time downFor);
+    void freeze(std::size_t daemon, Time time);
+    /** Neither the others nor what is published reach it. */
+    void cutOff(std::size_t daemon, Time time);
+    /** Datagrams from the daemons before `first` to the others are lost, and back too. */
+    void split(std::size_t first, Time time, bool oneWay);
+
+    RepeatableRandom random;
+
+protected:
+    virtual std::unique_ptr<EmulatedDaemon> start(std::uint16_t number, EventLoop &loop) = 0;
+    /** Before what is on its way arrives. */
+    virtual void beforeStep() { }
+    /** Before the daemon, which isn't frozen or dead, takes its datagrams. */
+    virtual void beforeTurn(std::size_t) { }
+    /** To be called when the fleet is built. */
+    void startAll();
+    EmulatedDaemon &daemon(std::size_t number) { return *m_daemons[number].process; }
+    Instant timeAt(std::size_t number) const { return m_daemons[number].loop->now(); }
+    bool isCutOff(std::size_t number) const { return m_daemons[number].cutUntil > m_now; }
+
+private:
+    friend class EmulatedDaemon;
+
+    struct Daemon
+    {
+        std::unique_ptr<HandClock> clock;
+        std::unique_ptr<EventLoop> loop;
+        std::unique_ptr<EmulatedDaemon> process;
+        Time downUntil {};
+        Time frozenUntil {};
+        Time cutUntil {};
+        std::vector<PeerDatagram> held;
+    };
+    struct Way
+    {
+        Time due {};
+        std::uint16_t to = 0;
+        PeerDatagram datagram;
+    };
+
+    void step();
+    void startDaemon(std::size_t number);
+    void deliver();
+    void post(std::uint16_t from, const Endpoint &to, const PeerDatagram &datagram);
+    bool isCut(std::size_t from, std::size_t to) const;
+
+    std::vector<Daemon> m_daemons;
+    std::vector<Way> m_way;
+    std::size_t m_splitAt = 0;
+    Time m_splitUntil {};
+    bool m_splitOneWay = false;
+    Time m_now {};
+};
+
+} // namespace Apricothook
