Divide the retry slack by the fleet's size, not by the members in sight

Callers' targets got up to 2.5 times the repeated sends that the fleet's budget allows while a service failed and daemons were killed or heard nobody.

Cause: a daemon's part of the slack was the whole divided by the members that it heard within the last second. One that had just started or was cut off counted itself alone and took the whole; eight of them took it eight times. Class of fault: a bound of the fleet divided by a local view that is smallest just when many doubt.

The size is unknown, and the daemon has no part of the slack, until it has heard of most seeds and of all names; it falls only where most seeds are heard. Of two parts of a fleet that don't hear each other one at most is so, and the others keep the size that they knew. A daemon without any part still sends again what the ratio of its own requests allows.

--- a/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.cpp
@@ -1,17 +1,15 @@
 #include <apricothook/dispatch/apricothook_retry_allowance.hpp>
 
-#include <algorithm>
-
 namespace Apricothook {
 
-RetryVerdict RetryAllowance::tryTake(Instant now, std::size_t daemons)
+RetryVerdict RetryAllowance::tryTake(Instant now, std::optional<std::size_t> daemons)
 {
     forgetBefore(now - m_bounds.retryWindow);
     RetryVerdict verdict;
     verdict.requests = m_requests.size();
     verdict.repeats = m_repeats.size();
-    verdict.daemons = std::max<std::size_t>(daemons, 1);
-    const double share = m_bounds.retrySlack / static_cast<double>(verdict.daemons);
+    verdict.daemons = daemons.value_or(0);
+    const double share = daemons ? m_bounds.retrySlack / static_cast<double>(*daemons) : 0;
     verdict.allowed
         = UsedPart * (m_bounds.retryRatio * static_cast<double>(verdict.requests) + share);
     verdict.isGranted = static_cast<double>(verdict.repeats) + 1 <= verdict.allowed;
--- a/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.hpp
@@ -3,6 +3,7 @@
 #include <apricothook/dispatch/apricothook_serving_configuration.hpp>
 
 #include <deque>
+#include <optional>
 
 namespace Apricothook {
 
@@ -16,7 +17,7 @@
     std::size_t repeats = 0;
     /** Repeats that the window may hold. */
     double allowed = 0;
-    /** Among so many daemons the slack is divided. */
+    /** Among so many daemons the slack is divided; zero while that is unknown. */
     std::size_t daemons = 0;
 
     auto operator<=>(const RetryVerdict &) const = default;
@@ -27,7 +28,8 @@
  *
  * Repeats of all daemons add up at a service that is failing already, and prolong the failure. Each
  * daemon keeps to the ratio of its own requests and to an equal part of the slack, so the sum keeps
- * to the fleet's bound without a message, whoever is cut off.
+ * to the fleet's bound without a message, whoever is cut off. A daemon that doesn't know how many
+ * they are has no part of the slack.
  */
 class RetryAllowance
 {
@@ -41,8 +43,8 @@
     explicit RetryAllowance(const FleetBounds &bounds) : m_bounds(bounds) { }
 
     void countRequest(Instant now) { m_requests.push_back(now); }
-    /** Takes one repeat if the allowance has it. */
-    RetryVerdict tryTake(Instant now, std::size_t daemons);
+    /** Takes one repeat if the allowance has it. `daemons` of the fleet, if that is known. */
+    RetryVerdict tryTake(Instant now, std::optional<std::size_t> daemons);
 
 private:
     void forgetBefore(Instant start);
--- a/packages/fleetview/apricothook/fleetview/apricothook_cold_outlook.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_cold_outlook.cpp
@@ -3,7 +3,6 @@
 #include <apricothook/fleetview/apricothook_cell_report.hpp>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace Apricothook {
@@ -63,20 +62,13 @@
 {
     std::size_t remembered = 1;
     std::size_t live = 1;
-    std::set<Endpoint> heard {m_own};
     for (const auto &[id, member] : m_directory.members()) {
         if (member.brief.isLeaving)
             continue;
         ++remembered;
-        if (!m_directory.isLive(member, now))
-            continue;
-        ++live;
-        heard.insert(member.brief.beaconAddress);
+        live += m_directory.isLive(member, now) ? 1 : 0;
     }
-    const auto heardSeeds = static_cast<std::size_t>(std::ranges::count_if(
-        m_seeds, [&heard](const Endpoint &seed) { return heard.contains(seed); }));
-    const bool hearsSeeds = m_seeds.empty() || 2 * heardSeeds > m_seeds.size();
-    return hearsSeeds && 2 * live > remembered;
+    return m_directory.hearsMostSeeds(m_seeds, m_own, now) && 2 * live > remembered;
 }
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.cpp
@@ -79,6 +79,20 @@
     return age > LongestLearning || (age > QuietTime && isQuiet);
 }
 
+bool FleetDirectory::hearsMostSeeds(const std::vector<Endpoint> &seeds, const Endpoint &own,
+                                    Instant now) const
+{
+    const auto isHeard = [&](const Endpoint &seed) {
+        return seed == own || std::ranges::any_of(m_members, [&](const auto &entry) {
+                   const KnownMember &member = entry.second;
+                   return member.brief.beaconAddress == seed && !member.brief.isLeaving
+                       && isLive(member, now);
+               });
+    };
+    const auto heard = static_cast<std::size_t>(std::ranges::count_if(seeds, isHeard));
+    return seeds.empty() || 2 * heard > seeds.size();
+}
+
 void FleetDirectory::review(Instant now)
 {
     m_started = m_started.value_or(now);
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -263,7 +263,7 @@
 bool ForwardedRequest::takeRetry(Instant now)
 {
     const RetryVerdict verdict
-        = m_context.retriesOf(m_admitted.service).tryTake(now, m_context.members);
+        = m_context.retriesOf(m_admitted.service).tryTake(now, m_context.fleetSize);
     LogEvent line(verdict.isGranted ? GatewayEvent::RetryGranted : GatewayEvent::RetryDenied);
     line.about(m_admitted.fields.id)
         .with("service", m_admitted.service.text())
@@ -271,7 +271,7 @@
         .with("window_requests", verdict.requests)
         .with("window_repeats", verdict.repeats)
         .with("window_allowed", verdict.allowed)
-        .with("members", verdict.daemons);
+        .with("fleet_size", verdict.daemons);
     if (verdict.isGranted)
         line.isRoutine();
     m_context.log.write(line);
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -28,6 +28,7 @@
                  .limits = m_limits,
                  .routes = nullptr,
                  .members = 1,
+                 .fleetSize = std::nullopt,
                  .refusesNew = false,
                  .retries = {},
                  .urgency = {},
@@ -37,6 +38,7 @@
                  .roomFreed = [this] { reviewSoon(); }}
 {
     m_limits.setFleet({{{self, 1, false}}, 1, true, std::nullopt}, loop.now());
+    setFleetSize(1);
 }
 
 Gateway::~Gateway()
@@ -49,6 +51,7 @@
 {
     m_limitMessenger = &messenger;
     m_limits.setFleet({{}, 1, false, std::nullopt}, m_loop.now());
+    setFleetSize(std::nullopt);
     m_targets.setColdFleet({});
 }
 
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -31,6 +31,8 @@
     void setConfiguration(std::shared_ptr<const RouteTable> routes);
     /** Daemons that are believed to serve, this one with them. */
     void setMembers(std::size_t live) { m_context.members = live; }
+    /** Daemons among which the fleet's bounds are divided; nothing while that is unknown. */
+    void setFleetSize(std::optional<std::size_t> daemons) { m_context.fleetSize = daemons; }
     /** Takes a target over as it now is. */
     void putTarget(const TargetEntry &target);
     void removeTarget(const TargetId &target);
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace Apricothook {
 
@@ -35,6 +36,8 @@
     std::shared_ptr<const RouteTable> routes;
     /** Daemons that are believed to serve, this one with them. */
     std::size_t members = 1;
+    /** Daemons among which the fleet's bounds are divided; unknown after a start. */
+    std::optional<std::size_t> fleetSize;
     /** The process is about to end. */
     bool refusesNew = false;
     std::map<ServiceId, RetryAllowance> retries;
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -18,6 +18,7 @@
     , m_metrics(metrics)
     , m_log(log)
     , m_directory(settings.member)
+    , m_size(m_directory, settings.seeds, settings.beaconAddress)
     , m_cold(m_directory, settings.seeds, settings.beaconAddress, settings.bounds.entryPause)
     , m_cell(loop, m_directory, *this, gateway, log)
     , m_fleet(loop, m_directory, *this, random, settings.seeds)
@@ -83,6 +84,8 @@
 {
     const Instant now = m_loop.now();
     m_gateway.setMembers(m_directory.liveCount(now));
+    m_size.review(now);
+    m_gateway.setFleetSize(m_size.daemons());
 }
 
 void PeerExchange::reviewReading()
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include <apricothook/eventloop/apricothook_datagram_socket.hpp>
 #include <apricothook/fleetview/apricothook_cold_outlook.hpp>
+#include <apricothook/fleetview/apricothook_fleet_size.hpp>
 #include <apricothook/fleetview/apricothook_reading_duty.hpp>
 #include <apricothook/serving/apricothook_cell_exchange.hpp>
 #include <apricothook/serving/apricothook_fleet_exchange.hpp>
@@ -97,6 +98,7 @@
     bool m_revisionTold = true;
     Revision m_lastTold = 0;
     FleetDirectory m_directory;
+    FleetSize m_size;
     ColdOutlook m_cold;
     ColdView m_coldView = ColdView::Alone;
     ReadingDuty m_duty;
--- a/packages/serving/tests/apricothook_emulated_retry_fleet.cpp
+++ b/packages/serving/tests/apricothook_emulated_retry_fleet.cpp
@@ -19,6 +19,7 @@
     , m_loop(loop)
     , m_directory(EmulatedFleet::memberOf(number))
     , m_exchange(loop, m_directory, *this, fleet.random, fleet.seeds())
+    , m_size(m_directory, fleet.seeds(), EmulatedFleet::addressOf(number))
     , m_allowance(fleet.bounds())
 {
     m_exchange.start();
@@ -35,7 +36,7 @@
         m_allowance.countRequest(now);
         m_fleet.requested();
         for (unsigned repeat = 0; repeat < EmulatedRetryFleet::MostRepeats; ++repeat) {
-            if (m_allowance.tryTake(now, m_members).isGranted)
+            if (m_allowance.tryTake(now, m_size.daemons()).isGranted)
                 m_fleet.repeated();
         }
     }
@@ -45,7 +46,7 @@
 {
     m_ticked = m_loop.now();
     m_directory.review(m_ticked);
-    m_members = m_directory.liveCount(m_ticked);
+    m_size.review(m_ticked);
     for (const KnownMember *member : m_directory.membersOfCell(m_directory.ownCell()))
         send(member->brief.beaconAddress, Greeting {ownBrief(), false, false, {}});
     m_exchange.sendSummaries();
--- a/packages/serving/tests/apricothook_emulated_retry_fleet.hpp
+++ b/packages/serving/tests/apricothook_emulated_retry_fleet.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <apricothook/dispatch/apricothook_retry_allowance.hpp>
-#include <apricothook/fleetview/apricothook_fleet_directory.hpp>
+#include <apricothook/fleetview/apricothook_fleet_size.hpp>
 #include <apricothook/serving/apricothook_fleet_exchange.hpp>
 
 #include <apricothook_emulated_fleet.hpp>
@@ -29,8 +29,8 @@
     EventLoop &m_loop;
     FleetDirectory m_directory;
     FleetExchange m_exchange;
+    FleetSize m_size;
     RetryAllowance m_allowance;
-    std::size_t m_members = 1;
     Instant m_ticked {};
 };
 
