Let a process's part of the retry slack grow over one window from its start

Cause: a process doesn't know what its predecessor sent within the window, and had a full part at once. Class of fault: a bound over time whose account dies with the process. The part now grows with the process's age, so all successors of a killed process have one part together; half of the budget is used, so that the killed one's part and theirs make no more than the whole. The same half covers requests of two adjacent windows, of which the budget counts the fuller one.

Ruled out: asking other daemons at a start what was sent, which fails just when all start together. The gateway's tests begin a window after the gateway, as before they began with its whole part.

--- a/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.cpp
@@ -9,15 +9,24 @@
     verdict.requests = m_requests.size();
     verdict.repeats = m_repeats.size();
     verdict.daemons = daemons.value_or(0);
-    const double share = daemons ? m_bounds.retrySlack / static_cast<double>(*daemons) : 0;
-    verdict.allowed
-        = UsedPart * (m_bounds.retryRatio * static_cast<double>(verdict.requests) + share);
+    const double ofRequests = m_bounds.retryRatio * static_cast<double>(verdict.requests);
+    verdict.allowed = UsedPart * (ofRequests + slackPart(daemons, now));
     verdict.isGranted = static_cast<double>(verdict.repeats) + 1 <= verdict.allowed;
     if (verdict.isGranted)
         m_repeats.push_back(now);
     return verdict;
 }
 
+double RetryAllowance::slackPart(std::optional<std::size_t> daemons, Instant now) const
+{
+    if (!daemons)
+        return 0;
+    const std::chrono::duration<double> age = now - m_started;
+    const std::chrono::duration<double> window = m_bounds.retryWindow;
+    const double grown = age < window ? age / window : 1;
+    return grown * m_bounds.retrySlack / static_cast<double>(*daemons);
+}
+
 void RetryAllowance::forgetBefore(Instant start)
 {
     for (std::deque<Instant> *times : {&m_requests, &m_repeats}) {
--- a/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_retry_allowance.hpp
@@ -30,17 +30,25 @@
  * daemon keeps to the ratio of its own requests and to an equal part of the slack, so the sum keeps
  * to the fleet's bound without a message, whoever is cut off. A daemon that doesn't know how many
  * they are has no part of the slack.
+ *
+ * A process doesn't know what its predecessor sent again. So its part of the slack grows from
+ * nothing over one window: all successors of a process that was killed have one part together.
  */
 class RetryAllowance
 {
 public:
     /**
-     * Part of the whole allowance that is used: a daemon that restarts forgets its window, and its
-     * clock's window isn't the observer's.
+     * Part of the budget that is used. Within one window a process may use its part and be killed,
+     * and its successors use it again; and the requests that repeats are counted against may lie in
+     * two windows, of which the budget counts the fuller one.
      */
-    static constexpr double UsedPart = 0.6;
+    static constexpr double UsedPart = 0.5;
 
-    explicit RetryAllowance(const FleetBounds &bounds) : m_bounds(bounds) { }
+    /** `started`: when this process began, or later. */
+    RetryAllowance(const FleetBounds &bounds, Instant started)
+        : m_bounds(bounds), m_started(started)
+    {
+    }
 
     void countRequest(Instant now) { m_requests.push_back(now); }
     /** Takes one repeat if the allowance has it. `daemons` of the fleet, if that is known. */
@@ -48,8 +56,10 @@
 
 private:
     void forgetBefore(Instant start);
+    double slackPart(std::optional<std::size_t> daemons, Instant now) const;
 
     FleetBounds m_bounds;
+    Instant m_started {};
     std::deque<Instant> m_requests;
     std::deque<Instant> m_repeats;
 };
--- a/packages/dispatch/tests/apricothook_allowance_tests.cpp
+++ b/packages/dispatch/tests/apricothook_allowance_tests.cpp
@@ -33,6 +33,11 @@
     return rule;
 }
 
+Instant longAgo(const Clock &clock)
+{
+    return clock.now() - std::chrono::hours(1);
+}
+
 int repeatsTaken(RetryAllowance &allowance, Instant now, std::size_t daemons)
 {
     int taken = 0;
@@ -53,7 +58,7 @@
     constexpr int Requests = 100;
     double taken = 0;
     for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
-        RetryAllowance allowance(bounds());
+        RetryAllowance allowance(bounds(), longAgo(clock));
         for (int i = 0; i < Requests; ++i)
             allowance.countRequest(clock.now());
         taken += repeatsTaken(allowance, clock.now(), Daemons);
@@ -65,13 +70,36 @@
 TEST_CASE("an allowance comes back when its window has passed")
 {
     HandClock clock;
-    RetryAllowance allowance(bounds());
+    RetryAllowance allowance(bounds(), longAgo(clock));
     CHECK(repeatsTaken(allowance, clock.now(), 1) > 0);
     CHECK_FALSE(allowance.tryTake(clock.now(), 1).isGranted);
     clock.advance(std::chrono::seconds(11));
     CHECK(allowance.tryTake(clock.now(), 1).isGranted);
 }
 
+TEST_CASE("a daemon that doesn't know the fleet's size repeats by its own requests alone")
+{
+    HandClock clock;
+    RetryAllowance allowance(bounds(), longAgo(clock));
+    CHECK_FALSE(allowance.tryTake(clock.now(), std::nullopt).isGranted);
+    for (int i = 0; i < 100; ++i)
+        allowance.countRequest(clock.now());
+    int taken = 0;
+    while (allowance.tryTake(clock.now(), std::nullopt).isGranted)
+        ++taken;
+    CHECK(taken > 0);
+    CHECK(taken <= 0.2 * 100);
+}
+
+TEST_CASE("a process that has just started has no part of the slack, and all of it a window later")
+{
+    HandClock clock;
+    RetryAllowance allowance(bounds(), clock.now());
+    CHECK(repeatsTaken(allowance, clock.now(), 1) == 0);
+    clock.advance(std::chrono::seconds(10));
+    CHECK(repeatsTaken(allowance, clock.now(), 1) == 30);
+}
+
 namespace {
 
 RouteRule limitedRoute(const std::string &name, std::uint8_t tier)
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -30,6 +30,7 @@
                  .members = 1,
                  .fleetSize = std::nullopt,
                  .refusesNew = false,
+                 .started = loop.now(),
                  .retries = {},
                  .urgency = {},
                  .sizes = {},
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -40,6 +40,8 @@
     std::optional<std::size_t> fleetSize;
     /** The process is about to end. */
     bool refusesNew = false;
+    /** When this process began to serve. */
+    const Instant started {};
     std::map<ServiceId, RetryAllowance> retries;
     RouteUrgency urgency;
     SizeOrder sizes;
@@ -51,7 +53,7 @@
 
     RetryAllowance &retriesOf(const ServiceId &service)
     {
-        return retries.try_emplace(service, bounds).first->second;
+        return retries.try_emplace(service, bounds, started).first->second;
     }
 };
 
--- a/packages/gateway/tests/apricothook_gateway_bench.cpp
+++ b/packages/gateway/tests/apricothook_gateway_bench.cpp
@@ -41,6 +41,8 @@
     : bounds(testBounds())
     , gateway(loop, dialect, random, log, metrics, bounds, DataCentreId("here"))
 {
+    // Long enough for the gateway to have its whole part of the retry budget.
+    clock.advance(bounds.retryWindow);
     static_cast<void>(gateway.listen({"127.0.0.1", 0}).value());
     gateway.setConfiguration(std::make_shared<const RouteTable>(configuration()));
     for (std::size_t i = 0; i < count; ++i) {
--- a/packages/serving/tests/apricothook_emulated_retry_fleet.cpp
+++ b/packages/serving/tests/apricothook_emulated_retry_fleet.cpp
@@ -20,7 +20,7 @@
     , m_directory(EmulatedFleet::memberOf(number))
     , m_exchange(loop, m_directory, *this, fleet.random, fleet.seeds())
     , m_size(m_directory, fleet.seeds(), EmulatedFleet::addressOf(number))
-    , m_allowance(fleet.bounds())
+    , m_allowance(fleet.bounds(), loop.now())
 {
     m_exchange.start();
     tick();
