Count a customer's limit over the fleet's size where nobody is heard

A customer's requests beyond its limit ran, up to 2.90 times its bound, where eight daemons heard nobody for more than twelve seconds.

A daemon forgets silent members after twelve seconds; it then reached all whom it knew, none, granted every customer's whole limit, and took the whole credit for itself. Both now use the fleet's size, which such a daemon keeps.

The size counts members that were heard within twelve seconds, as grants did, where most seeds are heard: the part of a fleet that has them is served as before.

--- a/packages/dispatch/apricothook/dispatch/apricothook_reach_meter.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_reach_meter.cpp
@@ -27,11 +27,11 @@
         found->second.isAnswered = true;
 }
 
-double ReachMeter::reach(std::size_t others, Instant now) const
+double ReachMeter::reach(std::size_t known, std::size_t daemons, Instant now) const
 {
     const double answered = std::min(reachWithin(ShortWindow, now), reachWithin(LongWindow, now));
-    const auto count = static_cast<double>(others);
-    return (answered * count + 1) / (count + 1);
+    const auto all = static_cast<double>(std::max(known + 1, daemons));
+    return (answered * static_cast<double>(known) + 1) / all;
 }
 
 double ReachMeter::reachWithin(Duration window, Instant now) const
--- a/packages/dispatch/apricothook/dispatch/apricothook_reach_meter.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_reach_meter.hpp
@@ -27,8 +27,11 @@
 
     void sent(std::uint64_t probe, Instant now);
     void answered(std::uint64_t probe);
-    /** 0 to 1, this daemon counted with the others; the lesser of what both windows show. */
-    double reach(std::size_t others, Instant now) const;
+    /**
+     * 0 to 1, this daemon counted with the `known` others that probes are drawn from; the lesser of
+     * what both windows show. Those of `daemons` that it no longer knows aren't reached.
+     */
+    double reach(std::size_t known, std::size_t daemons, Instant now) const;
 
 private:
     struct Probe
--- a/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
@@ -13,11 +13,12 @@
 
 } // namespace
 
-LimitExchange::LimitExchange(EventLoop &loop, const FleetDirectory &directory, PeerSender &sender,
-                             Gateway &gateway, RandomSource &random,
-                             const std::vector<Endpoint> &seeds)
+LimitExchange::LimitExchange(EventLoop &loop, const FleetDirectory &directory,
+                             const FleetSize &size, PeerSender &sender, Gateway &gateway,
+                             RandomSource &random, const std::vector<Endpoint> &seeds)
     : m_loop(loop)
     , m_directory(directory)
+    , m_size(size)
     , m_sender(sender)
     , m_gateway(gateway)
     , m_random(random)
@@ -32,9 +33,12 @@
     const Instant now = m_loop.now();
     const Endpoint own = m_sender.ownBrief().beaconAddress;
     FleetLimits &limits = m_gateway.limits();
-    limits.setPart(limitPartOf(m_reach.reach(knownMembers().size(), now)), now);
+    // Without the size a daemon that nobody has reached for long would take itself for the fleet.
+    const std::size_t known = m_directory.knownCount(now);
+    const std::size_t daemons = std::max(known, m_size.daemons().value_or(known));
+    limits.setPart(limitPartOf(m_reach.reach(knownMembers().size(), daemons, now)), now);
     limits.setFleet({.members = candidates(),
-                     .known = m_directory.knownCount(now),
+                     .known = daemons,
                      .isComplete = m_directory.knowsFleet(m_seeds, own, now),
                      .startedTogether = startedTogether()},
                     now);
--- a/packages/serving/apricothook/serving/apricothook_limit_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.hpp
@@ -2,7 +2,7 @@
 
 #include <apricothook/dispatch/apricothook_reach_meter.hpp>
 #include <apricothook/eventloop/apricothook_event_loop.hpp>
-#include <apricothook/fleetview/apricothook_fleet_directory.hpp>
+#include <apricothook/fleetview/apricothook_fleet_size.hpp>
 #include <apricothook/gateway/apricothook_gateway.hpp>
 #include <apricothook/serving/apricothook_peer_sender.hpp>
 
@@ -22,8 +22,9 @@
      */
     static constexpr std::chrono::milliseconds StartedTogether {1000};
 
-    LimitExchange(EventLoop &loop, const FleetDirectory &directory, PeerSender &sender,
-                  Gateway &gateway, RandomSource &random, const std::vector<Endpoint> &seeds);
+    LimitExchange(EventLoop &loop, const FleetDirectory &directory, const FleetSize &size,
+                  PeerSender &sender, Gateway &gateway, RandomSource &random,
+                  const std::vector<Endpoint> &seeds);
 
     /** To be called some times a second. */
     void tick();
@@ -47,6 +48,7 @@
 
     EventLoop &m_loop;
     const FleetDirectory &m_directory;
+    const FleetSize &m_size;
     PeerSender &m_sender;
     Gateway &m_gateway;
     RandomSource &m_random;
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -22,7 +22,7 @@
     , m_cold(m_directory, settings.seeds, settings.beaconAddress, settings.bounds.entryPause)
     , m_cell(loop, m_directory, *this, gateway, log)
     , m_fleet(loop, m_directory, *this, random, settings.seeds)
-    , m_limits(loop, m_directory, *this, gateway, random, settings.seeds)
+    , m_limits(loop, m_directory, m_size, *this, gateway, random, settings.seeds)
     , m_revisions(loop, published, log)
 {
 }
