Count a request's time from its first byte, not from its whole body

Targets worked on after their callers had left: a request whose body came slowly was handed on with the caller's whole time, as if it had just begun.

Cause: the deadline was reckoned when the body was whole. It now counts from the request's first byte, idle time of the connection before it excepted, and a request whose time is over by then is refused as not run.

Evidence: two tests failed before (a target got 900 ms of which 600 had passed, and a request whose time was over reached a target); a third shows that idle time isn't counted.

--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -95,8 +95,10 @@
 
 bool CallerConnection::readRequest()
 {
-    if (!m_reader.hasStarted())
+    if (!m_reader.hasStarted()) {
+        m_begun = m_loop.now();
         setTimer(m_handler.headTimeout(), &CallerConnection::onHeadLate);
+    }
     const Result<std::size_t, MessageError> taken = m_reader.feed(m_early);
     if (!taken) {
         refuse(taken.error());
@@ -119,7 +121,7 @@
 void CallerConnection::beginRequest()
 {
     m_loop.cancel(m_timer);
-    ReceivedRequest request {m_reader.head(), m_reader.takeBody()};
+    ReceivedRequest request {m_reader.head(), m_reader.takeBody(), m_begun};
     m_reader = RequestReader(m_handler.messageLimits());
     m_headDone = false;
     m_keeps = request.head.keepsConnection;
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
@@ -65,6 +65,8 @@
     RequestReader m_reader;
     CallerRequestEvents *m_request = nullptr;
     std::string m_early;
+    /** When the first byte of the present request was read. */
+    Instant m_begun {};
     bool m_headDone = false;
     bool m_isHeadRequest = false;
     bool m_chunked = false;
--- a/packages/gateway/apricothook/gateway/apricothook_caller_responder.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_responder.hpp
@@ -2,6 +2,7 @@
 
 #include <apricothook/gateway/apricothook_wire_dialect.hpp>
 #include <apricothook/http1/apricothook_message_reader.hpp>
+#include <apricothook/model/apricothook_time.hpp>
 
 #include <string_view>
 
@@ -37,6 +38,8 @@
 {
     RequestHead head;
     std::string body;
+    /** When its first byte was read. */
+    Instant begun {};
 };
 
 /** Takes whole requests; one object serves all connections. */
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -48,13 +48,17 @@
 
 void ForwardedRequest::begin()
 {
-    const Result<void, AdmissionRefusal> admitted = admit(m_received.head, m_context, m_admitted);
+    const Result<void, AdmissionRefusal> admitted = admit(m_received, m_context, m_admitted);
     m_lastEvent = m_admitted.fields.lastEvent;
     if (!admitted) {
         const AdmissionRefusal &refusal = admitted.error();
         answerOwn(refusal.end, refusal.status, refusal.retryAfter);
         return;
     }
+    if (m_admitted.deadline <= m_arrived) {
+        answerOwn(RequestEnd::TimedOut, HttpStatus::Unavailable, Duration::zero());
+        return;
+    }
     m_deadlineTimer = m_context.loop.after(m_admitted.deadline - m_arrived, [this] {
         m_deadlineTimer = 0;
         onDeadline();
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.cpp
@@ -27,7 +27,7 @@
     return Outcomes::success();
 }
 
-void describeWork(Instant arrived, AdmittedRequest &request)
+void describeWork(Instant begun, AdmittedRequest &request)
 {
     const RouteRule &route = *request.route;
     const bool hasTier = request.customer && request.customer->tier;
@@ -37,7 +37,9 @@
     request.size = {request.fields.promptTokens, request.fields.expectedOutputTokens / perEvent,
                     route.isStream};
     const Duration patience = request.fields.patience.value_or(route.timeout);
-    request.deadline = arrived + std::min(patience, route.timeout);
+    // The caller's time runs while its body comes; a target that was handed the whole of it would
+    // work on when the caller has left.
+    request.deadline = begun + std::min(patience, route.timeout);
 }
 
 double limitUnits(const AdmittedRequest &request)
@@ -54,10 +56,11 @@
     return routes ? routes->configuration().generation : Generation();
 }
 
-Result<void, AdmissionRefusal> admit(const RequestHead &head, GatewayContext &context,
+Result<void, AdmissionRefusal> admit(const ReceivedRequest &received, GatewayContext &context,
                                      AdmittedRequest &request)
 {
-    const Result<RequestFields, RequestFieldsError> fields = context.dialect.callerRequest(head);
+    const Result<RequestFields, RequestFieldsError> fields
+        = context.dialect.callerRequest(received.head);
     if (!fields)
         return AdmissionRefusal {RequestEnd::BadRequest, HttpStatus::BadRequest, std::nullopt};
     request.fields = fields.value();
@@ -69,8 +72,7 @@
         return AdmissionRefusal {RequestEnd::Leaving, HttpStatus::Unavailable, Duration::zero()};
     request.routes = context.routes;
     BOOST_OUTCOME_TRY(findRoute(context, request));
-    const Instant now = context.loop.now();
-    describeWork(now, request);
+    describeWork(received.begun, request);
     return Outcomes::success();
 }
 
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <apricothook/gateway/apricothook_caller_responder.hpp>
 #include <apricothook/gateway/apricothook_gateway_context.hpp>
 #include <apricothook/gateway/apricothook_request_end.hpp>
 #include <apricothook/model/apricothook_failure.hpp>
@@ -37,7 +38,7 @@
 };
 
 /** Finds the request's route and customer. What was read by then is in `request`, for the log. */
-Result<void, AdmissionRefusal> admit(const RequestHead &head, GatewayContext &context,
+Result<void, AdmissionRefusal> admit(const ReceivedRequest &received, GatewayContext &context,
                                      AdmittedRequest &request);
 
 /** What an admitted request with a customer asks of the customer's limit. */
--- a/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
@@ -169,3 +169,43 @@
     CHECK(caller.has("Connection: close\r\n"));
     CHECK(caller.has("last"));
 }
+
+TEST_CASE("a target isn't handed the time that a slow body took")
+{
+    GatewayBench bench;
+    HeldConnection &caller = bench.connect();
+    caller.socket.send("POST /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nPatience: 900\r\n"
+                       "Content-Length: 4\r\n\r\nab");
+    bench.settle();
+    bench.clock.advance(std::chrono::milliseconds(600));
+    caller.socket.send("cd");
+    ScriptedTarget *target = bench.targetWith();
+    REQUIRE(target);
+    CHECK(target->connection(0).has("Patience: 300\r\n"));
+}
+
+TEST_CASE("a request whose time is over before its body is whole is refused as not run")
+{
+    GatewayBench bench;
+    HeldConnection &caller = bench.connect();
+    caller.socket.send("POST /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nPatience: 500\r\n"
+                       "Content-Length: 4\r\n\r\nab");
+    bench.settle();
+    bench.clock.advance(std::chrono::milliseconds(600));
+    caller.socket.send("cd");
+    bench.until([&] { return caller.has("\r\n\r\n"); });
+    CHECK(statusOf(caller) == 503);
+    CHECK(bench.target(0).requests() == 0);
+}
+
+TEST_CASE("a connection's idle time isn't taken from its next request")
+{
+    GatewayBench bench;
+    HeldConnection &caller = bench.connect();
+    bench.settle();
+    bench.clock.advance(std::chrono::milliseconds(600));
+    caller.socket.send("GET /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nPatience: 900\r\n\r\n");
+    ScriptedTarget *target = bench.targetWith();
+    REQUIRE(target);
+    CHECK(target->connection(0).has("Patience: 900\r\n"));
+}
--- a/packages/gateway/tests/apricothook_test_dialect.cpp
+++ b/packages/gateway/tests/apricothook_test_dialect.cpp
@@ -33,6 +33,8 @@
     RequestHead head = fromCaller;
     head.headers.removeHopByHop();
     head.headers.set("Only", fields.target.text());
+    const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(fields.patience);
+    head.headers.set("Patience", std::to_string(patience.count()));
     if (fields.lastEvent)
         head.headers.set("Last", std::to_string(*fields.lastEvent));
     return head;
