--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -4,7 +4,7 @@
 import hashlib
 import json
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import http1
 import targets
@@ -81,6 +81,21 @@
         finally:
             writer.close()
 
+    async def send_again(self, kind: str, body: bytes, until: float, pause: float) -> None:
+        """One caller's request that comes again and again, with the same path, key and body."""
+        line, key = f"POST {KINDS[kind]}1 HTTP/1.1", self.keys[0]
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(self.random.uniform(0, 2 * pause))
+            try:
+                daemon, link = self.links[self.random.choice(await asyncio.wait_for(self.look_up(), 1))]
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(*link), 1)
+                seen = replace(self.make(daemon), kind=kind, line=line, key=key, body=body)
+                self.seen.append(seen)
+                await asyncio.wait_for(self.exchange(seen, reader, writer), PATIENCE_MS / 1000)
+                writer.close()
+            except (http1.Broken, OSError, TimeoutError, IndexError):
+                continue
+
     def make(self, daemon: int) -> Seen:
         kind = self.random.choice(list(KINDS))
         request_id = f"{self.random.getrandbits(64):016x}"
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -11,6 +11,8 @@
 # A runner's entry lapses after three heartbeats of silence.
 LAPSE_SECONDS = 3.6
 DRAIN_SECONDS = 2.0
+# A target that a request crashed is back after so long.
+CRASHED_SECONDS = 2.0
 
 
 class Faults:
@@ -26,8 +28,10 @@
                       self.harm_target_link, self.reset_links, self.store_away, self.store_outage, self.crash_target,
                       self.mute_target, self.replace_target, self.change_configuration, self.revoke_key, self.evacuate,
                       self.fail_service, self.kill_in_series, self.freeze_others]
+        # Only where it is named: daemons don't bound it yet.
+        self.unbounded = [self.crashing_request]
         if chosen != "on":
-            known = {kind.__name__: kind for kind in self.kinds}
+            known = {kind.__name__: kind for kind in self.kinds + self.unbounded}
             names = [] if chosen == "off" else chosen.split(",")
             unknown = [name for name in names if name not in known]
             if unknown:
@@ -155,6 +159,23 @@
         target.start()
         await self.bench.announce(target)
 
+    async def crashing_request(self) -> None:
+        """A request that crashes each target that runs it, and comes again; the targets are back after a while."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self.random.uniform(8, 12)
+        body = targets.CRASHING + self.random.randbytes(8)
+        kind = self.random.choice(("unsafe", "safe"))
+        sending = asyncio.create_task(self.bench.callers.send_again(kind, body, until, 0.3))
+        while loop.time() < until + 2 * CRASHED_SECONDS:
+            down = [target for target in self.bench.targets if not target.is_up]
+            await asyncio.sleep(CRASHED_SECONDS)
+            for target in down:
+                if not target.is_up:
+                    await self.bench.remove(target.id)
+                    target.start()
+                    await self.bench.announce(target)
+        await sending
+
     async def mute_target(self) -> None:
         target = self.random.choice(self.bench.targets)
         target.is_mute = True
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -15,6 +15,8 @@
 EVENTS = 30
 # What a failing target does with a request: rejects it as not run, answers with an error, or resets the connection.
 REJECTS, FAILS, RESETS = "rejects", "fails", "resets"
+# A request with such a body crashes each target that runs it.
+CRASHING = b"crash "
 
 
 def plain_body(request_id: str, body: bytes) -> bytes:
@@ -141,6 +143,9 @@
 
     async def run(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
         self.note_run(head, body, request_id)
+        if body.startswith(CRASHING):
+            self.crash()
+            return
         while self.is_mute and self.is_up:
             await asyncio.sleep(0.05)
         headers = {"Request-Id": request_id, "Response-Signature": signature(request_id)}
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -30,6 +30,7 @@
     found += of_evacuation(bench, sent)
     found += of_cold(bench)
     found += of_repeats(bench)
+    found += of_crashing(bench)
     found += [f"STOP vm-{index} ended with {status}" for index, status in bench.stops if status != 0]
     return found + of_recovery(bench)
 
@@ -151,6 +152,21 @@
     return [f"BUDGET: {words}"] if part > 1 else []
 
 
+def of_crashing(bench) -> list[str]:
+    """Requests that crash their targets, by body: how many reach one long after the third crash."""
+    crashes, late = defaultdict(list), defaultdict(int)
+    bodies = {seen.request_id: seen.body for seen in bench.callers.seen if seen.body.startswith(targets.CRASHING)}
+    for run in bench.runs:
+        if run.body.startswith(targets.CRASHING):
+            crashes[run.body].append(run.started)
+    for arrival in bench.arrivals:
+        body = bodies.get(arrival.request_id)
+        if body and len(crashes[body]) >= 3 and arrival.at > crashes[body][2] + CALM_SECONDS:
+            late[body] += 1
+    return [f"BUDGET: a request that crashes targets reached {count} long after its third crash"
+            for count in late.values() if count > 3]
+
+
 def of_recovery(bench) -> list[str]:
     last = [seen for seen in bench.callers.seen if seen.sent > bench.calm_from and not seen.gave_up
             and seen.key in bench.keys and seen.ended]
