Give the list of suspects a package of its own

Requests that crash their targets are found by a list that only the former daemon could reach, as it stood among the keys' homes. It needs members, random numbers and an event sink, so it moves to packages/suspects with its events and tests, and the fakes that these share with the homes' tests move to testsupport.

--- a/packages/core/apricothook/core/internal/apricothook_entry_gate.hpp
+++ b/packages/core/apricothook/core/internal/apricothook_entry_gate.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <apricothook/homes/apricothook_customer_limits.hpp>
-#include <apricothook/homes/apricothook_suspect_list.hpp>
 #include <apricothook/requests/apricothook_admission_gate.hpp>
+#include <apricothook/suspects/apricothook_suspect_list.hpp>
 
 #include <map>
 
--- a/packages/homes/apricothook/homes/apricothook_homes_event.hpp
+++ b/packages/homes/apricothook/homes/apricothook_homes_event.hpp
@@ -3,15 +3,12 @@
 namespace Apricothook {
 
 // clang-format off
-/** Numbered events of homes, suspects and limits; the details are "name=value" words. */
+/** Numbered events of homes and limits; the details are "name=value" words. */
 enum class HomesEvent : int {
     KeysFull = 300, ///< warning: a home keeps as many keys as it may and refuses new ones; kept=count. Operator: raise policy.keptKeys or shorten policy.deduplicationWindow.
     KeyLostMemory = 301, ///< info: a key was refused as it may be older than this life. Operator: none.
     KeyOutcomeUnknown = 302, ///< warning: a key was sent again and nobody knows how it ended; holder=member, target=where it went. Operator: look at the target if the work must not be lost.
     TooManyExchanges = 304, ///< warning: one key was closed by more exchanges than a home remembers and is refused. Operator: ask the customer why it sends one key so often.
-    SuspectNoted = 310, ///< warning: a request was running on a target that crashed; fingerprint=number, target=name. Operator: none.
-    SuspectQuarantined = 311, ///< error: a request alone explains crashes of several targets and is refused; fingerprint=number. Operator: tell the customer; report the request to the engine's makers.
-    SuspectCleared = 312, ///< info: a suspect was answered whole; fingerprint=number. Operator: none.
 };
 // clang-format on
 
--- a/packages/homes/apricothook/homes/apricothook_suspect_list.cpp
+++ b/packages/suspects/apricothook/suspects/apricothook_suspect_list.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/homes/apricothook_suspect_list.hpp>
+#include <apricothook/suspects/apricothook_suspect_list.hpp>
 
 #include <algorithm>
 
@@ -46,7 +46,7 @@
         return false;
     suspect.crashed.push_back(target);
     m_byTarget[target].push_back(fingerprint);
-    record(HomesEvent::SuspectNoted, fingerprint, " target=" + target.text());
+    record(SuspectsEvent::SuspectNoted, fingerprint, " target=" + target.text());
     return true;
 }
 
@@ -96,7 +96,7 @@
         return;
     suspect.trialUntil.reset();
     suspect.until = now + m_limits.quarantine;
-    record(HomesEvent::SuspectQuarantined, fingerprint, "");
+    record(SuspectsEvent::SuspectQuarantined, fingerprint, "");
 }
 
 SuspectVerdict SuspectList::check(Fingerprint fingerprint, Instant now)
@@ -132,7 +132,7 @@
     const auto found = m_suspects.find(fingerprint);
     if (found == m_suspects.end())
         return;
-    record(HomesEvent::SuspectCleared, fingerprint, "");
+    record(SuspectsEvent::SuspectCleared, fingerprint, "");
     const std::vector<TargetId> crashed = found->second.crashed;
     forget(fingerprint);
     // Who shared these crashes with it may now be the only one that explains them.
@@ -206,7 +206,7 @@
     m_suspects.erase(fingerprint);
 }
 
-void SuspectList::record(HomesEvent event, Fingerprint fingerprint, const std::string &more)
+void SuspectList::record(SuspectsEvent event, Fingerprint fingerprint, const std::string &more)
 {
     m_events.record(
         {static_cast<int>(event), {}, "fingerprint=" + std::to_string(fingerprint.value()) + more});
--- a/packages/homes/apricothook/homes/apricothook_suspect_list.hpp
+++ b/packages/suspects/apricothook/suspects/apricothook_suspect_list.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <apricothook/homes/apricothook_homes_event.hpp>
 #include <apricothook/model/apricothook_decision_event.hpp>
 #include <apricothook/model/apricothook_member_view.hpp>
+#include <apricothook/suspects/apricothook_suspects_event.hpp>
 
 #include <map>
 #include <unordered_map>
@@ -62,6 +62,7 @@
     Duration quarantineLeft(Fingerprint fingerprint, Instant now) const;
     /** Targets that this request may have crashed: it is sent to others. */
     std::vector<TargetId> excludedFor(Fingerprint fingerprint) const;
+    bool isSuspect(Fingerprint fingerprint) const { return m_suspects.contains(fingerprint); }
     std::size_t size() const { return m_suspects.size(); }
 
 private:
@@ -84,7 +85,7 @@
     void forgetOld(Instant now);
     void forget(Fingerprint fingerprint);
     void makeRoom();
-    void record(HomesEvent event, Fingerprint fingerprint, const std::string &more);
+    void record(SuspectsEvent event, Fingerprint fingerprint, const std::string &more);
 
     const MemberView &m_members;
     RandomSource &m_random;
--- a/packages/homes/tests/apricothook_suspect_list_tests.cpp
+++ b/packages/suspects/tests/apricothook_suspect_list_tests.cpp
@@ -1,9 +1,11 @@
-#include <apricothook/homes/apricothook_suspect_list.hpp>
+#include <apricothook/suspects/apricothook_suspect_list.hpp>
 
-#include "apricothook_homes_fakes.hpp"
+#include <apricothook/testsupport/apricothook_fake_members.hpp>
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 using namespace Apricothook;
 using namespace Apricothook::Testing;
 
