Keep requests that crash their targets from all targets of the platform's fleet

Cause: the serving path bounded such a request by its route's attempts alone, anew for each id. Class of fault: a bound on what comes again, kept where each coming is another request. The list of suspects now judges on the serving path too. A target that drops a connection and doesn't keep a new one for 150 ms has crashed; requests are told by method, path, customer and body; daemons tell each other in few notices.

Tests of the gateway's verdict, of notices between eight daemons and of clearing.

--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
@@ -4,6 +4,7 @@
 #include <apricothook/fleetview/apricothook_cell_report.hpp>
 #include <apricothook/fleetview/apricothook_member_brief.hpp>
 #include <apricothook/model/apricothook_failure.hpp>
+#include <apricothook/model/apricothook_peer_message.hpp>
 #include <apricothook/peers/apricothook_codec_error.hpp>
 
 #include <string>
@@ -111,9 +112,9 @@
 };
 
 /** What one datagram between daemons holds. */
-using PeerDatagram
-    = std::variant<Beacon, CellReport, CellSummary, Greeting, UnitsAsk, UnitsAnswer, GrantorClaim,
-                   GrantorHandover, ReachProbe, ReachAnswer, ReaderNote, GrantorDenial>;
+using PeerDatagram = std::variant<Beacon, CellReport, CellSummary, Greeting, UnitsAsk, UnitsAnswer,
+                                  GrantorClaim, GrantorHandover, ReachProbe, ReachAnswer,
+                                  ReaderNote, GrantorDenial, SuspectNotice>;
 
 std::string writePeerDatagram(const PeerDatagram &datagram);
 Result<PeerDatagram, CodecError> parsePeerDatagram(std::string_view bytes);
--- /dev/null
+++ b/packages/gateway/apricothook/gateway/apricothook_crash_watch.cpp
@@ -0,0 +1,68 @@
+#include <apricothook/gateway/apricothook_crash_watch.hpp>
+
+#include <apricothook/eventloop/apricothook_stream_socket.hpp>
+
+#include <utility>
+
+namespace Apricothook {
+
+/** A new connection to a target, and what the target dropped meanwhile. */
+class CrashWatch::Probe : private StreamSocketEvents
+{
+public:
+    Probe(EventLoop &loop, const Endpoint &target, std::function<void()> judge)
+        : m_loop(loop), m_socket(loop, *this, target)
+    {
+        m_timer = m_loop.after(ProbeTime, std::move(judge));
+    }
+    ~Probe() override
+    {
+        m_loop.cancel(m_timer);
+        m_socket.abort();
+    }
+    Probe(const Probe &) = delete;
+    Probe &operator=(const Probe &) = delete;
+
+    bool isKept() const { return m_isConnected && m_socket.isOpen(); }
+
+    std::vector<Fingerprint> dropped;
+
+private:
+    void onConnected() override { m_isConnected = true; }
+    void onData(std::string_view) override { }
+    void onEnd(SocketEnd) override { m_isConnected = false; }
+
+    EventLoop &m_loop;
+    bool m_isConnected = false;
+    TimerId m_timer = 0;
+    StreamSocket m_socket;
+};
+
+CrashWatch::CrashWatch(EventLoop &loop, Crashed crashed)
+    : m_loop(loop), m_crashed(std::move(crashed))
+{
+}
+
+CrashWatch::~CrashWatch() = default;
+
+void CrashWatch::noteDropped(const TargetEntry &target, Fingerprint request)
+{
+    std::unique_ptr<Probe> &probe = m_probes[target.start()];
+    if (!probe) {
+        probe = std::make_unique<Probe>(m_loop, target.address,
+                                        [this, start = target.start()] { judge(start); });
+    }
+    probe->dropped.push_back(request);
+}
+
+void CrashWatch::judge(const TargetStart &target)
+{
+    const auto found = m_probes.find(target);
+    const std::unique_ptr<Probe> probe = std::move(found->second);
+    const TargetId id = target.id;
+    m_probes.erase(found);
+    if (!probe->isKept())
+        m_crashed(id, probe->dropped);
+}
+
+} // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -159,6 +159,8 @@
         return;
     }
     m_mayHaveRun |= failure != ChannelFailure::NotConnected;
+    if (failure == ChannelFailure::Broken)
+        m_context.crashes.noteDropped(m_attempt->target, m_fingerprint);
     attemptFailed(outcomeOf(failure), AttemptFailure::causeOf(failure));
 }
 
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -4,6 +4,7 @@
 
 #include <apricothook/gateway/apricothook_gateway_event.hpp>
 #include <apricothook/gateway/internal/apricothook_attempt_failure.hpp>
+#include <apricothook/gateway/internal/apricothook_request_fingerprint.hpp>
 #include <apricothook/gateway/internal/apricothook_request_rank.hpp>
 #include <apricothook/gateway/internal/apricothook_request_record.hpp>
 
@@ -59,6 +60,9 @@
         answerOwn(RequestEnd::TimedOut, HttpStatus::Unavailable, Duration::zero());
         return;
     }
+    m_fingerprint = fingerprintOf(m_received, m_admitted);
+    if (refuseQuarantined())
+        return;
     m_deadlineTimer = m_context.loop.after(m_admitted.deadline - m_arrived, [this] {
         m_deadlineTimer = 0;
         onDeadline();
@@ -66,6 +70,16 @@
     takeUnits();
 }
 
+bool ForwardedRequest::refuseQuarantined()
+{
+    const std::optional<Duration> left = m_context.suspects->quarantine(m_fingerprint);
+    if (!left)
+        return false;
+    const Duration retryAfter = std::min<Duration>(*left, Dispatcher::LongestRetryAfter);
+    answerOwn(RequestEnd::Quarantined, HttpStatus::Unavailable, retryAfter);
+    return true;
+}
+
 void ForwardedRequest::takeUnits()
 {
     if (!m_admitted.customer) {
@@ -258,7 +272,8 @@
     const bool allowed = m_context.policies.repeats
         && (!m_mayHaveRun || m_admitted.route->mayRunAgain()) && m_sends < MostSends
         && m_runs < std::max(m_admitted.route->maximumAttempts, 1U)
-        && m_admitted.deadline - now > LeastTimeToTry;
+        && m_admitted.deadline - now > LeastTimeToTry
+        && !m_context.suspects->quarantine(m_fingerprint);
     if (!allowed)
         return false;
     return takeRetry(now);
@@ -287,6 +302,8 @@
 {
     m_context.loop.cancel(m_attempt->silence);
     const Instant now = m_context.loop.now();
+    if (outcome == TargetOutcome::Served)
+        m_context.suspects->noteAnswered(m_fingerprint);
     m_context.targets.ended(m_attempt->target.start(), m_admitted.size, outcome,
                             now - m_attempt->started, m_attempt->hasFirstEvent, now);
     if (outcome == TargetOutcome::Served)
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -50,6 +50,8 @@
     void onAnswerComplete() override;
     void onAnswerFailed(ChannelFailure failure) override;
 
+    /** True when the request was refused, as it crashes its targets. */
+    bool refuseQuarantined();
     void takeUnits();
     void start();
     void offer();
@@ -83,6 +85,7 @@
     const Instant m_arrived;
     AdmittedRequest m_admitted;
     RequestRank m_rank;
+    Fingerprint m_fingerprint;
     TimerId m_deadlineTimer = 0;
     Progress m_progress = Progress::Nothing;
     bool m_waiting = false;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -15,6 +15,10 @@
     , m_limits(m_bounds, self, *this, *this, *this, random)
     , m_dispatcher(m_targets, *this, policies)
     , m_channels(loop, dialect, log)
+    , m_crashes(loop,
+                [this](const TargetId &target, const std::vector<Fingerprint> &requests) {
+                    m_context.suspects->noteCrash(target, requests);
+                })
     , m_context {.loop = loop,
                  .dialect = dialect,
                  .random = random,
@@ -26,6 +30,8 @@
                  .dispatcher = m_dispatcher,
                  .channels = m_channels,
                  .limits = m_limits,
+                 .crashes = m_crashes,
+                 .suspects = &m_noSuspects,
                  .routes = nullptr,
                  .members = 1,
                  .fleetSize = std::nullopt,
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -53,6 +53,8 @@
     FleetLimits &limits() { return m_limits; }
     /** Without one, this daemon takes itself for alone. */
     void setLimitMessenger(LimitMessenger &messenger);
+    /** Without one, no request is suspected of crashing targets. */
+    void setSuspectGuard(SuspectGuard &guard) { m_context.suspects = &guard; }
     /** To be called when the limits were told something. */
     void scheduleLimits();
     /** `changed` is called when this daemon's load or waiting requests have changed. */
@@ -89,6 +91,8 @@
     FleetLimits m_limits;
     Dispatcher m_dispatcher;
     ChannelPool m_channels;
+    NoSuspects m_noSuspects;
+    CrashWatch m_crashes;
     GatewayContext m_context;
     std::unique_ptr<Listener> m_listener;
     std::list<std::unique_ptr<CallerConnection>> m_connections;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -9,6 +9,8 @@
 #include <apricothook/dispatch/apricothook_route_urgency.hpp>
 #include <apricothook/dispatch/apricothook_size_order.hpp>
 #include <apricothook/gateway/apricothook_channel_pool.hpp>
+#include <apricothook/gateway/apricothook_crash_watch.hpp>
+#include <apricothook/gateway/apricothook_suspect_guard.hpp>
 #include <apricothook/observe/apricothook_metrics.hpp>
 
 #include <functional>
@@ -32,6 +34,9 @@
     Dispatcher &dispatcher;
     ChannelPool &channels;
     FleetLimits &limits;
+    CrashWatch &crashes;
+    /** Never null. */
+    SuspectGuard *suspects;
     /** Null until the first configuration is known. */
     std::shared_ptr<const RouteTable> routes;
     /** Daemons that are believed to serve, this one with them. */
--- a/packages/gateway/apricothook/gateway/apricothook_request_end.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_request_end.cpp
@@ -25,6 +25,8 @@
         return "no-room";
     case RequestEnd::TargetsRefused:
         return "targets-refused";
+    case RequestEnd::Quarantined:
+        return "quarantined";
     case RequestEnd::TargetFailed:
         return "target-failed";
     case RequestEnd::TimedOut:
--- a/packages/gateway/apricothook/gateway/apricothook_request_end.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_request_end.hpp
@@ -16,6 +16,7 @@
     NoGrantor,
     NoRoom,
     TargetsRefused,
+    Quarantined,
     TargetFailed,
     TimedOut,
     CallerGone,
--- a/packages/gateway/tests/apricothook_scripted_peers.cpp
+++ b/packages/gateway/tests/apricothook_scripted_peers.cpp
@@ -26,4 +26,11 @@
     return count;
 }
 
+void ScriptedTarget::crash()
+{
+    m_listener.reset();
+    for (const std::unique_ptr<HeldConnection> &connection : connections)
+        connection->socket.abort();
+}
+
 } // namespace Apricothook
--- a/packages/gateway/tests/apricothook_scripted_peers.hpp
+++ b/packages/gateway/tests/apricothook_scripted_peers.hpp
@@ -37,6 +37,8 @@
     /** Whole requests that came, over all connections. */
     std::size_t requests() const;
     HeldConnection &connection(std::size_t index) { return *connections.at(index); }
+    /** Resets its connections and takes no more. */
+    void crash();
 
     std::vector<std::unique_ptr<HeldConnection>> connections;
 
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -9,6 +9,7 @@
 #include <apricothook/serving/apricothook_limit_exchange.hpp>
 #include <apricothook/serving/apricothook_revision_follower.hpp>
 #include <apricothook/serving/apricothook_serving_settings.hpp>
+#include <apricothook/serving/apricothook_suspect_exchange.hpp>
 
 #include <memory>
 
@@ -72,6 +73,7 @@
     void take(const CellSummary &summary);
     void take(const Greeting &greeting) { m_fleet.take(greeting); }
     void take(const ReaderNote &note);
+    void take(const SuspectNotice &notice) { m_suspects.take(notice); }
     /** All that customers' limits need. */
     template <typename Message>
     void take(const Message &message)
@@ -105,6 +107,7 @@
     CellExchange m_cell;
     FleetExchange m_fleet;
     LimitExchange m_limits;
+    SuspectExchange m_suspects;
     RevisionFollower m_revisions;
     std::unique_ptr<DatagramSocket> m_socket;
     TimerId m_tick = 0;
--- /dev/null
+++ b/packages/serving/apricothook/serving/apricothook_suspect_exchange.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <apricothook/eventloop/apricothook_event_loop.hpp>
+#include <apricothook/fleetview/apricothook_fleet_directory.hpp>
+#include <apricothook/gateway/apricothook_suspect_guard.hpp>
+#include <apricothook/observe/apricothook_structured_log.hpp>
+#include <apricothook/serving/apricothook_peer_sender.hpp>
+#include <apricothook/suspects/apricothook_answered_requests.hpp>
+#include <apricothook/suspects/apricothook_suspect_list.hpp>
+
+namespace Apricothook {
+
+/** The live members of a directory, as the list of suspects wants them. */
+class LiveMembers : public MemberView
+{
+public:
+    LiveMembers(const FleetDirectory &directory, const MemberBrief &self);
+
+    /** Takes over what the directory knows now. */
+    void review(Instant now);
+
+    const MemberLife &self() const override { return m_self; }
+    const std::vector<MemberUpdate> &live() const override { return m_live; }
+    std::optional<MemberUpdate> find(const MemberId &member) const override;
+    std::uint64_t version() const override { return m_version; }
+    double visibleShare() const override { return 1; }
+
+private:
+    const FleetDirectory &m_directory;
+    const MemberLife m_self;
+    std::vector<MemberUpdate> m_live;
+    std::uint64_t m_version = 0;
+};
+
+/**
+ * Keeps requests that crash their targets from all targets of the fleet.
+ *
+ * Many callers may send alike requests at the same time, which then run at any target that crashes.
+ * What a daemon has seen answered lately it therefore doesn't suspect, and it clears them at
+ * whoever does: a notice without crashes says so, and is passed on while it is news.
+ */
+class SuspectExchange : public SuspectGuard, private EventSink
+{
+public:
+    SuspectExchange(EventLoop &loop, const FleetDirectory &directory, PeerSender &sender,
+                    RandomSource &random, LogWriter &log);
+
+    std::optional<Duration> quarantine(Fingerprint request) override;
+    void noteAnswered(Fingerprint request) override;
+    void noteCrash(const TargetId &target, const std::vector<Fingerprint> &requests) override;
+    void take(const SuspectNotice &notice);
+
+private:
+    void record(const DecisionEvent &event) override;
+    void send(const Outbox &out);
+    void spreadCleared(Fingerprint request);
+
+    EventLoop &m_loop;
+    PeerSender &m_sender;
+    RandomSource &m_random;
+    LogWriter &m_log;
+    LiveMembers m_members;
+    SuspectList m_list;
+    AnsweredRequests m_answered;
+};
+
+} // namespace Apricothook
--- a/packages/serving/tests/apricothook_limit_exchange_tests.cpp
+++ b/packages/serving/tests/apricothook_limit_exchange_tests.cpp
@@ -59,6 +59,7 @@
     void takeOne(const Beacon &) { }
     void takeOne(const CellReport &) { }
     void takeOne(const ReaderNote &) { }
+    void takeOne(const SuspectNotice &) { }
 
     EmulatedLimitFleet &m_fleet;
     EventLoop &m_loop;
