--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -59,6 +59,7 @@
     # When something was done to it, its links or its store; promises with times don't count then.
     last_harm: float = 0.0
     stops: bool = False
+    started: float = 0.0
 
     @property
     def address(self) -> str:
@@ -80,6 +81,7 @@
         return path
 
     async def start(self) -> None:
+        self.started = asyncio.get_running_loop().time()
         with open(self.folder / f"vm-{self.index}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 self.program, "--settings", self.write_settings(), stdout=log, stderr=log)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -11,6 +11,8 @@
 # A runner's entry lapses after three heartbeats of silence.
 LAPSE_SECONDS = 3.6
 DRAIN_SECONDS = 2.0
+# Until then a process may not have come to its own code, and a signal ends it.
+STARTING_SECONDS = 0.3
 # A target that a request crashed is back after so long.
 CRASHED_SECONDS = 2.0
 
@@ -28,10 +30,10 @@
                       self.harm_target_link, self.reset_links, self.store_away, self.store_outage, self.crash_target,
                       self.mute_target, self.replace_target, self.change_configuration, self.revoke_key, self.evacuate,
                       self.fail_service, self.kill_in_series, self.freeze_others]
-        # Only where it is named: daemons don't bound it yet.
-        self.unbounded = [self.crashing_request]
+        # Only where it is named: it ends most targets.
+        self.named_only = [self.crashing_request]
         if chosen != "on":
-            known = {kind.__name__: kind for kind in self.kinds + self.unbounded}
+            known = {kind.__name__: kind for kind in self.kinds + self.named_only}
             names = [] if chosen == "off" else chosen.split(",")
             unknown = [name for name in names if name not in known]
             if unknown:
@@ -65,6 +67,8 @@
         if daemon.stops:
             return
         daemon.stops = True
+        if number == signal.SIGTERM and asyncio.get_running_loop().time() < daemon.started + STARTING_SECONDS:
+            await self.harm([daemon], STARTING_SECONDS)
         ending = asyncio.create_task(daemon.end(number))
         while not ending.done():
             await self.harm([daemon], 0.1)
@@ -205,6 +209,8 @@
         await self.bench.announce_late(leaving)
         await asyncio.sleep(DRAIN_SECONDS + 2 - late)
         if not target.is_up or target.id != leaving:
+            # Another fault ended it, and its late entry lapses.
+            await self.bench.remove(leaving)
             return
         target.crash()
         await self.bench.remove(leaving)
