--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -1,6 +1,7 @@
 """The real programs, each a process with settings of its own; they are ended by their ids."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import signal
@@ -88,7 +89,9 @@
 
     def send(self, number: signal.Signals) -> None:
         if self.process and self.process.returncode is None:
-            os.kill(self.process.pid, number)
+            # It may have ended, with its status on the way.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def end(self, number: signal.Signals) -> int:
         """Sends the signal, kills after the grace, and returns the exit status."""
