--- a/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleet_directory.hpp
@@ -115,8 +115,10 @@
      * each side for the whole fleet; only one of them hears most seeds.
      */
     bool knowsFleet(const std::vector<Endpoint> &seeds, const Endpoint &own, Instant now) const;
-    /** Most of the `seeds`, this daemon with them, are live. Of two parts of a fleet that don't
-     * hear each other, one at most hears them. */
+    /**
+     * Most of the `seeds`, this daemon with them, are live. Of two parts of a fleet that don't hear
+     * each other, one at most hears them.
+     */
     bool hearsMostSeeds(const std::vector<Endpoint> &seeds, const Endpoint &own, Instant now) const;
     CellWeights weights(Instant now) const;
     /** `self` is one of those who read at the source. All are while too few are known to reach it.
