--- a/packages/serving/apricothook/serving/apricothook_suspect_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_suspect_exchange.hpp
@@ -35,9 +35,9 @@
 /**
  * Keeps requests that crash their targets from all targets of the fleet.
  *
- * Many callers may send alike requests at the same time, which then run at any target that crashes.
- * What a daemon has seen answered lately it therefore doesn't suspect, and it clears them at
- * whoever does: a notice without crashes says so, and is passed on while it is news.
+ * Many callers may send identical requests at the same time, and some of these run at any target
+ * that crashes. A daemon therefore doesn't suspect what it has seen answered lately, and clears it
+ * at those that do: a notice without crashes says so, and is passed on while it is news.
  */
 class SuspectExchange : public SuspectGuard, private EventSink
 {
--- a/packages/serving/tests/apricothook_suspect_exchange_tests.cpp
+++ b/packages/serving/tests/apricothook_suspect_exchange_tests.cpp
@@ -103,7 +103,7 @@
     CHECK(fleet.quarantinedAt(Another) == 0);
 }
 
-TEST_CASE("a request that many send alike isn't refused for crashes that it was only at")
+TEST_CASE("a request of many callers isn't refused for crashes that it didn't cause")
 {
     // Targets crash for reasons of their own, and each ran one of these requests.
     EmulatedSuspectFleet fleet(8);
