Show that a large update over a slow link is never received

Two tests fail on this code: a peer, and the configuration service, send an update slowly but steadily, and the daemon aborts each transfer at a limit of time and starts anew.

--- a/packages/serving/tests/apricothook_item_watcher_tests.cpp
+++ b/packages/serving/tests/apricothook_item_watcher_tests.cpp
@@ -1,3 +1,5 @@
+#include "apricothook_slow_http_server.hpp"
+
 #include <apricothook/fleetview/apricothook_item_watcher.hpp>
 #include <apricothook/serving/apricothook_simple_http_server.hpp>
 
@@ -161,3 +163,27 @@
           == std::vector<SourceState> {SourceState::Reachable, SourceState::Refusing,
                                        SourceState::Reachable});
 }
+
+TEST_CASE("a large response that the source sends slowly but steadily is received")
+{
+    // Guards against a daemon on a small link that never gets a large configuration, as each call
+    // is aborted before its response is complete.
+    ManualClock clock;
+    EventLoop loop(clock);
+    const NumberProtocol protocol;
+    SlowHttpServer source(loop, [] { return std::string(200'000, ' ') + "5"; });
+    std::optional<Revision> received;
+    const ItemWatcher watcher(
+        {"127.0.0.1", source.port()}, protocol, ItemWatcher::LongestWatch,
+        [&](const ItemUpdate &update) {
+            loop.post([&, revision = update.revision] { received = revision; });
+        },
+        [](SourceState) {});
+    constexpr int MaximumRounds = 5000;
+    constexpr std::size_t BytesPerMillisecond = 100;
+    for (int round = 0; round < MaximumRounds && !received; ++round) {
+        source.sendMore(BytesPerMillisecond);
+        loop.runOnce(std::chrono::milliseconds(1));
+    }
+    CHECK(received == 5);
+}
--- a/packages/serving/tests/apricothook_revision_follower_tests.cpp
+++ b/packages/serving/tests/apricothook_revision_follower_tests.cpp
@@ -1,4 +1,5 @@
 #include "apricothook_published_state_fixture.hpp"
+#include "apricothook_slow_http_server.hpp"
 
 #include <apricothook/fleetview/apricothook_peer_item_protocol.hpp>
 #include <apricothook/serving/apricothook_revision_follower.hpp>
@@ -101,3 +102,23 @@
     fixture.state.apply(fixture.peer.since(1));
     CHECK_FALSE(fixture.follower.isStuck());
 }
+
+TEST_CASE("a large update that a peer sends slowly but steadily is received")
+{
+    // Guards against fetches that are aborted at a time limit and repeated for ever, as the update
+    // needs longer than that on a small link.
+    RevisionFollowerFixture fixture;
+    fixture.follower.setReadsSource(false);
+    fixture.publish("c", "1");
+    fixture.peer.apply({{{"c", "2", 7}, {"large", std::string(200'000, 'x'), 7}}, true, 7});
+    SlowHttpServer peer(fixture.loop, [&] { return writeItemUpdate(fixture.peer.since(1)); });
+    MemberInfo info = fixture.info();
+    info.itemAddress.port = peer.port();
+    fixture.follower.recordPeerRevision(info, 7);
+    CHECK(fixture.waitUntil([&] {
+        constexpr std::size_t BytesPerMillisecond = 100;
+        peer.sendMore(BytesPerMillisecond);
+        return fixture.state.replica().revision() == 7;
+    }));
+    CHECK(peer.requests() == 1);
+}
