Log how much of a transfer arrived, in what time, and how it ended

PeerItemsFailed and SourceLost told that items didn't come, but not whether nothing came or most of them. Both, and ItemsFromPeer and SourceRegained, now have the cause, the bytes and the duration of the transfer.

--- a/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.cpp
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include <mutex>
+#include <utility>
 
 namespace Apricothook {
 
@@ -23,6 +24,20 @@
     return size * count;
 }
 
+TransferEnd endOf(CURLcode code)
+{
+    switch (code) {
+    case CURLE_OK:
+        return TransferEnd::Complete;
+    case CURLE_COULDNT_CONNECT:
+        return TransferEnd::NotConnected;
+    case CURLE_OPERATION_TIMEDOUT:
+        return TransferEnd::TimedOut;
+    default:
+        return TransferEnd::Broken;
+    }
+}
+
 int isStopRequested(void *stopping, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
 {
     return static_cast<const std::atomic<bool> *>(stopping)->load() ? 1 : 0;
@@ -53,20 +68,23 @@
     curl_easy_cleanup(m_handle);
 }
 
-std::optional<SourceAnswer> BlockingHttpClient::get(const std::string &path,
-                                                    std::chrono::milliseconds timeout)
+Transfer BlockingHttpClient::get(const std::string &path, std::chrono::milliseconds timeout)
 {
     SourceAnswer response;
     const std::string url = m_origin + path;
     curl_easy_setopt(m_handle, CURLOPT_URL, url.c_str());
     curl_easy_setopt(m_handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
     curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, &response.body);
-    if (curl_easy_perform(m_handle) != CURLE_OK)
-        return std::nullopt;
+    const TransferEnd end = endOf(curl_easy_perform(m_handle));
+    curl_off_t took = 0;
+    curl_easy_getinfo(m_handle, CURLINFO_TOTAL_TIME_T, &took);
+    const TransferRecord record {end, response.body.size(), std::chrono::microseconds(took)};
+    if (end != TransferEnd::Complete)
+        return {std::nullopt, record};
     long status = 0;
     curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
     response.status = static_cast<unsigned>(status);
-    return response;
+    return {std::move(response), record};
 }
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
-#include <apricothook/fleetview/apricothook_item_protocol.hpp>
+#include <apricothook/fleetview/apricothook_transfer.hpp>
 #include <apricothook/model/apricothook_endpoint.hpp>
 
 #include <atomic>
-#include <optional>
 #include <string>
 
 namespace Apricothook {
@@ -23,8 +22,8 @@
     BlockingHttpClient(const BlockingHttpClient &) = delete;
     BlockingHttpClient &operator=(const BlockingHttpClient &) = delete;
 
-    /** Returns nothing if no complete response arrived in time. */
-    std::optional<SourceAnswer> get(const std::string &path, std::chrono::milliseconds timeout);
+    /** The response is empty if it didn't arrive completely in time. */
+    Transfer get(const std::string &path, std::chrono::milliseconds timeout);
 
 private:
     const std::string m_origin;
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -8,9 +8,9 @@
     ProcessStopping = 852, ///< info: a shutdown was requested; open requests. Operator: none.
     ProcessStopped = 853,  ///< info: the daemon exits; remaining open requests. Operator: none.
     SettingsReread = 854,  ///< info: a reload was requested; what changed. Operator: none.
-    SourceLost = 855,      ///< warning: the configuration service can't be read; state, revision.
-                           ///< Operator: check the service; updates still arrive through peers that
-                           ///< can read it.
+    SourceLost = 855,      ///< warning: the configuration service can't be read; state, revision,
+                           ///< cause, bytes and duration of the failed call. Operator: check the
+                           ///< service; updates still arrive through peers that can read it.
     SourceRegained = 856,  ///< info: the configuration service can be read again; revision.
                            ///< Operator: none.
     ConfigurationTaken = 857, ///< info: a configuration took effect; generation, revision.
@@ -27,9 +27,10 @@
     MemberSilent = 862,    ///< warning: a daemon's heartbeats stopped; member, leaving. Operator:
                            ///< check the member if it stays silent.
     ItemsFromPeer = 863,   ///< info: a peer delivered newer items than this daemon had; peer,
-                           ///< revisions. Operator: none.
+                           ///< revisions, bytes and duration. Operator: none.
     PeerItemsFailed = 864, ///< warning: a peer that has newer items didn't deliver them; peer,
-                           ///< revisions. Operator: check the peer if this continues.
+                           ///< revisions, cause, bytes and duration. Operator: check the peer if
+                           ///< this continues.
     ReadingChanged = 865,  ///< info: this daemon has started to read at the configuration
                            ///< service, or has left that to others of its cell; reads, revision.
                            ///< Operator: none.
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_protocol.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_protocol.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <apricothook/fleetview/apricothook_item_replica.hpp>
+#include <apricothook/fleetview/apricothook_transfer.hpp>
 #include <apricothook/model/apricothook_result.hpp>
 
 #include <string>
@@ -23,13 +24,6 @@
     bool hasMore = false;
 };
 
-/** HTTP response of a source, before it is parsed. */
-struct SourceAnswer
-{
-    unsigned status = 0;
-    std::string body;
-};
-
 /** Request paths and response formats of a source of published items. */
 class ItemProtocol
 {
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
@@ -84,12 +84,21 @@
     std::this_thread::sleep_for(RetryInterval);
 }
 
-void ItemWatcher::reportState(SourceState state)
+void ItemWatcher::reportState(SourceState state, const TransferRecord &record)
 {
     if (m_state == state)
         return;
     m_state = state;
-    m_stateChanged(state);
+    m_stateChanged(state, record);
+}
+
+void ItemWatcher::reportFailure(const Transfer &transfer, ItemProtocolError error)
+{
+    TransferRecord record = transfer.record;
+    if (transfer.response)
+        record.end = error == ItemProtocolError::Malformed ? TransferEnd::Malformed
+                                                           : TransferEnd::Refused;
+    reportState(transfer.response ? SourceState::Refusing : SourceState::Unreachable, record);
 }
 
 bool ItemWatcher::readAll()
@@ -97,15 +106,17 @@
     ItemUpdate whole;
     whole.isSnapshot = true;
     std::optional<Revision> revision;
+    TransferRecord record;
     std::string after;
     while (true) {
-        const std::optional<SourceAnswer> answer
-            = m_client->get(m_protocol.pagePath(after), AnswerTime);
-        const Result<ItemPage, ItemProtocolError> page = answer
-            ? m_protocol.page(*answer)
+        const Transfer transfer = m_client->get(m_protocol.pagePath(after), AnswerTime);
+        record.bytes += transfer.record.bytes;
+        record.took += transfer.record.took;
+        const Result<ItemPage, ItemProtocolError> page = transfer.response
+            ? m_protocol.page(*transfer.response)
             : Result<ItemPage, ItemProtocolError>(ItemProtocolError::Malformed);
         if (!page) {
-            reportState(answer ? SourceState::Refusing : SourceState::Unreachable);
+            reportFailure(transfer, page.error());
             return false;
         }
         const ItemUpdate &update = page.value().update;
@@ -119,7 +130,7 @@
     }
     whole.revision = *revision;
     m_revision = revision;
-    reportState(SourceState::Reachable);
+    reportState(SourceState::Reachable, record);
     m_updated(std::move(whole));
     return true;
 }
@@ -129,22 +140,20 @@
     // After a failure, a short poll detects sooner whether the source is reachable again.
     const auto wait
         = m_state == SourceState::Reachable ? m_watchTime : std::chrono::milliseconds(100);
-    const std::optional<SourceAnswer> answer
+    const Transfer transfer
         = m_client->get(m_protocol.watchPath(*m_revision, wait), wait + AnswerTime);
-    if (!answer) {
-        reportState(SourceState::Unreachable);
-        return false;
+    Result<ItemUpdate, ItemProtocolError> update = transfer.response
+        ? m_protocol.watched(*transfer.response)
+        : Result<ItemUpdate, ItemProtocolError>(ItemProtocolError::Malformed);
+    if (!update && update.error() == ItemProtocolError::HistoryCompacted) {
+        m_revision.reset();
+        return true;
     }
-    Result<ItemUpdate, ItemProtocolError> update = m_protocol.watched(*answer);
     if (!update) {
-        if (update.error() == ItemProtocolError::HistoryCompacted) {
-            m_revision.reset();
-            return true;
-        }
-        reportState(SourceState::Refusing);
+        reportFailure(transfer, update.error());
         return false;
     }
-    reportState(SourceState::Reachable);
+    reportState(SourceState::Reachable, transfer.record);
     m_revision = std::max(*m_revision, update.value().revision);
     if (update.value().changes.empty())
         return true;
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
@@ -43,7 +43,8 @@
     static constexpr std::chrono::milliseconds RetryInterval {150};
 
     using Updated = std::function<void(ItemUpdate)>;
-    using StateChanged = std::function<void(SourceState)>;
+    /** The record tells how the call ended that found the state. */
+    using StateChanged = std::function<void(SourceState, const TransferRecord &)>;
 
     /**
      * Longest time for which a long poll may be held open so that a change takes effect within
@@ -77,7 +78,9 @@
     /** Returns false if the call failed. */
     bool readAll();
     bool watchOnce();
-    void reportState(SourceState state);
+    void reportState(SourceState state, const TransferRecord &record);
+    /** Reports that a call failed; without a response, the source is unreachable. */
+    void reportFailure(const Transfer &transfer, ItemProtocolError error);
     void pauseAfterFailure();
     /** Blocks while reading is paused. */
     void waitWhilePaused();
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
@@ -44,23 +44,29 @@
             return;
         const FetchRequest order = *std::exchange(m_request, std::nullopt);
         lock.unlock();
-        m_fetched(order.peer, fetchItems(order));
+        m_fetched(fetchItems(order));
         lock.lock();
         m_busy = false;
     }
 }
 
-std::optional<ItemUpdate> PeerItemFetcher::fetchItems(const FetchRequest &order)
+FetchedItems PeerItemFetcher::fetchItems(const FetchRequest &order)
 {
     BlockingHttpClient client(order.peer.itemAddress, ConnectTimeout, m_stopping);
-    const std::optional<SourceAnswer> answer
-        = client.get(peerItemsPath(order.after), ResponseTimeout);
-    if (!answer || answer->status != HttpStatus::Ok)
-        return std::nullopt;
-    Result<ItemUpdate, ItemProtocolError> update = parseItemUpdate(answer->body);
-    if (!update)
-        return std::nullopt;
-    return std::move(update).value();
+    const Transfer transfer = client.get(peerItemsPath(order.after), ResponseTimeout);
+    FetchedItems fetched {order.peer, std::nullopt, transfer.record};
+    if (!transfer.response)
+        return fetched;
+    if (transfer.response->status != HttpStatus::Ok) {
+        fetched.record.end = TransferEnd::Refused;
+        return fetched;
+    }
+    Result<ItemUpdate, ItemProtocolError> update = parseItemUpdate(transfer.response->body);
+    if (update)
+        fetched.update = std::move(update).value();
+    else
+        fetched.record.end = TransferEnd::Malformed;
+    return fetched;
 }
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.hpp
@@ -2,6 +2,7 @@
 
 #include <apricothook/fleetview/apricothook_item_replica.hpp>
 #include <apricothook/fleetview/apricothook_member_info.hpp>
+#include <apricothook/fleetview/apricothook_transfer.hpp>
 #include <apricothook/model/apricothook_endpoint.hpp>
 
 #include <atomic>
@@ -13,6 +14,15 @@
 
 namespace Apricothook {
 
+/** Result of a fetch. */
+struct FetchedItems
+{
+    MemberInfo peer;
+    /** Empty if the fetch failed. */
+    std::optional<ItemUpdate> update;
+    TransferRecord record;
+};
+
 /**
  * Fetches published items from peers in a dedicated thread. The source may reject or be unreachable
  * for this VM while other VMs reach it. A peer's heartbeat then announces a later revision, and the
@@ -24,9 +34,9 @@
     /** A peer is one round trip away; if a response takes longer, it is down or overloaded. */
     static constexpr std::chrono::milliseconds ResponseTimeout {800};
     static constexpr std::chrono::milliseconds ConnectTimeout {300};
-    using Fetched = std::function<void(const MemberInfo &peer, std::optional<ItemUpdate>)>;
+    using Fetched = std::function<void(const FetchedItems &)>;
 
-    /** `fetched` is called on the fetcher's thread, without an update if the request failed. */
+    /** `fetched` is called on the fetcher's thread. */
     explicit PeerItemFetcher(Fetched fetched);
     ~PeerItemFetcher();
     PeerItemFetcher(const PeerItemFetcher &) = delete;
@@ -43,7 +53,7 @@
     };
 
     void run();
-    std::optional<ItemUpdate> fetchItems(const FetchRequest &order);
+    FetchedItems fetchItems(const FetchRequest &order);
 
     const Fetched m_fetched;
     std::mutex m_mutex;
--- a/packages/serving/apricothook/serving/apricothook_published_state.cpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.cpp
@@ -25,7 +25,7 @@
     m_replica.apply(update);
 }
 
-void PublishedState::setSourceState(SourceState state)
+void PublishedState::setSourceState(SourceState state, const TransferRecord &record)
 {
     const bool isBack = state == SourceState::Reachable;
     m_log.write(LogEvent(isBack ? FleetviewEvent::SourceRegained : FleetviewEvent::SourceLost)
@@ -33,7 +33,10 @@
                           std::string(isBack                               ? "reachable"
                                           : state == SourceState::Refusing ? "refusing"
                                                                            : "unreachable"))
-                    .with("revision", m_replica.revision()));
+                    .with("revision", m_replica.revision())
+                    .with("cause", std::string(nameOf(record.end)))
+                    .with("bytes", record.bytes)
+                    .with("took_ms", record.took));
     m_sourceState = state;
 }
 
--- a/packages/serving/apricothook/serving/apricothook_published_state.hpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.hpp
@@ -37,8 +37,8 @@
     PublishedState &operator=(const PublishedState &) = delete;
 
     void apply(const ItemUpdate &update);
-    /** Sets the state of the source as found by this daemon's own reading. */
-    void setSourceState(SourceState state);
+    /** Sets the state of the source as found by a call of this daemon's own, which ended so. */
+    void setSourceState(SourceState state, const TransferRecord &record = {});
     /** Discards the state, which is outdated once this daemon no longer reads at the source. */
     void clearSourceState() { m_sourceState.reset(); }
     /** Takes the state of the source as reported by the daemons of the cell, including this one. */
--- a/packages/serving/apricothook/serving/apricothook_revision_follower.cpp
+++ b/packages/serving/apricothook/serving/apricothook_revision_follower.cpp
@@ -8,25 +8,28 @@
     : m_loop(loop)
     , m_published(published)
     , m_log(log)
-    , m_fetcher([this, alive = std::weak_ptr(m_alive)](const MemberInfo &peer,
-                                                       std::optional<ItemUpdate> update) {
-        m_loop.post([this, alive, peer, update = std::move(update)] {
+    , m_fetcher([this, alive = std::weak_ptr(m_alive)](const FetchedItems &fetched) {
+        m_loop.post([this, alive, fetched] {
             if (!alive.expired())
-                applyFetched(peer, update);
+                applyFetched(fetched);
         });
     })
 {
 }
 
-void RevisionFollower::applyFetched(const MemberInfo &peer, const std::optional<ItemUpdate> &update)
+void RevisionFollower::applyFetched(const FetchedItems &fetched)
 {
+    const std::optional<ItemUpdate> &update = fetched.update;
     const Revision before = m_published.replica().revision();
     if (update)
         m_published.apply(*update);
     m_log.write(LogEvent(update ? FleetviewEvent::ItemsFromPeer : FleetviewEvent::PeerItemsFailed)
-                    .with("peer", peer.member.text())
+                    .with("peer", fetched.peer.member.text())
                     .with("own_revision", before)
-                    .with("peer_revision", update ? update->revision : m_peerRevision));
+                    .with("peer_revision", update ? update->revision : m_peerRevision)
+                    .with("cause", std::string(nameOf(fetched.record.end)))
+                    .with("bytes", fetched.record.bytes)
+                    .with("took_ms", fetched.record.took));
 }
 
 bool RevisionFollower::isStuck() const
--- a/packages/serving/apricothook/serving/apricothook_revision_follower.hpp
+++ b/packages/serving/apricothook/serving/apricothook_revision_follower.hpp
@@ -37,7 +37,7 @@
     void recordPeerRevision(const MemberInfo &peer, Revision revision);
 
 private:
-    void applyFetched(const MemberInfo &peer, const std::optional<ItemUpdate> &update);
+    void applyFetched(const FetchedItems &fetched);
 
     EventLoop &m_loop;
     PublishedState &m_published;
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -90,9 +90,9 @@
         while (!m_loop.post(apply))
             std::this_thread::sleep_for(PollInterval);
     };
-    const auto changed = [this](SourceState state) {
-        m_loop.post([this, state] {
-            m_published.setSourceState(state);
+    const auto changed = [this](SourceState state, const TransferRecord &record) {
+        m_loop.post([this, state, record] {
+            m_published.setSourceState(state, record);
             m_peers.onOwnSourceStateChanged();
         });
     };
--- a/packages/serving/tests/apricothook_item_watcher_tests.cpp
+++ b/packages/serving/tests/apricothook_item_watcher_tests.cpp
@@ -62,7 +62,9 @@
         [this](const ItemUpdate &update) {
             loop.post([this, revision = update.revision] { revisions.push_back(revision); });
         },
-        [this](SourceState state) { loop.post([this, state] { states.push_back(state); }); }};
+        [this](SourceState state, const TransferRecord &) {
+            loop.post([this, state] { states.push_back(state); });
+        }};
 
     /** Runs the loop until `isTrue` holds. The limit only ends a failing test. */
     bool waitUntil(const std::function<bool()> &isTrue)
@@ -178,7 +180,7 @@
         [&](const ItemUpdate &update) {
             loop.post([&, revision = update.revision] { received = revision; });
         },
-        [](SourceState) {});
+        [](SourceState, const TransferRecord &) {});
     constexpr int MaximumRounds = 5000;
     constexpr std::size_t BytesPerMillisecond = 100;
     for (int round = 0; round < MaximumRounds && !received; ++round) {
