Abort a transfer of items when it pauses, not when it is long

What callers saw: single daemons served an old configuration, and sent requests to targets that had said that they were leaving, for ten seconds and more.

Cause: a fetch from a peer was aborted 0.8 s after its start, a call to the configuration service 0.7 s after its wait, whatever had arrived. Changes that need longer on a small link could never be received: each transfer threw its bytes away and the next one started anew. The fetch and the call ran at the same time and halved each other's speed. All later changes waited behind.

Now the limit of time is for the first byte and for each pause within the response; what keeps arriving is received, within ten seconds in all.

--- a/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.hpp
@@ -4,10 +4,25 @@
 #include <apricothook/model/apricothook_endpoint.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <string>
 
 namespace Apricothook {
 
+/**
+ * Time limits of a transfer. What a link carries in a given time depends on its size and on other
+ * traffic, so a response that keeps arriving is not aborted before `total`.
+ */
+struct TransferLimits
+{
+    /** Time until the first byte of the response, including the time to connect. */
+    std::chrono::milliseconds firstByte;
+    /** Longest pause within the response. */
+    std::chrono::milliseconds pause;
+    /** Time for the whole transfer, which bounds a server that sends very little at a time. */
+    std::chrono::milliseconds total = std::chrono::seconds(10);
+};
+
 /** Sends GET requests to one server over a persistent connection. Not thread-safe. */
 class BlockingHttpClient
 {
@@ -23,12 +38,27 @@
     BlockingHttpClient &operator=(const BlockingHttpClient &) = delete;
 
     /** The response is empty if it didn't arrive completely in time. */
-    Transfer get(const std::string &path, std::chrono::milliseconds timeout);
+    Transfer get(const std::string &path, const TransferLimits &limits);
 
 private:
+    /** A response as far as it has been received. */
+    struct Received
+    {
+        std::string body;
+        /** Including the head. */
+        std::size_t bytes = 0;
+    };
+
+    static std::size_t appendHead(char *bytes, std::size_t size, std::size_t count, void *received);
+    static std::size_t appendBody(char *bytes, std::size_t size, std::size_t count, void *received);
+    TransferEnd perform(const Received &received, const TransferLimits &limits);
+    /** Result of a transfer that curl has completed. */
+    TransferEnd result();
+
     const std::string m_origin;
     const std::atomic<bool> &m_stopping;
     void *const m_handle;
+    void *const m_multi;
 };
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
@@ -96,8 +96,8 @@
 {
     TransferRecord record = transfer.record;
     if (transfer.response)
-        record.end = error == ItemProtocolError::Malformed ? TransferEnd::Malformed
-                                                           : TransferEnd::Refused;
+        record.end
+            = error == ItemProtocolError::Malformed ? TransferEnd::Malformed : TransferEnd::Refused;
     reportState(transfer.response ? SourceState::Refusing : SourceState::Unreachable, record);
 }
 
@@ -109,7 +109,8 @@
     TransferRecord record;
     std::string after;
     while (true) {
-        const Transfer transfer = m_client->get(m_protocol.pagePath(after), AnswerTime);
+        const Transfer transfer
+            = m_client->get(m_protocol.pagePath(after), {AnswerTime, AnswerTime});
         record.bytes += transfer.record.bytes;
         record.took += transfer.record.took;
         const Result<ItemPage, ItemProtocolError> page = transfer.response
@@ -141,7 +142,7 @@
     const auto wait
         = m_state == SourceState::Reachable ? m_watchTime : std::chrono::milliseconds(100);
     const Transfer transfer
-        = m_client->get(m_protocol.watchPath(*m_revision, wait), wait + AnswerTime);
+        = m_client->get(m_protocol.watchPath(*m_revision, wait), {wait + AnswerTime, AnswerTime});
     Result<ItemUpdate, ItemProtocolError> update = transfer.response
         ? m_protocol.watched(*transfer.response)
         : Result<ItemUpdate, ItemProtocolError>(ItemProtocolError::Malformed);
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
@@ -30,7 +30,10 @@
     static constexpr std::chrono::milliseconds ShortestWatch {200};
     /** Time that other daemons need to hear of a reader's failure and to read in its place. */
     static constexpr std::chrono::milliseconds FailoverTime {300};
-    /** Timeout of a call, in addition to the time that the source may hold it open. */
+    /**
+     * Time until the response begins, in addition to the time that the source may hold the call
+     * open, and longest pause within the response.
+     */
     static constexpr std::chrono::milliseconds AnswerTime {700};
     static constexpr std::chrono::milliseconds ConnectTimeout {500};
     /**
@@ -60,7 +63,7 @@
     ItemWatcher(const ItemWatcher &) = delete;
     ItemWatcher &operator=(const ItemWatcher &) = delete;
 
-    /** Longest time that a call continues after stop(): libcurl checks once a second. */
+    /** Longest time that a call continues after stop(). */
     static constexpr std::chrono::milliseconds StopTime {1000};
 
     /** Makes the thread end within StopTime; afterwards the destructor doesn't block. */
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
@@ -53,7 +53,8 @@
 FetchedItems PeerItemFetcher::fetchItems(const FetchRequest &order)
 {
     BlockingHttpClient client(order.peer.itemAddress, ConnectTimeout, m_stopping);
-    const Transfer transfer = client.get(peerItemsPath(order.after), ResponseTimeout);
+    const Transfer transfer
+        = client.get(peerItemsPath(order.after), {ResponseTimeout, ResponseTimeout});
     FetchedItems fetched {order.peer, std::nullopt, transfer.record};
     if (!transfer.response)
         return fetched;
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.hpp
@@ -31,7 +31,10 @@
 class PeerItemFetcher
 {
 public:
-    /** A peer is one round trip away; if a response takes longer, it is down or overloaded. */
+    /**
+     * Time until the response begins, and longest pause within it. A peer is one round trip away;
+     * if it takes longer, it is down or overloaded.
+     */
     static constexpr std::chrono::milliseconds ResponseTimeout {800};
     static constexpr std::chrono::milliseconds ConnectTimeout {300};
     using Fetched = std::function<void(const FetchedItems &)>;
--- a/packages/fleetview/apricothook/fleetview/apricothook_transfer.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_transfer.hpp
@@ -38,7 +38,7 @@
     return "unknown";
 }
 
-/** End of a transfer, the bytes of the body received until then and its duration. */
+/** End of a transfer, the bytes of the body as sent that arrived until then, and its duration. */
 struct TransferRecord
 {
     TransferEnd end = TransferEnd::Complete;
--- a/packages/serving/tests/apricothook_revision_follower_tests.cpp
+++ b/packages/serving/tests/apricothook_revision_follower_tests.cpp
@@ -122,3 +122,25 @@
     }));
     CHECK(peer.requests() == 1);
 }
+
+TEST_CASE("a fetch from a peer that stops sending ends, and another peer is asked")
+{
+    // Guards against a daemon that waits for the rest of a response that never comes.
+    RevisionFollowerFixture fixture;
+    fixture.follower.setReadsSource(false);
+    fixture.publish("c", "1");
+    fixture.peer.apply({{{"c", "2", 7}}, true, 7});
+    SlowHttpServer stalling(fixture.loop, [&] { return writeItemUpdate(fixture.peer.since(1)); });
+    MemberInfo info = fixture.info();
+    info.itemAddress.port = stalling.port();
+    fixture.follower.recordPeerRevision(info, 7);
+    CHECK(fixture.waitUntil([&] { return stalling.requests() == 1; }));
+    constexpr std::size_t PartOfResponse = 50;
+    stalling.sendMore(PartOfResponse);
+    CHECK(fixture.waitUntil([&] {
+        fixture.clock.advance(std::chrono::milliseconds(10));
+        fixture.reportPeerRevision();
+        return fixture.state.replica().revision() == 7;
+    }));
+    CHECK(stalling.requests() == 1);
+}
