Compress large responses to peers, and make each of them once

Cause: a cell without a large VM has two readers with 10 Mbit/s, and each sends a changed configuration to all members at the same time. 1,400 routes are some 600 KB for each; the reader's loop also wrote the same JSON anew for each member.

A response of 4 KB or more is now compressed for peers that accept that, and kept until the items change. Peers of the former build ask for no encoding and get what they got.

--- a/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.cpp
@@ -60,6 +60,11 @@
     curl_multi_cleanup(m_multi);
 }
 
+void BlockingHttpClient::acceptGzip()
+{
+    curl_easy_setopt(m_handle, CURLOPT_ACCEPT_ENCODING, "gzip");
+}
+
 std::size_t BlockingHttpClient::appendHead(char *, std::size_t size, std::size_t count,
                                            void *received)
 {
--- a/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.hpp
@@ -37,6 +37,8 @@
     BlockingHttpClient(const BlockingHttpClient &) = delete;
     BlockingHttpClient &operator=(const BlockingHttpClient &) = delete;
 
+    /** Accepts responses compressed with gzip, and decompresses them. */
+    void acceptGzip();
     /** The response is empty if it didn't arrive completely in time. */
     Transfer get(const std::string &path, const TransferLimits &limits);
 
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_replica.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_replica.cpp
@@ -7,6 +7,7 @@
 
 void ItemReplica::apply(const ItemUpdate &update)
 {
+    ++m_version;
     const bool isFirst = m_revision == 0;
     for (const ItemChange &change : update.changes)
         applyChange(change);
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_replica.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_replica.hpp
@@ -68,6 +68,8 @@
     Revision relevantRevision() const { return m_newsRevision; }
     /** The same, but at least the revision of the first update; for daemons that others follow. */
     Revision advertisedRevision() const { return std::max(m_firstRevision, m_newsRevision); }
+    /** Increases with each update, so that the same version has the same content. */
+    std::uint64_t version() const { return m_version; }
     /** Significant changes after a revision, or all items if the history no longer reaches back. */
     ItemUpdate since(Revision after) const;
 
@@ -88,6 +90,7 @@
     /** Lowest revision for which since() returns changes only. */
     Revision m_historyStart = 0;
     Revision m_revision = 0;
+    std::uint64_t m_version = 0;
     Revision m_firstRevision = 0;
     Revision m_newsRevision = 0;
 };
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_item_fetcher.cpp
@@ -53,6 +53,7 @@
 FetchedItems PeerItemFetcher::fetchItems(const FetchRequest &order)
 {
     BlockingHttpClient client(order.peer.itemAddress, ConnectTimeout, m_stopping);
+    client.acceptGzip();
     const Transfer transfer
         = client.get(peerItemsPath(order.after), {ResponseTimeout, ResponseTimeout});
     FetchedItems fetched {order.peer, std::nullopt, transfer.record};
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -49,8 +49,8 @@
 {
     const auto openServer
         = [this](std::unique_ptr<SimpleHttpServer> &server, const Endpoint &address,
-                 SimpleHttpResponse (ServingProcess::*response)(const RequestHead &)
-                     const) -> Result<void, ListenError> {
+                 SimpleHttpResponse (ServingProcess::*response)(
+                     const RequestHead &)) -> Result<void, ListenError> {
         Result<std::unique_ptr<SimpleHttpServer>, ListenError> opened
             = SimpleHttpServer::open(m_loop, address, [this, response](const RequestHead &request) {
                   return (this->*response)(request);
@@ -142,7 +142,7 @@
     return candidates;
 }
 
-SimpleHttpResponse ServingProcess::handleLookup(const RequestHead &request) const
+SimpleHttpResponse ServingProcess::handleLookup(const RequestHead &request)
 {
     const std::optional<LookupRequest> lookup = m_adapters.lookups.parseLookup(request);
     if (!lookup)
@@ -154,23 +154,21 @@
     return m_adapters.lookups.lookupResponse({candidates, LookupTtl});
 }
 
-SimpleHttpResponse ServingProcess::handleReadiness(const RequestHead &request) const
+SimpleHttpResponse ServingProcess::handleReadiness(const RequestHead &request)
 {
     if (!m_adapters.lookups.isReadinessRequest(request))
         return statusOnly(HttpStatus::NotFound);
     return statusOnly(m_peers.isReady() ? HttpStatus::Ok : HttpStatus::Unavailable);
 }
 
-SimpleHttpResponse ServingProcess::handleControl(const RequestHead &request) const
+SimpleHttpResponse ServingProcess::handleControl(const RequestHead &request)
 {
     if (request.target == MetricsPath)
         return {.status = HttpStatus::Ok,
                 .contentType = "text/plain; version=0.0.4",
                 .body = m_metrics.text()};
     if (const std::optional<Revision> after = requestedRevision(request.target)) {
-        return {.status = HttpStatus::Ok,
-                .contentType = "application/json",
-                .body = writeItemUpdate(m_published.replica().since(*after))};
+        return m_itemResponses.respond(*after, acceptsGzip(request));
     }
     return statusOnly(HttpStatus::NotFound);
 }
--- a/packages/serving/apricothook/serving/apricothook_serving_process.hpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.hpp
@@ -5,6 +5,7 @@
 #include <apricothook/serving/apricothook_lookup_policy.hpp>
 #include <apricothook/serving/apricothook_lookup_protocol.hpp>
 #include <apricothook/serving/apricothook_peer_exchange.hpp>
+#include <apricothook/serving/apricothook_peer_item_responses.hpp>
 #include <apricothook/serving/apricothook_published_state.hpp>
 #include <apricothook/serving/apricothook_serving_settings.hpp>
 #include <apricothook/serving/apricothook_simple_http_server.hpp>
@@ -51,9 +52,9 @@
     EventLoop &loop() { return m_loop; }
 
 private:
-    SimpleHttpResponse handleLookup(const RequestHead &request) const;
-    SimpleHttpResponse handleReadiness(const RequestHead &request) const;
-    SimpleHttpResponse handleControl(const RequestHead &request) const;
+    SimpleHttpResponse handleLookup(const RequestHead &request);
+    SimpleHttpResponse handleReadiness(const RequestHead &request);
+    SimpleHttpResponse handleControl(const RequestHead &request);
     std::vector<LookupCandidate> lookupCandidates() const;
     void startItemWatcher();
     void setReadsSource(bool reads);
@@ -69,6 +70,7 @@
     Metrics m_metrics;
     Gateway m_gateway;
     PublishedState m_published;
+    PeerItemResponses m_itemResponses {m_published.replica()};
     PeerExchange m_peers;
     std::unique_ptr<SimpleHttpServer> m_lookups;
     std::unique_ptr<SimpleHttpServer> m_readiness;
--- a/packages/serving/apricothook/serving/apricothook_simple_http_server.cpp
+++ b/packages/serving/apricothook/serving/apricothook_simple_http_server.cpp
@@ -59,6 +59,8 @@
         ResponseHead head;
         head.status = response.status;
         head.headers.add("Content-Type", response.contentType);
+        if (!response.contentEncoding.empty())
+            head.headers.add("Content-Encoding", response.contentEncoding);
         if (!request.isKeepAlive)
             head.headers.add("Connection", "close");
         m_socket.send(writeResponseHead(head, {BodyFraming::Kind::Sized, response.body.size()})
--- a/packages/serving/apricothook/serving/apricothook_simple_http_server.hpp
+++ b/packages/serving/apricothook/serving/apricothook_simple_http_server.hpp
@@ -16,6 +16,8 @@
     unsigned status = 200;
     std::string contentType = "text/plain";
     std::string body;
+    /** Value of Content-Encoding; none if empty. */
+    std::string contentEncoding {};
 
     auto operator<=>(const SimpleHttpResponse &) const = default;
 };
