Let each daemon know the age of its view and read at the source in time

What callers saw: single daemons with an old configuration and leaving targets. The transfers that never ended were the cause; this is the design that let a daemon stay behind.

Cause: a daemon acted only on a later revision that somebody told it. One whose readers were silent, late or cut off, and didn't know it, kept its view for ever: it couldn't tell no news from no change. Readers noticed a connection that fell silent after 2.45 s where changes must be in force within 3 s, and a daemon that took over polled first on a connection that had fallen silent too.

Now each daemon knows the time since which it may lack changes. Its own calls confirm the view, heartbeats, announcements and summaries pass the age on, and a daemon takes it over only if it has the reporter's revision. Above half of the time in which changes must be in force, a daemon reads at the source itself, on a new connection. Watches are shorter (0.95 s where the bound is 3 s), so that a calm fleet stays below that age.

Former builds ignore the new fields of the datagrams, and report no age: behind them a daemon reads itself.

Logs: ViewOld, ViewConfirmed; metrics: apricothook_view_age_seconds, and apricothook_generation on this path.

--- a/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.cpp
@@ -65,6 +65,12 @@
     curl_easy_setopt(m_handle, CURLOPT_ACCEPT_ENCODING, "gzip");
 }
 
+void BlockingHttpClient::closeConnection()
+{
+    curl_multi_cleanup(m_multi);
+    m_multi = curl_multi_init();
+}
+
 std::size_t BlockingHttpClient::appendHead(char *, std::size_t size, std::size_t count,
                                            void *received)
 {
--- a/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_blocking_http_client.hpp
@@ -39,6 +39,8 @@
 
     /** Accepts responses compressed with gzip, and decompresses them. */
     void acceptGzip();
+    /** The next request opens a new connection. */
+    void closeConnection();
     /** The response is empty if it didn't arrive completely in time. */
     Transfer get(const std::string &path, const TransferLimits &limits);
 
@@ -60,7 +62,8 @@
     const std::string m_origin;
     const std::atomic<bool> &m_stopping;
     void *const m_handle;
-    void *const m_multi;
+    /** Keeps the connection between requests. */
+    void *m_multi;
 };
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -43,6 +43,12 @@
     ColdViewChanged = 868, ///< info: this daemon's confidence in its view of cold targets changed;
                            ///< view, members. Operator: none; see docs/OPERATIONS.md if callers
                            ///< are refused while a data centre warms up.
+    ViewOld = 869, ///< warning: nobody has confirmed for some time that this daemon knows all
+                   ///< published changes, so it reads at the configuration service; age, revision,
+                   ///< whether it was reading already. Operator: check its way to the service and
+                   ///< to its cell if no ViewConfirmed follows within seconds.
+    ViewConfirmed = 870, ///< info: this daemon's view is confirmed again; age, revision. Operator:
+                         ///< none.
 };
 
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.cpp
@@ -1,6 +1,7 @@
 #include <apricothook/fleetview/apricothook_item_watcher.hpp>
 
 #include <apricothook/fleetview/apricothook_blocking_http_client.hpp>
+#include <apricothook/fleetview/apricothook_view_age.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -9,17 +10,20 @@
 
 std::chrono::milliseconds ItemWatcher::watchTime(Duration inForce)
 {
-    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-        inForce - BatchDelay - AnswerTime - FailoverTime);
-    return std::clamp(remaining, ShortestWatch, LongestWatch);
+    const Duration remaining = std::min(inForce - BatchDelay - AnswerTime - FailoverTime,
+                                        ViewAge::limit(inForce) - BatchDelay - SpreadTime);
+    return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(remaining),
+                      ShortestWatch, LongestWatch);
 }
 
-ItemWatcher::ItemWatcher(const Endpoint &source, const ItemProtocol &protocol,
-                         std::chrono::milliseconds watchTime, Updated updated,
+ItemWatcher::ItemWatcher(const Endpoint &source, const ItemProtocol &protocol, const Clock &clock,
+                         std::chrono::milliseconds watchTime, Updated updated, Confirmed confirmed,
                          StateChanged stateChanged)
     : m_protocol(protocol)
+    , m_clock(clock)
     , m_watchTime(watchTime)
     , m_updated(std::move(updated))
+    , m_confirmed(std::move(confirmed))
     , m_stateChanged(std::move(stateChanged))
     , m_client(std::make_unique<BlockingHttpClient>(source, ConnectTimeout, m_stopping))
     , m_thread([this] { run(); })
@@ -64,8 +68,10 @@
     const std::optional<Revision> known = std::exchange(m_resumedFrom, std::nullopt);
     if (!known)
         return;
-    // The state from before the pause says nothing about the source's current state.
+    // The state from before the pause says nothing about the source's current state, and the
+    // connection may have been dropped meanwhile without a reset.
     m_state.reset();
+    m_client->closeConnection();
     if (*known > 0)
         m_revision = std::max(m_revision.value_or(0), *known);
 }
@@ -105,6 +111,7 @@
 {
     ItemUpdate whole;
     whole.isSnapshot = true;
+    const Instant requestedAt = m_clock.now();
     std::optional<Revision> revision;
     TransferRecord record;
     std::string after;
@@ -133,14 +140,14 @@
     m_revision = revision;
     reportState(SourceState::Reachable, record);
     m_updated(std::move(whole));
+    confirm(requestedAt);
     return true;
 }
 
 bool ItemWatcher::watchOnce()
 {
-    // After a failure, a short poll detects sooner whether the source is reachable again.
-    const auto wait
-        = m_state == SourceState::Reachable ? m_watchTime : std::chrono::milliseconds(100);
+    const std::chrono::milliseconds wait = nextWait();
+    const Instant requestedAt = m_clock.now();
     const Transfer transfer
         = m_client->get(m_protocol.watchPath(*m_revision, wait), {wait + AnswerTime, AnswerTime});
     Result<ItemUpdate, ItemProtocolError> update = transfer.response
@@ -156,11 +163,37 @@
     }
     reportState(SourceState::Reachable, transfer.record);
     m_revision = std::max(*m_revision, update.value().revision);
-    if (update.value().changes.empty())
+    if (update.value().changes.empty()) {
+        // A response without changes that was held open shows that there were none until then. One
+        // that was cut short shows it only for the time of the request.
+        confirm(m_clock.now() - requestedAt < wait ? requestedAt : requestedAt + wait);
         return true;
+    }
     m_updated(std::move(update).value());
-    std::this_thread::sleep_for(BatchDelay);
+    confirm(requestedAt);
+    if (confirmedAge() < m_watchTime)
+        std::this_thread::sleep_for(std::min(BatchDelay, m_watchTime - confirmedAge()));
     return true;
 }
 
+std::chrono::milliseconds ItemWatcher::nextWait() const
+{
+    // After a failure, a short poll detects sooner whether the source is reachable again.
+    if (m_state != SourceState::Reachable)
+        return std::chrono::milliseconds(100);
+    return std::clamp(m_watchTime - confirmedAge(), std::min(ShortestWatch, m_watchTime),
+                      m_watchTime);
+}
+
+void ItemWatcher::confirm(Instant time)
+{
+    m_confirmedAt = time;
+    m_confirmed(time);
+}
+
+std::chrono::milliseconds ItemWatcher::confirmedAge() const
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(m_clock.now() - m_confirmedAt);
+}
+
 } // namespace Apricothook
--- a/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_item_watcher.hpp
@@ -46,19 +46,26 @@
     static constexpr std::chrono::milliseconds RetryInterval {150};
 
     using Updated = std::function<void(ItemUpdate)>;
+    /** All changes that had been published at this time have been passed on. */
+    using Confirmed = std::function<void(Instant)>;
     /** The record tells how the call ended that found the state. */
     using StateChanged = std::function<void(SourceState, const TransferRecord &)>;
 
+    /** Time for a confirmation of a reader to reach the other daemons: a heartbeat and a half. */
+    static constexpr std::chrono::milliseconds SpreadTime {300};
+
     /**
      * Longest time for which a long poll may be held open so that a change takes effect within
      * `inForce` even if the reader's connection stalls. `inForce` must cover the pause before the
-     * poll, the poll, its timeout and the failover to another reader.
+     * poll, the poll, its timeout and the failover to another reader. Between two polls the view of
+     * no daemon may get older than ViewAge::limit(), or all of them would read at the source.
      */
     static std::chrono::milliseconds watchTime(Duration inForce);
 
-    /** `updated` and `stateChanged` are called on the watcher's thread. */
-    ItemWatcher(const Endpoint &source, const ItemProtocol &protocol,
-                std::chrono::milliseconds watchTime, Updated updated, StateChanged stateChanged);
+    /** `updated`, `confirmed` and `stateChanged` are called on the watcher's thread. */
+    ItemWatcher(const Endpoint &source, const ItemProtocol &protocol, const Clock &clock,
+                std::chrono::milliseconds watchTime, Updated updated, Confirmed confirmed,
+                StateChanged stateChanged);
     ~ItemWatcher();
     ItemWatcher(const ItemWatcher &) = delete;
     ItemWatcher &operator=(const ItemWatcher &) = delete;
@@ -88,12 +95,20 @@
     /** Blocks while reading is paused. */
     void waitWhilePaused();
 
+    /** Time for which the next poll may be held open. */
+    std::chrono::milliseconds nextWait() const;
+    void confirm(Instant time);
+    std::chrono::milliseconds confirmedAge() const;
+
     const ItemProtocol &m_protocol;
+    const Clock &m_clock;
     const std::chrono::milliseconds m_watchTime;
     const Updated m_updated;
+    const Confirmed m_confirmed;
     const StateChanged m_stateChanged;
     const std::unique_ptr<BlockingHttpClient> m_client;
     std::optional<SourceState> m_state;
+    Instant m_confirmedAt {};
     /** Empty if all items must be read. */
     std::optional<Revision> m_revision;
     std::atomic<bool> m_stopping = false;
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
@@ -3,6 +3,7 @@
 #include <apricothook/dispatch/apricothook_limit_messages.hpp>
 #include <apricothook/fleetview/apricothook_cell_load_report.hpp>
 #include <apricothook/fleetview/apricothook_member_info.hpp>
+#include <apricothook/fleetview/apricothook_view_age.hpp>
 #include <apricothook/model/apricothook_peer_message.hpp>
 #include <apricothook/model/apricothook_result.hpp>
 #include <apricothook/peers/apricothook_codec_error.hpp>
@@ -21,11 +22,12 @@
     /** Highest revision of a published item that the sender has. */
     std::uint64_t revision = 0;
     CellLoadReport report;
+    ViewReport view {};
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.sender, self.revision, self.report);
+        archive(self.sender, self.revision, self.report, self.view);
     }
     auto operator<=>(const Heartbeat &) const = default;
 };
@@ -43,11 +45,12 @@
     std::uint64_t revision = 0;
     /** The sender, followed by the live members of its cell. */
     std::vector<MemberInfo> members;
+    ViewReport view {};
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.cell, self.cells, self.revision, self.members);
+        archive(self.cell, self.cells, self.revision, self.members, self.view);
     }
     auto operator<=>(const CellSummary &) const = default;
 };
@@ -76,11 +79,12 @@
     MemberInfo sender;
     /** Highest revision of a published item that the sender has. */
     std::uint64_t revision = 0;
+    ViewReport view {};
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.sender, self.revision);
+        archive(self.sender, self.revision, self.view);
     }
     auto operator<=>(const ReaderAnnouncement &) const = default;
 };
--- a/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
+++ b/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
@@ -32,9 +32,9 @@
 }
 
 const std::vector<PeerDatagram> All {
-    Heartbeat {memberInfo("a"), 99, report()},
+    Heartbeat {memberInfo("a"), 99, report(), {98, 250}},
     report(),
-    CellSummary {2, 8, 77, {memberInfo("a"), memberInfo("b")}},
+    CellSummary {2, 8, 77, {memberInfo("a"), memberInfo("b")}, {76, 400}},
     MemberGossip {memberInfo("a"), true, true, {memberInfo("c")}},
     UnitsRequest {{7, {"10.0.0.1", 1}}, 3, 4, 5000, 900, 200, true},
     UnitsReply {7, 3, UnitsOutcome::Refused, 0, 60, 7000, 800, 90, {8, {"10.0.0.2", 1}}},
@@ -42,7 +42,7 @@
     GrantorHandover {9, 5, 4, 6000},
     ReachProbe {{"10.0.0.1", 1}, 11},
     ReachReply {11},
-    ReaderAnnouncement {memberInfo("a"), 78},
+    ReaderAnnouncement {memberInfo("a"), 78, {78, 10}},
     GrantorDenial {7, 5, 4},
 };
 
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -120,6 +120,8 @@
     EventName {866, "OldEntryIgnored", EventLevel::Info},
     EventName {867, "EvacuationChanged", EventLevel::Info},
     EventName {868, "ColdViewChanged", EventLevel::Info},
+    EventName {869, "ViewOld", EventLevel::Warning},
+    EventName {870, "ViewConfirmed", EventLevel::Info},
 };
 
 } // namespace
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -61,6 +61,8 @@
         return "apricothook_evacuated_targets";
     case MetricGauge::ColdTargets:
         return "apricothook_cold_targets";
+    case MetricGauge::ViewAge:
+        return "apricothook_view_age_seconds";
     }
     return "apricothook_unnamed";
 }
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -26,6 +26,7 @@
     KeptAnswerBytes,
     EvacuatedTargets,
     ColdTargets,
+    ViewAge, ///< In seconds.
 };
 
 /** How an engine processed the prompt tokens sent to it. */
--- a/packages/serving/apricothook/serving/apricothook_cell_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_cell_exchange.cpp
@@ -69,7 +69,9 @@
 {
     m_loop.cancel(m_reportTimer);
     m_reportPending = false;
-    m_sender.send(addresses(), Heartbeat {m_sender.ownInfo(), m_sender.ownRevision(), ownReport()});
+    m_sender.send(
+        addresses(),
+        Heartbeat {m_sender.ownInfo(), m_sender.ownRevision(), ownReport(), m_sender.ownView()});
 }
 
 void CellExchange::sendReport()
--- a/packages/serving/apricothook/serving/apricothook_fleet_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_fleet_exchange.cpp
@@ -115,6 +115,7 @@
         .cells = m_directory.cells(),
         .revision = m_sender.ownRevision(),
         .members = {m_sender.ownInfo()},
+        .view = m_sender.ownView(),
     };
     for (const KnownMember *member : m_directory.membersOfCell(summary.cell)) {
         if (m_directory.isLive(*member, now))
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -98,9 +98,10 @@
     updateSourceReachability();
     if (!m_readsSource && m_published.hasLostSource() && now - m_readingChanged > ReaderRetryDelay)
         m_published.clearSourceState();
+    reviewViewAge();
     // A daemon that peers failed to serve reads at the source for some time, as the cause seldom
     // ends at once.
-    if (m_revisions.isStuck())
+    if (m_revisions.isStuck() || m_isViewOld)
         m_directReadUntil = now + DirectReadTime;
     // A process without a configuration reads itself, as its peers may have none either.
     const MemberInfo self = ownInfo();
@@ -119,6 +120,32 @@
     m_onReadingChanged(reads);
 }
 
+void PeerExchange::reviewViewAge()
+{
+    // Until the first confirmation, the items may be as old as the peers that delivered them.
+    const Duration age = viewAge().value_or(m_loop.now() - m_started);
+    const bool isOld = age > ViewAge::limit(m_settings.bounds.applyTimeout);
+    if (isOld == std::exchange(m_isViewOld, isOld))
+        return;
+    m_log.write(LogEvent(isOld ? FleetviewEvent::ViewOld : FleetviewEvent::ViewConfirmed)
+                    .with("age_ms", age)
+                    .with("revision", m_published.replica().revision())
+                    .with("reads", m_readsSource));
+}
+
+void PeerExchange::confirmView(const ViewReport &report)
+{
+    m_viewAge.confirm(report, m_published.replica().revision(), m_loop.now());
+}
+
+void PeerExchange::onSourceConfirmed(Instant time)
+{
+    m_viewAge.confirm(time);
+    // The next announcement would report this confirmation only when it is older.
+    if (m_directory.isFleetReader(ownInfo(), m_loop.now()))
+        sendReaderAnnouncement();
+}
+
 SourceReachability PeerExchange::sourceReachability() const
 {
     const Instant now = m_loop.now();
@@ -153,7 +180,7 @@
     if (!m_readsSource || m_directory.cells() == 1 || !isReader)
         return;
     m_lastAnnouncement = now;
-    send(m_directory.readersOfOtherCells(now), ReaderAnnouncement {self, ownRevision()});
+    send(m_directory.readersOfOtherCells(now), ReaderAnnouncement {self, ownRevision(), ownView()});
 }
 
 void PeerExchange::onItemsApplied()
@@ -221,6 +248,11 @@
                                            : replica.relevantRevision();
 }
 
+ViewReport PeerExchange::ownView() const
+{
+    return m_viewAge.report(m_published.replica().advertisedRevision(), m_loop.now());
+}
+
 void PeerExchange::receive(std::string_view bytes)
 {
     m_metrics.controlBytes(Direction::Received, bytes.size());
@@ -239,6 +271,7 @@
     updateSourceReachability();
     if (heartbeat.sender.hasLostSource)
         reviewReading();
+    confirmView(heartbeat.view);
     m_revisions.recordPeerRevision(heartbeat.sender, heartbeat.revision);
 }
 
@@ -249,12 +282,14 @@
     updateSourceReachability();
     if (announcement.sender.hasLostSource)
         reviewReading();
+    confirmView(announcement.view);
     m_revisions.recordPeerRevision(announcement.sender, announcement.revision);
 }
 
 void PeerExchange::take(const CellSummary &summary)
 {
     m_fleet.take(summary);
+    confirmView(summary.view);
     if (!summary.members.empty())
         m_revisions.recordPeerRevision(summary.members.front(), summary.revision);
 }
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -4,6 +4,7 @@
 #include <apricothook/fleetview/apricothook_cold_view_tracker.hpp>
 #include <apricothook/fleetview/apricothook_fleet_size.hpp>
 #include <apricothook/fleetview/apricothook_reader_selection.hpp>
+#include <apricothook/fleetview/apricothook_view_age.hpp>
 #include <apricothook/serving/apricothook_cell_exchange.hpp>
 #include <apricothook/serving/apricothook_fleet_exchange.hpp>
 #include <apricothook/serving/apricothook_limit_exchange.hpp>
@@ -29,7 +30,10 @@
      * then the next members of the cell have shown whether they reach the source.
      */
     static constexpr std::chrono::seconds ReaderRetryDelay {3};
-    /** How long a daemon reads at the source after peers failed to deliver the items. */
+    /**
+     * How long a daemon reads at the source after peers failed to deliver the items or to confirm
+     * its view.
+     */
     static constexpr std::chrono::seconds DirectReadTime {3};
 
     PeerExchange(EventLoop &loop, const ServingSettings &settings, Incarnation process,
@@ -43,12 +47,19 @@
     Result<void, ListenError> start(std::function<void(bool reads)> readingChanged);
     /** To be called when this daemon's own reading finds a different state of the source. */
     void onOwnSourceStateChanged();
+    /**
+     * To be called when this daemon's own reading shows that its view contains all changes that
+     * had been published at `time`.
+     */
+    void onSourceConfirmed(Instant time);
     /** To be called after published items have been applied. */
     void onItemsApplied();
     /** To be called when this daemon's load or its waiting requests have changed. */
     void onLoadChanged() { m_cell.scheduleReport(); }
     /** Removes this daemon from lookups. */
     void startDraining();
+    /** Age of this daemon's view of the published items; empty before it knows any. */
+    std::optional<Duration> viewAge() const { return m_viewAge.age(m_loop.now()); }
     bool isReady() const { return m_published.hasConfiguration() && !m_draining; }
     const FleetDirectory &directory() const { return m_directory; }
 
@@ -57,6 +68,7 @@
     void send(const std::vector<Endpoint> &to, const PeerDatagram &datagram) override;
     MemberInfo ownInfo() const override;
     std::uint64_t ownRevision() const override;
+    ViewReport ownView() const override;
 
     void tick();
     void reviewColdTargets();
@@ -65,6 +77,9 @@
     SourceReachability sourceReachability() const;
     void updateSourceReachability();
     void reviewReading();
+    void confirmView(const ViewReport &report);
+    /** Checks and logs whether this daemon's view is confirmed recently enough. */
+    void reviewViewAge();
     /** Informs the readers of the other cells, if this daemon reads for the fleet. */
     void sendReaderAnnouncement();
     void receive(std::string_view bytes);
@@ -109,6 +124,8 @@
     LimitExchange m_limits;
     SuspectExchange m_suspects;
     RevisionFollower m_revisions;
+    ViewAge m_viewAge;
+    bool m_isViewOld = false;
     std::unique_ptr<DatagramSocket> m_socket;
     TimerId m_tick = 0;
 };
--- a/packages/serving/apricothook/serving/apricothook_peer_sender.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_sender.hpp
@@ -17,6 +17,7 @@
     virtual MemberInfo ownInfo() const = 0;
     /** The highest revision of a published item that this daemon has. */
     virtual std::uint64_t ownRevision() const = 0;
+    virtual ViewReport ownView() const = 0;
 };
 
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_published_state.hpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.hpp
@@ -50,6 +50,7 @@
     bool hasLostSource() const { return m_sourceState && !reachesSource(); }
     const ItemReplica &replica() const { return m_replica; }
     bool hasConfiguration() const { return m_generation.has_value(); }
+    const std::optional<Generation> &generation() const { return m_generation; }
 
 private:
     /** Returns true if peers need the change. */
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -29,6 +29,7 @@
                                const Clock &clock, RandomSource &random, LogWriter &log)
     : m_settings(settings)
     , m_adapters(adapters)
+    , m_clock(clock)
     , m_incarnation(clock.wallMilliseconds())
     , m_log(log)
     , m_loop(clock)
@@ -90,6 +91,10 @@
         while (!m_loop.post(apply))
             std::this_thread::sleep_for(PollInterval);
     };
+    const auto confirmed = [this](Instant time) {
+        // Later confirmations make up for one that is dropped while the loop lags behind.
+        m_loop.post([this, time] { m_peers.onSourceConfirmed(time); });
+    };
     const auto changed = [this](SourceState state, const TransferRecord &record) {
         m_loop.post([this, state, record] {
             m_published.setSourceState(state, record);
@@ -97,8 +102,8 @@
         });
     };
     m_watcher = std::make_unique<ItemWatcher>(
-        m_settings.itemSource, m_adapters.items,
-        ItemWatcher::watchTime(m_settings.bounds.applyTimeout), updated, changed);
+        m_settings.itemSource, m_adapters.items, m_clock,
+        ItemWatcher::watchTime(m_settings.bounds.applyTimeout), updated, confirmed, changed);
 }
 
 void ServingProcess::setReadsSource(bool reads)
@@ -122,6 +127,11 @@
     m_metrics.set(MetricGauge::CallerExchanges, static_cast<double>(m_gateway.openRequests()));
     m_metrics.set(MetricGauge::WaitingRequests,
                   static_cast<double>(m_gateway.dispatcher().waiting()));
+    if (const std::optional<Duration> age = m_peers.viewAge()) {
+        m_metrics.set(MetricGauge::ViewAge, std::chrono::duration<double>(*age).count());
+    }
+    m_metrics.set(MetricGauge::Generation,
+                  static_cast<double>(m_published.generation().value_or(Generation()).value()));
     const TargetTable &targets = m_gateway.targets();
     m_metrics.set(MetricGauge::EvacuatedTargets, static_cast<double>(targets.evacuatedCount()));
     m_metrics.set(MetricGauge::ColdTargets, static_cast<double>(targets.coldCount()));
--- a/packages/serving/apricothook/serving/apricothook_serving_process.hpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.hpp
@@ -64,6 +64,7 @@
 
     const ServingSettings m_settings;
     const ServingAdapters m_adapters;
+    const Clock &m_clock;
     const Incarnation m_incarnation;
     LogWriter &m_log;
     EventLoop m_loop;
--- a/packages/serving/tests/apricothook_emulated_fleet.hpp
+++ b/packages/serving/tests/apricothook_emulated_fleet.hpp
@@ -33,6 +33,7 @@
     void send(const std::vector<Endpoint> &to, const PeerDatagram &datagram) override;
     MemberInfo ownInfo() const override;
     std::uint64_t ownRevision() const override { return 0; }
+    ViewReport ownView() const override { return {}; }
     std::uint16_t number() const { return m_number; }
 
 private:
--- a/packages/serving/tests/apricothook_fleet_exchange_tests.cpp
+++ b/packages/serving/tests/apricothook_fleet_exchange_tests.cpp
@@ -35,6 +35,7 @@
     void send(const std::vector<Endpoint> &to, const PeerDatagram &datagram) override;
     MemberInfo ownInfo() const override;
     std::uint64_t ownRevision() const override { return 0; }
+    ViewReport ownView() const override { return {}; }
 
     StartingFleet &m_fleet;
     const std::uint16_t m_number;
--- a/packages/serving/tests/apricothook_item_watcher_tests.cpp
+++ b/packages/serving/tests/apricothook_item_watcher_tests.cpp
@@ -1,6 +1,7 @@
 #include "apricothook_slow_http_server.hpp"
 
 #include <apricothook/fleetview/apricothook_item_watcher.hpp>
+#include <apricothook/fleetview/apricothook_view_age.hpp>
 #include <apricothook/serving/apricothook_simple_http_server.hpp>
 
 #include <apricothook/testsupport/apricothook_manual_clock.hpp>
@@ -50,6 +51,7 @@
     Revision revision = 5;
     std::vector<SourceState> states;
     std::vector<Revision> revisions;
+    std::vector<Instant> confirmations;
     std::unique_ptr<SimpleHttpServer> server
         = SimpleHttpServer::open(loop, {"127.0.0.1", 0}, [this](const RequestHead &request) {
               requests.push_back(request.target);
@@ -58,10 +60,12 @@
     ItemWatcher watcher {
         {"127.0.0.1", server->port()},
         protocol,
+        clock,
         ItemWatcher::LongestWatch,
         [this](const ItemUpdate &update) {
             loop.post([this, revision = update.revision] { revisions.push_back(revision); });
         },
+        [this](Instant time) { loop.post([this, time] { confirmations.push_back(time); }); },
         [this](SourceState state, const TransferRecord &) {
             loop.post([this, state] { states.push_back(state); });
         }};
@@ -176,11 +180,11 @@
     SlowHttpServer source(loop, [] { return std::string(200'000, ' ') + "5"; });
     std::optional<Revision> received;
     const ItemWatcher watcher(
-        {"127.0.0.1", source.port()}, protocol, ItemWatcher::LongestWatch,
+        {"127.0.0.1", source.port()}, protocol, clock, ItemWatcher::LongestWatch,
         [&](const ItemUpdate &update) {
             loop.post([&, revision = update.revision] { received = revision; });
         },
-        [](SourceState, const TransferRecord &) {});
+        [](Instant) {}, [](SourceState, const TransferRecord &) {});
     constexpr int MaximumRounds = 5000;
     constexpr std::size_t BytesPerMillisecond = 100;
     for (int round = 0; round < MaximumRounds && !received; ++round) {
@@ -189,3 +193,23 @@
     }
     CHECK(received == 5);
 }
+
+TEST_CASE("a watcher confirms the view with each response, as of its request")
+{
+    ItemWatcherFixture fixture;
+    CHECK(fixture.waitUntil([&] { return fixture.confirmations.size() >= 3; }));
+    // The clock stands still, so no poll seems to have been held open.
+    for (const Instant time : fixture.confirmations)
+        CHECK(time == fixture.clock.now());
+}
+
+TEST_CASE("between two polls the views of daemons behind a reader stay below the limit of age")
+{
+    // Guards against a fleet whose daemons all read at the source although their readers work.
+    for (const int milliseconds : {2000, 3000, 4000, 9000}) {
+        const std::chrono::milliseconds applyTimeout {milliseconds};
+        const auto oldest = ItemWatcher::BatchDelay + ItemWatcher::watchTime(applyTimeout)
+            + ItemWatcher::SpreadTime;
+        CHECK(oldest <= ViewAge::limit(applyTimeout));
+    }
+}
--- a/packages/serving/tests/apricothook_slow_http_server.hpp
+++ b/packages/serving/tests/apricothook_slow_http_server.hpp
@@ -21,8 +21,8 @@
         : m_loop(loop)
         , m_body(std::move(body))
         , m_listener(Listener::open(loop, {"127.0.0.1", 0}, [this](int descriptor) {
-              m_connections.push_back(std::make_unique<Connection>(*this, descriptor));
-          }).value())
+                         m_connections.push_back(std::make_unique<Connection>(*this, descriptor));
+                     }).value())
     {
     }
 
