Play large configurations and silent connections to the store in the soak

The store's links can have a rate, its open connections can fall silent while new ones work, the number of routes changes by many, and keys are replaced.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -11,6 +11,9 @@
 # A target's entry expires after three missed heartbeats.
 ENTRY_EXPIRY_SECONDS = 3.6
 DRAIN_SECONDS = 2.0
+# A new key is known at all daemons after this time, on a busy machine too.
+KEY_SECONDS = 5.0
+IDLE_ROUTES = (0, 700, 1400)
 # Before this a process may not have installed its signal handlers, and a signal terminates it.
 STARTUP_SECONDS = 0.3
 # Delay before a target that a request crashed is restarted.
@@ -30,8 +33,8 @@
                       self.harm_target_link, self.reset_links, self.store_away, self.store_outage, self.crash_target,
                       self.mute_target, self.replace_target, self.change_configuration, self.revoke_key, self.evacuate,
                       self.fail_service, self.kill_in_series, self.freeze_others]
-        # Only when named explicitly: it crashes most targets.
-        self.opt_in_kinds = [self.crashing_request]
+        # Only when named explicitly, so that a seed keeps its faults; the first one crashes most targets.
+        self.opt_in_kinds = [self.crashing_request, self.resize_configuration, self.silence_store, self.replace_key]
         if chosen != "on":
             known = {kind.__name__: kind for kind in self.kinds + self.opt_in_kinds}
             names = [] if chosen == "off" else chosen.split(",")
@@ -233,3 +236,24 @@
         if len(self.fleet.keys) > 2:
             self.fleet.revoked[self.fleet.keys.pop()] = asyncio.get_running_loop().time()
             await self.fleet.configure()
+
+    async def replace_key(self) -> None:
+        """Takes the oldest key away and adds one, which callers use once it must be known everywhere."""
+        added = f"key-{len(self.fleet.revoked)}"
+        self.fleet.revoked[self.fleet.keys.pop(0)] = asyncio.get_running_loop().time()
+        self.fleet.keys.append(added)
+        await self.fleet.configure()
+        await asyncio.sleep(KEY_SECONDS)
+        self.fleet.callers.keys.append(added)
+
+    async def resize_configuration(self) -> None:
+        """Changes the number of unused routes; with all of them, a configuration takes a while on a small link."""
+        self.fleet.idle_routes = self.random.choice(IDLE_ROUTES)
+        await self.fleet.configure()
+
+    async def silence_store(self) -> None:
+        """The open connections of some daemons to the store fall silent without a reset."""
+        chosen = self.random.sample(self.fleet.daemons, self.random.randint(1, len(self.fleet.daemons) - 1))
+        for daemon in chosen:
+            self.fleet.store.silence(f"127.0.2.{daemon.index}")
+        await self.mark_affected(chosen, 0.1)
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -11,10 +11,18 @@
 import http1
 
 UP, REFUSES, HANGS = "up", "refuses", "hangs"
+CHUNK_BYTES = 16384
 
 
 class Store:
-    def __init__(self) -> None:
+    """`link_rate`: bytes per second to each daemon, over all of its connections; unlimited if None."""
+
+    def __init__(self, link_rate: float | None = None) -> None:
+        self.link_rate = link_rate
+        # By listening address; holds the link while a chunk is sent.
+        self.links: dict[str, asyncio.Lock] = {}
+        # Connections that transfer nothing any more and aren't closed either.
+        self.silent: set[asyncio.StreamWriter] = set()
         self.revision = 0
         self.items: dict[str, dict] = {}
         self.events: list[dict] = []
@@ -39,6 +47,7 @@
     async def listen(self, address: str, port: int) -> None:
         self.states[address] = UP
         self.connections[address] = set()
+        self.links[address] = asyncio.Lock()
         await asyncio.start_server(lambda reader, writer: self.serve(address, reader, writer), address, port)
 
     def set_state(self, address: str, state: str) -> None:
@@ -47,6 +56,21 @@
             for writer in list(self.connections[address]):
                 writer.transport.abort()
 
+    def silence(self, address: str) -> None:
+        """Silences the open connections of a daemon; new ones work."""
+        self.silent |= self.connections[address]
+
+    async def send(self, address: str, writer: asyncio.StreamWriter, data: bytes) -> None:
+        for start in range(0, len(data), CHUNK_BYTES):
+            chunk = data[start:start + CHUNK_BYTES]
+            if writer in self.silent:
+                return
+            async with self.links[address]:
+                writer.write(chunk)
+                if self.link_rate:
+                    await asyncio.sleep(len(chunk) / self.link_rate)
+            await writer.drain()
+
     async def serve(self, address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections[address].add(writer)
         try:
@@ -58,12 +82,14 @@
                     writer.write(http1.message("HTTP/1.1 503 Busy", {}))
                 else:
                     body = json.dumps(await self.answer(head.line.split(" ")[1])).encode()
-                    writer.write(http1.message("HTTP/1.1 200 OK", {"Content-Type": "application/json"}, body))
+                    await self.send(address, writer,
+                                    http1.message("HTTP/1.1 200 OK", {"Content-Type": "application/json"}, body))
                 await writer.drain()
         except (http1.Broken, ConnectionError):
             pass
         finally:
             self.connections[address].discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
     async def answer(self, target: str) -> dict:
