--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -13,7 +13,9 @@
 DRAIN_SECONDS = 2.0
 # A new key is known at all daemons after this time, on a busy machine too.
 KEY_SECONDS = 5.0
-IDLE_ROUTES = (0, 700, 1400)
+IDLE_ROUTES = (700, 1400)
+# Operators wait until a large configuration has been acknowledged before they write the next one.
+CONFIGURATION_PAUSE = 1.0
 # Before this a process may not have installed its signal handlers, and a signal terminates it.
 STARTUP_SECONDS = 0.3
 # Delay before a target that a request crashed is restarted.
@@ -29,6 +31,7 @@
         self.running: set[asyncio.Task] = set()
         self.log: list[str] = []
         self.evacuated: set[str] = set()
+        self.configuring = asyncio.Lock()
         self.kinds = [self.kill, self.kill_many, self.freeze, self.terminate, self.reload, self.harm_caller_link,
                       self.harm_target_link, self.reset_links, self.store_away, self.store_outage, self.crash_target,
                       self.mute_target, self.replace_target, self.change_configuration, self.revoke_key, self.evacuate,
@@ -239,17 +242,21 @@
 
     async def replace_key(self) -> None:
         """Takes the oldest key away and adds one, which callers use once it must be known everywhere."""
-        added = f"key-{len(self.fleet.revoked)}"
-        self.fleet.revoked[self.fleet.keys.pop(0)] = asyncio.get_running_loop().time()
-        self.fleet.keys.append(added)
-        await self.fleet.configure()
+        async with self.configuring:
+            added = f"key-{len(self.fleet.revoked)}"
+            self.fleet.revoked[self.fleet.keys.pop(0)] = asyncio.get_running_loop().time()
+            self.fleet.keys.append(added)
+            await self.fleet.configure()
+            await asyncio.sleep(CONFIGURATION_PAUSE)
         await asyncio.sleep(KEY_SECONDS)
         self.fleet.callers.keys.append(added)
 
     async def resize_configuration(self) -> None:
         """Changes the number of unused routes; with all of them, a configuration takes a while on a small link."""
-        self.fleet.idle_routes = self.random.choice(IDLE_ROUTES)
-        await self.fleet.configure()
+        async with self.configuring:
+            self.fleet.idle_routes = self.random.choice(IDLE_ROUTES)
+            await self.fleet.configure()
+            await asyncio.sleep(CONFIGURATION_PAUSE)
 
     async def silence_store(self) -> None:
         """The open connections of some daemons to the store fall silent without a reset."""
