--- a/packages/serving/tests/apricothook_view_age_fleet_tests.cpp
+++ b/packages/serving/tests/apricothook_view_age_fleet_tests.cpp
@@ -34,7 +34,7 @@
     settings.member = MemberId("vm-" + std::to_string(number));
     settings.capacity = number % 13 == 0 ? 50 : 12;
     settings.peerAddress = addressOf(number);
-    // Nobody listens there, so that no peer delivers items.
+    // Fetches from peers fail, as nothing listens at this address.
     settings.controlAddress = {"127.0.0.1", 1};
     for (std::size_t seed = 0; seed < Seeds; ++seed)
         settings.seeds.push_back(addressOf(seed));
