--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -16,6 +16,8 @@
 IDLE_ROUTES = (700, 1400)
 # Operators wait until a large configuration has been acknowledged before they write the next one.
 CONFIGURATION_PAUSE = 1.0
+# Requests per second that targets take while they are limited.
+LIMITS = (0.5, 2, 4, 12)
 # Before this a process may not have installed its signal handlers, and a signal terminates it.
 STARTUP_SECONDS = 0.3
 # Delay before a target that a request crashed is restarted.
@@ -37,7 +39,8 @@
                       self.mute_target, self.replace_target, self.change_configuration, self.revoke_key, self.evacuate,
                       self.fail_service, self.kill_in_series, self.freeze_others]
         # Only when named explicitly, so that a seed keeps its faults; the first one crashes most targets.
-        self.opt_in_kinds = [self.crashing_request, self.resize_configuration, self.silence_store, self.replace_key]
+        self.opt_in_kinds = [self.crashing_request, self.resize_configuration, self.silence_store, self.replace_key,
+                             self.limit_target]
         if chosen != "on":
             known = {kind.__name__: kind for kind in self.kinds + self.opt_in_kinds}
             names = [] if chosen == "off" else chosen.split(",")
@@ -192,6 +195,19 @@
         await self.mark_affected(self.fleet.daemons, self.random.uniform(0.5, 2.5))
         target.is_unresponsive = False
 
+    async def limit_target(self) -> None:
+        """A target names a limit in its answers, changes it now and then, and stops naming it."""
+        target = self.random.choice(self.fleet.targets)
+        if not target.is_up or target.limit is not None:
+            return
+        limited_id = target.id
+        for _ in range(self.random.randint(1, 3)):
+            target.name_limit(round(self.random.choice(LIMITS) * self.random.uniform(0.8, 1.2), 2))
+            await asyncio.sleep(self.random.uniform(4, 9))
+            if target.id != limited_id:
+                return
+        target.name_limit(None)
+
     async def fail_service(self) -> None:
         """All targets of a service fail a fraction of their requests, in the same way."""
         service = self.random.choice(sorted({target.service for target in self.fleet.targets}))
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import math
 import random
 from dataclasses import dataclass
 
@@ -54,13 +55,26 @@
     request_id: str
     service: str
     at: float
+    target: str = ""
+
+
+@dataclass(frozen=True)
+class NamedLimit:
+    """The limit that a target named in its answers from `since` on; infinite if it named none."""
+
+    target: str
+    per_second: float
+    since: float
 
 
 class Target:
     """A process of a service at a fixed address; each restart changes its id."""
 
-    def __init__(self, service: str, address: tuple[str, int], runs: list[Run], arrivals: list[Arrival]) -> None:
-        self.service, self.address, self.runs, self.arrivals = service, address, runs, arrivals
+    def __init__(self, service: str, address: tuple[str, int], runs: list[Run], arrivals: list[Arrival],
+                 limits: list[NamedLimit]) -> None:
+        self.service, self.address, self.runs, self.arrivals, self.limits = service, address, runs, arrivals, limits
+        # Requests per second that it takes from all daemons together, as named in its answers.
+        self.limit: float | None = None
         # Failure mode, and the fraction of requests that it applies to.
         self.failure, self.failure_probability, self.random = "", 0.0, random.Random(address[0])
         self.incarnation, self.accepted, self.is_unresponsive, self.is_up = 0, 0, False, False
@@ -78,6 +92,7 @@
 
     def start(self) -> None:
         self.incarnation += 1
+        self.limit = None
         self.slots, self.accepted, self.is_up = asyncio.Semaphore(SLOTS), 0, True
         self.restart_cold_period()
 
@@ -87,6 +102,16 @@
     def remaining_cold_ms(self) -> int:
         return max(0, int((self.cold_until - asyncio.get_running_loop().time()) * 1000))
 
+    def name_limit(self, per_second: float | None) -> None:
+        self.limit = per_second
+        named = math.inf if per_second is None else per_second
+        self.limits.append(NamedLimit(self.id, named, asyncio.get_running_loop().time()))
+
+    def headers(self, request_id: str, **others: str) -> dict[str, str]:
+        """Headers of an answer."""
+        headers = {"Request-Id": request_id, **{name.replace("_", "-"): value for name, value in others.items()}}
+        return headers if self.limit is None else headers | {"Server-Limit": f"{self.limit:g}"}
+
     def crash(self) -> None:
         self.is_up = False
         for writer in list(self.writers):
@@ -111,9 +136,9 @@
 
     async def answer(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, incarnation: int) -> None:
         request_id = head.headers.get("request-id", "")
-        self.arrivals.append(Arrival(request_id, self.service, asyncio.get_running_loop().time()))
+        self.arrivals.append(Arrival(request_id, self.service, asyncio.get_running_loop().time(), self.id))
         if head.headers.get("expected-instance", self.id) != self.id:
-            writer.write(http1.message("HTTP/1.1 421 Other", {"Request-Id": request_id, "Instance-Id": self.id}))
+            writer.write(http1.message("HTTP/1.1 421 Other", self.headers(request_id, Instance_Id=self.id)))
             return
         failure = self.failure if self.random.random() < self.failure_probability else ""
         if failure == RESETS:
@@ -122,10 +147,10 @@
             return
         if failure == FAILS:
             self.record_run(head, body, request_id)
-            writer.write(http1.message("HTTP/1.1 500 Failed", {"Request-Id": request_id}))
+            writer.write(http1.message("HTTP/1.1 500 Failed", self.headers(request_id)))
             return
         if failure == REJECTS or self.accepted >= SLOTS + QUEUED:
-            writer.write(http1.message("HTTP/1.1 503 Full", {"Request-Id": request_id, "Not-Executed": "1"}))
+            writer.write(http1.message("HTTP/1.1 503 Full", self.headers(request_id, Not_Executed="1")))
             return
         self.accepted += 1
         try:
@@ -148,13 +173,14 @@
             return
         while self.is_unresponsive and self.is_up:
             await asyncio.sleep(0.05)
-        headers = {"Request-Id": request_id, "Response-Signature": signature(request_id)}
         if "/s/" not in head.line:
             await asyncio.sleep(PLAIN_SECONDS)
-            writer.write(http1.message("HTTP/1.1 200 OK", headers, plain_body(request_id, body)))
+            writer.write(http1.message("HTTP/1.1 200 OK", self.headers(request_id, Response_Signature=signature(request_id)),
+                                       plain_body(request_id, body)))
             await writer.drain()
             return
-        headers |= {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        headers = self.headers(request_id, Response_Signature=signature(request_id), Content_Type="text/event-stream",
+                               Transfer_Encoding="chunked")
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
         for number in range(int(head.headers.get("last-event-id", "0")) + 1, EVENTS + 1):
--- a/tools/soak/test_verdict.py
+++ b/tools/soak/test_verdict.py
@@ -5,6 +5,7 @@
 import unittest
 from collections import defaultdict
 from dataclasses import replace
+from math import inf
 from types import SimpleNamespace
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
@@ -30,7 +31,7 @@
 
 
 def findings(records: list, runs: list, **changes) -> list[str]:
-    fleet = SimpleNamespace(callers=SimpleNamespace(records=records), runs=runs, revoked={}, left_at={}, stops=[], evacuations=[], arrivals=[], started=0.0,
+    fleet = SimpleNamespace(callers=SimpleNamespace(records=records), runs=runs, revoked={}, left_at={}, stops=[], evacuations=[], arrivals=[], limits=[], started=0.0,
                             fault_times=defaultdict(list), keys=["key-a"], recovered_at=0.0)
     vars(fleet).update(changes)
     return [line.split(" ")[0].rstrip(":") for line in verdict.findings(fleet)]
@@ -90,6 +91,26 @@
         self.assertEqual(findings(records[1:], runs[1:]), [])
         self.assertEqual(findings(records, [replace(run, is_cold=False) for run in runs]), [])
 
+    def test_more_arrivals_than_a_named_limit_allows_are_found(self):
+        records = [request("safe", request_id=f"id-{number}", status=0, abandoned=True, sent=SENT_AT + number / 10) for number in range(40)]
+        records.append(request("safe"))
+        arrivals = [targets.Arrival(record.request_id, "plain", record.sent, "t1") for record in records[:40]]
+        bound = verdict.LIMIT_FACTOR * verdict.LIMIT_WINDOW
+
+        def limited(*limits: tuple[float, float]) -> list[str]:
+            return findings(records, [], arrivals=arrivals,
+                            limits=[targets.NamedLimit("t1", per_second, since) for per_second, since in limits])
+
+        exact = (len(arrivals) - verdict.LIMIT_SLACK) / bound
+        self.assertEqual(limited((exact, 0.0)), [])
+        self.assertEqual(limited((exact - 0.01, 0.0)), ["LIMIT"])
+        self.assertEqual(limited((0.1, 0.0), (inf, SENT_AT - 1)), [])
+        self.assertEqual(limited((0.1, SENT_AT - 0.5)), [])
+        self.assertEqual(limited((20, 0.0), (0.1, SENT_AT + 1)), [])
+        self.assertEqual(limited((9, 0.0), (0.1, SENT_AT - verdict.LIMIT_SPREAD_SECONDS)), ["LIMIT"])
+        faulted = defaultdict(list, {1: [SENT_AT + 1]})
+        self.assertEqual(findings(records, [], arrivals=arrivals, limits=[targets.NamedLimit("t1", 0.1, 0.0)], fault_times=faulted), [])
+
     def test_a_wrong_answer_is_found(self):
         record = request("safe")
         self.assertEqual(findings([replace(record, answer=record.answer[:-1] + b"!")], []), ["MIXED", "ORDER"])
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_right
 from collections import defaultdict
+from math import inf
 
 import callers
 import daemons
@@ -11,6 +12,10 @@
 UNDISTURBED_SECONDS = 4.0
 # Bounds for draining a target, applying a configuration and an evacuation; each includes one second for load on the machine.
 DRAIN_BOUND, APPLY_BOUND, EVACUATION_BOUND = 3.0, 3.0, 4.0
+# Requests of a target that names a limit in any window: what the limit allows, multiplied, plus the slack.
+LIMIT_WINDOW, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
+# Time within which all daemons know a limit that a target has begun to name or has lowered.
+LIMIT_SPREAD_SECONDS = 1.0
 SERVICES = {"/u/": "plain", "/i/": "plain", "/r/": "streams", "/n/": "streams"}
 NOT_EXECUTED = (408, 421, 429, 503)
 MIN_SERVED_AFTER_RECOVERY = 0.9
@@ -29,6 +34,7 @@
     found += check_drain(fleet, sent)
     found += check_evacuation(fleet, sent)
     found += check_cold_targets(fleet)
+    found += check_limits(fleet, sent)
     found += check_retry_budget(fleet)
     found += check_crashing_requests(fleet)
     found += [f"STOP vm-{index} ended with {status}" for index, status in fleet.stops if status != 0]
@@ -116,6 +122,36 @@
     return found
 
 
+def check_limits(fleet, sent) -> list[str]:
+    """Counts the arrivals from all daemons, told or not, but those that a fault affected."""
+    found = []
+    for target in sorted({limit.target for limit in fleet.limits}):
+        limits = [limit for limit in fleet.limits if limit.target == target]
+        times = sorted(arrival.at for arrival in fleet.arrivals if arrival.target == target
+                       and (record := sent.get(arrival.request_id)) and is_undisturbed(fleet, record, arrival.at))
+        over = [(arrived - allowed, at, arrived, allowed) for last, at in enumerate(times)
+                if (allowed := allowed_arrivals(limits, at)) < (arrived := last + 1 - bisect_right(times, at - LIMIT_WINDOW))]
+        if over:
+            _, at, arrived, allowed = max(over)
+            found.append(f"LIMIT: {target} got {arrived} requests of {allowed:.1f} in {LIMIT_WINDOW:g} s by {at - fleet.started:.1f} s")
+    return found
+
+
+def allowed_arrivals(limits, until: float) -> float:
+    """Arrivals that the limits named by a target allow in the window that ends at `until`."""
+    begin = until - LIMIT_WINDOW
+    if begin < limits[0].since + LIMIT_SPREAD_SECONDS:
+        return inf
+    allowed = 0.0
+    for limit, following in zip(limits, [*limits[1:], None]):
+        # The higher one of two limits applies until the lower one has spread.
+        grace = LIMIT_SPREAD_SECONDS if following and following.per_second < limit.per_second else 0
+        end = min(until, following.since + grace) if following else until
+        length = max(0.0, end - max(begin, limit.since))
+        allowed += limit.per_second * length if length else 0
+    return allowed * LIMIT_FACTOR + LIMIT_SLACK
+
+
 def worst_retry_usage(fleet) -> tuple[float, str]:
     """Highest use of the retry budget by a service in any window, as a fraction, and its description."""
     worst = (0.0, "no retries")
