--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -230,9 +230,11 @@
     return sum;
 }
 
-std::optional<Instant> Dispatcher::nextTimeout() const
+std::optional<Instant> Dispatcher::nextReview(Instant now) const
 {
-    std::optional<Instant> next;
+    if (waiting() == 0)
+        return std::nullopt;
+    std::optional<Instant> next = m_targets.nextUnitTime(now);
     for (const auto &[service, queue] : m_queues) {
         for (const QueuedRequest &request : queue)
             next = std::min(next.value_or(Instant::max()), latestPlacement(request));
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -120,8 +120,11 @@
     void setMemberQueueLengths(std::uint64_t member, std::vector<QueueLength> counts);
     std::vector<QueueLength> ownQueueLengths() const;
     std::size_t waiting() const;
-    /** Earliest time at which review() may have to refuse a request; empty if none is queued. */
-    std::optional<Instant> nextTimeout() const;
+    /**
+     * Earliest time at which review() may have to refuse a request, or at which a target's limit
+     * has units for one; empty if none is queued.
+     */
+    std::optional<Instant> nextReview(Instant now) const;
 
 private:
     using Queue = std::vector<QueuedRequest>;
--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_rate_limiter.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_rate_limiter.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/dispatch/apricothook_customer_rate_limiter.hpp>
+#include <apricothook/dispatch/apricothook_fleet_rate_limiter.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -40,11 +40,10 @@
     return "nobody";
 }
 
-CustomerRateLimiter::CustomerRateLimiter(const FleetBounds &bounds, LimitPeer self,
-                                         LimitMessenger &messenger, LimitListener &listener,
-                                         GrantorListener &grantorListener, RandomSource &random)
-    : m_bounds(bounds)
-    , m_self(self)
+FleetRateLimiter::FleetRateLimiter(LimitPeer self, LimitMessenger &messenger,
+                                   LimitListener &listener, GrantorListener &grantorListener,
+                                   RandomSource &random)
+    : m_self(self)
     , m_messenger(messenger)
     , m_listener(listener)
     , m_random(random)
@@ -53,13 +52,13 @@
 {
 }
 
-void CustomerRateLimiter::setCustomers(const std::vector<CustomerRule> &customers, Instant now)
+void FleetRateLimiter::setBudgets(const UnitBudgets &budgets, Instant now)
 {
-    m_grantor.setCustomers(customers, m_bounds, now);
+    m_grantor.setBudgets(budgets, now);
     m_grantor.review(m_isFleetKnown, now);
 }
 
-void CustomerRateLimiter::setFleet(const FleetMembership &fleet, Instant now)
+void FleetRateLimiter::setFleet(const FleetMembership &fleet, Instant now)
 {
     m_knownMembers = fleet.known;
     m_isFleetKnown = fleet.isComplete;
@@ -67,26 +66,26 @@
     m_grantor.review(m_isFleetKnown, now);
 }
 
-std::optional<LimitDecision> CustomerRateLimiter::take(ExchangeId exchange,
-                                                       const CustomerRule &customer,
-                                                       const UnitDemand &demand, Instant now)
+std::optional<LimitDecision> FleetRateLimiter::take(ExchangeId exchange, const LimitedUnits &units,
+                                                    Instant now)
 {
     WaitingRequest waiting;
     waiting.exchange = exchange;
-    waiting.customer = customerHash(customer.name);
-    waiting.budget = budgetOf(customer, m_bounds);
-    waiting.demand = demand;
+    waiting.limit = units.limit;
+    waiting.budget = units.budget;
+    waiting.demand = units.demand;
+    waiting.longestWait = units.longestWait;
     waiting.waitingSince = now;
-    if (customer.ratePerSecond <= 0)
+    if (units.budget.perSecond <= 0)
         return makeDecision(waiting, LimitSource::Unlimited, true, now);
-    Account &account = m_accounts[waiting.customer];
+    Account &account = m_accounts[waiting.limit];
     account.grantLifetime = waiting.budget.grantLifetime;
-    if (account.units.tryTake(demand.units, now)) {
-        account.units.recordAdmitted(demand.units, now);
-        prefetch(waiting.customer, account, waiting.budget, now);
+    if (account.units.tryTake(units.demand.units, now)) {
+        account.units.recordAdmitted(units.demand.units, now);
+        prefetch(waiting.limit, account, waiting.budget, now);
         return makeDecision(waiting, LimitSource::Stock, true, now);
     }
-    if (m_grantor.isGrantor(waiting.customer))
+    if (m_grantor.isGrantor(waiting.limit))
         return decideLocally(waiting, now);
     // A daemon that has just started knows no member to ask and can't tell how long that will last.
     if (!m_isFleetKnown && !chooseGrantor(waiting, now)) {
@@ -99,17 +98,17 @@
     return std::nullopt;
 }
 
-LimitDecision CustomerRateLimiter::decideLocally(WaitingRequest &waiting, Instant now)
+LimitDecision FleetRateLimiter::decideLocally(WaitingRequest &waiting, Instant now)
 {
     waiting.queriedPeer = m_self;
     const UnitsReply reply
-        = m_grantor.answer(makeUnitsRequest(0, waiting.customer, waiting.demand, 0), now);
+        = m_grantor.answer(makeUnitsRequest(0, waiting.limit, waiting.demand, 0), now);
     return grantorDecision(waiting, reply, reply.outcome == UnitsOutcome::Granted, now);
 }
 
-LimitDecision CustomerRateLimiter::grantorDecision(const WaitingRequest &waiting,
-                                                   const UnitsReply &reply, bool isAdmitted,
-                                                   Instant now) const
+LimitDecision FleetRateLimiter::grantorDecision(const WaitingRequest &waiting,
+                                                const UnitsReply &reply, bool isAdmitted,
+                                                Instant now) const
 {
     LimitDecision decided = makeDecision(waiting, LimitSource::Grantor, isAdmitted, now);
     decided.level = static_cast<double>(reply.level);
@@ -119,46 +118,45 @@
     return decided;
 }
 
-void CustomerRateLimiter::cancel(ExchangeId exchange)
+void FleetRateLimiter::cancel(ExchangeId exchange)
 {
     std::erase_if(m_waiting, [exchange](const WaitingRequest &waiting) {
         return waiting.exchange == exchange;
     });
 }
 
-bool CustomerRateLimiter::isSilent(std::uint64_t member, Instant now) const
+bool FleetRateLimiter::isSilent(std::uint64_t member, Instant now) const
 {
     const auto peer = m_peers.find(member);
     return peer != m_peers.end() && peer->second.silentUntil > now;
 }
 
-std::optional<LimitPeer> CustomerRateLimiter::chooseGrantor(const WaitingRequest &waiting,
-                                                            Instant now) const
+std::optional<LimitPeer> FleetRateLimiter::chooseGrantor(const WaitingRequest &waiting,
+                                                         Instant now) const
 {
     const auto mayBeQueried = [&](const LimitPeer &peer) {
         return peer.member != 0 && peer.member != m_self.member && !isSilent(peer.member, now)
             && !waiting.notGrantors.contains(peer.member);
     };
-    const auto account = m_accounts.find(waiting.customer);
+    const auto account = m_accounts.find(waiting.limit);
     if (account != m_accounts.end() && mayBeQueried(account->second.grantor))
         return account->second.grantor;
     if (waiting.suggestedGrantor && mayBeQueried(*waiting.suggestedGrantor))
         return waiting.suggestedGrantor;
-    std::vector<LimitPeer> ranks = m_grantor.ranking().ranked(waiting.customer);
-    // Daemons that rank lower don't take over the customer.
+    std::vector<LimitPeer> ranks = m_grantor.ranking().ranked(waiting.limit);
+    // Daemons that rank lower don't take over the limit.
     ranks.resize(std::min(ranks.size(), GrantorRanking::MaximumClaimReceivers));
     const auto next = std::ranges::find_if(ranks, mayBeQueried);
     return next == ranks.end() ? std::nullopt : std::optional(*next);
 }
 
-UnitsRequest CustomerRateLimiter::makeUnitsRequest(std::uint64_t requestId, std::uint64_t customer,
-                                                   const UnitDemand &demand,
-                                                   double prefetched) const
+UnitsRequest FleetRateLimiter::makeUnitsRequest(std::uint64_t requestId, std::uint64_t limit,
+                                                const UnitDemand &demand, double prefetched) const
 {
     return {
         .sender = m_self,
         .requestId = requestId,
-        .customer = customer,
+        .limit = limit,
         .units = wholeUnits(demand.units),
         .prefetch = wholeUnits(prefetched),
         .reservedThousandths
@@ -167,14 +165,14 @@
     };
 }
 
-double CustomerRateLimiter::prefetchUnits(Account &account, const CustomerBudget &budget,
-                                          Instant now) const
+double FleetRateLimiter::prefetchUnits(Account &account, const UnitBudget &budget,
+                                       Instant now) const
 {
     const auto time = std::chrono::duration_cast<Duration>(budget.grantLifetime * PrefetchFraction);
     return account.units.expectedDemand(time, now);
 }
 
-void CustomerRateLimiter::query(WaitingRequest &waiting, Instant now)
+void FleetRateLimiter::query(WaitingRequest &waiting, Instant now)
 {
     waiting.requestId = 0;
     const std::optional<LimitPeer> peer = chooseGrantor(waiting, now);
@@ -183,13 +181,13 @@
         waiting.nextAction = now + PendingPause;
         return;
     }
-    Account &account = m_accounts[waiting.customer];
+    Account &account = m_accounts[waiting.limit];
     const double expected = prefetchUnits(account, waiting.budget, now);
     // If the next request isn't expected within a grant's life, its units would expire unused.
     const double wanted = expected >= waiting.demand.units ? expected : 0;
     UnitsRequest request
-        = this->makeUnitsRequest(++m_lastRequestId, waiting.customer, waiting.demand, wanted);
-    const LimitPeer *first = m_grantor.ranking().highestRanked(waiting.customer);
+        = this->makeUnitsRequest(++m_lastRequestId, waiting.limit, waiting.demand, wanted);
+    const LimitPeer *first = m_grantor.ranking().highestRanked(waiting.limit);
     request.firstIsSilent = first && isSilent(first->member, now);
     waiting.requestId = request.requestId;
     waiting.queriedPeer = *peer;
@@ -199,7 +197,7 @@
     m_messenger.send(peer->address, request);
 }
 
-void CustomerRateLimiter::queryNext(WaitingRequest &waiting, Instant now)
+void FleetRateLimiter::queryNext(WaitingRequest &waiting, Instant now)
 {
     const bool hasNext = chooseGrantor(waiting, now).has_value();
     if (m_isFleetKnown || hasNext)
@@ -208,8 +206,8 @@
         waiting.nextAction = now;
 }
 
-void CustomerRateLimiter::prefetch(std::uint64_t customer, Account &account,
-                                   const CustomerBudget &budget, Instant now)
+void FleetRateLimiter::prefetch(std::uint64_t limit, Account &account, const UnitBudget &budget,
+                                Instant now)
 {
     const double expected = prefetchUnits(account, budget, now);
     const double available = account.units.granted(now);
@@ -222,17 +220,17 @@
     account.prefetchSent = now;
     std::erase_if(m_prefetches,
                   [now](const auto &open) { return now - open.second.sent > LongestWait; });
-    m_prefetches[++m_lastRequestId] = {customer, now};
+    m_prefetches[++m_lastRequestId] = {limit, now};
     m_messenger.send(grantor.address,
-                     makeUnitsRequest(m_lastRequestId, customer, {}, expected - available));
+                     makeUnitsRequest(m_lastRequestId, limit, {}, expected - available));
 }
 
-bool CustomerRateLimiter::takePrefetch(const UnitsReply &reply, Instant now)
+bool FleetRateLimiter::takePrefetch(const UnitsReply &reply, Instant now)
 {
     const auto open = m_prefetches.find(reply.requestId);
     if (open == m_prefetches.end())
         return false;
-    Account &account = m_accounts[open->second.customer];
+    Account &account = m_accounts[open->second.limit];
     const Instant until = open->second.sent + account.grantLifetime;
     if (reply.units > 0 && until > now)
         account.units.add(static_cast<double>(reply.units), until);
@@ -240,12 +238,12 @@
     return true;
 }
 
-void CustomerRateLimiter::take(const UnitsRequest &request, Instant now)
+void FleetRateLimiter::take(const UnitsRequest &request, Instant now)
 {
     m_messenger.send(request.sender.address, m_grantor.answer(request, now));
 }
 
-void CustomerRateLimiter::take(const UnitsReply &reply, Instant now)
+void FleetRateLimiter::take(const UnitsReply &reply, Instant now)
 {
     m_peers.erase(reply.member);
     if (takePrefetch(reply, now))
@@ -258,7 +256,7 @@
         return;
     WaitingRequest &waiting = *found;
     waiting.requestId = 0;
-    Account &account = m_accounts[waiting.customer];
+    Account &account = m_accounts[waiting.limit];
     switch (reply.outcome) {
     case UnitsOutcome::NotGrantor:
         waiting.notGrantors.insert(reply.member);
@@ -292,19 +290,19 @@
     m_listener.onLimitDecided(exchange, decided);
 }
 
-void CustomerRateLimiter::recordTimeout(std::uint64_t member, Instant now)
+void FleetRateLimiter::recordTimeout(std::uint64_t member, Instant now)
 {
     PeerState &peer = m_peers[member];
     if (++peer.timeouts > ToleratedTimeouts)
         peer.silentUntil = now + SilentPeerPause;
 }
 
-std::optional<LimitDecision> CustomerRateLimiter::decideWithoutAnswer(WaitingRequest &waiting,
-                                                                      Instant now)
+std::optional<LimitDecision> FleetRateLimiter::decideWithoutAnswer(WaitingRequest &waiting,
+                                                                   Instant now)
 {
-    if (m_grantor.isGrantor(waiting.customer))
+    if (m_grantor.isGrantor(waiting.limit))
         return decideLocally(waiting, now);
-    Account &account = m_accounts[waiting.customer];
+    Account &account = m_accounts[waiting.limit];
     // The answer to another request may have brought units in the meantime.
     if (account.units.tryTake(waiting.demand.units, now))
         return makeDecision(waiting, LimitSource::Stock, true, now);
@@ -313,15 +311,15 @@
     if (hasCredit)
         return makeDecision(waiting, LimitSource::Credit, true, now);
     // If the fleet has just started, the daemon that was asked has no more information.
-    if (m_isFleetKnown && now - waiting.waitingSince < LongestWait)
+    if (m_isFleetKnown && now - waiting.waitingSince < waiting.longestWait)
         return std::nullopt;
     LimitDecision decided = makeDecision(waiting, LimitSource::Nobody, false, now);
     decided.retryAfter = NoGrantorRetryAfter;
     return decided;
 }
 
-LimitDecision CustomerRateLimiter::makeDecision(const WaitingRequest &waiting, LimitSource source,
-                                                bool isAdmitted, Instant now) const
+LimitDecision FleetRateLimiter::makeDecision(const WaitingRequest &waiting, LimitSource source,
+                                             bool isAdmitted, Instant now) const
 {
     LimitDecision decision;
     decision.isAdmitted = isAdmitted;
@@ -333,13 +331,13 @@
     return decision;
 }
 
-void CustomerRateLimiter::review(Instant now)
+void FleetRateLimiter::review(Instant now)
 {
     m_grantor.review(m_isFleetKnown, now);
     reviewWaiting(now);
 }
 
-void CustomerRateLimiter::reviewWaiting(Instant now)
+void FleetRateLimiter::reviewWaiting(Instant now)
 {
     struct Decided
     {
@@ -363,7 +361,7 @@
         m_listener.onLimitDecided(one.exchange, one.decision);
 }
 
-std::optional<Instant> CustomerRateLimiter::nextReview() const
+std::optional<Instant> FleetRateLimiter::nextReview() const
 {
     std::optional<Instant> next = m_grantor.nextReview();
     for (const WaitingRequest &waiting : m_waiting)
--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_rate_limiter.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_rate_limiter.hpp
@@ -12,9 +12,9 @@
 
 namespace Apricothook {
 
-/** What decided whether a request got its customer's units. */
+/** What decided whether a request got its units. */
 enum class LimitSource {
-    Unlimited, ///< The customer has no limit.
+    Unlimited, ///< There is no limit.
     Stock,     ///< Units that were granted earlier.
     Grantor,   ///< The grantor's answer.
     Credit,    ///< This daemon's share of the credit, because no grantor answered.
@@ -24,7 +24,7 @@
 std::string_view nameOf(LimitSource source);
 
 /**
- * Whether a request got its customer's units, and what decided it. All amounts but fractions are in
+ * Whether a request got its units, and what decided it. All amounts but fractions are in
  * units.
  */
 struct LimitDecision
@@ -32,7 +32,7 @@
     bool isAdmitted = false;
     LimitSource source = LimitSource::Unlimited;
     UnitDemand demand;
-    /** State of the customer's bucket as reported by the grantor; zero if no grantor was asked. */
+    /** State of the limit's bucket as reported by the grantor; zero if no grantor was asked. */
     double level = 0;
     double bucket = 0;
     double perSecond = 0;
@@ -55,7 +55,20 @@
     virtual void onLimitDecided(ExchangeId exchange, const LimitDecision &decision) = 0;
 };
 
-/** What the customers' limits depend on in the fleet. */
+/** Units of a limit that a request needs. */
+struct LimitedUnits
+{
+    /** Identifies the limit: customerHash() or targetHash(). */
+    std::uint64_t limit = 0;
+    UnitBudget budget;
+    UnitDemand demand;
+    /** Longest time for which the request waits for a grantor's answer. */
+    Duration longestWait {};
+
+    auto operator<=>(const LimitedUnits &) const = default;
+};
+
+/** What the limits depend on in the fleet. */
 struct FleetMembership
 {
     /** All live members, including this one. */
@@ -72,18 +85,19 @@
 };
 
 /**
- * Enforces the customers' fleet-wide limits at one daemon.
+ * Enforces limits of the whole fleet at one daemon: those of customers, and those that targets
+ * name.
  *
- * A request consumes units that the customer's grantor has taken from the customer's single bucket.
- * The daemon requests them when a request arrives. If it sees many requests of a customer, it
- * prefetches units, so that most requests get theirs at once. CustomerBudget explains why the limit
+ * A request consumes units that the limit's grantor has taken from the limit's single bucket.
+ * The daemon requests them when a request needs them. If it sees many requests of a limit, it
+ * prefetches units, so that most requests get theirs at once. UnitBudget explains why the limit
  * holds under message loss, crashes and partitions.
  *
  * A daemon that gets no answer from a grantor uses its share of a small credit and asks the next
  * daemon in the ranking. An answer takes a few milliseconds and a first event is due in some
  * hundreds, so callers don't notice the delay.
  */
-class CustomerRateLimiter
+class FleetRateLimiter
 {
 public:
     /** A live grantor answers within this time, even while it is busy. */
@@ -100,14 +114,14 @@
     /** Time span for whose requests units are prefetched, as a fraction of a grant's life. */
     static constexpr double PrefetchFraction = 0.5;
 
-    CustomerRateLimiter(const FleetBounds &bounds, LimitPeer self, LimitMessenger &messenger,
-                        LimitListener &listener, GrantorListener &grantorListener,
-                        RandomSource &random);
+    FleetRateLimiter(LimitPeer self, LimitMessenger &messenger, LimitListener &listener,
+                     GrantorListener &grantorListener, RandomSource &random);
 
-    void setCustomers(const std::vector<CustomerRule> &customers, Instant now);
+    /** Replaces the budgets of all limits that this daemon may have to grant units of. */
+    void setBudgets(const UnitBudgets &budgets, Instant now);
     void setFleet(const FleetMembership &fleet, Instant now);
     /**
-     * Sets the fraction of the customers' limits that this daemon may grant, from
+     * Sets the fraction of the limits that this daemon may grant, from
      * limitFractionOf().
      */
     void setLimitFraction(double fraction, Instant now)
@@ -116,12 +130,11 @@
     }
 
     /**
-     * Takes the request's units. Returns a decision if units are available here or the customer is
-     * over its limit, and nothing if another daemon must be asked. Units stay taken if the request
+     * Takes the request's units. Returns a decision if units are available here or this daemon is
+     * the grantor, and nothing if another daemon must be asked. Units stay taken if the request
      * is refused later, because earlier requests have precedence over later ones.
      */
-    std::optional<LimitDecision> take(ExchangeId exchange, const CustomerRule &customer,
-                                      const UnitDemand &demand, Instant now);
+    std::optional<LimitDecision> take(ExchangeId exchange, const LimitedUnits &units, Instant now);
     /** Stops waiting for the request's units; does nothing if it isn't waiting. */
     void cancel(ExchangeId exchange);
     /** Handles requests that have waited too long, and this daemon's own grants. */
@@ -144,9 +157,10 @@
     struct WaitingRequest
     {
         ExchangeId exchange;
-        std::uint64_t customer = 0;
-        CustomerBudget budget;
+        std::uint64_t limit = 0;
+        UnitBudget budget;
         UnitDemand demand;
+        Duration longestWait {};
         Instant waitingSince {};
         /** Number of the open message; zero if none is open. */
         std::uint64_t requestId = 0;
@@ -180,7 +194,7 @@
     /** A prefetch of units that isn't answered yet. */
     struct Prefetch
     {
-        std::uint64_t customer = 0;
+        std::uint64_t limit = 0;
         Instant sent {};
     };
 
@@ -193,13 +207,12 @@
      * gives up soon.
      */
     void queryNext(WaitingRequest &waiting, Instant now);
-    void prefetch(std::uint64_t customer, Account &account, const CustomerBudget &budget,
-                  Instant now);
-    UnitsRequest makeUnitsRequest(std::uint64_t requestId, std::uint64_t customer,
+    void prefetch(std::uint64_t limit, Account &account, const UnitBudget &budget, Instant now);
+    UnitsRequest makeUnitsRequest(std::uint64_t requestId, std::uint64_t limit,
                                   const UnitDemand &demand, double prefetched) const;
-    double prefetchUnits(Account &account, const CustomerBudget &budget, Instant now) const;
+    double prefetchUnits(Account &account, const UnitBudget &budget, Instant now) const;
     void recordTimeout(std::uint64_t member, Instant now);
-    /** Decides as the customer's grantor. */
+    /** Decides as the limit's grantor. */
     LimitDecision decideLocally(WaitingRequest &waiting, Instant now);
     LimitDecision grantorDecision(const WaitingRequest &waiting, const UnitsReply &reply,
                                   bool isAdmitted, Instant now) const;
@@ -211,7 +224,6 @@
                                Instant now) const;
     void reviewWaiting(Instant now);
 
-    const FleetBounds m_bounds;
     const LimitPeer m_self;
     LimitMessenger &m_messenger;
     LimitListener &m_listener;
--- a/packages/dispatch/apricothook/dispatch/apricothook_grantor_ranking.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_grantor_ranking.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-std::uint64_t weight(std::uint64_t customer, const LimitPeer &peer)
+std::uint64_t weight(std::uint64_t limit, const LimitPeer &peer)
 {
-    return rendezvousWeight(customer, peer.member);
+    return rendezvousWeight(limit, peer.member);
 }
 
 } // namespace
@@ -22,10 +22,10 @@
 }
 
 bool GrantorRanking::ranksBefore(const LimitPeer &one, const LimitPeer &other,
-                                 std::uint64_t customer) const
+                                 std::uint64_t limit) const
 {
     const auto rank = [&](const LimitPeer &peer) {
-        return std::tuple(isCandidate(peer), weight(customer, peer), peer.member);
+        return std::tuple(isCandidate(peer), weight(limit, peer), peer.member);
     };
     return rank(one) > rank(other);
 }
@@ -44,27 +44,27 @@
     }
 }
 
-std::vector<LimitPeer> GrantorRanking::ranked(std::uint64_t customer) const
+std::vector<LimitPeer> GrantorRanking::ranked(std::uint64_t limit) const
 {
     std::vector<LimitPeer> ranks = m_candidates;
-    std::ranges::sort(ranks, std::greater<>(), [customer](const LimitPeer &peer) {
-        return std::pair(weight(customer, peer), peer.member);
+    std::ranges::sort(ranks, std::greater<>(), [limit](const LimitPeer &peer) {
+        return std::pair(weight(limit, peer), peer.member);
     });
     return ranks;
 }
 
-const LimitPeer *GrantorRanking::highestRanked(std::uint64_t customer) const
+const LimitPeer *GrantorRanking::highestRanked(std::uint64_t limit) const
 {
-    const auto best = std::ranges::max_element(m_candidates, {}, [customer](const LimitPeer &peer) {
-        return std::pair(weight(customer, peer), peer.member);
+    const auto best = std::ranges::max_element(m_candidates, {}, [limit](const LimitPeer &peer) {
+        return std::pair(weight(limit, peer), peer.member);
     });
     return best == m_candidates.end() ? nullptr : &*best;
 }
 
-std::vector<LimitPeer> GrantorRanking::possibleGrantors(std::uint64_t customer,
+std::vector<LimitPeer> GrantorRanking::possibleGrantors(std::uint64_t limit,
                                                         std::uint64_t self) const
 {
-    std::vector<LimitPeer> asked = ranked(customer);
+    std::vector<LimitPeer> asked = ranked(limit);
     std::erase_if(asked, [self](const LimitPeer &peer) { return peer.member == self; });
     asked.resize(std::min(asked.size(), MaximumClaimReceivers));
     asked.insert(asked.end(), m_leaving.begin(), m_leaving.end());
--- a/packages/dispatch/apricothook/dispatch/apricothook_grantor_role.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_grantor_role.cpp
@@ -45,20 +45,16 @@
 {
 }
 
-void GrantorRole::setCustomers(const std::vector<CustomerRule> &customers,
-                               const FleetBounds &bounds, Instant now)
+void GrantorRole::setBudgets(const UnitBudgets &budgets, Instant now)
 {
     std::map<std::uint64_t, Role> current;
-    for (const CustomerRule &customer : customers) {
-        if (customer.ratePerSecond <= 0)
-            continue;
-        const std::uint64_t number = customerHash(customer.name);
-        const auto known = m_roles.find(number);
+    for (const auto &[limit, budget] : budgets) {
+        const auto known = m_roles.find(limit);
         Role role = known == m_roles.end() ? Role() : std::move(known->second);
-        role.budget = budgetOf(customer, bounds);
+        role.budget = budget;
         if (role.state == State::Grantor)
             role.bucket.setBudget(role.budget, now);
-        current.emplace(number, std::move(role));
+        current.emplace(limit, std::move(role));
     }
     m_roles = std::move(current);
 }
@@ -73,15 +69,15 @@
 void GrantorRole::setLimitFraction(double limitFraction, Instant now)
 {
     m_limitFraction = limitFraction;
-    for (auto &[customer, role] : m_roles) {
+    for (auto &[limit, role] : m_roles) {
         if (role.state == State::Grantor)
             role.bucket.setLimitFraction(limitFraction, now);
     }
 }
 
-bool GrantorRole::isGrantor(std::uint64_t customer) const
+bool GrantorRole::isGrantor(std::uint64_t limit) const
 {
-    const auto role = m_roles.find(customer);
+    const auto role = m_roles.find(limit);
     return role != m_roles.end() && role->second.state == State::Grantor;
 }
 
@@ -90,11 +86,11 @@
     const bool wasStalled = now - std::exchange(m_lastReview, now) > StallTimeout;
     if (!wasStalled)
         return;
-    for (auto &[customer, role] : m_roles) {
+    for (auto &[limit, role] : m_roles) {
         if (role.state != State::Grantor)
             continue;
         role.retainedUnits = role.bucket.takeAll(now);
-        startClaim(customer, role, now);
+        startClaim(limit, role, now);
     }
 }
 
@@ -102,48 +98,48 @@
 {
     handleStall(now);
     m_knowsFleet = knowsFleet;
-    for (auto &[customer, role] : m_roles)
-        review(customer, role, now);
+    for (auto &[limit, role] : m_roles)
+        review(limit, role, now);
 }
 
-bool GrantorRole::ranksFirst(std::uint64_t customer) const
+bool GrantorRole::ranksFirst(std::uint64_t limit) const
 {
-    const LimitPeer *first = m_ranking.highestRanked(customer);
+    const LimitPeer *first = m_ranking.highestRanked(limit);
     return first && first->member == m_self.member;
 }
 
-void GrantorRole::review(std::uint64_t customer, Role &role, Instant now)
+void GrantorRole::review(std::uint64_t limit, Role &role, Instant now)
 {
     switch (role.state) {
     case State::NotGrantor:
-        if (mayClaim(customer, role, now))
-            startClaim(customer, role, now);
+        if (mayClaim(limit, role, now))
+            startClaim(limit, role, now);
         return;
     case State::Claiming:
         if (now - role.stateSince >= ClaimTimeout)
-            becomeGrantor(customer, role, 0, GrantorChange::TakenEmpty, now);
+            becomeGrantor(limit, role, 0, GrantorChange::TakenEmpty, now);
         else if (now - role.lastClaim >= ClaimInterval)
-            sendClaim(customer, role, now);
+            sendClaim(limit, role, now);
         return;
     case State::Grantor:
         role.bucket.refill(now);
         // The daemon that ranks first may be a grantor as well, after a partition or if each daemon
-        // knew only part of the fleet. It then hands over, or claims the customer from this daemon.
-        if (!ranksFirst(customer) && now - role.lastClaim >= UnitBucket::LongestRefill)
-            sendClaim(customer, role, now);
+        // knew only part of the fleet. It then hands over, or claims the limit from this daemon.
+        if (!ranksFirst(limit) && now - role.lastClaim >= UnitBucket::LongestRefill)
+            sendClaim(limit, role, now);
         return;
     }
 }
 
-bool GrantorRole::mayClaim(std::uint64_t customer, const Role &role, Instant now) const
+bool GrantorRole::mayClaim(std::uint64_t limit, const Role &role, Instant now) const
 {
     const bool reachesEnough = reachesFleet() || (m_limitFraction > 0 && now >= role.noClaimBefore);
-    return ranksFirst(customer) && m_knowsFleet && reachesEnough;
+    return ranksFirst(limit) && m_knowsFleet && reachesEnough;
 }
 
-bool GrantorRole::isAmongHighestRanked(std::uint64_t customer) const
+bool GrantorRole::isAmongHighestRanked(std::uint64_t limit) const
 {
-    const std::vector<LimitPeer> ranks = m_ranking.ranked(customer);
+    const std::vector<LimitPeer> ranks = m_ranking.ranked(limit);
     const auto end = ranks.begin()
         + static_cast<std::ptrdiff_t>(
                          std::min(ranks.size(), GrantorRanking::MaximumClaimReceivers));
@@ -153,7 +149,7 @@
 std::optional<Instant> GrantorRole::nextReview() const
 {
     std::optional<Instant> next;
-    for (const auto &[customer, role] : m_roles) {
+    for (const auto &[limit, role] : m_roles) {
         if (role.state == State::Claiming)
             next = std::min(
                 next.value_or(Instant::max()),
@@ -162,30 +158,29 @@
     return next;
 }
 
-void GrantorRole::startClaim(std::uint64_t customer, Role &role, Instant now)
+void GrantorRole::startClaim(std::uint64_t limit, Role &role, Instant now)
 {
     role.state = State::Claiming;
     role.stateSince = now;
     role.claimId = m_random.next() | 1;
     role.pendingDenials.clear();
-    for (const LimitPeer &peer : m_ranking.possibleGrantors(customer, m_self.member))
+    for (const LimitPeer &peer : m_ranking.possibleGrantors(limit, m_self.member))
         role.pendingDenials.insert(peer.member);
-    if (m_ranking.possibleGrantors(customer, m_self.member).empty())
-        becomeGrantor(customer, role, 0, GrantorChange::TakenEmpty, now);
+    if (m_ranking.possibleGrantors(limit, m_self.member).empty())
+        becomeGrantor(limit, role, 0, GrantorChange::TakenEmpty, now);
     else
-        sendClaim(customer, role, now);
+        sendClaim(limit, role, now);
 }
 
-void GrantorRole::sendClaim(std::uint64_t customer, Role &role, Instant now)
+void GrantorRole::sendClaim(std::uint64_t limit, Role &role, Instant now)
 {
     role.lastClaim = now;
-    for (const LimitPeer &peer : m_ranking.possibleGrantors(customer, m_self.member))
-        m_messenger.send(peer.address,
-                         GrantorClaim {m_self, role.claimId, customer, reachesFleet()});
+    for (const LimitPeer &peer : m_ranking.possibleGrantors(limit, m_self.member))
+        m_messenger.send(peer.address, GrantorClaim {m_self, role.claimId, limit, reachesFleet()});
 }
 
-void GrantorRole::becomeGrantor(std::uint64_t customer, Role &role, double level,
-                                GrantorChange change, Instant now)
+void GrantorRole::becomeGrantor(std::uint64_t limit, Role &role, double level, GrantorChange change,
+                                Instant now)
 {
     // Units that accrued during the claim are for the requests that wait for its end. If the former
     // grantor is alive but unheard, both granted for that time; the budget allows for it.
@@ -196,7 +191,7 @@
     role.bucket.setLimitFraction(m_limitFraction, now);
     const double accrued = vacancy.count() * role.bucket.perSecond();
     role.bucket.add(level + accrued + std::exchange(role.retainedUnits, 0), now);
-    m_listener.onGrantorChanged(customer, change, role.bucket.level());
+    m_listener.onGrantorChanged(limit, change, role.bucket.level());
 }
 
 bool GrantorRole::hasFleetJustStarted(Instant now) const
@@ -217,8 +212,8 @@
     const double level = role.bucket.takeAll(now);
     role.state = State::NotGrantor;
     role.stateSince = now;
-    role.lastHandover = {m_random.next(), claim.claim, claim.customer, wholeUnits(level)};
-    m_listener.onGrantorChanged(claim.customer, GrantorChange::HandedOver, level);
+    role.lastHandover = {m_random.next(), claim.claim, claim.limit, wholeUnits(level)};
+    m_listener.onGrantorChanged(claim.limit, GrantorChange::HandedOver, level);
     m_messenger.send(claim.sender.address, role.lastHandover);
 }
 
@@ -228,18 +223,18 @@
     UnitsReply reply;
     reply.member = m_self.member;
     reply.requestId = request.requestId;
-    const auto found = m_roles.find(request.customer);
+    const auto found = m_roles.find(request.limit);
     if (found == m_roles.end())
         return reply;
     Role &role = found->second;
     const bool mayTakeOver = request.firstIsSilent && m_knowsFleet;
-    if (role.state == State::NotGrantor && mayTakeOver && isAmongHighestRanked(request.customer))
-        startClaim(request.customer, role, now);
-    // A daemon that reaches few others leaves the customer to the grantor of the rest.
+    if (role.state == State::NotGrantor && mayTakeOver && isAmongHighestRanked(request.limit))
+        startClaim(request.limit, role, now);
+    // A daemon that reaches few others leaves the limit to the grantor of the rest.
     if (role.state != State::Grantor || m_limitFraction <= 0) {
         reply.outcome
             = role.state == State::Claiming ? UnitsOutcome::Pending : UnitsOutcome::NotGrantor;
-        if (const LimitPeer *first = m_ranking.highestRanked(request.customer);
+        if (const LimitPeer *first = m_ranking.highestRanked(request.limit);
             first && *first != m_self)
             reply.grantor = *first;
         return reply;
@@ -263,7 +258,7 @@
 void GrantorRole::take(const GrantorClaim &claim, Instant now)
 {
     handleStall(now);
-    const auto found = m_roles.find(claim.customer);
+    const auto found = m_roles.find(claim.limit);
     if (found == m_roles.end())
         return;
     Role &role = found->second;
@@ -272,7 +267,7 @@
     const bool reachesLess = role.state == State::Grantor && claim.reachesFleet && !reachesFleet();
     if (reachesLess)
         role.noClaimBefore = now + ReclaimDelay;
-    if (reachesLess || m_ranking.ranksBefore(claim.sender, m_self, claim.customer))
+    if (reachesLess || m_ranking.ranksBefore(claim.sender, m_self, claim.limit))
         yield(claim, role, now);
     else
         claimFrom(claim, role, now);
@@ -295,13 +290,12 @@
 
 void GrantorRole::deny(const GrantorClaim &claim)
 {
-    m_messenger.send(claim.sender.address,
-                     GrantorDenial {m_self.member, claim.claim, claim.customer});
+    m_messenger.send(claim.sender.address, GrantorDenial {m_self.member, claim.claim, claim.limit});
 }
 
 void GrantorRole::take(const GrantorDenial &denial, Instant now)
 {
-    const auto found = m_roles.find(denial.customer);
+    const auto found = m_roles.find(denial.limit);
     if (found == m_roles.end())
         return;
     Role &role = found->second;
@@ -309,13 +303,13 @@
         return;
     role.pendingDenials.erase(denial.member);
     if (role.pendingDenials.empty() && hasFleetJustStarted(now))
-        becomeGrantor(denial.customer, role, 0, GrantorChange::TakenEmpty, now);
+        becomeGrantor(denial.limit, role, 0, GrantorChange::TakenEmpty, now);
 }
 
 void GrantorRole::claimFrom(const GrantorClaim &claim, Role &role, Instant now)
 {
-    if (role.state == State::NotGrantor && mayClaim(claim.customer, role, now))
-        startClaim(claim.customer, role, now);
+    if (role.state == State::NotGrantor && mayClaim(claim.limit, role, now))
+        startClaim(claim.limit, role, now);
     if (role.state == State::NotGrantor)
         deny(claim);
     // Two daemons that disagree on the ranking must not answer each other without a pause.
@@ -323,7 +317,7 @@
         return;
     role.lastClaimAnswer = now;
     m_messenger.send(claim.sender.address,
-                     GrantorClaim {m_self, role.claimId, claim.customer, reachesFleet()});
+                     GrantorClaim {m_self, role.claimId, claim.limit, reachesFleet()});
 }
 
 bool GrantorRole::isNewHandover(std::uint64_t handover)
@@ -338,7 +332,7 @@
 
 void GrantorRole::take(const GrantorHandover &handover, Instant now)
 {
-    const auto found = m_roles.find(handover.customer);
+    const auto found = m_roles.find(handover.limit);
     if (found == m_roles.end())
         return;
     Role &role = found->second;
@@ -348,8 +342,8 @@
     if (role.state == State::Grantor)
         role.bucket.add(level, now);
     else if (role.state == State::Claiming)
-        becomeGrantor(handover.customer, role, level, GrantorChange::TakenOver, now);
-    // A daemon that has yielded in the meantime drops the units; the customer's next grantor starts
+        becomeGrantor(handover.limit, role, level, GrantorChange::TakenOver, now);
+    // A daemon that has yielded in the meantime drops the units; the limit's next grantor starts
     // empty.
 }
 
--- a/packages/dispatch/apricothook/dispatch/apricothook_grantor_role.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_grantor_role.hpp
@@ -12,34 +12,34 @@
 
 namespace Apricothook {
 
-/** How a daemon became a customer's grantor, or ceased to be it. */
+/** How a daemon became a limit's grantor, or ceased to be it. */
 enum class GrantorChange {
     TakenOver,  ///< Another daemon handed over its remaining units.
     TakenEmpty, ///< No other daemon answered; the bucket starts empty.
-    HandedOver, ///< Another daemon claimed the customer.
+    HandedOver, ///< Another daemon claimed the limit.
 };
 
 std::string_view nameOf(GrantorChange change);
 
-/** Notified when this daemon becomes or ceases to be a customer's grantor. */
+/** Notified when this daemon becomes or ceases to be a limit's grantor. */
 class GrantorListener
 {
 public:
     virtual ~GrantorListener() = default;
-    virtual void onGrantorChanged(std::uint64_t customer, GrantorChange change, double level) = 0;
+    virtual void onGrantorChanged(std::uint64_t limit, GrantorChange change, double level) = 0;
 };
 
 /**
- * Manages the customers whose units this daemon grants.
+ * Manages the limits whose units this daemon grants.
  *
  * Units are created in a single bucket, at one daemon at a time, and are taken from it before a
  * request may use them. A new grantor starts empty unless the former one handed over its remaining
  * units, so both together grant what one bucket allows. A lost message loses units but never
  * creates any.
  *
- * The daemon that ranks first by GrantorRanking claims the customer from those that rank next and
+ * The daemon that ranks first by GrantorRanking claims the limit from those that rank next and
  * waits ClaimTimeout for an answer. A daemon that is asked for units because those before it are
- * silent does the same. If two daemons claim a customer, the lower-ranked one yields and hands over
+ * silent does the same. If two daemons claim a limit, the lower-ranked one yields and hands over
  * its units.
  */
 class GrantorRole
@@ -67,23 +67,22 @@
     GrantorRole(LimitPeer self, LimitMessenger &messenger, GrantorListener &listener,
                 RandomSource &random);
 
-    /** Customers without a limit and removed customers have no grantor. */
-    void setCustomers(const std::vector<CustomerRule> &customers, const FleetBounds &bounds,
-                      Instant now);
+    /** Replaces all limits; those that aren't among `budgets` have no grantor. */
+    void setBudgets(const UnitBudgets &budgets, Instant now);
     /** `startedTogether`: start time of this daemon if all others started with it. */
     void setMembers(std::vector<GrantorCandidate> members,
                     std::optional<Instant> startedTogether = std::nullopt);
     /**
-     * Sets the fraction of the customers' limits that this daemon may grant, from
+     * Sets the fraction of the limits that this daemon may grant, from
      * limitFractionOf().
      */
     void setLimitFraction(double limitFraction, Instant now);
-    /** `knowsFleet`: this daemon has heard from the others, so it may claim customers. */
+    /** `knowsFleet`: this daemon has heard from the others, so it may claim limits. */
     void review(bool knowsFleet, Instant now);
     /** Next time at which review() has to repeat or end a claim; empty if there is none. */
     std::optional<Instant> nextReview() const;
 
-    bool isGrantor(std::uint64_t customer) const;
+    bool isGrantor(std::uint64_t limit) const;
     /** Whether this daemon may become a grantor, so that its reachability must be estimated. */
     bool isCandidate() const { return m_ranking.isCandidate(m_self); }
     UnitsReply answer(const UnitsRequest &request, Instant now);
@@ -102,7 +101,7 @@
     struct Role
     {
         State state = State::NotGrantor;
-        CustomerBudget budget;
+        UnitBudget budget;
         UnitBucket bucket;
         /** Own units that are retained while another grantor is searched for. */
         double retainedUnits = 0;
@@ -122,14 +121,14 @@
     };
 
     bool reachesFleet() const { return m_limitFraction >= 1; }
-    bool ranksFirst(std::uint64_t customer) const;
-    bool mayClaim(std::uint64_t customer, const Role &role, Instant now) const;
+    bool ranksFirst(std::uint64_t limit) const;
+    bool mayClaim(std::uint64_t limit, const Role &role, Instant now) const;
     /**
      * Whether this daemon is among the highest-ranked ones, whose claims reach each other, so that
      * all but one of them yield.
      */
-    bool isAmongHighestRanked(std::uint64_t customer) const;
-    void review(std::uint64_t customer, Role &role, Instant now);
+    bool isAmongHighestRanked(std::uint64_t limit) const;
+    void review(std::uint64_t limit, Role &role, Instant now);
     /** Whether all daemons have just started, so that no units were granted before. */
     bool hasFleetJustStarted(Instant now) const;
     /**
@@ -137,19 +136,19 @@
      */
     Instant vacantSince(const Role &role, Instant now) const;
     /**
-     * Claims all customers again if this daemon was stalled: another one may have taken them over.
+     * Claims all limits again if this daemon was stalled: another one may have taken them over.
      */
     void handleStall(Instant now);
-    void startClaim(std::uint64_t customer, Role &role, Instant now);
+    void startClaim(std::uint64_t limit, Role &role, Instant now);
     void deny(const GrantorClaim &claim);
-    void sendClaim(std::uint64_t customer, Role &role, Instant now);
-    void becomeGrantor(std::uint64_t customer, Role &role, double level, GrantorChange change,
+    void sendClaim(std::uint64_t limit, Role &role, Instant now);
+    void becomeGrantor(std::uint64_t limit, Role &role, double level, GrantorChange change,
                        Instant now);
     void handOver(const GrantorClaim &claim, Role &role, Instant now);
-    /** Leaves the customer to the sender, which ranks before this daemon. */
+    /** Leaves the limit to the sender, which ranks before this daemon. */
     void yield(const GrantorClaim &claim, Role &role, Instant now);
     /**
-     * Claims the customer from the sender, which ranks after this daemon and may be its grantor.
+     * Claims the limit from the sender, which ranks after this daemon and may be its grantor.
      */
     void claimFrom(const GrantorClaim &claim, Role &role, Instant now);
     bool isNewHandover(std::uint64_t handover);
--- a/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
@@ -7,7 +7,7 @@
 
 namespace Apricothook {
 
-/** A daemon as identified and addressed in messages about customers' limits. */
+/** A daemon as identified and addressed in messages about limits. */
 struct LimitPeer
 {
     /** memberHash() of the daemon's name. */
@@ -23,13 +23,14 @@
     auto operator<=>(const LimitPeer &) const = default;
 };
 
-/** Requests units of a customer. */
+/** Requests units of a limit. */
 struct UnitsRequest
 {
     LimitPeer sender;
     /** Number of this message at the sender. */
     std::uint64_t requestId = 0;
-    std::uint64_t customer = 0; ///< customerHash() of the customer's name.
+    /** Identifies the limit: customerHash() or targetHash(). */
+    std::uint64_t limit = 0;
     /** Units for a request that is waiting for them. */
     std::uint64_t units = 0;
     /** Units for requests that are expected; granted while the bucket is more than half full. */
@@ -42,7 +43,7 @@
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.sender, self.requestId, self.customer, self.units, self.prefetch,
+        archive(self.sender, self.requestId, self.limit, self.units, self.prefetch,
                 self.reservedThousandths, self.firstIsSilent);
     }
     auto operator<=>(const UnitsRequest &) const = default;
@@ -51,9 +52,9 @@
 /** Outcome of a request for units. */
 enum class UnitsOutcome : std::uint8_t {
     Granted,
-    Refused,    ///< The customer is over its limit.
-    Pending,    ///< The answering daemon is about to become the customer's grantor.
-    NotGrantor, ///< The answering daemon isn't the customer's grantor.
+    Refused,    ///< The bucket doesn't hold the units.
+    Pending,    ///< The answering daemon is about to become the limit's grantor.
+    NotGrantor, ///< The answering daemon isn't the limit's grantor.
 };
 
 constexpr bool isKnown(UnitsOutcome outcome)
@@ -94,60 +95,83 @@
 };
 
 /**
- * The sender is to become the customer's grantor; the current one hands over its remaining units.
+ * The sender is to become the limit's grantor; the current one hands over its remaining units.
  */
 struct GrantorClaim
 {
     LimitPeer sender;
     std::uint64_t claim = 0; ///< Identifies this claim across all daemons and processes.
-    std::uint64_t customer = 0;
+    std::uint64_t limit = 0;
     /** The sender reaches enough of the fleet to grant the full limit. */
     bool reachesFleet = true;
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.sender, self.claim, self.customer, self.reachesFleet);
+        archive(self.sender, self.claim, self.limit, self.reachesFleet);
     }
     auto operator<=>(const GrantorClaim &) const = default;
 };
 
-/** The units that a customer's grantor had left when it stopped granting. */
+/** The units that a limit's grantor had left when it stopped granting. */
 struct GrantorHandover
 {
     /** Identifies this handover; a duplicated datagram counts once. */
     std::uint64_t handover = 0;
     /** The claim that this message answers. */
     std::uint64_t claim = 0;
-    std::uint64_t customer = 0;
+    std::uint64_t limit = 0;
     std::uint64_t level = 0;
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.handover, self.claim, self.customer, self.level);
+        archive(self.handover, self.claim, self.limit, self.level);
     }
     auto operator<=>(const GrantorHandover &) const = default;
 };
 
-/** The sender isn't the customer's grantor and leaves the customer to the claiming daemon. */
+/** The sender isn't the limit's grantor and leaves the limit to the claiming daemon. */
 struct GrantorDenial
 {
     std::uint64_t member = 0; ///< memberHash() of the sender.
     /** The claim that this message answers. */
     std::uint64_t claim = 0;
-    std::uint64_t customer = 0;
+    std::uint64_t limit = 0;
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.member, self.claim, self.customer);
+        archive(self.member, self.claim, self.limit);
     }
     auto operator<=>(const GrantorDenial &) const = default;
 };
 
-using LimitMessage
-    = std::variant<UnitsRequest, UnitsReply, GrantorClaim, GrantorHandover, GrantorDenial>;
+/** A limit that a target named in an answer, or that it ended by an answer without one. */
+struct TargetLimitNotice
+{
+    /** Address of the sender's datagrams, for the reply of a daemon that knows better. */
+    Endpoint sender;
+    std::uint64_t target = 0; ///< targetHash() of the instance.
+    bool isLimited = false;
+    /** Requests per second from all daemons together, in thousandths. */
+    std::uint64_t thousandthsPerSecond = 0;
+    /** Milliseconds since the target is known to have named it. */
+    std::uint32_t ageMs = 0;
+    /** Sent to all daemons, by one that has just got an answer. */
+    bool isAnnouncement = false;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.sender, self.target, self.isLimited, self.thousandthsPerSecond, self.ageMs,
+                self.isAnnouncement);
+    }
+    auto operator<=>(const TargetLimitNotice &) const = default;
+};
+
+using LimitMessage = std::variant<UnitsRequest, UnitsReply, GrantorClaim, GrantorHandover,
+                                  GrantorDenial, TargetLimitNotice>;
 
 /** Sends messages about limits to other daemons; each may be lost, delayed or duplicated. */
 class LimitMessenger
@@ -155,6 +179,8 @@
 public:
     virtual ~LimitMessenger() = default;
     virtual void send(const Endpoint &to, const LimitMessage &message) = 0;
+    /** Sends the message to all other daemons that are known to live. */
+    virtual void broadcast(const LimitMessage &message) = 0;
 };
 
 } // namespace Apricothook
--- a/packages/dispatch/apricothook/dispatch/apricothook_local_units.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_local_units.cpp
@@ -46,7 +46,7 @@
     return true;
 }
 
-bool LocalUnits::tryTakeCredit(double units, const CustomerBudget &budget, std::size_t daemons,
+bool LocalUnits::tryTakeCredit(double units, const UnitBudget &budget, std::size_t daemons,
                                Instant now)
 {
     const double share = 1.0 / static_cast<double>(std::max<std::size_t>(daemons, 1));
--- a/packages/dispatch/apricothook/dispatch/apricothook_local_units.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_local_units.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_customer_budget.hpp>
+#include <apricothook/dispatch/apricothook_unit_budget.hpp>
 #include <apricothook/model/apricothook_time.hpp>
 
 #include <deque>
@@ -19,8 +19,7 @@
     /** Takes units that were granted. */
     bool tryTake(double units, Instant now);
     /** Takes units of the credit, of which this daemon has one share in `daemons`. */
-    bool tryTakeCredit(double units, const CustomerBudget &budget, std::size_t daemons,
-                       Instant now);
+    bool tryTakeCredit(double units, const UnitBudget &budget, std::size_t daemons, Instant now);
     double granted(Instant now);
 
     /** Records admitted units for expectedDemand(). */
--- a/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
@@ -164,6 +164,13 @@
      */
     double coldOvershoot = 1;
     double coldSlack = 0;
+    /**
+     * Requests that a target which names a limit may receive in any `targetLimitWindow`: what the
+     * limit allows, multiplied by one plus the overshoot, plus the slack.
+     */
+    Duration targetLimitWindow = std::chrono::seconds(4);
+    double targetLimitOvershoot = 0.5;
+    double targetLimitSlack = 5;
     /** Interval at which a target writes its entry. */
     Duration entryInterval = std::chrono::milliseconds(1200);
     /** Time within which published state takes effect at every daemon. */
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -3,6 +3,7 @@
 #include <apricothook/model/apricothook_hashing.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Apricothook {
@@ -193,9 +194,67 @@
     const bool isLimited = target.sendsPerSecond != ColdTargetLimiter::Unlimited;
     if (isLimited && target.recentSends.count(now) >= target.sendsPerSecond)
         return 0;
+    if (target.awaitsUnit || target.heldUntil > now)
+        return 0;
     return target.cellSlots - std::min(target.cellSlots, target.load());
 }
 
+std::uint32_t TargetTable::usableSlots(const TrackedTarget &target, double meanHoldTime) const
+{
+    if (!target.limitPerSecond)
+        return target.cellSlots;
+    constexpr double MillisecondsPerSecond = 1000;
+    const double share = target.cellSlots / std::max<double>(target.entry.slots, 1);
+    const double occupied = *target.limitPerSecond * share * meanHoldTime / MillisecondsPerSecond;
+    return static_cast<std::uint32_t>(std::min<double>(target.cellSlots, std::ceil(occupied)));
+}
+
+void TargetTable::setLimit(std::uint64_t target, std::optional<double> perSecond)
+{
+    const auto id = m_idsByHash.find(target);
+    TrackedTarget *found = id == m_idsByHash.end() ? nullptr : find(id->second);
+    if (!found || found->limitPerSecond == perSecond)
+        return;
+    found->limitPerSecond = perSecond;
+    found->heldUntil = {};
+}
+
+std::string TargetTable::nameOf(std::uint64_t target) const
+{
+    const auto id = m_idsByHash.find(target);
+    return id == m_idsByHash.end() ? std::string() : id->second.text();
+}
+
+std::size_t TargetTable::limitedCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_targets, [](const auto &entry) { return entry.second.limitPerSecond.has_value(); }));
+}
+
+void TargetTable::unitRequested(const TargetInstance &target)
+{
+    if (TrackedTarget *found = find(target))
+        found->awaitsUnit = true;
+}
+
+void TargetTable::unitDecided(const TargetInstance &target, Instant heldUntil)
+{
+    if (TrackedTarget *found = find(target)) {
+        found->awaitsUnit = false;
+        found->heldUntil = heldUntil;
+    }
+}
+
+std::optional<Instant> TargetTable::nextUnitTime(Instant now) const
+{
+    std::optional<Instant> next;
+    for (const auto &[id, target] : m_targets) {
+        if (target.heldUntil > now)
+            next = std::min(next.value_or(target.heldUntil), target.heldUntil);
+    }
+    return next;
+}
+
 void TargetTable::assignAllSlots()
 {
     for (const auto &[service, targets] : m_services)
@@ -456,14 +515,15 @@
     for (const TrackedTarget *target : candidates) {
         if (!acceptsRequests(*target) || requirements.excluded.contains(target->entry.instance()))
             continue;
-        if (target->sendsPerSecond == 0)
+        if (target->sendsPerSecond == 0 || target->heldUntil > now)
             continue;
         const Forecast expected = forecast(*target, requirements.size, average);
         const Rank rank {target->avoidedUntil > now, expected.whole > timeToEnd,
                          expected.first > timeToFirstEvent, cost(*target, expected)};
         const bool isForeign = ofOtherCells && target->cellSlots == 0;
-        const bool hasFreeSlot
-            = isForeign ? target->load() < SlotsAtOtherCells : freeSlots(*target, now) > 0;
+        const bool hasFreeSlot = isForeign
+            ? !target->awaitsUnit && target->load() < SlotsAtOtherCells
+            : freeSlots(*target, now) > 0;
         if (!hasFreeSlot) {
             fullTargetIsHealthy |= !rank.isAvoided;
             fullTargetMeetsDeadline |= !rank.isAvoided && !rank.missesDeadline;
@@ -504,7 +564,9 @@
 bool TargetTable::hasCapacity(const ServiceId &service, Instant now) const
 {
     const ServiceTargets &targets = targetsOf(service);
-    const auto isHealthy = [now](const auto *target) { return target->avoidedUntil <= now; };
+    const auto isHealthy = [now](const auto *target) {
+        return target->avoidedUntil <= now && target->heldUntil <= now;
+    };
     const bool usesOtherCells = targets.ofCell.size() < targets.all.size()
         && std::ranges::none_of(targets.ofCell, isHealthy);
     return usesOtherCells || std::ranges::any_of(targets.ofCell, [this, now](const auto *target) {
@@ -515,15 +577,17 @@
 ServiceCapacity TargetTable::capacity(const ServiceId &service, Instant now) const
 {
     ServiceCapacity capacity;
+    capacity.meanHoldTime = averageSpeed(service).hold;
     for (const TrackedTarget *target : targetsOf(service).ofCell) {
         if (target->avoidedUntil > now)
             continue;
-        capacity.slots += target->cellSlots;
-        capacity.free += freeSlots(*target, now);
+        const std::uint32_t usable = usableSlots(*target, capacity.meanHoldTime);
+        capacity.slots += usable;
+        capacity.free += std::min(usable, freeSlots(*target, now));
+        capacity.limited += target->limitPerSecond ? 1 : 0;
     }
     capacity.evacuated = targetsOf(service).evacuated;
     capacity.cold = targetsOf(service).cold;
-    capacity.meanHoldTime = averageSpeed(service).hold;
     return capacity;
 }
 
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -76,6 +76,12 @@
     std::uint32_t sendsPerSecond = ColdTargetLimiter::Unlimited;
     /** This daemon's requests to the target, if its service limits requests to cold targets. */
     RecentSends recentSends;
+    /** Requests per second that the target takes from all daemons, if it names a limit. */
+    std::optional<double> limitPerSecond;
+    /** A request of this daemon waits for a unit of the target's limit. */
+    bool awaitsUnit = false;
+    /** Until this time the target's limit has no unit for this daemon. */
+    Instant heldUntil {};
 
     /** Known requests, which are those of this daemon's cell. */
     std::uint32_t load() const { return ownRequests + requestsOfOthers; }
@@ -110,6 +116,8 @@
     std::uint32_t evacuated = 0;
     /** Cold targets of the service, over all cells. */
     std::uint32_t cold = 0;
+    /** Targets of this daemon's cell that name a limit. */
+    std::uint32_t limited = 0;
 };
 
 /** The known targets, their load across all daemons and their speeds. Not thread-safe. */
@@ -145,6 +153,18 @@
     /** Whether some service limits requests to its cold targets. */
     bool limitsColdTargets() const { return m_coldLimiter.limitsAny(); }
     std::size_t coldCount() const;
+    /** Sets the requests per second that the target takes from all daemons; empty for no limit. */
+    void setLimit(std::uint64_t target, std::optional<double> perSecond);
+    std::size_t limitedCount() const;
+    bool isKnown(std::uint64_t target) const { return m_idsByHash.contains(target); }
+    /** The target's id for the log; empty if it isn't known. */
+    std::string nameOf(std::uint64_t target) const;
+    /** A request is to be sent to the target as soon as it has a unit of the target's limit. */
+    void unitRequested(const TargetInstance &target);
+    /** The request has its unit, or there is none before `heldUntil`. */
+    void unitDecided(const TargetInstance &target, Instant heldUntil);
+    /** Earliest time at which a target's limit has units again; empty if none is held. */
+    std::optional<Instant> nextUnitTime(Instant now) const;
     /** Lifts the limits of targets that are no longer cold. */
     void review(Instant now);
 
@@ -161,6 +181,8 @@
      * better.
      */
     const TrackedTarget *choose(const TargetRequirements &requirements, Instant now) const;
+    /** Whether the target is neither draining nor in an evacuated data centre. */
+    bool acceptsRequests(const TrackedTarget &target) const;
     /** Whether some target of the service takes requests and isn't among `excluded`. */
     bool hasAlternative(const ServiceId &service, const std::set<TargetInstance> &excluded) const;
     /** Whether the service has targets, and all that could serve are in evacuated data centres. */
@@ -196,10 +218,10 @@
     void assignSlots(const ServiceId &service);
     void assignColdSlots();
     void assignAllSlots();
-    /** Whether the target is neither draining nor in an evacuated data centre. */
-    bool acceptsRequests(const TrackedTarget &target) const;
     /** Free slots of the target that this daemon's cell may use now. */
     std::uint32_t freeSlots(const TrackedTarget &target, Instant now) const;
+    /** Slots that requests of this cell may occupy at the target, with regard to its limit. */
+    std::uint32_t usableSlots(const TrackedTarget &target, double meanHoldTime) const;
     void updateCold(TrackedTarget &target, Instant until, Instant now) const;
     const ServiceTargets &targetsOf(const ServiceId &service) const;
     AverageSpeed averageSpeed(const ServiceId &service) const;
--- a/packages/dispatch/apricothook/dispatch/apricothook_unit_bucket.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_unit_bucket.cpp
@@ -13,7 +13,7 @@
     m_level = std::min(m_level + seconds * perSecond(), size());
 }
 
-void UnitBucket::setBudget(const CustomerBudget &budget, Instant now)
+void UnitBucket::setBudget(const UnitBudget &budget, Instant now)
 {
     refill(now);
     m_budget = budget;
--- a/packages/dispatch/apricothook/dispatch/apricothook_unit_bucket.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_unit_bucket.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_customer_budget.hpp>
+#include <apricothook/dispatch/apricothook_unit_budget.hpp>
 #include <apricothook/model/apricothook_time.hpp>
 
 namespace Apricothook {
@@ -13,7 +13,7 @@
 {
 public:
     UnitBucket() = default;
-    UnitBucket(const CustomerBudget &budget, Instant now) : m_budget(budget), m_lastRefill(now) { }
+    UnitBucket(const UnitBudget &budget, Instant now) : m_budget(budget), m_lastRefill(now) { }
 
     /**
      * A longer time without a call adds no units: the daemon was stalled, and another may have
@@ -23,7 +23,7 @@
 
     void refill(Instant now);
     /** Time that has passed counts at the previous rate. */
-    void setBudget(const CustomerBudget &budget, Instant now);
+    void setBudget(const UnitBudget &budget, Instant now);
     /**
      * Fraction of the limit that this grantor may grant; the rest of the fleet may have a grantor
      * of its own.
@@ -47,7 +47,7 @@
 private:
     double needed(const UnitDemand &demand) const;
 
-    CustomerBudget m_budget;
+    UnitBudget m_budget;
     double m_level = 0;
     double m_limitFraction = 1;
     Instant m_lastRefill {};
--- a/packages/dispatch/apricothook/dispatch/apricothook_customer_budget.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.hpp
@@ -2,10 +2,14 @@
 
 #include <apricothook/dispatch/apricothook_serving_configuration.hpp>
 
+#include <cstdint>
+#include <map>
+
 namespace Apricothook {
 
 /**
- * Splits the units that a customer may use within a window; all values are in units of its limit.
+ * Splits the units of a limit that may be used within a window. Units of a target's limit are
+ * requests.
  *
  * The limit of a window is what rate and burst allow, multiplied by one plus the overshoot, plus
  * the slack. A single bucket for the whole fleet, refilled at the plain rate, grants at most
@@ -15,7 +19,7 @@
  * and half for daemons that reach no grantor. Each of these is capped in time or in units, so the
  * sum stays within the limit.
  */
-struct CustomerBudget
+struct UnitBudget
 {
     double perSecond = 0;
     /** Capacity of the bucket. */
@@ -29,14 +33,28 @@
     /** Time after which granted units expire. */
     Duration grantLifetime {};
 
-    auto operator<=>(const CustomerBudget &) const = default;
+    auto operator<=>(const UnitBudget &) const = default;
 };
 
-CustomerBudget budgetOf(const CustomerRule &customer, const FleetBounds &bounds);
+UnitBudget budgetOf(const CustomerRule &customer, const FleetBounds &bounds);
+
+/**
+ * The budget of a target that takes so many requests per second.
+ *
+ * A limit near zero would keep a target without answers, which alone can raise it. One unit of the
+ * slack therefore pays for a request in each window of the limit's bound, however low the limit is.
+ */
+UnitBudget targetBudget(double perSecond, const FleetBounds &bounds);
 
 /** Hash of a customer's name, for messages between daemons. */
 std::uint64_t customerHash(const CustomerId &customer);
 
+/** The budgets of limits, by the limit's hash. */
+using UnitBudgets = std::map<std::uint64_t, UnitBudget>;
+
+/** The budgets of all customers with a limit, by customerHash(). */
+UnitBudgets budgetsOf(const std::vector<CustomerRule> &customers, const FleetBounds &bounds);
+
 /** What a request needs of its customer's limit. */
 struct UnitDemand
 {
--- a/packages/dispatch/tests/apricothook_dispatcher_tests.cpp
+++ b/packages/dispatch/tests/apricothook_dispatcher_tests.cpp
@@ -66,8 +66,9 @@
     for (std::uint64_t id = 1; id <= 5; ++id)
         bench.offer(id);
     CHECK(bench.placements.refused.empty());
-    REQUIRE(bench.dispatcher.nextTimeout());
-    CHECK(*bench.dispatcher.nextTimeout() <= bench.clock.now() + std::chrono::milliseconds(400));
+    REQUIRE(bench.dispatcher.nextReview(bench.clock.now()));
+    CHECK(*bench.dispatcher.nextReview(bench.clock.now())
+          <= bench.clock.now() + std::chrono::milliseconds(400));
     bench.clock.advance(std::chrono::milliseconds(400));
     bench.dispatcher.review(bench.clock.now());
     CHECK(bench.placements.refused == std::vector<std::uint64_t> {5});
--- a/packages/dispatch/tests/apricothook_emulated_limits.cpp
+++ b/packages/dispatch/tests/apricothook_emulated_limits.cpp
@@ -32,12 +32,12 @@
 
 } // namespace
 
-struct EmulatedLimits::Node : private LimitMessenger, private LimitListener, private GrantorListener
+struct EmulatedLimits::Node : LimitMessenger, private LimitListener, private GrantorListener
 {
     Node(EmulatedLimits &fleet, std::size_t index, Duration firstTick)
         : fleet(fleet)
         , index(index)
-        , limits(fleet.m_bounds, peerOf(index), *this, *this, *this, fleet.random)
+        , limits(peerOf(index), *this, *this, *this, fleet.random)
         , started(fleet.now())
         , lastDiscovery(fleet.now())
         , lastTick(fleet.now() - Tick + firstTick)
@@ -46,11 +46,29 @@
 
     void send(const Endpoint &to, const LimitMessage &message) override
     {
+        if (const auto *request = std::get_if<UnitsRequest>(&message);
+            request && fleet.onUnitsRequest)
+            fleet.onUnitsRequest(index, to, request->limit);
         fleet.post(index, to, message);
     }
+    void broadcast(const LimitMessage &message) override
+    {
+        for (const auto &[other, heard] : lastHeard)
+            send(addressOf(other), message);
+    }
+    void take(const TargetLimitNotice &notice)
+    {
+        if (fleet.onNotice)
+            fleet.onNotice(index, notice);
+    }
+    template <typename Message>
+    void take(const Message &message)
+    {
+        limits.take(message, fleet.now());
+    }
     void onLimitDecided(ExchangeId exchange, const LimitDecision &decision) override
     {
-        fleet.decided(exchange.value(), decision);
+        fleet.decided(index, exchange.value(), decision);
     }
     void onGrantorChanged(std::uint64_t customer, GrantorChange change, double) override
     {
@@ -62,7 +80,7 @@
 
     EmulatedLimits &fleet;
     std::size_t index;
-    CustomerRateLimiter limits;
+    FleetRateLimiter limits;
     ReachabilityEstimator reachability;
     Instant started {};
     Instant lastDiscovery {};
@@ -99,7 +117,7 @@
     const auto firstTick = std::chrono::duration_cast<Duration>(Tick * uniform());
     m_nodes[daemon] = std::make_unique<Node>(*this, daemon, firstTick);
     m_nodes[daemon]->limits.setFleet({{}, 1, false, std::nullopt}, now());
-    m_nodes[daemon]->limits.setCustomers(m_customers, now());
+    m_nodes[daemon]->limits.setBudgets(budgetsOf(m_customers, m_bounds), now());
 }
 
 void EmulatedLimits::kill(std::size_t daemon)
@@ -117,7 +135,7 @@
 {
     m_customers = customers;
     for (const auto &node : m_nodes)
-        node->limits.setCustomers(customers, now());
+        node->limits.setBudgets(budgetsOf(customers, m_bounds), now());
 }
 
 bool EmulatedLimits::reaches(std::size_t from, std::size_t to) const
@@ -150,8 +168,7 @@
         }
         if (!node.isAlive)
             continue;
-        std::visit([&](const auto &message) { node.limits.take(message, now()); },
-                   datagram.message);
+        std::visit([&](const auto &message) { node.take(message); }, datagram.message);
     }
     for (const Datagram &datagram : deferred)
         m_inTransit.push(datagram);
@@ -251,15 +268,48 @@
     // The exchange's number identifies the customer when the decision arrives.
     const ExchangeId exchange(++m_posted * m_customers.size() + customer);
     const std::optional<LimitDecision> decision
-        = m_nodes[at]->limits.take(exchange, m_customers[customer], {units, 0}, now());
+        = m_nodes[at]->limits.take(exchange,
+                                   {.limit = customerHash(m_customers[customer].name),
+                                    .budget = budgetOf(m_customers[customer], m_bounds),
+                                    .demand = {units, 0},
+                                    .longestWait = FleetRateLimiter::LongestWait},
+                                   now());
     if (decision)
-        decided(exchange.value(), *decision);
+        decided(at, exchange.value(), *decision);
     else
         ++counts.waited;
 }
 
-void EmulatedLimits::decided(std::size_t exchange, const LimitDecision &decision)
+Endpoint EmulatedLimits::addressOf(std::size_t daemon)
+{
+    return peerOf(daemon).address;
+}
+
+void EmulatedLimits::take(std::size_t daemon, std::uint64_t exchange, const LimitedUnits &units)
+{
+    const std::optional<LimitDecision> decision
+        = m_nodes[daemon]->limits.take(ExchangeId(exchange), units, now());
+    if (decision)
+        decided(daemon, exchange, *decision);
+}
+
+FleetRateLimiter &EmulatedLimits::limits(std::size_t daemon)
+{
+    return m_nodes[daemon]->limits;
+}
+
+LimitMessenger &EmulatedLimits::messenger(std::size_t daemon)
 {
+    return *m_nodes[daemon];
+}
+
+void EmulatedLimits::decided(std::size_t daemon, std::size_t exchange,
+                             const LimitDecision &decision)
+{
+    if (onDecided) {
+        onDecided(daemon, decision);
+        return;
+    }
     const std::size_t customer = exchange % m_customers.size();
     LimitCounts &counts = m_counts[customer];
     counts.longestWait = std::max(counts.longestWait, decision.waited);
--- a/packages/dispatch/tests/apricothook_emulated_limits.hpp
+++ b/packages/dispatch/tests/apricothook_emulated_limits.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_customer_rate_limiter.hpp>
+#include <apricothook/dispatch/apricothook_fleet_rate_limiter.hpp>
 #include <apricothook/testsupport/apricothook_deterministic_random.hpp>
 #include <apricothook/testsupport/apricothook_manual_clock.hpp>
 
@@ -70,6 +70,18 @@
     const LimitCounts &counts(std::size_t customer) const { return m_counts[customer]; }
     std::size_t size() const { return m_nodes.size(); }
 
+    static Endpoint addressOf(std::size_t daemon);
+    /** For limits that aren't customers'; decisions are passed to `onDecided`. */
+    void take(std::size_t daemon, std::uint64_t exchange, const LimitedUnits &units);
+    FleetRateLimiter &limits(std::size_t daemon);
+    /** Sends the daemon's messages through the emulated network. */
+    LimitMessenger &messenger(std::size_t daemon);
+
+    std::function<void(std::size_t daemon, const LimitDecision &decision)> onDecided;
+    std::function<void(std::size_t daemon, const TargetLimitNotice &notice)> onNotice;
+    /** Called before a daemon asks another one for units. */
+    std::function<void(std::size_t daemon, const Endpoint &to, std::uint64_t limit)> onUnitsRequest;
+
     ManualClock clock;
     LimitNetwork network;
     DeterministicRandom random;
@@ -97,7 +109,7 @@
     void post(std::size_t from, const Endpoint &to, const LimitMessage &message);
     void deliver();
     void updateFleet(std::size_t daemon);
-    void decided(std::size_t customer, const LimitDecision &decision);
+    void decided(std::size_t daemon, std::size_t exchange, const LimitDecision &decision);
     bool reaches(std::size_t from, std::size_t to) const;
     double uniform();
 
--- a/packages/dispatch/tests/apricothook_customer_rate_limiter_tests.cpp
+++ b/packages/dispatch/tests/apricothook_fleet_rate_limiter_tests.cpp
@@ -79,7 +79,7 @@
 {
     const FleetBounds limits = bounds();
     const CustomerRule rule = customer("carrier", Rate);
-    const CustomerBudget budget = budgetOf(rule, limits);
+    const UnitBudget budget = budgetOf(rule, limits);
     const double bound = (Rate * 8 + Rate) * 1.25 + 140'000;
     const double life = std::chrono::duration<double>(budget.grantLifetime).count();
     // The budget covers two simultaneous grantors for the life of a grant.
@@ -130,7 +130,7 @@
     fleet.setCustomers({customer("carrier", Rate / 100)});
     Callers carrier(fleet, 0, Rate);
     fleet.run(seconds(8), [&] { carrier.step(); });
-    const CustomerBudget low = budgetOf(customer("carrier", Rate / 100), bounds());
+    const UnitBudget low = budgetOf(customer("carrier", Rate / 100), bounds());
     CHECK(fleet.counts(0).admittedUnits <= low.bucket + 8 * low.perSecond + 2 * low.credit);
     const double before = fleet.counts(0).admittedUnits;
     fleet.setCustomers({customer("carrier", Rate)});
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
@@ -119,7 +119,7 @@
 using PeerDatagram
     = std::variant<Heartbeat, CellLoadReport, CellSummary, MemberGossip, UnitsRequest, UnitsReply,
                    GrantorClaim, GrantorHandover, ReachProbe, ReachReply, ReaderAnnouncement,
-                   GrantorDenial, SuspectNotice>;
+                   GrantorDenial, SuspectNotice, TargetLimitNotice>;
 
 std::string writePeerDatagram(const PeerDatagram &datagram);
 Result<PeerDatagram, CodecError> parsePeerDatagram(std::string_view bytes);
--- a/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
+++ b/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
@@ -44,6 +44,7 @@
     ReachReply {11},
     ReaderAnnouncement {memberInfo("a"), 78, {78, 10}},
     GrantorDenial {7, 5, 4},
+    TargetLimitNotice {{"10.0.0.1", 1}, 5, true, 3600, 250, true},
 };
 
 } // namespace
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -2,6 +2,7 @@
 
 #include <apricothook/http1/apricothook_http_status.hpp>
 
+#include <apricothook/gateway/apricothook_gateway_event.hpp>
 #include <apricothook/gateway/internal/apricothook_attempt_failure.hpp>
 
 #include <algorithm>
@@ -40,6 +41,7 @@
 {
     m_attempt->hasHead = true;
     m_attempt->head = head;
+    reportTargetLimit(fields);
     if (fields.isMisdirected || fields.isNotRun) {
         m_attempt->isNotRun = true;
         return;
@@ -59,6 +61,25 @@
     }
 }
 
+void ForwardedRequest::reportTargetLimit(const TargetResponseFields &fields)
+{
+    // Another target answered, which got the address of the one that was meant.
+    if (fields.isMisdirected)
+        return;
+    const TargetEntry &target = m_attempt->target;
+    if (fields.limitError) {
+        m_context.log.write(LogEvent(GatewayEvent::TargetLimitInvalid)
+                                .forRequest(m_admitted.fields.id)
+                                .with("target", target.id.text())
+                                .with("error", std::string(nameOf(*fields.limitError))));
+        return;
+    }
+    m_context.targetLimitReported({.target = targetHash(target.instance()),
+                                   .perSecond = fields.limitPerSecond,
+                                   .sent = m_attempt->started,
+                                   .received = m_context.loop.now()});
+}
+
 void ForwardedRequest::onResponseBody(std::string_view bytes)
 {
     if (m_attempt->isNotRun)
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -87,7 +87,12 @@
         return;
     }
     const std::optional<LimitDecision> decision = m_context.limits.take(
-        m_id, *m_admitted.customer, unitDemand(m_context, m_admitted), m_arrived);
+        m_id,
+        {.limit = customerHash(m_admitted.customer->name),
+         .budget = budgetOf(*m_admitted.customer, m_context.bounds),
+         .demand = unitDemand(m_context, m_admitted),
+         .longestWait = FleetRateLimiter::LongestWait},
+        m_arrived);
     m_waitsForUnits = !decision;
     if (decision)
         onLimitDecided(*decision);
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -53,6 +53,7 @@
 
     /** Rejects the request and returns true if it is quarantined. */
     bool refuseIfQuarantined();
+    void reportTargetLimit(const TargetResponseFields &fields);
     void acquireUnits();
     void start();
     void submit();
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -13,7 +13,8 @@
     : m_loop(loop)
     , m_bounds(bounds)
     , m_targets(dataCentre, policies, ColdTargetLimiter(self.member, bounds))
-    , m_limits(m_bounds, self, *this, *this, *this, random)
+    , m_limits(self, *this, *this, *this, random)
+    , m_targetLimits(self.address, *this, *this)
     , m_dispatcher(m_targets, *this, policies)
     , m_channels(loop, protocol, log)
     , m_crashDetector(loop,
@@ -31,6 +32,7 @@
                  .dispatcher = m_dispatcher,
                  .channels = m_channels,
                  .limits = m_limits,
+                 .targetLimits = m_targetLimits.limits(),
                  .crashDetector = m_crashDetector,
                  .suspectGuard = &m_nullSuspectGuard,
                  .routes = nullptr,
@@ -43,6 +45,13 @@
                  .sizes = {},
                  .limitReserve = {},
                  .unitsRequested = [this] { scheduleLimitReview(); },
+                 .deferLimitDecision =
+                     [this](ExchangeId exchange, const LimitDecision &decision) {
+                         m_loop.defer(
+                             [this, exchange, decision] { onLimitDecided(exchange, decision); });
+                     },
+                 .targetLimitReported
+                 = [this](const TargetLimitReport &report) { m_targetLimits.observe(report); },
                  .capacityFreed = [this] { scheduleReview(); }}
 {
     m_limits.setFleet({{{self, 1, false}}, 1, true, std::nullopt}, loop.now());
@@ -95,7 +104,7 @@
 void Gateway::setConfiguration(std::shared_ptr<const RouteTable> routes)
 {
     m_context.routes = std::move(routes);
-    m_limits.setCustomers(m_context.routes->configuration().customers, m_loop.now());
+    updateBudgets();
     m_targets.setServices(m_context.routes->configuration().services, m_loop.now());
 }
 
@@ -104,6 +113,8 @@
     const TrackedTarget *known = m_targets.find(target.id);
     const bool isRestarted = known && known->entry.instance() != target.instance();
     m_targets.put(target, m_loop.now());
+    const std::uint64_t number = targetHash(target.instance());
+    m_targets.setLimit(number, m_targetLimits.limits().perSecond(number));
     if (target.isDraining || isRestarted)
         m_channels.closeIdle(target.id);
     if (isRestarted)
@@ -195,24 +206,70 @@
         found->second->onLimitDecided(decision);
 }
 
-void Gateway::onGrantorChanged(std::uint64_t customer, GrantorChange change, double level)
+void Gateway::onGrantorChanged(std::uint64_t limit, GrantorChange change, double level)
 {
     CustomerId name;
     if (m_context.routes) {
         for (const CustomerRule &rule : m_context.routes->configuration().customers)
-            name = customerHash(rule.name) == customer ? rule.name : name;
+            name = customerHash(rule.name) == limit ? rule.name : name;
     }
     m_context.log.write(LogEvent(GatewayEvent::GrantorChanged)
                             .with("customer", name.text())
+                            .with("target", m_targets.nameOf(limit))
                             .with("change", std::string(nameOf(change)))
                             .with("level", level)
                             .with("members", m_context.members));
 }
 
 void Gateway::send(const Endpoint &to, const LimitMessage &message)
+{
+    if (!m_limitMessenger)
+        return;
+    // A grantor that doesn't know of the limit couldn't grant its units.
+    if (const auto *request = std::get_if<UnitsRequest>(&message))
+        m_targetLimits.inform(to, request->limit, m_loop.now());
+    m_limitMessenger->send(to, message);
+}
+
+void Gateway::broadcast(const LimitMessage &message)
 {
     if (m_limitMessenger)
-        m_limitMessenger->send(to, message);
+        m_limitMessenger->broadcast(message);
+}
+
+void Gateway::take(const TargetLimitNotice &notice)
+{
+    m_targetLimits.take(notice, m_loop.now());
+}
+
+void Gateway::onTargetLimitChanged(std::uint64_t target, TargetLimitChange change,
+                                   TargetLimitOrigin origin)
+{
+    const TargetLimit *limit = m_targetLimits.limits().find(target);
+    m_context.log.write(LogEvent(GatewayEvent::TargetLimitChanged)
+                            .with("target", m_targets.nameOf(target))
+                            .with("change", std::string(nameOf(change)))
+                            .with("limit_per_s", limit->perSecond().value_or(0))
+                            .with("from", std::string(nameOf(origin)))
+                            .with("limit_age_ms", m_loop.now() - limit->observed));
+    m_targets.setLimit(target, limit->perSecond());
+    updateBudgets();
+    scheduleReview();
+}
+
+void Gateway::reviewTargetLimits()
+{
+    m_targetLimits.review([this](std::uint64_t target) { return m_targets.isKnown(target); },
+                          m_loop.now());
+}
+
+void Gateway::updateBudgets()
+{
+    UnitBudgets budgets = m_targetLimits.limits().budgets(m_bounds);
+    if (m_context.routes)
+        budgets.merge(budgetsOf(m_context.routes->configuration().customers, m_bounds));
+    m_limits.setBudgets(budgets, m_loop.now());
+    scheduleLimitReview();
 }
 
 void Gateway::scheduleLimitReview()
@@ -243,7 +300,7 @@
     m_reviewPending = false;
     m_dispatcher.review(m_loop.now());
     m_loop.cancel(m_dispatchTimer);
-    if (const std::optional<Instant> next = m_dispatcher.nextTimeout())
+    if (const std::optional<Instant> next = m_dispatcher.nextReview(m_loop.now()))
         m_dispatchTimer = m_loop.after(*next - m_loop.now(), [this] { scheduleReview(); });
 }
 
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -15,7 +15,8 @@
                 private DispatchListener,
                 private LimitListener,
                 private GrantorListener,
-                private LimitMessenger
+                private LimitMessenger,
+                private TargetLimitListener
 {
 public:
     Gateway(EventLoop &loop, const WireProtocol &protocol, RandomSource &random, LogWriter &log,
@@ -51,7 +52,11 @@
 
     TargetTable &targets() { return m_targets; }
     Dispatcher &dispatcher() { return m_dispatcher; }
-    CustomerRateLimiter &limits() { return m_limits; }
+    FleetRateLimiter &limits() { return m_limits; }
+    /** Applies what another daemon tells of a target's limit. */
+    void take(const TargetLimitNotice &notice);
+    /** Drops limits of targets that are gone; to be called about once a second. */
+    void reviewTargetLimits();
     /** Without a messenger, the daemon assumes that it is the only one. */
     void setLimitMessenger(LimitMessenger &messenger);
     /** Without a guard, no request is quarantined. */
@@ -76,8 +81,14 @@
     void onRefused(ExchangeId exchange, const RefusalDetails &facts) override;
 
     void onLimitDecided(ExchangeId exchange, const LimitDecision &decision) override;
-    void onGrantorChanged(std::uint64_t customer, GrantorChange change, double level) override;
+    void onGrantorChanged(std::uint64_t limit, GrantorChange change, double level) override;
     void send(const Endpoint &to, const LimitMessage &message) override;
+    void broadcast(const LimitMessage &message) override;
+
+    void onTargetLimitChanged(std::uint64_t target, TargetLimitChange change,
+                              TargetLimitOrigin origin) override;
+    /** Sets the budgets of the customers' and the targets' limits. */
+    void updateBudgets();
 
     void accept(int descriptor);
     void onTargetRestarted(const TargetInstance &current);
@@ -89,7 +100,8 @@
     const FleetBounds m_bounds;
     TargetTable m_targets;
     LimitMessenger *m_limitMessenger = nullptr;
-    CustomerRateLimiter m_limits;
+    FleetRateLimiter m_limits;
+    TargetLimitAnnouncer m_targetLimits;
     Dispatcher m_dispatcher;
     ChannelPool m_channels;
     NullSuspectGuard m_nullSuspectGuard;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_customer_rate_limiter.hpp>
 #include <apricothook/dispatch/apricothook_dispatcher.hpp>
+#include <apricothook/dispatch/apricothook_fleet_rate_limiter.hpp>
 #include <apricothook/dispatch/apricothook_limit_reserve.hpp>
 #include <apricothook/dispatch/apricothook_policy_switches.hpp>
 #include <apricothook/dispatch/apricothook_retry_budget_share.hpp>
 #include <apricothook/dispatch/apricothook_route_table.hpp>
 #include <apricothook/dispatch/apricothook_route_urgency.hpp>
 #include <apricothook/dispatch/apricothook_size_order.hpp>
+#include <apricothook/dispatch/apricothook_target_limit_announcer.hpp>
 #include <apricothook/gateway/apricothook_channel_pool.hpp>
 #include <apricothook/gateway/apricothook_crash_detector.hpp>
 #include <apricothook/gateway/apricothook_suspect_guard.hpp>
@@ -33,7 +34,8 @@
     TargetTable &targets;
     Dispatcher &dispatcher;
     ChannelPool &channels;
-    CustomerRateLimiter &limits;
+    FleetRateLimiter &limits;
+    const TargetLimits &targetLimits;
     CrashDetector &crashDetector;
     /** Never null. */
     SuspectGuard *suspectGuard;
@@ -51,8 +53,12 @@
     RouteUrgency urgency;
     SizeOrder sizes;
     LimitReserve limitReserve;
-    /** Called when a request starts to wait for its customer's units. */
+    /** Called when a request starts to wait for units. */
     std::function<void()> unitsRequested;
+    /** Calls onLimitDecided() of the exchange after the current event. */
+    std::function<void(ExchangeId exchange, const LimitDecision &decision)> deferLimitDecision;
+    /** Called with what a target's answer tells about its limit. */
+    std::function<void(const TargetLimitReport &report)> targetLimitReported;
     /** Called when a slot of a target may have become free. */
     std::function<void()> capacityFreed;
 
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -22,11 +22,18 @@
     RetryDenied = 809,     ///< warning: a request isn't retried because this daemon's share of the
                            ///< retry budget is used up; requests, retries and permitted retries in
                            ///< the window. Operator: look for failing targets.
-    GrantorChanged = 810,  ///< info: this daemon started or stopped granting a customer's units;
-                           ///< customer, change, units left. Operator: none; see
-                           ///< docs/OPERATIONS.md when a customer gets "too many requests".
+    GrantorChanged = 810,  ///< info: this daemon started or stopped granting the units of a
+                           ///< customer or a target; its name, change, units left. Operator: none;
+                           ///< see docs/OPERATIONS.md when a customer gets "too many requests".
     RetryGranted = 811,    ///< info: a request may be retried; requests, retries and permitted
                            ///< retries in the window. Operator: none.
+    TargetLimitChanged = 812, ///< info: a target named a limit for all daemons, changed it or ended
+                              ///< it; target, change, limit, source, age. Operator: none.
+    TargetLimitInvalid = 813, ///< warning: a target named an invalid limit, which is ignored;
+                              ///< target, error. Operator: report the target.
+    TargetLimitReached = 814, ///< info: a request wasn't sent to a target, whose limit has no unit
+                              ///< left or whose grantor didn't answer, and is placed anew; target,
+                              ///< limit, age, share, time until the next unit. Operator: none.
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Apricothook {
 
@@ -56,6 +57,29 @@
     auto operator<=>(const TargetRequestFields &) const = default;
 };
 
+/** Why the limit that a target names in a response is invalid. */
+enum class TargetLimitError {
+    NotANumber,
+    Negative,
+    TooLarge,
+    Repeated, ///< Named more than once.
+};
+
+constexpr std::string_view nameOf(TargetLimitError error)
+{
+    switch (error) {
+    case TargetLimitError::NotANumber:
+        return "not-a-number";
+    case TargetLimitError::Negative:
+        return "negative";
+    case TargetLimitError::TooLarge:
+        return "too-large";
+    case TargetLimitError::Repeated:
+        break;
+    }
+    return "repeated";
+}
+
 /** The fields of a target's response head besides the status. */
 struct TargetResponseFields
 {
@@ -69,6 +93,10 @@
     bool isSigned = false;
     /** How long the target keeps an idle connection open, if stated. */
     std::optional<unsigned> keepAliveSeconds;
+    /** Requests per second that the target takes from all daemons together, if it names a limit. */
+    std::optional<double> limitPerSecond;
+    /** Set if the target names an invalid limit. */
+    std::optional<TargetLimitError> limitError;
 
     auto operator<=>(const TargetResponseFields &) const = default;
 };
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_customer_rate_limiter.hpp>
 #include <apricothook/dispatch/apricothook_dispatcher.hpp>
+#include <apricothook/dispatch/apricothook_fleet_rate_limiter.hpp>
 #include <apricothook/gateway/apricothook_request_outcome.hpp>
 #include <apricothook/observe/apricothook_metrics.hpp>
 #include <apricothook/observe/apricothook_structured_log.hpp>
--- a/packages/gateway/tests/apricothook_gateway_limit_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_limit_tests.cpp
@@ -17,6 +17,7 @@
         if (const auto *ask = std::get_if<UnitsRequest>(&message))
             asks.emplace_back(to, *ask);
     }
+    void broadcast(const LimitMessage &) override { }
 
     std::vector<std::pair<Endpoint, UnitsRequest>> asks;
 };
@@ -103,7 +104,7 @@
     RecordingConnection &last = fixture.send("last");
     fixture.runPendingEvents();
     for (int round = 0; round < 8; ++round) {
-        fixture.clock.advance(CustomerRateLimiter::AnswerTime);
+        fixture.clock.advance(FleetRateLimiter::AnswerTime);
         fixture.runPendingEvents();
     }
     REQUIRE(fixture.runUntil([&] { return last.has("HTTP/1.1 "); }));
--- a/packages/gateway/tests/apricothook_test_protocol.cpp
+++ b/packages/gateway/tests/apricothook_test_protocol.cpp
@@ -47,6 +47,11 @@
     fields.isNotRun = head.headers.find("Not-Run").has_value();
     fields.isMisdirected = head.status == 421;
     fields.isSigned = head.headers.find("Signed").has_value();
+    const std::string limit = valueOf(head.headers, "Limit");
+    if (limit == "invalid")
+        fields.limitError = TargetLimitError::NotANumber;
+    else if (!limit.empty())
+        fields.limitPerSecond = std::stod(limit);
     return fields;
 }
 
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -63,6 +63,8 @@
         return "apricothook_cold_targets";
     case MetricGauge::ViewAge:
         return "apricothook_view_age_seconds";
+    case MetricGauge::LimitedTargets:
+        return "apricothook_limited_targets";
     }
     return "apricothook_unnamed";
 }
@@ -164,6 +166,15 @@
         .Increment();
 }
 
+void Metrics::targetUnitDecided(const ServiceId &service, bool isGranted)
+{
+    const std::string verdict = isGranted ? "granted" : "held";
+    const std::lock_guard lock(m_tables->mutex);
+    m_tables->targetUnits
+        .Add({{"service", m_tables->services.label(service.text())}, {"verdict", verdict}})
+        .Increment();
+}
+
 void Metrics::controlBytes(Direction direction, std::uint64_t bytes)
 {
     const std::string name = direction == Direction::Sent ? "sent" : "received";
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -27,6 +27,7 @@
     EvacuatedTargets,
     ColdTargets,
     ViewAge, ///< In seconds.
+    LimitedTargets,
 };
 
 /** How an engine processed the prompt tokens sent to it. */
@@ -72,6 +73,8 @@
     void setFloor(const ServiceId &service, Tier lowest);
     /** Counts a decision of the service's retry budget to grant or deny a retry. */
     void retryDecided(const ServiceId &service, bool isGranted);
+    /** Counts whether a request that was to be sent to a target got a unit of its limit. */
+    void targetUnitDecided(const ServiceId &service, bool isGranted);
     void controlBytes(Direction direction, std::uint64_t bytes);
     /**
      * Reassigns the per-customer series to the customers with the most traffic. To be called about
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
@@ -63,6 +63,8 @@
           counter(registry, "apricothook_control_bytes_total", "Bytes of messages between daemons"))
     , repeats(counter(registry, "apricothook_repeated_sends_total",
                       "Sends of a request after its first one, by the retry budget's verdict"))
+    , targetUnits(counter(registry, "apricothook_target_limit_decisions_total",
+                          "Requests to targets that name a limit, by the limit's verdict"))
     , customerRequests(counter(registry, "apricothook_customer_requests_total",
                                "Requests that ended, by customer and result"))
     , requestSeconds(histogram(registry, "apricothook_request_seconds",
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
@@ -62,6 +62,7 @@
     CounterFamily &prefillTokens;
     CounterFamily &controlBytes;
     CounterFamily &repeats;
+    CounterFamily &targetUnits;
     CounterFamily &customerRequests;
     ClassHistograms requestSeconds;
     ClassHistograms firstTokenSeconds;
--- a/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
@@ -32,7 +32,7 @@
 {
     const Instant now = m_loop.now();
     const Endpoint own = m_sender.ownInfo().peerAddress;
-    CustomerRateLimiter &limits = m_gateway.limits();
+    FleetRateLimiter &limits = m_gateway.limits();
     // The directory alone would let a daemon that has been unreachable for long believe that it is
     // the whole fleet.
     const std::size_t known = m_directory.knownCount(now);
@@ -112,4 +112,12 @@
     std::visit([&](const auto &one) { m_sender.send(to, PeerDatagram(one)); }, message);
 }
 
+void LimitExchange::broadcast(const LimitMessage &message)
+{
+    std::vector<Endpoint> receivers;
+    for (const KnownMember *member : knownMembers())
+        receivers.push_back(member->info.peerAddress);
+    std::visit([&](const auto &one) { m_sender.send(receivers, PeerDatagram(one)); }, message);
+}
+
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_limit_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.hpp
@@ -10,7 +10,7 @@
 
 namespace Apricothook {
 
-/** Connects the customers' limits to the fleet: membership, reachability and messages. */
+/** Connects customers' and targets' limits to the fleet: membership, reachability, messages. */
 class LimitExchange : private LimitMessenger
 {
 public:
@@ -29,6 +29,7 @@
     void tick();
     void take(const ReachProbe &probe);
     void take(const ReachReply &reply);
+    void take(const TargetLimitNotice &notice) { m_gateway.take(notice); }
     template <typename Message>
     void take(const Message &message)
     {
@@ -38,6 +39,7 @@
 
 private:
     void send(const Endpoint &to, const LimitMessage &message) override;
+    void broadcast(const LimitMessage &message) override;
     void sendProbes();
     std::vector<GrantorCandidate> candidates() const;
     /** Start time of this daemon, if no known daemon started before it. */
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -135,6 +135,8 @@
     const TargetTable &targets = m_gateway.targets();
     m_metrics.set(MetricGauge::EvacuatedTargets, static_cast<double>(targets.evacuatedCount()));
     m_metrics.set(MetricGauge::ColdTargets, static_cast<double>(targets.coldCount()));
+    m_metrics.set(MetricGauge::LimitedTargets, static_cast<double>(targets.limitedCount()));
+    m_gateway.reviewTargetLimits();
     m_loop.after(MetricsInterval, [this] { updateMetrics(); });
 }
 
--- a/packages/serving/tests/apricothook_limit_exchange_tests.cpp
+++ b/packages/serving/tests/apricothook_limit_exchange_tests.cpp
@@ -122,7 +122,7 @@
     , m_fleetSize(m_directory, fleet.seeds(), EmulatedFleet::addressOf(number))
     , m_limits(loop, m_directory, m_fleetSize, *this, m_gateway, fleet.random, fleet.seeds())
 {
-    m_gateway.limits().setCustomers({limitedCustomer()}, loop.now());
+    m_gateway.limits().setBudgets(budgetsOf({limitedCustomer()}, limitBounds()), loop.now());
     m_exchange.start();
     tick();
 }
@@ -135,7 +135,12 @@
         tick();
     for (unsigned request = 0; request < requests; ++request) {
         const std::optional<LimitDecision> verdict
-            = m_gateway.limits().take(ExchangeId(++m_lastRequest), limitedCustomer(), {1, 0}, now);
+            = m_gateway.limits().take(ExchangeId(++m_lastRequest),
+                                      {.limit = customerHash(limitedCustomer().name),
+                                       .budget = budgetOf(limitedCustomer(), limitBounds()),
+                                       .demand = {1, 0},
+                                       .longestWait = FleetRateLimiter::LongestWait},
+                                      now);
         if (verdict && verdict->isAdmitted)
             m_fleet.admitted();
     }
