Send requests to a target that names a limit only with units of that limit

Callers saw: targets in need got three times the requests that they had named in their answers (29 to 46 of 7.5 to 27 in 4 s), from daemons that had passed on these very answers, while other targets had free slots.

Cause: the limit is a sum over all daemons, told to whichever daemon gets an answer. Nobody read it, and no daemon can keep a sum by what it sends itself. Class: a bound of the whole fleet that is known to, or kept by, single daemons.

Now each send to such a target, also a retry and a resumed stream, takes a unit from one bucket of the fleet, granted by the daemon that ranks first for the target's instance; it is the limiter that customers' limits have, with the same proof of the sum (refill 4 L, bucket 4, one trial, grants 0.5 L, two grantors 0.5 L, credit L: 6 L + 5 in 4 s). Without a unit the target has no free slot for that daemon until the next one, and the request is placed anew at another target, waits, or is refused with a time.

--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -23,8 +23,6 @@
 constexpr std::chrono::milliseconds MinTimeToRetry {100};
 /** Multiple of the expected time to the first event after which a target is unresponsive. */
 constexpr int FirstEventTimeoutFactor = 3;
-/** Smallest Retry-After for a customer that is over its limit. */
-constexpr std::chrono::milliseconds ShortestLimitRetryAfter {100};
 /** Retry-After if every target refused the request for lack of free slots. */
 constexpr std::chrono::milliseconds DefaultRetryAfter {500};
 
@@ -80,26 +78,6 @@
     return true;
 }
 
-void ForwardedRequest::acquireUnits()
-{
-    if (!m_admitted.customer) {
-        start();
-        return;
-    }
-    const std::optional<LimitDecision> decision = m_context.limits.take(
-        m_id,
-        {.limit = customerHash(m_admitted.customer->name),
-         .budget = budgetOf(*m_admitted.customer, m_context.bounds),
-         .demand = unitDemand(m_context, m_admitted),
-         .longestWait = FleetRateLimiter::LongestWait},
-        m_arrived);
-    m_waitsForUnits = !decision;
-    if (decision)
-        onLimitDecided(*decision);
-    else
-        m_context.unitsRequested();
-}
-
 void ForwardedRequest::start()
 {
     m_context.retryBudgetOf(m_admitted.service).countRequest(m_arrived);
@@ -107,28 +85,16 @@
     submit();
 }
 
-void ForwardedRequest::onLimitDecided(const LimitDecision &decision)
-{
-    m_waitsForUnits = false;
-    m_limitDecision = decision;
-    if (decision.isAdmitted) {
-        start();
-        return;
-    }
-    const Duration retryAfter = std::max<Duration>(decision.retryAfter, ShortestLimitRetryAfter);
-    // Without a grantor it is unknown whether the customer is over its limit, so no 429.
-    if (decision.source == LimitSource::Nobody)
-        sendLocalResponse(RequestOutcome::NoGrantor, HttpStatus::Unavailable, retryAfter);
-    else
-        sendLocalResponse(RequestOutcome::OverLimit, HttpStatus::TooManyRequests, retryAfter);
-}
-
 void ForwardedRequest::stopWaiting()
 {
     if (std::exchange(m_waiting, false))
         m_context.dispatcher.cancel(m_id);
     if (std::exchange(m_waitsForUnits, false))
         m_context.limits.cancel(m_id);
+    if (const std::optional<TargetEntry> target = std::exchange(m_limitedTarget, std::nullopt)) {
+        m_context.targets.unitDecided(target->instance(), {});
+        releaseSlot(*target);
+    }
 }
 
 void ForwardedRequest::submit()
@@ -161,10 +127,31 @@
 void ForwardedRequest::onPlaced(const TargetEntry &target)
 {
     m_waiting = false;
+    const TrackedTarget *tracked = m_context.targets.find(target.id);
+    if (tracked && tracked->limitPerSecond) {
+        acquireTargetUnit(target, *tracked->limitPerSecond);
+        return;
+    }
+    m_targetUnit.reset();
+    logPlacement(target);
+    send(target);
+}
+
+void ForwardedRequest::logPlacement(const TargetEntry &target)
+{
     const Instant now = m_context.loop.now();
     const TrackedTarget *believed = m_context.targets.find(target.id);
-    m_context.log.write(LogEvent(GatewayEvent::RequestPlaced)
-                            .markRoutine()
+    LogEvent line(GatewayEvent::RequestPlaced);
+    if (m_targetUnit) {
+        m_context.metrics.targetUnitDecided(m_admitted.service, true);
+        const TargetLimit *limit = m_context.targetLimits.find(targetHash(target.instance()));
+        line.with("limit_per_s", limit ? limit->perSecond().value_or(0) : 0)
+            .with("limit_age_ms", limit ? now - limit->observed : Duration())
+            .with("limit_from", std::string(nameOf(m_targetUnit->source)))
+            .with("limit_wait_ms", m_targetUnit->waited)
+            .with("level", m_targetUnit->level);
+    }
+    m_context.log.write(line.markRoutine()
                             .forRequest(m_admitted.fields.id)
                             .with("target", target.id.text())
                             .with("own_load", believed ? believed->ownRequests : 0)
@@ -178,7 +165,6 @@
                             .with("waited_ms", now - m_arrived)
                             .with("left_ms", m_admitted.deadline - now)
                             .with("generation", m_admitted.generation().value()));
-    send(target);
 }
 
 void ForwardedRequest::onTargetRestarted(const TargetInstance &current)
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -35,7 +35,7 @@
     void begin();
     void onPlaced(const TargetEntry &target);
     void onRefused(const RefusalDetails &facts);
-    /** The rate limit of the customer admitted or rejected the request. */
+    /** The limit of the customer, or of the target, granted or refused the request its units. */
     void onLimitDecided(const LimitDecision &decision);
     /** Fails the attempt if it was sent to an earlier instance of the target. */
     void onTargetRestarted(const TargetInstance &current);
@@ -53,12 +53,20 @@
 
     /** Rejects the request and returns true if it is quarantined. */
     bool refuseIfQuarantined();
-    void reportTargetLimit(const TargetResponseFields &fields);
     void acquireUnits();
+    void onCustomerUnitsDecided(const LimitDecision &decision);
+    /** Sends the request as soon as the target's limit allows it. */
+    void acquireTargetUnit(const TargetEntry &target, double perSecond);
+    void onTargetUnitDecided(const LimitDecision &decision);
+    void logTargetLimitReached(const TargetEntry &target, const LimitDecision &decision);
+    /** Gives up the slot of a target that the request hasn't been sent to. */
+    void releaseSlot(const TargetEntry &target);
+    void reportTargetLimit(const TargetResponseFields &fields);
     void start();
     void submit();
     /** Stops waiting for units or a target. */
     void stopWaiting();
+    void logPlacement(const TargetEntry &target);
     void send(const TargetEntry &target);
     void armSilenceTimer(Duration limit);
     Duration firstEventTimeout() const;
@@ -93,6 +101,10 @@
     Progress m_progress = Progress::Nothing;
     bool m_waiting = false;
     bool m_waitsForUnits = false;
+    /** The target whose limit has been asked for a unit. */
+    std::optional<TargetEntry> m_limitedTarget;
+    /** The last decision of a target's limit. */
+    std::optional<LimitDecision> m_targetUnit;
     /** A target may have run the request. */
     bool m_mayHaveRun = false;
     unsigned m_runs = 0;
