Forget ended limits of targets, and the accounts of limits that are gone

An answer without a limit renewed the memory of an ended one, so that daemons would have announced the end each second for as long as the target answers. Its test failed before. Accounts of limits without a budget were kept for ever; each restart of a limited target left one.

--- a/packages/dispatch/apricothook/dispatch/apricothook_fleet_rate_limiter.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_rate_limiter.cpp
@@ -54,6 +54,8 @@
 
 void FleetRateLimiter::setBudgets(const UnitBudgets &budgets, Instant now)
 {
+    std::erase_if(m_accounts,
+                  [&budgets](const auto &account) { return !budgets.contains(account.first); });
     m_grantor.setBudgets(budgets, now);
     m_grantor.review(m_isFleetKnown, now);
 }
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_limits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_limits.cpp
@@ -69,7 +69,9 @@
         return TargetLimitChange::Learned;
     }
     TargetLimit &limit = known->second;
-    if (observed <= limit.observed)
+    // Further answers without a limit don't keep the memory of an ended one.
+    const bool isStillEnded = !thousandths && !limit.thousandthsPerSecond;
+    if (observed <= limit.observed || isStillEnded)
         return TargetLimitChange::None;
     limit.observed = observed;
     const std::optional<std::uint64_t> before
--- a/packages/dispatch/tests/apricothook_target_limits_tests.cpp
+++ b/packages/dispatch/tests/apricothook_target_limits_tests.cpp
@@ -121,6 +121,20 @@
     CHECK_FALSE(fixture.limits.find(Target));
 }
 
+TEST_CASE("the end of a limit isn't announced forever")
+{
+    LimitsFixture fixture;
+    fixture.answer(3.6);
+    fixture.clock.advance(seconds(1));
+    CHECK(fixture.answer(std::nullopt) == TargetLimitChange::Ended);
+    for (int second = 0; second < 12; ++second) {
+        fixture.clock.advance(seconds(1));
+        fixture.answer(std::nullopt);
+        fixture.limits.review([](std::uint64_t) { return true; }, fixture.clock.now());
+    }
+    CHECK_FALSE(fixture.limits.find(Target));
+}
+
 TEST_CASE("a target without a unit gets no request until it has one, and others get them")
 {
     DispatchBench bench;
