--- a/packages/dispatch/apricothook/dispatch/apricothook_target_limit_announcer.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_limit_announcer.hpp
@@ -27,7 +27,7 @@
  *
  * A daemon announces a limit to all others when an answer changes what it knows, and again while
  * answers name it, at an interval that the daemons share. A daemon that asks for a unit of a limit
- * tells the grantor of the limit first. Whoever knows a later observation replies with it.
+ * tells the grantor of the limit first. A daemon that has a later observation replies with it.
  */
 class TargetLimitAnnouncer
 {
--- a/packages/gateway/tests/apricothook_gateway_target_limit_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_target_limit_tests.cpp
@@ -28,7 +28,7 @@
         + "\r\nContent-Length: 2\r\n\r\nok";
 }
 
-/** A single daemon, which grants the units of its targets' limits itself. */
+/** A daemon that is alone at first and grants the units of its targets' limits itself. */
 struct TargetLimitFixture : GatewayFixture
 {
     explicit TargetLimitFixture(std::size_t targets = 1) : GatewayFixture(targets) { }
@@ -54,12 +54,35 @@
         answer(*target, limitedResponse("learn", limit));
         REQUIRE(runUntil([&] { return caller.has("ok"); }));
     }
+    /** Puts the target back that a test has removed to learn the limit of the other. */
+    void addSecondTarget()
+    {
+        TargetEntry other;
+        other.id = TargetId("t1");
+        other.service = ServiceId("s");
+        other.address = target(1).address();
+        other.dataCentre = DataCentreId("here");
+        other.slots = 4;
+        gateway.putTarget(other);
+    }
+    /** From now on another daemon grants the units; it doesn't answer. */
+    void joinFleet()
+    {
+        gateway.setLimitMessenger(messages);
+        const LimitPeer grantor {7, {"10.0.0.7", 1}};
+        gateway.limits().setFleet({.members = {{grantor, 100, false}},
+                                   .known = 2,
+                                   .isComplete = true,
+                                   .startedTogether = std::nullopt},
+                                  clock.now());
+    }
     void advance(Duration time)
     {
         clock.advance(time);
         runPendingEvents();
     }
 
+    RecordingMessenger messages;
     std::size_t received = 0;
 };
 
@@ -85,13 +108,7 @@
     TargetLimitFixture fixture(2);
     fixture.gateway.removeTarget(TargetId("t1"));
     fixture.learn("0.5");
-    TargetEntry other;
-    other.id = TargetId("t1");
-    other.service = ServiceId("s");
-    other.address = fixture.target(1).address();
-    other.dataCentre = DataCentreId("here");
-    other.slots = 4;
-    fixture.gateway.putTarget(other);
+    fixture.addSecondTarget();
     for (const std::string id : {"a", "b", "c"})
         fixture.send(id);
     REQUIRE(fixture.runUntil([&] { return fixture.target(1).requests() == 3; }));
@@ -119,13 +136,7 @@
     TargetLimitFixture fixture(2);
     fixture.gateway.removeTarget(TargetId("t1"));
     fixture.learn("0.5");
-    TargetEntry other;
-    other.id = TargetId("t1");
-    other.service = ServiceId("s");
-    other.address = fixture.target(1).address();
-    other.dataCentre = DataCentreId("here");
-    other.slots = 4;
-    fixture.gateway.putTarget(other);
+    fixture.addSecondTarget();
     RecordingConnection &caller = fixture.send("a", "idempotent");
     REQUIRE(fixture.runUntil([&] { return fixture.target(1).requests() == 1; }));
     fixture.target(1).crash();
@@ -160,18 +171,11 @@
 TEST_CASE("a caller that leaves while its request waits for a target's unit frees the slot")
 {
     TargetLimitFixture fixture;
-    RecordingMessenger messages;
-    fixture.gateway.setLimitMessenger(messages);
-    const LimitPeer grantor {7, {"10.0.0.7", 1}};
-    fixture.gateway.limits().setFleet({.members = {{grantor, 100, false}},
-                                       .known = 2,
-                                       .isComplete = true,
-                                       .startedTogether = std::nullopt},
-                                      fixture.clock.now());
+    fixture.joinFleet();
     fixture.learn("2");
     RecordingConnection &caller = fixture.send("a");
     const auto asked = [&] {
-        return std::ranges::any_of(messages.sent, [](const LimitMessage &message) {
+        return std::ranges::any_of(fixture.messages.sent, [](const LimitMessage &message) {
             return std::holds_alternative<UnitsRequest>(message);
         });
     };
@@ -188,17 +192,10 @@
 TEST_CASE("a request that waits for a unit is sent once its target's limit has ended")
 {
     TargetLimitFixture fixture;
-    RecordingMessenger messages;
-    fixture.gateway.setLimitMessenger(messages);
-    const LimitPeer grantor {7, {"10.0.0.7", 1}};
-    fixture.gateway.limits().setFleet({.members = {{grantor, 100, false}},
-                                       .known = 2,
-                                       .isComplete = true,
-                                       .startedTogether = std::nullopt},
-                                      fixture.clock.now());
+    fixture.joinFleet();
     fixture.learn("2");
     fixture.send("a");
-    REQUIRE(fixture.runUntil([&] { return messages.sent.size() >= 2; }));
+    REQUIRE(fixture.runUntil([&] { return fixture.messages.sent.size() >= 2; }));
     TargetLimitNotice ended;
     ended.target = targetHash({TargetId("t0")});
     fixture.clock.advance(milliseconds(1));
@@ -222,24 +219,17 @@
 TEST_CASE("a limit is announced to all daemons, and its grantor is told it before it is asked")
 {
     TargetLimitFixture fixture;
-    RecordingMessenger messages;
-    fixture.gateway.setLimitMessenger(messages);
-    const LimitPeer grantor {7, {"10.0.0.7", 1}};
-    fixture.gateway.limits().setFleet({.members = {{grantor, 100, false}},
-                                       .known = 2,
-                                       .isComplete = true,
-                                       .startedTogether = std::nullopt},
-                                      fixture.clock.now());
+    fixture.joinFleet();
     fixture.learn("2");
-    REQUIRE(messages.announced.size() == 1);
-    const auto *announced = std::get_if<TargetLimitNotice>(&messages.announced.front());
+    REQUIRE(fixture.messages.announced.size() == 1);
+    const auto *announced = std::get_if<TargetLimitNotice>(&fixture.messages.announced.front());
     REQUIRE(announced);
     CHECK(announced->thousandthsPerSecond == 2000);
     CHECK(announced->isAnnouncement);
     fixture.send("a");
-    REQUIRE(fixture.runUntil([&] { return messages.sent.size() >= 2; }));
-    CHECK(std::holds_alternative<TargetLimitNotice>(messages.sent.at(0)));
-    CHECK(std::holds_alternative<UnitsRequest>(messages.sent.at(1)));
+    REQUIRE(fixture.runUntil([&] { return fixture.messages.sent.size() >= 2; }));
+    CHECK(std::holds_alternative<TargetLimitNotice>(fixture.messages.sent.at(0)));
+    CHECK(std::holds_alternative<UnitsRequest>(fixture.messages.sent.at(1)));
 }
 
 TEST_CASE("a request is refused with a time to return if no target's limit has a unit in time")
