Don't report a closed descriptor's events to the next one with its number

Callers got a 502, may have run, for requests that reached no target while all targets of a service were down, and didn't send unsafe ones again. The same requests were then taken for lost in the crash and hid the one that caused it.

When a connection attempt is refused, one epoll event reports the descriptor as writable and as failed. The first report ended the attempt and began the next one, which got the same descriptor number; the second report went to that one and made it count as connected. Its refusal then looked like a connection that broke after the request was sent.

A watch now has a number of its own, which its events carry, so that events of an ended watch are dropped.

The new test of the event loop failed before: one event reached the second descriptor.

--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
@@ -22,6 +22,27 @@
     return result;
 }
 
+/** Identifies a watch in its events, by a number of its own and the descriptor's. */
+std::uint64_t watchOf(int descriptor, std::uint32_t registration)
+{
+    constexpr unsigned DescriptorBits = 32;
+    return static_cast<std::uint64_t>(registration) << DescriptorBits
+        | static_cast<std::uint32_t>(descriptor);
+}
+
+int descriptorOf(std::uint64_t watch)
+{
+    return static_cast<int>(static_cast<std::uint32_t>(watch));
+}
+
+epoll_event interest(std::uint32_t bits, std::uint64_t watch)
+{
+    epoll_event event {};
+    event.events = bits;
+    event.data.u64 = watch;
+    return event;
+}
+
 } // namespace
 
 EventLoop::EventLoop(const Clock &clock)
@@ -29,9 +50,7 @@
     , m_epoll(throwOnError(epoll_create1(EPOLL_CLOEXEC), "epoll_create1"))
     , m_wakeupEvent(throwOnError(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd"))
 {
-    epoll_event event {};
-    event.events = EPOLLIN;
-    event.data.fd = m_wakeupEvent;
+    epoll_event event = interest(EPOLLIN, watchOf(m_wakeupEvent, 0));
     throwOnError(epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wakeupEvent, &event), "epoll_ctl");
 }
 
@@ -43,24 +62,21 @@
 
 void EventLoop::watch(int descriptor, DescriptorEvents &events)
 {
-    m_handlers[descriptor] = &events;
-    epoll_event event {};
-    event.events = EPOLLIN;
-    event.data.fd = descriptor;
+    const Watch &watch = m_watches[descriptor] = {&events, ++m_lastRegistration};
+    epoll_event event = interest(EPOLLIN, watchOf(descriptor, watch.registration));
     throwOnError(epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event), "epoll_ctl");
 }
 
 void EventLoop::setInterest(int descriptor, bool readable, bool writable)
 {
-    epoll_event event {};
-    event.events = (readable ? EPOLLIN : 0U) | (writable ? EPOLLOUT : 0U);
-    event.data.fd = descriptor;
+    const std::uint32_t bits = (readable ? EPOLLIN : 0U) | (writable ? EPOLLOUT : 0U);
+    epoll_event event = interest(bits, watchOf(descriptor, m_watches[descriptor].registration));
     throwOnError(epoll_ctl(m_epoll, EPOLL_CTL_MOD, descriptor, &event), "epoll_ctl");
 }
 
 void EventLoop::unwatch(int descriptor)
 {
-    m_handlers.erase(descriptor);
+    m_watches.erase(descriptor);
     epoll_ctl(m_epoll, EPOLL_CTL_DEL, descriptor, nullptr);
 }
 
@@ -171,8 +187,9 @@
     std::array<epoll_event, MaxEventsPerWait> events;
     const int count = epoll_wait(m_epoll, events.data(), MaxEventsPerWait, wait);
     for (int i = 0; i < count; ++i) {
-        const epoll_event &event = events[static_cast<std::size_t>(i)];
-        if (event.data.fd == m_wakeupEvent) {
+        const epoll_event event = events[static_cast<std::size_t>(i)];
+        const std::uint64_t watch = event.data.u64;
+        if (descriptorOf(watch) == m_wakeupEvent) {
             std::uint64_t ignored = 0;
             [[maybe_unused]] const ssize_t got = read(m_wakeupEvent, &ignored, sizeof ignored);
             runPosted();
@@ -180,14 +197,20 @@
                 m_wakeAction();
             continue;
         }
-        const auto report = [&](std::uint32_t bits, void (DescriptorEvents::*call)()) {
-            const auto found = m_handlers.find(event.data.fd);
-            if ((event.events & bits) != 0 && found != m_handlers.end())
-                (found->second->*call)();
-        };
-        report(EPOLLOUT, &DescriptorEvents::onWritable);
-        report(EPOLLIN | EPOLLHUP | EPOLLERR, &DescriptorEvents::onReadable);
+        if (event.events & EPOLLOUT)
+            report(watch, &DescriptorEvents::onWritable);
+        if (event.events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+            report(watch, &DescriptorEvents::onReadable);
     }
 }
 
+void EventLoop::report(std::uint64_t watch, void (DescriptorEvents::*call)())
+{
+    // A handler of an earlier event may have closed the descriptor and opened another one, which
+    // gets the same number.
+    const auto found = m_watches.find(descriptorOf(watch));
+    if (found != m_watches.end() && watchOf(found->first, found->second.registration) == watch)
+        (found->second.events->*call)();
+}
+
 } // namespace Apricothook
--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
@@ -70,6 +70,15 @@
     /** Most events taken from one epoll_wait(). */
     static constexpr int MaxEventsPerWait = 64;
 
+    struct Watch
+    {
+        DescriptorEvents *events = nullptr;
+        /** Distinguishes the descriptor from a closed one that had the same number. */
+        std::uint32_t registration = 0;
+    };
+
+    /** Calls the handler of a watch, as identified in an event, unless the watch has ended. */
+    void report(std::uint64_t watch, void (DescriptorEvents::*call)());
     void runDueTimers();
     void runDeferred();
     void runPosted();
@@ -85,7 +94,8 @@
     std::map<std::pair<Instant, TimerId>, std::function<void()>> m_timers;
     std::unordered_map<TimerId, Instant> m_dueTimes;
     /** By descriptor; events of a descriptor removed earlier in the iteration are ignored. */
-    std::unordered_map<int, DescriptorEvents *> m_handlers;
+    std::unordered_map<int, Watch> m_watches;
+    std::uint32_t m_lastRegistration = 0;
     std::vector<std::function<void()>> m_deferred;
     std::function<void()> m_wakeAction;
     BoundedQueue<std::function<void()>> m_posted {PostQueueCapacity};
--- a/packages/eventloop/tests/apricothook_event_loop_tests.cpp
+++ b/packages/eventloop/tests/apricothook_event_loop_tests.cpp
@@ -4,6 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 #include <string>
 #include <thread>
 
@@ -93,3 +97,57 @@
     bench.loop.runOnce(NoWait);
     CHECK(bench.loop.post([] {}));
 }
+
+namespace {
+
+class CountingEvents : public DescriptorEvents
+{
+public:
+    void onReadable() override { ++readable; }
+    void onWritable() override
+    {
+        ++writable;
+        if (action)
+            action();
+    }
+
+    int readable = 0;
+    int writable = 0;
+    std::function<void()> action;
+};
+
+std::array<int, 2> openPair()
+{
+    std::array<int, 2> ends {};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, ends.data()) == 0);
+    return ends;
+}
+
+} // namespace
+
+TEST_CASE("events of a closed descriptor aren't reported to the next one with its number")
+{
+    // A connection attempt to another target would count as connected when the first was refused.
+    Bench bench;
+    const std::array<int, 2> first = openPair();
+    std::array<int, 2> second {};
+    CountingEvents before;
+    CountingEvents after;
+    before.action = [&] {
+        bench.loop.unwatch(first[0]);
+        close(first[0]);
+        second = openPair();
+        REQUIRE(second[0] == first[0]);
+        bench.loop.watch(second[0], after);
+    };
+    bench.loop.watch(first[0], before);
+    bench.loop.setInterest(first[0], true, true);
+    close(first[1]);
+    bench.loop.runOnce(NoWait);
+    CHECK(before.writable == 1);
+    CHECK(before.readable == 0);
+    CHECK(after.readable == 0);
+    bench.loop.unwatch(second[0]);
+    close(second[0]);
+    close(second[1]);
+}
--- a/packages/gateway/tests/apricothook_gateway_plain_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_plain_tests.cpp
@@ -167,6 +167,19 @@
     CHECK(caller.has("Retry-After: "));
 }
 
+TEST_CASE("a request is rejected as not run if no target accepts a connection")
+{
+    // Callers don't send a request again that may have run.
+    GatewayFixture fixture(3);
+    for (const std::unique_ptr<ScriptedTarget> &target : fixture.targets)
+        target->crash();
+    RecordingConnection &caller = fixture.connect();
+    caller.socket.send(GatewayFixture::request("once", "a", "body"));
+    REQUIRE(fixture.runUntil([&] { return caller.has("\r\n\r\n"); }));
+    CHECK(caller.has("HTTP/1.1 503 "));
+    CHECK(caller.has("Retry-After: "));
+}
+
 TEST_CASE("a request is retried if the address now belongs to another target")
 {
     // The first target has ended and another service reuses its address. That service responds with
