--- a/packages/dispatch/tests/apricothook_suspect_fleet_tests.cpp
+++ b/packages/dispatch/tests/apricothook_suspect_fleet_tests.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <cstdlib>
+#include <numeric>
 
 using namespace Apricothook;
 
@@ -36,8 +37,7 @@
     void crashAllTargets()
     {
         std::vector<std::size_t> all(targets());
-        for (std::size_t target = 0; target < all.size(); ++target)
-            all[target] = target;
+        std::iota(all.begin(), all.end(), std::size_t {0});
         crashTargets(all);
     }
 };
@@ -123,9 +123,9 @@
     for (const std::size_t targets : {3, 600}) {
         CAPTURE(targets);
         SuspectFleet fleet(84, targets, 19);
-        std::vector<std::uint64_t> harmless;
-        for (int each = 0; each < 10; ++each)
-            harmless.push_back(fleet.addHarmless(40));
+        std::vector<std::uint64_t> harmless(10);
+        for (std::uint64_t &each : harmless)
+            each = fleet.addHarmless(40);
         fleet.run(seconds(2));
         fleet.setLongestRestart(seconds(1));
         for (int round = 0; round < 3; ++round) {
@@ -187,8 +187,8 @@
     case Fault::Partition:
         network.network.isCut
             = [split](std::size_t from, std::size_t to) { return split(from) != split(to); };
-        for (std::size_t daemon = 0; daemon < size; ++daemon)
-            cutOff.push_back(daemon);
+        cutOff.resize(size);
+        std::iota(cutOff.begin(), cutOff.end(), std::size_t {0});
         break;
     case Fault::Isolated:
         network.network.isCut = [at](std::size_t from, std::size_t to) {
@@ -230,7 +230,8 @@
         SuspectFleet fleet(daemons, targets, seed);
         fleet.fleet().network.silenceTimeout = milliseconds(1000 + draw.next() % 4000);
         const std::uint64_t harmless = fleet.addHarmless(20);
-        std::vector<std::uint64_t> crashing {fleet.addCrashing(1 + draw.next() % 20)};
+        std::vector<std::uint64_t> crashing {
+            fleet.addCrashing(1 + static_cast<double>(draw.next() % 20))};
         for (int round = 0; round < 8; ++round) {
             fleet.run(milliseconds(draw.next() % 5000));
             injectFault(fleet, static_cast<Fault>(draw.next() % Faults), crashing);
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -273,9 +273,8 @@
                             .with("sign", std::string(nameOf(sign)))
                             .with("requests", requests.size())
                             .with("age_ms", m_loop.now() - crashed));
-    std::vector<Fingerprint> running;
-    for (const DroppedRequest &request : requests)
-        running.push_back(request.request);
+    std::vector<Fingerprint> running(requests.size());
+    std::ranges::transform(requests, running.begin(), &DroppedRequest::request);
     m_context.suspectGuard->recordCrash(target, running, crashed);
 }
 
