--- a/packages/gateway/tests/apricothook_gateway_crash_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_crash_tests.cpp
@@ -270,3 +270,29 @@
     REQUIRE(fixture.runUntil([&] { return !fixture.guard.crashes.empty(); }));
     CHECK(fixture.guard.crashes[0].second.size() == 1);
 }
+
+TEST_CASE("a request that was queued before it became suspect isn't sent")
+{
+    CrashFixture fixture;
+    constexpr int Slots = 4;
+    std::vector<RecordingConnection *> callers;
+    for (int slot = 0; slot < Slots; ++slot) {
+        callers.push_back(&fixture.connect());
+        callers.back()->socket.send(
+            GatewayFixture::request("once", "slot" + std::to_string(slot), "other"));
+    }
+    REQUIRE(fixture.runUntil([&] { return fixture.target(0).requests() == Slots; }));
+    RecordingConnection &queued = fixture.connect();
+    queued.socket.send(GatewayFixture::request("once", "queued", "poison"));
+    fixture.runPendingEvents();
+    REQUIRE(fixture.target(0).requests() == Slots);
+    fixture.guard.quarantined.insert(fixture.guard.asked.back());
+    for (int slot = 0; slot < Slots; ++slot) {
+        fixture.target(0)
+            .connection(static_cast<std::size_t>(slot))
+            .socket.send(signedResponse("slot" + std::to_string(slot), "fine"));
+    }
+    REQUIRE(fixture.runUntil([&] { return queued.has("\r\n\r\n"); }));
+    CHECK(queued.has("HTTP/1.1 503 "));
+    CHECK(fixture.target(0).requests() == Slots);
+}
