Don't restart a soak target that another fault has restarted

Both faults start a target again after a while though the crashing request's fault had done so, so the id in between kept its entry in the store without a process behind it. They leave such a target alone now.

The daemon's own part was right: a 421 is tried elsewhere, within the budget.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -171,6 +171,9 @@
         target.crash()
         await asyncio.sleep(ENTRY_EXPIRY_SECONDS)
         await self.fleet.remove(crashed_id)
+        if target.id != crashed_id:
+            # Another fault has restarted it.
+            return
         target.start()
         await self.fleet.announce(target)
 
@@ -252,6 +255,8 @@
         target.crash()
         await self.fleet.remove(leaving_id)
         await asyncio.sleep(self.random.uniform(0.1, 1))
+        if target.id != leaving_id:
+            return
         target.start()
         await self.fleet.announce(target)
 
