--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.hpp
@@ -31,9 +31,9 @@
  * Lets all daemons know the requests that crash their targets.
  *
  * A crash takes many innocent requests along, so a request's first crash is told only to its
- * trackers: the daemons that rank first for the limit of its trials. Whoever knows of a second one
- * announces the request to all daemons, as well as each further crash, each trial before it begins,
- * and the end of the suspicion. Announcements are repeated, as datagrams are lost.
+ * trackers: the daemons that rank first for the limit of its trials. A daemon that knows of a
+ * second announces the request to all daemons, as well as each further crash, each trial before it
+ * begins, and the end of the suspicion. Announcements are repeated, as datagrams are lost.
  *
  * A daemon that has just started asks others for the suspects before it sends a request, and
  * trackers tell it when they see it.
@@ -52,7 +52,7 @@
     /** Daemons that a daemon asks for the suspects at a time, and the time until it asks again. */
     static constexpr std::size_t QueriedDaemons = 3;
     static constexpr std::chrono::milliseconds QueryInterval {100};
-    /** Time for an answer; nobody knows more if the whole fleet has just started. */
+    /** Time for an answer; if the whole fleet has just started, there is none. */
     static constexpr std::chrono::milliseconds AnswerTime {300};
     /** Time after its start in which a daemon that finds no other doesn't know the suspects. */
     static constexpr std::chrono::seconds LongestUninformed {3};
--- a/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.hpp
@@ -40,7 +40,7 @@
     bool needsWholeFleet = false;
     /**
      * Units that aren't known to be granted: a grantor has no more than these, and starts with them
-     * if it takes the limit over from nobody. Empty if nothing is known of them.
+     * if no other grantor hands the limit over. Empty if nothing is known of them.
      */
     std::optional<double> ungrantedUnits;
 
