Show that daemons that are cut off from targets serve nobody and take targets for crashed

The soak cuts single daemons off from targets: connections hang (a packet filter on the stand-in's sockets drops what comes from the daemon's address), are reset, or live on while new ones are reset; some daemons, a zone, all but one, half of the targets, in series. The daemon connects to targets from its own address, so that the proxy can tell the daemons apart.

--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.cpp
@@ -36,6 +36,19 @@
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, MaxUnansweredProbes);
 }
 
+/** Connects from the given address, or from any if it is empty. */
+bool startConnecting(int descriptor, const Endpoint &to, const std::string &from)
+{
+    const std::optional<sockaddr_storage> local = socketAddressOf({from, 0});
+    if (local
+        && bind(descriptor, reinterpret_cast<const sockaddr *>(&*local), sizeof(sockaddr_in)) < 0)
+        return false;
+    const std::optional<sockaddr_storage> remote = socketAddressOf(to);
+    return connect(descriptor, reinterpret_cast<const sockaddr *>(&*remote), sizeof(sockaddr_in))
+        == 0
+        || errno == EINPROGRESS;
+}
+
 bool isTransient(int error)
 {
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -50,7 +63,8 @@
     m_loop.watch(m_descriptor, *this);
 }
 
-StreamSocket::StreamSocket(EventLoop &loop, StreamSocketEvents &events, const Endpoint &to)
+StreamSocket::StreamSocket(EventLoop &loop, StreamSocketEvents &events, const Endpoint &to,
+                           const std::string &from)
     : m_loop(loop), m_events(events), m_connecting(true)
 {
     const std::optional<sockaddr_storage> address = socketAddressOf(to);
@@ -58,9 +72,7 @@
         m_descriptor = socket(address->ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (m_descriptor >= 0) {
         setOptions(m_descriptor);
-        const int result = connect(m_descriptor, reinterpret_cast<const sockaddr *>(&*address),
-                                   sizeof(sockaddr_in));
-        if (result == 0 || errno == EINPROGRESS) {
+        if (startConnecting(m_descriptor, to, from)) {
             m_loop.watch(m_descriptor, *this);
             updateInterest();
             return;
--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
@@ -44,8 +44,12 @@
 
     /** Takes ownership of an accepted descriptor. */
     StreamSocket(EventLoop &loop, StreamSocketEvents &events, int descriptor);
-    /** Starts connecting; onConnected() or onEnd() reports the result. */
-    StreamSocket(EventLoop &loop, StreamSocketEvents &events, const Endpoint &to);
+    /**
+     * Starts connecting; onConnected() or onEnd() reports the result. `from` is the numeric address
+     * of this VM to connect from; the system chooses one if it is empty.
+     */
+    StreamSocket(EventLoop &loop, StreamSocketEvents &events, const Endpoint &to,
+                 const std::string &from = {});
     ~StreamSocket() override;
     StreamSocket(const StreamSocket &) = delete;
     StreamSocket &operator=(const StreamSocket &) = delete;
--- a/packages/gateway/apricothook/gateway/apricothook_channel_pool.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_channel_pool.cpp
@@ -12,8 +12,9 @@
 
 } // namespace
 
-ChannelPool::ChannelPool(EventLoop &loop, const WireProtocol &protocol, LogWriter &log)
-    : m_loop(loop), m_protocol(protocol), m_log(log)
+ChannelPool::ChannelPool(EventLoop &loop, const WireProtocol &protocol, LogWriter &log,
+                         std::string from)
+    : m_loop(loop), m_protocol(protocol), m_log(log), m_from(std::move(from))
 {
     scheduleSweep();
 }
@@ -52,7 +53,8 @@
         return channel;
     }
     TargetChannelOwner &owner = *this;
-    m_channels.push_back(std::make_unique<TargetChannel>(m_loop, m_protocol, owner, target));
+    m_channels.push_back(
+        std::make_unique<TargetChannel>(m_loop, m_protocol, owner, target, m_from));
     return *m_channels.back();
 }
 
--- a/packages/gateway/apricothook/gateway/apricothook_channel_pool.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_channel_pool.hpp
@@ -24,7 +24,8 @@
      */
     static constexpr std::chrono::milliseconds NonRetryableIdleLimit {1000};
 
-    ChannelPool(EventLoop &loop, const WireProtocol &protocol, LogWriter &log);
+    /** `from`: address of this VM to connect from. */
+    ChannelPool(EventLoop &loop, const WireProtocol &protocol, LogWriter &log, std::string from);
     ~ChannelPool() override;
     ChannelPool(const ChannelPool &) = delete;
     ChannelPool &operator=(const ChannelPool &) = delete;
@@ -48,6 +49,7 @@
     EventLoop &m_loop;
     const WireProtocol &m_protocol;
     LogWriter &m_log;
+    const std::string m_from;
     Channels m_channels;
     /** Most recently used last; these are reused first, so that surplus channels expire. */
     std::map<TargetId, std::vector<TargetChannel *>> m_idle;
--- a/packages/gateway/apricothook/gateway/apricothook_crash_detector.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_crash_detector.cpp
@@ -16,8 +16,9 @@
 class CrashDetector::Probe : private StreamSocketEvents
 {
 public:
-    Probe(EventLoop &loop, const Endpoint &target, std::function<void()> evaluate)
-        : address(target), dropped(loop.now()), m_loop(loop), m_socket(loop, *this, target)
+    Probe(EventLoop &loop, const Endpoint &target, const std::string &from,
+          std::function<void()> evaluate)
+        : address(target), dropped(loop.now()), m_loop(loop), m_socket(loop, *this, target, from)
     {
         m_timer = m_loop.after(ProbeTime, std::move(evaluate));
     }
@@ -47,8 +48,8 @@
     StreamSocket m_socket;
 };
 
-CrashDetector::CrashDetector(EventLoop &loop, CrashListener &listener)
-    : m_loop(loop), m_listener(listener)
+CrashDetector::CrashDetector(EventLoop &loop, CrashListener &listener, std::string from)
+    : m_loop(loop), m_listener(listener), m_from(std::move(from))
 {
 }
 
@@ -64,7 +65,7 @@
         return;
     std::unique_ptr<Probe> &probe = m_probes[instance];
     if (!probe)
-        probe = std::make_unique<Probe>(m_loop, target.address,
+        probe = std::make_unique<Probe>(m_loop, target.address, m_from,
                                         [this, instance] { evaluate(instance); });
     else if (request.sent > probe->dropped)
         return;
--- a/packages/gateway/apricothook/gateway/apricothook_crash_detector.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_crash_detector.hpp
@@ -63,7 +63,8 @@
     /** Time for which a crashed target isn't probed again. */
     static constexpr std::chrono::seconds CrashedTime {60};
 
-    CrashDetector(EventLoop &loop, CrashListener &listener);
+    /** `from`: address of this VM to connect from. */
+    CrashDetector(EventLoop &loop, CrashListener &listener, std::string from = {});
     ~CrashDetector();
     CrashDetector(const CrashDetector &) = delete;
     CrashDetector &operator=(const CrashDetector &) = delete;
@@ -93,6 +94,7 @@
 
     EventLoop &m_loop;
     CrashListener &m_listener;
+    const std::string m_from;
     std::map<TargetInstance, std::unique_ptr<Probe>> m_probes;
     std::vector<Survivor> m_survivors;
     /** When targets crashed that haven't answered since. */
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -16,10 +16,10 @@
     , m_limits(self, *this, *this, *this, random)
     , m_targetLimits(self.address, *this, *this)
     , m_dispatcher(m_targets, *this, policies)
-    , m_channels(loop, protocol, log)
+    , m_channels(loop, protocol, log, self.address.address)
     , m_suspects(loop, self, m_limits.ranking(), *this, random, log,
                  [this](std::uint64_t request) { updateTrialBudget(request); })
-    , m_crashDetector(loop, *this)
+    , m_crashDetector(loop, *this, self.address.address)
     , m_context {.loop = loop,
                  .protocol = protocol,
                  .random = random,
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
@@ -5,12 +5,13 @@
 namespace Apricothook {
 
 TargetChannel::TargetChannel(EventLoop &loop, const WireProtocol &protocol,
-                             TargetChannelOwner &owner, const TargetEntry &target)
+                             TargetChannelOwner &owner, const TargetEntry &target,
+                             const std::string &from)
     : m_loop(loop)
     , m_protocol(protocol)
     , m_owner(owner)
     , m_target(target)
-    , m_socket(loop, *this, target.address)
+    , m_socket(loop, *this, target.address, from)
 {
     m_connectTimer = m_loop.after(ConnectTimeout, [this] {
         m_connectTimer = 0;
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
@@ -55,8 +55,9 @@
     /** Responses to other requests that are discarded before the channel is closed. */
     static constexpr unsigned MaxUnexpectedResponses = 2;
 
+    /** `from`: address of this VM to connect from. */
     TargetChannel(EventLoop &loop, const WireProtocol &protocol, TargetChannelOwner &owner,
-                  const TargetEntry &target);
+                  const TargetEntry &target, const std::string &from);
     ~TargetChannel() override;
     TargetChannel(const TargetChannel &) = delete;
     TargetChannel &operator=(const TargetChannel &) = delete;
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -32,6 +32,7 @@
     answer: bytes = b""
     abandoned: bool = False
     ended: float = 0.0
+    is_repeated: bool = False
 
 
 @dataclass
@@ -89,7 +90,7 @@
             try:
                 daemon, link = self.links[self.random.choice(await asyncio.wait_for(self.resolve(), 1))]
                 reader, writer = await asyncio.wait_for(asyncio.open_connection(*link), 1)
-                record = replace(self.new_record(daemon), kind=kind, line=line, key=key, body=body)
+                record = replace(self.new_record(daemon), kind=kind, line=line, key=key, body=body, is_repeated=True)
                 self.records.append(record)
                 await asyncio.wait_for(self.exchange(record, reader, writer), REQUEST_TIMEOUT_MS / 1000)
                 writer.close()
--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import pathlib
 import signal
@@ -10,6 +11,7 @@
 import targets
 
 GRACE_SECONDS = 8
+TARGET_CRASHED = 818
 RETRY_RATIO, RETRY_WINDOW, RETRY_SLACK = 0.2, 10, 56
 SETTINGS = """NodeName = "vm-{index}"
 Zone = "z{zone}"
@@ -87,6 +89,11 @@
             self.process = await asyncio.create_subprocess_exec(
                 self.program, "--settings", self.write_settings(), stdout=log, stderr=log)
 
+    def reported_crashes(self) -> list[str]:
+        """Ids of the targets that the daemon's log reports as crashed."""
+        lines = map(json.loads, filter(lambda line: line.startswith("{"), (self.folder / f"vm-{self.index}.log").read_text().splitlines()))
+        return [line["target"] for line in lines if line.get("event") == TARGET_CRASHED]
+
     def send_signal(self, signal_number: signal.Signals) -> None:
         if self.process and self.process.returncode is None:
             # The process may have exited before its status was collected.
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -22,6 +22,10 @@
 STARTUP_SECONDS = 0.3
 # Delays before a target that a request crashed is restarted; with the shortest, a connection attempt finds it up again.
 RESTART_DELAYS = (0.04, 0.5, 2.0)
+# A cut lasts longer than the time after which callers of the cut daemons must be served.
+CUT_SECONDS = (6.0, 9.0)
+# For this time a target that is sound may be silent.
+SILENCE_SECONDS = (0.8, 1.3)
 MOST_CRASHING_REQUESTS = 3
 
 
@@ -34,6 +38,7 @@
         self.running: set[asyncio.Task] = set()
         self.log: list[str] = []
         self.evacuated: set[str] = set()
+        self.cut_off: frozenset[int] = frozenset()
         self.crashing_requests = 0
         self.configuring = asyncio.Lock()
         self.kinds = [self.kill, self.kill_many, self.freeze, self.terminate, self.reload, self.harm_caller_link,
@@ -42,7 +47,8 @@
                       self.fail_service, self.kill_in_series, self.freeze_others]
         # Only when named explicitly, so that a seed keeps its faults; the first one crashes most targets.
         self.opt_in_kinds = [self.crashing_request, self.resize_configuration, self.silence_store, self.replace_key,
-                             self.limit_target]
+                             self.limit_target, self.cut_daemons, self.cut_zone, self.cut_all_but_one,
+                             self.cut_from_half, self.cut_in_series, self.silence_target]
         if chosen != "on":
             known = {kind.__name__: kind for kind in self.kinds + self.opt_in_kinds}
             names = [] if chosen == "off" else chosen.split(",")
@@ -213,6 +219,59 @@
         await self.mark_affected(self.fleet.daemons, self.random.uniform(0.5, 2.5))
         target.is_unresponsive = False
 
+    async def cut(self, daemons, target_links, how: str, seconds: float) -> None:
+        """Cuts daemons off from targets, but never all of them. They stay reachable for callers, the store and each other."""
+        loop = asyncio.get_running_loop()
+        spare = len(self.fleet.daemons) - len(self.cut_off) - 1
+        chosen = frozenset([daemon.index for daemon in daemons if daemon.index not in self.cut_off][:spare])
+        if not chosen:
+            return
+        self.cut_off |= chosen
+        sources = [f"127.0.1.{index}" for index in sorted(chosen)]
+        began = loop.time()
+        self.log.append(f"{began - self.fleet.started:.2f} {how} for {seconds:.1f} s: {sources}, {len(target_links)} targets")
+        for link in target_links:
+            link.cut(sources, how)
+        await asyncio.sleep(seconds)
+        for link in target_links:
+            link.mend(sources)
+        if len(target_links) == len(self.fleet.target_links):
+            self.fleet.cuts.append((chosen, began, loop.time()))
+        self.cut_off -= chosen
+
+    async def cut_from_all(self, daemons) -> None:
+        await self.cut(daemons, self.fleet.target_links, self.random.choice(links.CUTS), self.random.uniform(*CUT_SECONDS))
+
+    async def cut_daemons(self) -> None:
+        await self.cut_from_all(self.random.sample(self.fleet.daemons, self.random.randint(1, len(self.fleet.daemons) // 2)))
+
+    async def cut_zone(self) -> None:
+        zone = self.random.randrange(targets.ZONES)
+        await self.cut_from_all([daemon for daemon in self.fleet.daemons if daemon.index % targets.ZONES == zone])
+
+    async def cut_all_but_one(self) -> None:
+        spared = self.random_daemon()
+        await self.cut_from_all([daemon for daemon in self.fleet.daemons if daemon is not spared])
+
+    async def cut_from_half(self) -> None:
+        target_links = self.random.sample(self.fleet.target_links, len(self.fleet.target_links) // 2)
+        daemons = self.random.sample(self.fleet.daemons, len(self.fleet.daemons) // 2)
+        await self.cut(daemons, target_links, self.random.choice(links.CUTS), self.random.uniform(*CUT_SECONDS))
+
+    async def cut_in_series(self) -> None:
+        """The same daemons are cut off again and again, for short times and in different ways."""
+        daemons = self.random.sample(self.fleet.daemons, len(self.fleet.daemons) // 2)
+        for _ in range(4):
+            await self.cut(daemons, self.fleet.target_links, self.random.choice(links.CUTS), self.random.uniform(0.3, 2.5))
+            await asyncio.sleep(self.random.uniform(0.1, 1.0))
+
+    async def silence_target(self) -> None:
+        """A sound target is silent for a moment and goes on."""
+        target = self.random.choice(self.fleet.targets)
+        target.is_unresponsive = True
+        await asyncio.sleep(self.random.uniform(*SILENCE_SECONDS))
+        target.is_unresponsive = False
+
     async def limit_target(self) -> None:
         """A target names a limit in its answers, changes it now and then, and stops naming it."""
         target = self.random.choice(self.fleet.targets)
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -91,6 +91,7 @@
         # Failure mode, and the fraction of requests that it applies to.
         self.failure, self.failure_probability, self.random = "", 0.0, random.Random(address[0])
         self.incarnation, self.accepted, self.is_unresponsive, self.is_up = 0, 0, False, False
+        self.crashed_ids: set[str] = set()
         self.cold_seconds = COLD_SECONDS
         self.zone, self.cold_until = "", 0.0
         self.slots = asyncio.Semaphore(SLOTS)
@@ -127,6 +128,7 @@
 
     def crash(self) -> None:
         self.is_up = False
+        self.crashed_ids.add(self.id)
         for writer in list(self.writers):
             writer.transport.abort()
 
--- a/tools/soak/test_links.py
+++ b/tools/soak/test_links.py
@@ -1,5 +1,6 @@
 """Tests that the fault-injecting proxy behaves like a real network."""
 
+import asyncio
 import pathlib
 import sys
 import unittest
@@ -33,6 +34,17 @@
         self.aborted = True
 
 
+async def is_answered(source: str, port: int) -> bool:
+    """Whether bytes that are sent from the source come back within a moment."""
+    try:
+        async with asyncio.timeout(0.3):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port, local_addr=(source, 0))
+            writer.write(b"a")
+            return await reader.read(1) == b"a"
+    except (TimeoutError, OSError):
+        return False
+
+
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_connection_with_dropped_bytes_is_aborted(self):
         # Two faults of one link overlap: the first drops bytes, the second only delays. The connection must be
@@ -44,6 +56,22 @@
         self.assertEqual(writer.written, b"a")
         self.assertTrue(writer.aborted)
 
+    async def test_a_cut_stops_the_connections_of_its_sources_only(self):
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                writer.write(data)
+
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        link = links.Link(("127.0.0.1", 0), server.sockets[0].getsockname())
+        await link.start()
+        port = link.server.sockets[0].getsockname()[1]
+        for how in links.CUTS:
+            link.cut(["127.0.0.2"], how)
+            self.assertFalse(await is_answered("127.0.0.2", port), how)
+            self.assertTrue(await is_answered("127.0.0.3", port), how)
+            link.mend(["127.0.0.2"])
+            self.assertTrue(await is_answered("127.0.0.2", port), how)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/test_verdict.py
+++ b/tools/soak/test_verdict.py
@@ -31,7 +31,7 @@
 
 
 def findings(records: list, runs: list, **changes) -> list[str]:
-    fleet = SimpleNamespace(callers=SimpleNamespace(records=records), runs=runs, revoked={}, left_at={}, stops=[], evacuations=[], arrivals=[], limits=[], crashes=[], started=0.0,
+    fleet = SimpleNamespace(callers=SimpleNamespace(records=records), runs=runs, revoked={}, left_at={}, stops=[], evacuations=[], arrivals=[], limits=[], crashes=[], cuts=[], accusations=[], targets=[], started=0.0,
                             fault_times=defaultdict(list), keys=["key-a"], recovered_at=0.0)
     vars(fleet).update(changes)
     return [line.split(" ")[0].rstrip(":") for line in verdict.findings(fleet)]
@@ -64,6 +64,25 @@
         apart = arrivals(allowed, "plain") + arrivals(allowed, "plain", "r2", SENT_AT + daemons.RETRY_WINDOW)
         self.assertEqual(findings(records, [], arrivals=apart), [])
 
+    def test_cut_daemons_that_serve_much_less_than_the_others_are_found(self):
+        def records(daemon: int, served: int, failed: int) -> list:
+            return [request("safe", daemon=daemon, sent=20.0, status=200 if index < served else 503, signature="", answer=b"")
+                    for index in range(served + failed)]
+
+        def count(there: list, elsewhere: list) -> int:
+            fleet = SimpleNamespace(callers=SimpleNamespace(records=there + elsewhere), cuts=[(frozenset([1]), 15.0, 24.0)],
+                                    fault_times=defaultdict(list), started=0.0)
+            return len(verdict.check_cuts(fleet))
+
+        self.assertEqual(count(records(1, 5, 20), records(2, 25, 0)), 1)
+        self.assertEqual(count(records(1, 20, 5), records(2, 25, 0)), 0)
+        self.assertEqual(count(records(1, 5, 20), records(2, 5, 20)), 0)
+
+    def test_a_daemon_that_reports_a_sound_target_as_crashed_is_found(self):
+        target = SimpleNamespace(crashed_ids={"t1"})
+        fleet = SimpleNamespace(accusations=[(1, "t1"), (2, "t2")], targets=[target])
+        self.assertEqual([line.split(",")[0] for line in verdict.check_accusations(fleet)], ["ACCUSED t2 by vm-2"])
+
     def test_a_second_run_is_found_only_for_requests_that_must_run_once(self):
         for kind, expected in (("unsafe", ["TWICE"]), ("single", ["TWICE"]), ("safe", []), ("resumable", [])):
             record = request(kind)
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -1,7 +1,7 @@
 """Checks the records of callers and targets against the guarantees of the service. Each finding is one line."""
 
 from bisect import bisect_right
-from collections import defaultdict
+from collections import Counter, defaultdict
 from math import inf
 
 import callers
@@ -19,6 +19,9 @@
 SERVICES = {"/u/": "plain", "/i/": "plain", "/r/": "streams", "/n/": "streams"}
 NOT_EXECUTED = (408, 421, 429, 503)
 MIN_SERVED_AFTER_RECOVERY = 0.9
+# From this time on, callers of daemons that are cut off from all targets are to be served as well as others: at least this
+# fraction as often, or no more than so many of them fail, and so many of all requests.
+CUT_BOUND, CUT_FRACTION, CUT_FAILURES, CUT_FAILURE_FRACTION = 4.0, 2 / 3, 10, 1 / 50
 
 
 def findings(fleet) -> list[str]:
@@ -37,6 +40,8 @@
     found += check_limits(fleet, sent)
     found += check_retry_budget(fleet)
     found += check_crashing_requests(fleet)
+    found += check_cuts(fleet)
+    found += check_accusations(fleet)
     found += [f"STOP vm-{index} ended with {status}" for index, status in fleet.stops if status != 0]
     return found + check_recovery(fleet)
 
@@ -202,6 +207,32 @@
             for body, count in late.items() if count > 3]
 
 
+def check_cuts(fleet) -> list[str]:
+    """Compares the requests at daemons that are cut off from all targets with those at the others."""
+    found = []
+    for cut, began, ended in fleet.cuts:
+        others_cut = {index for other, other_began, other_ended in fleet.cuts if other_began < ended and began < other_ended for index in other}
+        records = [record for record in fleet.callers.records if began + CUT_BOUND <= record.sent <= ended and not record.abandoned
+                   and record.ended and not record.is_repeated and is_undisturbed(fleet, record, record.sent)]
+        there = [record for record in records if record.daemon in cut]
+        elsewhere = [record for record in records if record.daemon not in others_cut]
+        served_there, served_elsewhere = (sum(record.status == 200 and record.complete for record in group) for group in (there, elsewhere))
+        failed = len(there) - served_there
+        if not there or not elsewhere or failed <= CUT_FAILURES + CUT_FAILURE_FRACTION * (len(there) + len(elsewhere)):
+            continue
+        if served_there / len(there) < CUT_FRACTION * served_elsewhere / len(elsewhere):
+            found.append(f"RECOVER at {began - fleet.started:.1f} s: daemons {sorted(cut)}, cut off from all targets, served {served_there} of "
+                         f"{len(there)} requests, the others {served_elsewhere} of {len(elsewhere)}")
+    return found
+
+
+def check_accusations(fleet) -> list[str]:
+    """A daemon must not take a target for crashed whose address it doesn't reach."""
+    crashed = set().union(*(target.crashed_ids for target in fleet.targets))
+    counts = Counter(accusation for accusation in fleet.accusations if accusation[1] not in crashed)
+    return [f"ACCUSED {target} by vm-{index}, {count} times; it never crashed" for (index, target), count in sorted(counts.items())]
+
+
 def check_recovery(fleet) -> list[str]:
     last = [record for record in fleet.callers.records if record.sent > fleet.recovered_at and not record.abandoned
             and record.key in fleet.keys and record.ended]
