Reach targets through another daemon where the own path is lost, and judge path and target apart

Besides, such a daemon took targets for crashed, told the fleet so, and made innocent requests suspect.

Cause: a daemon knew one belief, of the target, and one way, its own. What failed on the way was the target's fault.

Now a failed attempt accuses nobody. It starts an inquiry: the daemon connects once more, then asks others. If one of them keeps a connection to the target the path is lost; if nobody does, and one that reaches other targets at the same time says so, the target is down; else nothing is concluded. Requests on lost or doubtful paths go through a daemon that was found to reach targets, which carries bytes and decides nothing: placement, limits, retries, time left and the answer stay where they were, so their promises hold as before. The request is written when the connection stands, so a request that was never sent has not run, and the time left is true. While all attempts succeed nothing is sent or tested.

--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -46,6 +46,8 @@
 constexpr std::uint32_t ToleratedFailures = 3;
 /** Time for which a target that reported to be full gets no requests. */
 constexpr std::chrono::milliseconds FullPause {100};
+/** Time for which a target gets no requests until it is known whether it or the path failed. */
+constexpr std::chrono::milliseconds LossPause {500};
 
 /**
  * Requests that this daemon and its cell may have at a target of another cell while the own cell's
@@ -147,6 +149,16 @@
         m_targets, [&](const auto &entry) { return entry.second.entry.dataCentre == dataCentre; }));
 }
 
+std::vector<Endpoint> TargetTable::addressesOfOthers(const TargetId &target) const
+{
+    std::vector<Endpoint> addresses;
+    for (const auto &[id, tracked] : m_targets) {
+        if (id != target)
+            addresses.push_back(tracked.entry.address);
+    }
+    return addresses;
+}
+
 std::size_t TargetTable::evacuatedCount() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_targets, [this](const auto &entry) {
@@ -368,8 +380,8 @@
         found->pendingPromptTokens -= std::min(found->pendingPromptTokens, size.promptTokens);
     if (outcome == TargetOutcome::Cancelled)
         return;
-    if (outcome == TargetOutcome::Full) {
-        found->avoidedUntil = std::max(found->avoidedUntil, now + FullPause);
+    if (outcome == TargetOutcome::Full || outcome == TargetOutcome::Lost) {
+        pause(*found, outcome == TargetOutcome::Full ? FullPause : LossPause, now);
         return;
     }
     found->speed.addEnd(held, outcome != TargetOutcome::Served);
@@ -379,6 +391,28 @@
         recordFailure(*found, outcome, now);
 }
 
+void TargetTable::pause(TrackedTarget &target, Duration pause, Instant now)
+{
+    target.avoidedUntil = std::max(target.avoidedUntil, now + pause);
+}
+
+void TargetTable::recordUnreachable(const TargetInstance &target, unsigned failures, Instant now)
+{
+    TrackedTarget *found = find(target);
+    for (unsigned failure = 0; found && failure < failures; ++failure) {
+        found->speed.addEnd({}, true);
+        recordFailure(*found, TargetOutcome::Unreachable, now);
+    }
+}
+
+void TargetTable::recordReachable(const TargetInstance &target)
+{
+    if (TrackedTarget *found = find(target)) {
+        found->avoidedUntil = {};
+        found->failuresInRow = 0;
+    }
+}
+
 void TargetTable::recordFailure(TrackedTarget &target, TargetOutcome outcome, Instant now)
 {
     ++target.failuresInRow;
@@ -391,8 +425,8 @@
     constexpr std::uint32_t MaximumDoublings = 4;
     const std::uint32_t doublings
         = std::min(target.failuresInRow - tolerated - 1, MaximumDoublings);
-    const auto pause = std::min(FirstAvoidance * (1U << doublings), LastAvoidance);
-    target.avoidedUntil = std::max(target.avoidedUntil, now + Duration(pause));
+    const auto avoidance = std::min(FirstAvoidance * (1U << doublings), LastAvoidance);
+    pause(target, Duration(avoidance), now);
 }
 
 void TargetTable::setMemberLoad(std::uint64_t member, const std::vector<TargetLoad> &loads)
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -46,7 +46,8 @@
 enum class TargetOutcome {
     Served,
     Failed,      ///< An error of the target, or a broken or unreadable answer.
-    Unreachable, ///< No connection, or no response.
+    Unreachable, ///< The target accepts no connections, or doesn't respond.
+    Lost,        ///< No connection or no response; the target or the path to it is at fault.
     Full,        ///< The target reported that it had no capacity.
     Cancelled,   ///< Ended by this daemon; tells nothing about the target.
 };
@@ -148,6 +149,8 @@
      * older.
      */
     void setEvacuated(const DataCentreId &dataCentre, bool isEvacuated, Instant now);
+    /** Addresses of all targets but one. */
+    std::vector<Endpoint> addressesOfOthers(const TargetId &target) const;
     std::size_t countIn(const DataCentreId &dataCentre) const;
     std::size_t evacuatedCount() const;
     /** Whether some service limits requests to its cold targets. */
@@ -173,6 +176,10 @@
     /** `hadFirstEvent`: firstEventReceived() was called for this request. */
     void requestEnded(const TargetInstance &target, const RequestSize &size, TargetOutcome outcome,
                       Duration held, bool hadFirstEvent, Instant now);
+    /** The target accepts no connections, or didn't respond on a path that carries others. */
+    void recordUnreachable(const TargetInstance &target, unsigned failures, Instant now);
+    /** The target accepts connections, so nothing that was lost on the way speaks against it. */
+    void recordReachable(const TargetInstance &target);
     void setMemberLoad(std::uint64_t member, const std::vector<TargetLoad> &loads);
     std::vector<TargetLoad> ownLoad() const;
 
@@ -245,6 +252,7 @@
     Forecast forecast(const TrackedTarget &target, const RequestSize &size,
                       const AverageSpeed &average) const;
     double cost(const TrackedTarget &target, const Forecast &forecast) const;
+    static void pause(TrackedTarget &target, Duration pause, Instant now);
     void recordFailure(TrackedTarget &target, TargetOutcome outcome, Instant now);
 
     const DataCentreId m_ownDataCentre;
--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <apricothook/eventloop/apricothook_event_loop.hpp>
+#include <apricothook/eventloop/apricothook_stream_connection.hpp>
 #include <apricothook/model/apricothook_endpoint.hpp>
 
 #include <memory>
@@ -36,7 +37,7 @@
  * connection state. Unacknowledged data and unanswered keep-alive probes therefore close it after
  * DeadPeerTimeout.
  */
-class StreamSocket : private DescriptorEvents
+class StreamSocket : public StreamConnection, private DescriptorEvents
 {
 public:
     /** Allows for a few retransmissions, but is shorter than the pause that callers tolerate. */
@@ -54,18 +55,15 @@
     StreamSocket(const StreamSocket &) = delete;
     StreamSocket &operator=(const StreamSocket &) = delete;
 
-    void send(std::string_view bytes);
-    /** While reading is off, flow control stops the peer once the receive window is full. */
-    void setReading(bool reading);
-    /** Buffered bytes that the kernel hasn't accepted yet. */
-    std::size_t unsentBytes() const { return m_sendBuffer.size() - m_sendOffset; }
-    bool isOpen() const { return m_descriptor >= 0; }
+    void send(std::string_view bytes) override;
+    void setReading(bool reading) override;
+    std::size_t unsentBytes() const override { return m_sendBuffer.size() - m_sendOffset; }
+    bool isOpen() const override { return m_descriptor >= 0; }
     /** Half-closes the connection after all buffered bytes are sent; reading continues. */
     void shutdownSend();
     /** Sends as many buffered bytes as the kernel accepts now, then closes in order. */
     void close();
-    /** Closes with a reset, so that a response without a length doesn't look complete. */
-    void abort();
+    void abort() override;
 
 private:
     static constexpr std::size_t ReadBufferBytes = 16384;
--- a/packages/gateway/apricothook/gateway/apricothook_channel_pool.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_channel_pool.cpp
@@ -13,8 +13,8 @@
 } // namespace
 
 ChannelPool::ChannelPool(EventLoop &loop, const WireProtocol &protocol, LogWriter &log,
-                         std::string from)
-    : m_loop(loop), m_protocol(protocol), m_log(log), m_from(std::move(from))
+                         TargetConnector &connector)
+    : m_loop(loop), m_protocol(protocol), m_log(log), m_connector(connector)
 {
     scheduleSweep();
 }
@@ -40,10 +40,11 @@
         limit = std::min(
             limit,
             std::chrono::duration_cast<Duration>(*channel.keepAliveTimeout() * KeepAliveFraction));
-    return idle < limit;
+    return idle < limit && m_connector.isUsable(channel.target(), channel.relay());
 }
 
-TargetChannel &ChannelPool::acquire(const TargetEntry &target, bool isRetryable)
+TargetChannel &ChannelPool::acquire(const TargetEntry &target, const RequestKey &request,
+                                    bool isRetryable)
 {
     std::vector<TargetChannel *> &idle = m_idle[target.id];
     if (!idle.empty() && idle.back()->target().instance() == target.instance()
@@ -54,7 +55,7 @@
     }
     TargetChannelOwner &owner = *this;
     m_channels.push_back(
-        std::make_unique<TargetChannel>(m_loop, m_protocol, owner, target, m_from));
+        std::make_unique<TargetChannel>(m_loop, m_protocol, owner, m_connector, target, request));
     return *m_channels.back();
 }
 
--- a/packages/gateway/apricothook/gateway/apricothook_channel_pool.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_channel_pool.hpp
@@ -24,15 +24,15 @@
      */
     static constexpr std::chrono::milliseconds NonRetryableIdleLimit {1000};
 
-    /** `from`: address of this VM to connect from. */
-    ChannelPool(EventLoop &loop, const WireProtocol &protocol, LogWriter &log, std::string from);
+    ChannelPool(EventLoop &loop, const WireProtocol &protocol, LogWriter &log,
+                TargetConnector &connector);
     ~ChannelPool() override;
     ChannelPool(const ChannelPool &) = delete;
     ChannelPool &operator=(const ChannelPool &) = delete;
 
     /** Returns an idle channel to the target, or a new one that is still connecting. */
-    TargetChannel &acquire(const TargetEntry &target, bool isRetryable);
-    /** Closes the idle channels to the target. */
+    TargetChannel &acquire(const TargetEntry &target, const RequestKey &request, bool isRetryable);
+    /** Closes the idle channels to the target; requests in progress keep theirs. */
     void closeIdle(const TargetId &target);
     std::size_t size() const { return m_channels.size(); }
 
@@ -49,7 +49,7 @@
     EventLoop &m_loop;
     const WireProtocol &m_protocol;
     LogWriter &m_log;
-    const std::string m_from;
+    TargetConnector &m_connector;
     Channels m_channels;
     /** Most recently used last; these are reused first, so that surplus channels expire. */
     std::map<TargetId, std::vector<TargetChannel *>> m_idle;
--- a/packages/gateway/apricothook/gateway/apricothook_crash_detector.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_crash_detector.cpp
@@ -1,8 +1,5 @@
 #include <apricothook/gateway/apricothook_crash_detector.hpp>
 
-#include <apricothook/eventloop/apricothook_stream_socket.hpp>
-
-#include <functional>
 #include <utility>
 
 namespace Apricothook {
@@ -12,49 +9,18 @@
     return sign == CrashSign::NoConnection ? "no-connection" : "new-instance";
 }
 
-/** A new connection to a target, and the requests that the target has dropped. */
-class CrashDetector::Probe : private StreamSocketEvents
+CrashDetector::CrashDetector(EventLoop &loop, CrashListener &listener,
+                             std::function<void(const TargetEntry &target)> inquire)
+    : m_loop(loop), m_listener(listener), m_inquire(std::move(inquire))
 {
-public:
-    Probe(EventLoop &loop, const Endpoint &target, const std::string &from,
-          std::function<void()> evaluate)
-        : address(target), dropped(loop.now()), m_loop(loop), m_socket(loop, *this, target, from)
-    {
-        m_timer = m_loop.after(ProbeTime, std::move(evaluate));
-    }
-    ~Probe() override
-    {
-        m_loop.cancel(m_timer);
-        m_socket.abort();
-    }
-    Probe(const Probe &) = delete;
-    Probe &operator=(const Probe &) = delete;
-
-    bool isConnected() const { return m_isConnected && m_socket.isOpen(); }
-
-    const Endpoint address;
-    /** When the target dropped the first request. */
-    const Instant dropped;
-    std::vector<DroppedRequest> requests;
-
-private:
-    void onConnected() override { m_isConnected = true; }
-    void onData(std::string_view) override { }
-    void onEnd(CloseReason) override { m_isConnected = false; }
-
-    EventLoop &m_loop;
-    bool m_isConnected = false;
-    TimerId m_timer = 0;
-    StreamSocket m_socket;
-};
+}
 
-CrashDetector::CrashDetector(EventLoop &loop, CrashListener &listener, std::string from)
-    : m_loop(loop), m_listener(listener), m_from(std::move(from))
+CrashDetector::~CrashDetector()
 {
+    for (auto &[target, timer] : m_timers)
+        m_loop.cancel(timer);
 }
 
-CrashDetector::~CrashDetector() = default;
-
 void CrashDetector::recordDropped(const TargetEntry &target, const DroppedRequest &request)
 {
     forgetOld();
@@ -63,26 +29,48 @@
     const auto crashed = m_crashed.find(instance);
     if (crashed != m_crashed.end() && request.sent > crashed->second)
         return;
-    std::unique_ptr<Probe> &probe = m_probes[instance];
-    if (!probe)
-        probe = std::make_unique<Probe>(m_loop, target.address, m_from,
-                                        [this, instance] { evaluate(instance); });
-    else if (request.sent > probe->dropped)
+    const auto [known, isFirst]
+        = m_drops.try_emplace(instance, Drop {instance, target.address, m_loop.now(), {}});
+    if (request.sent > known->second.dropped)
         return;
-    probe->requests.push_back(request);
+    known->second.requests.push_back(request);
+    if (isFirst)
+        m_inquire(target);
 }
 
-void CrashDetector::evaluate(const TargetInstance &target)
+void CrashDetector::conclude(const TargetEntry &target, ReachVerdict verdict)
 {
-    const auto found = m_probes.find(target);
-    const std::unique_ptr<Probe> probe = std::move(found->second);
-    m_probes.erase(found);
-    if (!probe->isConnected()) {
-        reportCrash(target, CrashSign::NoConnection, probe->requests, probe->dropped);
+    const auto found = m_drops.find(target.instance());
+    if (found == m_drops.end())
+        return;
+    const Duration age = m_loop.now() - found->second.dropped;
+    const bool isAlive = verdict == ReachVerdict::Here || verdict == ReachVerdict::Elsewhere;
+    const bool isDown = verdict == ReachVerdict::Refused
+        || (verdict == ReachVerdict::Silent && age >= LongestStandstill);
+    if (!isAlive && !isDown && age < LongestInquiry) {
+        inquireLater(target);
+        return;
+    }
+    const Drop drop = found->second;
+    m_drops.erase(found);
+    if (isDown) {
+        reportCrash(drop.target, CrashSign::NoConnection, drop.requests, drop.dropped);
         return;
     }
-    m_survivors.push_back({target, probe->address, probe->dropped, probe->requests});
-    m_listener.onSurvived(target, probe->requests);
+    m_survivors.push_back(drop);
+    if (isAlive)
+        m_listener.onSurvived(drop.target, drop.requests);
+}
+
+void CrashDetector::inquireLater(const TargetEntry &target)
+{
+    TimerId &timer = m_timers[target.instance()];
+    m_loop.cancel(timer);
+    timer = m_loop.after(InquiryPause, [this, target] {
+        m_timers.erase(target.instance());
+        if (m_drops.contains(target.instance()))
+            m_inquire(target);
+    });
 }
 
 void CrashDetector::recordRegistered(const TargetEntry &target)
@@ -91,20 +79,20 @@
     const auto isFollowed = [&target](const TargetInstance &instance, const Endpoint &address) {
         return address == target.address && instance != target.instance();
     };
-    std::vector<Survivor> crashed;
-    for (auto &[instance, probe] : m_probes) {
-        if (isFollowed(instance, probe->address))
-            crashed.push_back({instance, probe->address, probe->dropped, probe->requests});
+    std::vector<Drop> crashed;
+    for (const auto &[instance, drop] : m_drops) {
+        if (isFollowed(instance, drop.address))
+            crashed.push_back(drop);
     }
-    for (const Survivor &survivor : m_survivors) {
+    for (const Drop &survivor : m_survivors) {
         if (isFollowed(survivor.target, survivor.address))
             crashed.push_back(survivor);
     }
-    std::erase_if(m_survivors, [&](const Survivor &survivor) {
+    std::erase_if(m_survivors, [&](const Drop &survivor) {
         return isFollowed(survivor.target, survivor.address);
     });
-    for (const Survivor &each : crashed) {
-        m_probes.erase(each.target);
+    for (const Drop &each : crashed) {
+        m_drops.erase(each.target);
         reportCrash(each.target, CrashSign::NewInstance, each.requests, each.dropped);
     }
 }
@@ -119,7 +107,7 @@
 void CrashDetector::forgetOld()
 {
     const Instant now = m_loop.now();
-    std::erase_if(m_survivors, [now](const Survivor &survivor) {
+    std::erase_if(m_survivors, [now](const Drop &survivor) {
         return now - survivor.dropped > RegistrationTime;
     });
     std::erase_if(m_crashed, [now](const auto &entry) { return now - entry.second > CrashedTime; });
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -26,8 +26,7 @@
 
 TargetOutcome outcomeOf(ChannelFailure failure)
 {
-    return failure == ChannelFailure::Malformed ? TargetOutcome::Failed
-                                                : TargetOutcome::Unreachable;
+    return failure == ChannelFailure::Malformed ? TargetOutcome::Failed : TargetOutcome::Lost;
 }
 
 } // namespace
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -26,6 +26,13 @@
 /** Retry-After if every target refused the request for lack of free slots. */
 constexpr std::chrono::milliseconds DefaultRetryAfter {500};
 
+AttemptLoss lossOf(const Attempt &attempt)
+{
+    if (!attempt.isSent)
+        return AttemptLoss::NotConnected;
+    return attempt.hasHead ? AttemptLoss::CutShort : AttemptLoss::Unanswered;
+}
+
 } // namespace
 
 ForwardedRequest::ForwardedRequest(GatewayContext &context, ExchangeId id, ReceivedRequest request,
@@ -133,9 +140,13 @@
     sendOrTry(target);
 }
 
-void ForwardedRequest::logPlacement(const TargetEntry &target)
+void ForwardedRequest::logPlacement()
 {
     const Instant now = m_context.loop.now();
+    const TargetEntry &target = m_attempt->target;
+    const TargetPaths &paths = m_context.paths.paths();
+    const std::optional<Instant> lost = paths.lostSince(target.instance());
+    const std::optional<Endpoint> &relay = m_attempt->channel->relay();
     const TrackedTarget *believed = m_context.targets.find(target.id);
     LogEvent line(GatewayEvent::RequestPlaced);
     if (m_targetUnit) {
@@ -150,12 +161,15 @@
     m_context.log.write(line.markRoutine()
                             .forRequest(m_admitted.fields.id)
                             .with("target", target.id.text())
+                            .with("path", std::string(nameOf(paths.state(target.instance()))))
+                            .with("path_lost_ms", lost ? now - *lost : Duration())
+                            .with("relay", relay ? relay->text() : std::string())
                             .with("trial", m_trial.has_value())
                             .with("own_load", believed ? believed->ownRequests : 0)
                             .with("others_load", believed ? believed->requestsOfOthers : 0)
                             .with("slots", target.slots)
                             .with("cold", believed && believed->isCold)
-                            .with("attempt", m_sends + 1)
+                            .with("attempt", m_sends)
                             .with("prompt", m_admitted.size.promptTokens)
                             .with("events", m_admitted.size.events)
                             .with("urgency", m_rank.route.rank())
@@ -173,19 +187,38 @@
     // The connection to the earlier instance may stay open without traffic; the caller would then
     // wait until the deadline for a response that is never sent.
     m_attempt->channel->cancel();
+    if (!m_attempt->isSent) {
+        onAttemptFailed(TargetOutcome::Cancelled, AttemptFailure::NotConnected);
+        return;
+    }
     m_mayHaveRun = true;
     recordDropped();
-    onAttemptFailed(TargetOutcome::Unreachable, "restarted");
+    onAttemptFailed(TargetOutcome::Lost, "restarted");
 }
 
 void ForwardedRequest::send(const TargetEntry &target)
 {
     ++m_sends;
     m_triedTargets.insert(target.instance());
+    m_scanner.clear();
+    m_attempt.emplace();
+    m_attempt->target = target;
+    m_attempt->started = m_context.loop.now();
+    m_attempt->channel = &m_context.channels.acquire(target, m_admitted.fields.id,
+                                                     m_admitted.route->isRetryable());
+    logPlacement();
+    m_attempt->channel->start(m_admitted.fields.id, m_received.head.method == "HEAD", *this);
+}
+
+std::string ForwardedRequest::writeRequest()
+{
     const Instant now = m_context.loop.now();
+    m_attempt->isSent = true;
+    m_attempt->started = now;
+    m_attempt->lastEvent = now;
     const TargetRequestFields fields {
         .timeout = std::max(m_admitted.deadline - now, Duration::zero()),
-        .target = target.id,
+        .target = m_attempt->target.id,
         .customer = m_admitted.customer ? m_admitted.customer->name : CustomerId(),
         .lastEventId = m_lastEvent,
     };
@@ -194,17 +227,9 @@
         || m_received.head.headers.find("Transfer-Encoding");
     const BodyFraming framing
         = {hasBody ? BodyFraming::Kind::Sized : BodyFraming::Kind::None, m_received.body.size()};
-    m_scanner.clear();
-    m_attempt.emplace();
-    m_attempt->target = target;
-    m_attempt->started = now;
-    m_attempt->lastEvent = now;
-    m_attempt->channel = &m_context.channels.acquire(target, m_admitted.route->isRetryable());
-    m_attempt->channel->start(m_admitted.fields.id,
-                              writeRequestHead(head, framing) + m_received.body,
-                              m_received.head.method == "HEAD", *this);
     if (m_admitted.route->isRetryable())
         armSilenceTimer(firstEventTimeout());
+    return writeRequestHead(head, framing) + m_received.body;
 }
 
 Duration ForwardedRequest::firstEventTimeout() const
@@ -229,7 +254,7 @@
         m_mayHaveRun = true;
         ++m_runs;
         recordDropped();
-        endAttempt(TargetOutcome::Unreachable);
+        endAttempt(TargetOutcome::Lost);
         submit();
     });
 }
@@ -237,9 +262,11 @@
 void ForwardedRequest::onAttemptFailed(TargetOutcome outcome, std::string_view cause)
 {
     const Instant now = m_context.loop.now();
+    const std::optional<Endpoint> relay = m_attempt->channel->relay();
     m_context.log.write(LogEvent(GatewayEvent::AttemptFailed)
                             .forRequest(m_admitted.fields.id)
                             .with("target", m_attempt->target.id.text())
+                            .with("relay", relay ? relay->text() : std::string())
                             .with("cause", std::string(cause))
                             .with("status", m_attempt->head.status)
                             .with("attempt", m_sends)
@@ -253,6 +280,9 @@
     m_runs += arrived && outcome != TargetOutcome::Full ? 1 : 0;
     if (outcome == TargetOutcome::Full)
         withdrawTrial();
+    // The target may be reached through another daemon.
+    if (!arrived && relay)
+        m_triedTargets.erase(m_attempt->target.instance());
     endAttempt(outcome);
     if (arrived ? mayRetry() : m_sends < MaxSends) {
         submit();
@@ -303,6 +333,9 @@
     const Instant now = m_context.loop.now();
     if (outcome == TargetOutcome::Served)
         recordCompleted();
+    if (outcome == TargetOutcome::Lost)
+        m_context.paths.recordLost(m_attempt->target, m_attempt->channel->relay(),
+                                   lossOf(*m_attempt));
     m_context.targets.requestEnded(m_attempt->target.instance(), m_admitted.size, outcome,
                                    now - m_attempt->started, m_attempt->hasFirstEvent, now);
     if (outcome == TargetOutcome::Served)
@@ -341,12 +374,11 @@
         return;
     }
     if (m_attempt) {
-        m_mayHaveRun = true;
+        m_mayHaveRun |= m_attempt->isSent;
         m_attempt->channel->cancel();
-        if (!m_attempt->hasHead)
+        if (m_attempt->isSent && !m_attempt->hasHead)
             recordDropped();
-        endAttempt(m_attempt->hasFirstEvent ? TargetOutcome::Cancelled
-                                            : TargetOutcome::Unreachable);
+        endAttempt(m_attempt->hasFirstEvent ? TargetOutcome::Cancelled : TargetOutcome::Lost);
     }
     stopWaiting();
     if (m_progress != Progress::Nothing)
@@ -363,12 +395,12 @@
         return;
     stopWaiting();
     if (m_attempt) {
-        const bool wasSilent = !m_attempt->hasHead
+        const bool wasSilent = m_attempt->isSent && !m_attempt->hasHead
             && m_context.loop.now() - m_attempt->started > firstEventTimeout();
         m_attempt->channel->cancel();
         if (wasSilent)
             recordDropped();
-        endAttempt(wasSilent ? TargetOutcome::Unreachable : TargetOutcome::Cancelled);
+        endAttempt(wasSilent ? TargetOutcome::Lost : TargetOutcome::Cancelled);
     }
     m_progress = Progress::Ended;
     m_context.loop.cancel(m_deadlineTimer);
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -46,6 +46,7 @@
     /** The part of the response that was sent to the caller. */
     enum class Progress { Nothing, Head, Ended };
 
+    std::string writeRequest() override;
     void onResponseHead(const ResponseHead &head, const TargetResponseFields &fields) override;
     void onResponseBody(std::string_view bytes) override;
     void onResponseComplete() override;
@@ -79,7 +80,8 @@
     void submit();
     /** Stops waiting for units or a target. */
     void stopWaiting();
-    void logPlacement(const TargetEntry &target);
+    /** Logs the attempt that has just been started. */
+    void logPlacement();
     void send(const TargetEntry &target);
     void armSilenceTimer(Duration limit);
     Duration firstEventTimeout() const;
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_trial.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_trial.cpp
@@ -28,7 +28,6 @@
     const TrialDecision suspicion = m_context.suspectGuard->decide(m_fingerprint);
     // A trial that reached no target goes on at another one.
     if (suspicion.verdict == TrialVerdict::Clear || m_trial) {
-        logPlacement(target);
         send(target);
         return;
     }
@@ -71,7 +70,6 @@
             m_trial = m_context.suspectGuard->startTrial(m_fingerprint);
         else if (decision.isAdmitted)
             giveTrialUnitBack();
-        logPlacement(target);
         send(target);
         return;
     }
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -16,10 +16,11 @@
     , m_limits(self, *this, *this, *this, random)
     , m_targetLimits(self.address, *this, *this)
     , m_dispatcher(m_targets, *this, policies)
-    , m_channels(loop, protocol, log, self.address.address)
+    , m_paths(loop, *this, dataCentre, random, log, self.address.address)
+    , m_channels(loop, protocol, log, m_paths)
     , m_suspects(loop, self, m_limits.ranking(), *this, random, log,
                  [this](std::uint64_t request) { updateTrialBudget(request); })
-    , m_crashDetector(loop, *this, self.address.address)
+    , m_crashDetector(loop, *this, [this](const TargetEntry &target) { m_paths.inquire(target); })
     , m_context {.loop = loop,
                  .protocol = protocol,
                  .random = random,
@@ -29,6 +30,7 @@
                  .policies = policies,
                  .targets = m_targets,
                  .dispatcher = m_dispatcher,
+                 .paths = m_paths,
                  .channels = m_channels,
                  .limits = m_limits,
                  .targetLimits = m_targetLimits.limits(),
@@ -110,15 +112,18 @@
 void Gateway::putTarget(const TargetEntry &target)
 {
     const TrackedTarget *known = m_targets.find(target.id);
-    const bool isRestarted = known && known->entry.instance() != target.instance();
+    const TargetInstance previous = known ? known->entry.instance() : TargetInstance();
+    const bool isRestarted = known && previous != target.instance();
     m_targets.put(target, m_loop.now());
     m_crashDetector.recordRegistered(target);
     const std::uint64_t number = targetHash(target.instance());
     m_targets.setLimit(number, m_targetLimits.limits().perSecond(number));
     if (target.isDraining || isRestarted)
         m_channels.closeIdle(target.id);
-    if (isRestarted)
+    if (isRestarted) {
+        m_paths.forget(previous);
         onTargetRestarted(target.instance());
+    }
     scheduleReview();
 }
 
@@ -134,6 +139,8 @@
 
 void Gateway::removeTarget(const TargetId &target)
 {
+    if (const TrackedTarget *known = m_targets.find(target))
+        m_paths.forget(known->entry.instance());
     m_targets.remove(target);
     m_channels.closeIdle(target);
 }
@@ -278,6 +285,25 @@
     m_context.suspectGuard->recordCrash(target, running, crashed);
 }
 
+void Gateway::onReachConcluded(const TargetEntry &target, const ReachConclusion &conclusion,
+                               unsigned losses)
+{
+    switch (conclusion.verdict) {
+    case ReachVerdict::Here:
+    case ReachVerdict::Refused:
+    case ReachVerdict::Silent:
+        m_targets.recordUnreachable(target.instance(), losses, m_loop.now());
+        break;
+    case ReachVerdict::Elsewhere:
+        m_targets.recordReachable(target.instance());
+        scheduleReview();
+        break;
+    case ReachVerdict::Unknown:
+        break;
+    }
+    m_crashDetector.conclude(target, conclusion.verdict);
+}
+
 void Gateway::onSurvived(const TargetInstance &target, const std::vector<DroppedRequest> &requests)
 {
     m_context.log.write(LogEvent(GatewayEvent::TargetSurvived)
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -4,6 +4,7 @@
 #include <apricothook/gateway/apricothook_caller_connection.hpp>
 #include <apricothook/gateway/apricothook_fleet_suspect_guard.hpp>
 #include <apricothook/gateway/apricothook_forwarded_request.hpp>
+#include <apricothook/paths/apricothook_path_monitor.hpp>
 
 #include <list>
 #include <memory>
@@ -18,7 +19,8 @@
                 private GrantorListener,
                 private LimitMessenger,
                 private TargetLimitListener,
-                private CrashListener
+                private CrashListener,
+                private ReachListener
 {
 public:
     Gateway(EventLoop &loop, const WireProtocol &protocol, RandomSource &random, LogWriter &log,
@@ -65,6 +67,10 @@
     FleetSuspectGuard &suspects() { return m_suspects; }
     /** Replaces the guard that shares its knowledge with the fleet. */
     void setSuspectGuard(SuspectGuard &guard) { m_context.suspectGuard = &guard; }
+    /** Without peers, the daemon assumes that no other one reaches targets for it. */
+    void setRelayPeers(const RelayPeers &peers) { m_paths.setPeers(peers); }
+    /** This daemon's own paths to targets. */
+    const TargetPaths &paths() const { return m_paths.paths(); }
     /** Must be called after limits() received a message or an update. */
     void scheduleLimitReview();
     /** `changed` is called when this daemon's load or queue may have changed. */
@@ -96,6 +102,9 @@
     void onSurvived(const TargetInstance &target,
                     const std::vector<DroppedRequest> &requests) override;
 
+    void onReachConcluded(const TargetEntry &target, const ReachConclusion &conclusion,
+                          unsigned losses) override;
+
     /** Sets the budgets of the limits of customers, targets and trials. */
     void updateBudgets();
     /** Sets the budget of the trials of one request. */
@@ -114,6 +123,7 @@
     FleetRateLimiter m_limits;
     TargetLimitAnnouncer m_targetLimits;
     Dispatcher m_dispatcher;
+    PathMonitor m_paths;
     ChannelPool m_channels;
     FleetSuspectGuard m_suspects;
     CrashDetector m_crashDetector;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -13,6 +13,7 @@
 #include <apricothook/gateway/apricothook_crash_detector.hpp>
 #include <apricothook/gateway/apricothook_suspect_guard.hpp>
 #include <apricothook/observe/apricothook_metrics.hpp>
+#include <apricothook/paths/apricothook_path_monitor.hpp>
 
 #include <functional>
 #include <map>
@@ -33,6 +34,7 @@
     const PolicySwitches policies;
     TargetTable &targets;
     Dispatcher &dispatcher;
+    PathMonitor &paths;
     ChannelPool &channels;
     FleetRateLimiter &limits;
     const TargetLimits &targetLimits;
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
@@ -5,17 +5,17 @@
 namespace Apricothook {
 
 TargetChannel::TargetChannel(EventLoop &loop, const WireProtocol &protocol,
-                             TargetChannelOwner &owner, const TargetEntry &target,
-                             const std::string &from)
-    : m_loop(loop)
-    , m_protocol(protocol)
-    , m_owner(owner)
-    , m_target(target)
-    , m_socket(loop, *this, target.address, from)
+                             TargetChannelOwner &owner, TargetConnector &connector,
+                             const TargetEntry &target, const RequestKey &request)
+    : m_loop(loop), m_protocol(protocol), m_owner(owner), m_target(target)
 {
-    m_connectTimer = m_loop.after(ConnectTimeout, [this] {
+    StreamSocketEvents &events = *this;
+    OpeningConnection opening = connector.open(target, request, events);
+    m_relay = opening.relay;
+    m_connection = std::move(opening.connection);
+    m_connectTimer = m_loop.after(opening.timeout, [this] {
         m_connectTimer = 0;
-        m_socket.abort();
+        m_connection->abort();
         fail(ChannelFailure::NotConnected);
     });
 }
@@ -25,7 +25,7 @@
     m_loop.cancel(m_connectTimer);
 }
 
-void TargetChannel::start(const RequestKey &request, std::string_view bytes, bool isHeadResponse,
+void TargetChannel::start(const RequestKey &request, bool isHeadResponse,
                           TargetResponseEvents &events)
 {
     m_request = request;
@@ -33,8 +33,14 @@
     m_isHeadResponse = isHeadResponse;
     m_unexpectedResponses = 0;
     resetResponse();
-    m_socket.setReading(true);
-    m_socket.send(bytes);
+    m_connection->setReading(true);
+    if (m_connected)
+        sendRequest();
+}
+
+void TargetChannel::sendRequest()
+{
+    m_connection->send(m_events->writeRequest());
 }
 
 void TargetChannel::resetResponse()
@@ -52,11 +58,11 @@
 
 void TargetChannel::close()
 {
-    if (!m_socket.isOpen())
+    if (!m_connection->isOpen())
         return;
     m_loop.cancel(m_connectTimer);
     // A reset lets the target detect at once that the response is no longer needed.
-    m_socket.abort();
+    m_connection->abort();
     m_owner.onChannelClosed(*this);
 }
 
@@ -64,6 +70,8 @@
 {
     m_connected = true;
     m_loop.cancel(m_connectTimer);
+    if (m_events)
+        sendRequest();
 }
 
 void TargetChannel::onData(std::string_view bytes)
@@ -81,7 +89,7 @@
     while (m_events && !bytes.empty()) {
         const Result<std::size_t, MessageError> taken = m_reader.feed(bytes);
         if (!taken) {
-            m_socket.abort();
+            m_connection->abort();
             fail(ChannelFailure::Malformed);
             return;
         }
@@ -117,7 +125,7 @@
     m_owner.onUnexpectedResponse(*this);
     if (++m_unexpectedResponses <= MaxUnexpectedResponses)
         return true;
-    m_socket.abort();
+    m_connection->abort();
     fail(ChannelFailure::Malformed);
     return false;
 }
@@ -127,7 +135,7 @@
     // A response may arrive before the request was sent completely. The target would then read the
     // next request as the rest of this body, so the channel isn't reused.
     const bool reusable = m_reader.head().isKeepAlive && !m_reader.head().bodyEndsAtClose
-        && m_socket.isOpen() && m_socket.unsentBytes() == 0 && !hasMoreBytes;
+        && m_connection->isOpen() && m_connection->unsentBytes() == 0 && !hasMoreBytes;
     TargetResponseEvents *events = std::exchange(m_events, nullptr);
     if (hasMoreBytes)
         m_owner.onUnexpectedResponse(*this);
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <apricothook/dispatch/apricothook_serving_configuration.hpp>
-#include <apricothook/eventloop/apricothook_stream_socket.hpp>
 #include <apricothook/gateway/apricothook_wire_protocol.hpp>
 #include <apricothook/http1/apricothook_message_reader.hpp>
+#include <apricothook/paths/apricothook_target_connector.hpp>
 
 #include <string>
 
@@ -16,11 +16,13 @@
     Malformed,    ///< The bytes aren't a valid response.
 };
 
-/** Receives the response to one request. */
+/** Provides one request and receives the response to it. */
 class TargetResponseEvents
 {
 public:
     virtual ~TargetResponseEvents() = default;
+    /** The request; called once, when the channel is connected and sends it. */
+    virtual std::string writeRequest() = 0;
     virtual void onResponseHead(const ResponseHead &head, const TargetResponseFields &fields) = 0;
     virtual void onResponseBody(std::string_view bytes) = 0;
     virtual void onResponseComplete() = 0;
@@ -50,28 +52,27 @@
 class TargetChannel : private StreamSocketEvents
 {
 public:
-    /** A round trip takes milliseconds; a slower target is down or its listen queue is full. */
-    static constexpr std::chrono::milliseconds ConnectTimeout {150};
     /** Responses to other requests that are discarded before the channel is closed. */
     static constexpr unsigned MaxUnexpectedResponses = 2;
 
-    /** `from`: address of this VM to connect from. */
+    /** `request`: the first request that the channel is to carry. */
     TargetChannel(EventLoop &loop, const WireProtocol &protocol, TargetChannelOwner &owner,
-                  const TargetEntry &target, const std::string &from);
+                  TargetConnector &connector, const TargetEntry &target, const RequestKey &request);
     ~TargetChannel() override;
     TargetChannel(const TargetChannel &) = delete;
     TargetChannel &operator=(const TargetChannel &) = delete;
 
     /** `isHeadResponse`: the request's method is HEAD, so the response has no body. */
-    void start(const RequestKey &request, std::string_view bytes, bool isHeadResponse,
-               TargetResponseEvents &events);
+    void start(const RequestKey &request, bool isHeadResponse, TargetResponseEvents &events);
     /** Cancels the request by closing the connection, on which the target stops working. */
     void cancel();
-    void setReading(bool reading) { m_socket.setReading(reading); }
+    void setReading(bool reading) { m_connection->setReading(reading); }
     void close();
 
     const TargetEntry &target() const { return m_target; }
-    bool isIdle() const { return !m_events && m_socket.isOpen(); }
+    bool isIdle() const { return !m_events && m_connection->isOpen(); }
+    /** The daemon that carries the connection; empty on this daemon's own path. */
+    const std::optional<Endpoint> &relay() const { return m_relay; }
     Instant idleSince() const { return m_idleSince; }
     /** The target's keep-alive timeout, if it stated one. */
     std::optional<Duration> keepAliveTimeout() const { return m_keepAliveTimeout; }
@@ -81,6 +82,7 @@
     void onData(std::string_view bytes) override;
     void onEnd(CloseReason end) override;
 
+    void sendRequest();
     void readResponse(std::string_view bytes);
     bool processHead();
     void completeResponse(bool hasMoreBytes);
@@ -102,7 +104,8 @@
     Instant m_idleSince {};
     std::optional<Duration> m_keepAliveTimeout;
     TimerId m_connectTimer = 0;
-    StreamSocket m_socket;
+    std::optional<Endpoint> m_relay;
+    std::unique_ptr<StreamConnection> m_connection;
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt.hpp
@@ -15,7 +15,10 @@
 {
     TargetEntry target;
     TargetChannel *channel = nullptr;
+    /** When the request was sent; until then, when the channel was asked for. */
     Instant started {};
+    /** Some byte of the request was handed to the network. */
+    bool isSent = false;
     Instant lastEvent {};
     bool hasHead = false;
     bool hasFirstEvent = false;
--- a/packages/gateway/tests/apricothook_gateway_crash_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_crash_tests.cpp
@@ -59,7 +59,7 @@
     fixture.target(0).crash();
     REQUIRE(fixture.runUntil([&] { return first.has("\r\n\r\n") && second.has("\r\n\r\n"); }));
     fixture.runPendingEvents();
-    fixture.clock.advance(CrashDetector::ProbeTime);
+    fixture.clock.advance(ConnectionProbe::ProbeTime);
     REQUIRE(fixture.runUntil([&] { return !fixture.guard.crashes.empty(); }));
     REQUIRE(fixture.guard.crashes.size() == 1);
     CHECK(fixture.guard.crashes[0].first == TargetId("t0"));
@@ -77,7 +77,7 @@
     target->connection(0).socket.abort();
     REQUIRE(fixture.runUntil([&] { return caller.has("\r\n\r\n"); }));
     fixture.runPendingEvents();
-    fixture.clock.advance(CrashDetector::ProbeTime);
+    fixture.clock.advance(ConnectionProbe::ProbeTime);
     fixture.runPendingEvents();
     CHECK(fixture.guard.crashes.empty());
 }
@@ -138,7 +138,7 @@
     {
         target.crash();
         runPendingEvents();
-        advance(CrashDetector::ProbeTime);
+        advance(ConnectionProbe::ProbeTime);
     }
     void advance(Duration time)
     {
@@ -201,7 +201,7 @@
     target->connection(0).socket.abort();
     REQUIRE(fixture.runUntil([&] { return caller.has("\r\n\r\n"); }));
     fixture.runPendingEvents();
-    fixture.clock.advance(CrashDetector::ProbeTime);
+    fixture.clock.advance(ConnectionProbe::ProbeTime);
     fixture.runPendingEvents();
     CHECK(fixture.guard.crashes.empty());
     TargetEntry next;
@@ -225,7 +225,7 @@
     target->stopListening();
     fixture.clock.advance(std::chrono::seconds(11));
     fixture.runPendingEvents();
-    fixture.clock.advance(CrashDetector::ProbeTime);
+    fixture.clock.advance(ConnectionProbe::ProbeTime);
     REQUIRE(fixture.runUntil([&] { return !fixture.guard.crashes.empty(); }));
     CHECK(fixture.guard.crashes[0].second.size() == 1);
 }
@@ -244,7 +244,7 @@
     target->stopListening();
     fixture.runPendingEvents();
     CHECK(fixture.guard.answered.empty());
-    fixture.clock.advance(CrashDetector::ProbeTime);
+    fixture.clock.advance(ConnectionProbe::ProbeTime);
     REQUIRE(fixture.runUntil([&] { return !fixture.guard.crashes.empty(); }));
     CHECK(fixture.guard.answered.empty());
 }
@@ -266,7 +266,7 @@
     target->crash();
     REQUIRE(fixture.runUntil([&] { return second.has("\r\n\r\n"); }));
     fixture.runPendingEvents();
-    fixture.clock.advance(CrashDetector::ProbeTime);
+    fixture.clock.advance(ConnectionProbe::ProbeTime);
     REQUIRE(fixture.runUntil([&] { return !fixture.guard.crashes.empty(); }));
     CHECK(fixture.guard.crashes[0].second.size() == 1);
 }
--- a/packages/model/apricothook/model/apricothook_socket_address.cpp
+++ b/packages/model/apricothook/model/apricothook_socket_address.cpp
@@ -5,6 +5,8 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
+#include <array>
+
 namespace Apricothook {
 
 std::optional<sockaddr_storage> socketAddressOf(const Endpoint &endpoint)
@@ -24,4 +26,18 @@
     return address;
 }
 
+std::string peerAddressOf(int descriptor)
+{
+    sockaddr_storage peer {};
+    socklen_t size = sizeof peer;
+    if (::getpeername(descriptor, reinterpret_cast<sockaddr *>(&peer), &size) != 0)
+        return {};
+    std::array<char, INET6_ADDRSTRLEN> text {};
+    const void *address = peer.ss_family == AF_INET
+        ? static_cast<const void *>(&reinterpret_cast<const sockaddr_in &>(peer).sin_addr)
+        : static_cast<const void *>(&reinterpret_cast<const sockaddr_in6 &>(peer).sin6_addr);
+    const char *written = ::inet_ntop(peer.ss_family, address, text.data(), text.size());
+    return written ? std::string(written) : std::string();
+}
+
 } // namespace Apricothook
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -130,6 +130,14 @@
     EventName {868, "ColdViewChanged", EventLevel::Info},
     EventName {869, "ViewOld", EventLevel::Warning},
     EventName {870, "ViewConfirmed", EventLevel::Info},
+    EventName {881, "ReachConcluded", EventLevel::Info},
+    EventName {882, "PathLost", EventLevel::Warning},
+    EventName {883, "PathRestored", EventLevel::Info},
+    EventName {884, "RelayFailed", EventLevel::Info},
+    EventName {885, "RelayOpened", EventLevel::Info},
+    EventName {886, "RelayRefused", EventLevel::Info},
+    EventName {887, "RelayStranger", EventLevel::Warning},
+    EventName {888, "RelayEnded", EventLevel::Info},
 };
 
 } // namespace
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -65,6 +65,10 @@
         return "apricothook_view_age_seconds";
     case MetricGauge::LimitedTargets:
         return "apricothook_limited_targets";
+    case MetricGauge::LostPaths:
+        return "apricothook_lost_paths";
+    case MetricGauge::RelaySessions:
+        return "apricothook_relay_sessions";
     }
     return "apricothook_unnamed";
 }
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -28,6 +28,8 @@
     ColdTargets,
     ViewAge, ///< In seconds.
     LimitedTargets,
+    LostPaths,
+    RelaySessions,
 };
 
 /** How an engine processed the prompt tokens sent to it. */
--- /dev/null
+++ b/packages/paths/apricothook/paths/apricothook_reach_inquiry.cpp
@@ -0,0 +1,76 @@
+#include <apricothook/paths/apricothook_reach_inquiry.hpp>
+
+#include <utility>
+
+namespace Apricothook {
+
+ReachInquiry::ReachInquiry(EventLoop &loop, ReachInquirySetup setup, ReachInquiryListener &listener)
+    : m_loop(loop), m_setup(std::move(setup)), m_listener(listener), m_started(loop.now())
+{
+    m_evidence.isAlone = m_setup.isAlone;
+    if (!m_setup.hasFailed) {
+        m_probe = std::make_unique<ConnectionProbe>(m_loop, m_setup.target.address, m_setup.from);
+    }
+    const Duration wait = m_setup.hasFailed ? Duration::zero() : ConnectionProbe::ProbeTime;
+    m_timer = m_loop.after(wait, [this] {
+        m_timer = 0;
+        onProbeTime();
+    });
+}
+
+ReachInquiry::~ReachInquiry()
+{
+    m_loop.cancel(m_timer);
+}
+
+void ReachInquiry::onProbeTime()
+{
+    if (m_probe)
+        m_evidence.own = m_probe->result();
+    m_probe.reset();
+    if (m_evidence.own != ProbeResult::Kept && !m_setup.panel.empty()) {
+        askOthers();
+        return;
+    }
+    conclude();
+    m_listener.onInquiryFinished(m_setup.target.instance());
+}
+
+void ReachInquiry::askOthers()
+{
+    m_pending = m_setup.panel.size();
+    const RelayRequest request {
+        RelayService::Test, m_setup.target.instance(), m_setup.target.address, {}};
+    for (const Endpoint &relay : m_setup.panel) {
+        m_queries.push_back(std::make_unique<RelayQuery>(
+            m_loop, relay, request, m_setup.from,
+            [this, relay](RelayOutcome outcome) { onAnswer(relay, outcome); }));
+    }
+}
+
+void ReachInquiry::onAnswer(const Endpoint &relay, RelayOutcome outcome)
+{
+    m_evidence.add(outcome);
+    if (outcome == RelayOutcome::Reached && !m_reachedBy)
+        m_reachedBy = relay;
+    --m_pending;
+    m_listener.onRelayAnswered(m_setup.target, relay, outcome);
+    // Further answers only tell which other daemons reach the target.
+    if (m_pending == 0 || m_reachedBy)
+        conclude();
+    if (m_pending == 0)
+        m_listener.onInquiryFinished(m_setup.target.instance());
+}
+
+void ReachInquiry::conclude()
+{
+    if (std::exchange(m_isConcluded, true))
+        return;
+    m_listener.onReachConcluded(m_setup.target,
+                                {.verdict = verdictOf(m_evidence),
+                                 .evidence = m_evidence,
+                                 .reachedBy = m_reachedBy,
+                                 .took = m_loop.now() - m_started});
+}
+
+} // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -37,7 +37,11 @@
                 settings.policies, {memberHash(settings.member), settings.peerAddress})
     , m_published(m_loop, m_gateway, adapters.decoder, log)
     , m_peers(m_loop, m_settings, m_incarnation, m_gateway, m_published, random, m_metrics, log)
+    , m_relay({m_loop, m_relayPeers, m_gateway.targets(), m_gateway.paths(), log,
+               settings.peerAddress.address},
+              random)
 {
+    m_gateway.setRelayPeers(m_relayPeers);
 }
 
 ServingProcess::~ServingProcess()
@@ -68,6 +72,7 @@
     BOOST_OUTCOME_TRY(
         openServer(m_readiness, m_settings.readinessAddress, &ServingProcess::handleReadiness));
     BOOST_OUTCOME_TRY(m_peers.start([this](bool reads) { setReadsSource(reads); }));
+    BOOST_OUTCOME_TRY(m_relay.listen(m_settings.peerAddress));
     BOOST_OUTCOME_TRY(m_gateway.listen(m_settings.callerAddress));
     m_gateway.setLoadListener([this] { m_peers.onLoadChanged(); });
     startItemWatcher();
@@ -136,6 +141,8 @@
     m_metrics.set(MetricGauge::EvacuatedTargets, static_cast<double>(targets.evacuatedCount()));
     m_metrics.set(MetricGauge::ColdTargets, static_cast<double>(targets.coldCount()));
     m_metrics.set(MetricGauge::LimitedTargets, static_cast<double>(targets.limitedCount()));
+    m_metrics.set(MetricGauge::LostPaths, static_cast<double>(m_gateway.paths().lostCount()));
+    m_metrics.set(MetricGauge::RelaySessions, static_cast<double>(m_relay.sessions()));
     m_gateway.reviewTargetLimits();
     m_loop.after(MetricsInterval, [this] { updateMetrics(); });
 }
@@ -195,6 +202,7 @@
                     .with("connections", m_gateway.callerConnections()));
     m_peers.startDraining();
     m_gateway.startDraining();
+    m_relay.startDraining();
     // A call to the source that is still open at the end would keep the process alive beyond its
     // grace period; it would be killed before its last responses are sent.
     m_loop.after(m_settings.bounds.grace - ShutdownMargin - ItemWatcher::StopTime,
@@ -214,7 +222,8 @@
 
 void ServingProcess::stopWhenIdle(Instant latest)
 {
-    const bool isDone = m_gateway.openRequests() == 0 && m_gateway.callerConnections() == 0;
+    const bool isDone = m_gateway.openRequests() == 0 && m_gateway.callerConnections() == 0
+        && m_relay.sessions() == 0;
     if (!isDone && m_loop.now() < latest) {
         m_loop.after(PollInterval, [this, latest] { stopWhenIdle(latest); });
         return;
--- a/packages/serving/apricothook/serving/apricothook_serving_process.hpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.hpp
@@ -2,6 +2,8 @@
 
 #include <apricothook/fleetview/apricothook_item_watcher.hpp>
 #include <apricothook/gateway/apricothook_gateway.hpp>
+#include <apricothook/paths/apricothook_relay_server.hpp>
+#include <apricothook/serving/apricothook_fleet_relay_peers.hpp>
 #include <apricothook/serving/apricothook_lookup_policy.hpp>
 #include <apricothook/serving/apricothook_lookup_protocol.hpp>
 #include <apricothook/serving/apricothook_peer_exchange.hpp>
@@ -73,6 +75,8 @@
     PublishedState m_published;
     PeerItemResponses m_itemResponses {m_published.replica()};
     PeerExchange m_peers;
+    FleetRelayPeers m_relayPeers {m_loop, m_peers.directory()};
+    RelayServer m_relay;
     std::unique_ptr<SimpleHttpServer> m_lookups;
     std::unique_ptr<SimpleHttpServer> m_readiness;
     std::unique_ptr<SimpleHttpServer> m_control;
