Show that brittle targets fall for what daemons make them reject

The soak's targets can be brittle: they say so in all answers, reduce their queue three seconds later, and crash if they have to reject more than N requests in a second.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -26,6 +26,8 @@
 CUT_SECONDS = (6.0, 9.0)
 # For this time a target that is sound may be silent.
 SILENCE_SECONDS = (0.8, 1.3)
+BRITTLE_SECONDS = (8.0, 12.0)
+BURST_CALLERS, BURST_CALLER_PAUSE = 60, 0.1
 MOST_CRASHING_REQUESTS = 3
 
 
@@ -48,7 +50,7 @@
         # Only when named explicitly, so that a seed keeps its faults; the first one crashes most targets.
         self.opt_in_kinds = [self.crashing_request, self.resize_configuration, self.silence_store, self.replace_key,
                              self.limit_target, self.cut_daemons, self.cut_zone, self.cut_all_but_one,
-                             self.cut_from_half, self.cut_in_series, self.silence_target]
+                             self.cut_from_half, self.cut_in_series, self.silence_target, self.brittle_service]
         if chosen != "on":
             known = {kind.__name__: kind for kind in self.kinds + self.opt_in_kinds}
             names = [] if chosen == "off" else chosen.split(",")
@@ -285,6 +287,32 @@
                 return
         target.name_limit(None)
 
+    async def brittle_service(self) -> None:
+        """The targets of a service say that they are brittle, and crash if they have to reject too much. More callers come meanwhile."""
+        service = self.random.choice(sorted({target.service for target in self.fleet.targets}))
+        brittle = [target for target in self.fleet.targets if target.service == service]
+        if any(target.brittle is not None for target in brittle):
+            return
+        loop = asyncio.get_running_loop()
+        began, until = loop.time(), loop.time() + self.random.uniform(*BRITTLE_SECONDS)
+        rejections, queue = self.random.randint(2, 5), self.random.randint(0, 2)
+        for target in brittle:
+            target.become_brittle(rejections, queue)
+        burst = [asyncio.create_task(self.fleet.callers.run(BURST_CALLER_PAUSE)) for _ in range(BURST_CALLERS)]
+        while loop.time() < until:
+            down = [target for target in brittle if not target.is_up]
+            await asyncio.sleep(2.0 if down else 0.1)
+            for target in down:
+                if not target.is_up:
+                    await self.fleet.remove(target.id)
+                    target.start()
+                    await self.fleet.announce(target)
+        for target in brittle:
+            target.become_brittle(None)
+        for caller in burst:
+            caller.cancel()
+        self.fleet.brittle_times.append((service, began, loop.time()))
+
     async def fail_service(self) -> None:
         """All targets of a service fail a fraction of their requests, in the same way."""
         service = self.random.choice(sorted({target.service for target in self.fleet.targets}))
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -20,6 +20,8 @@
 CRASH_PREFIX = b"crash "
 CRASH_AFTER_HEAD_PREFIX = CRASH_PREFIX + b"after head "
 CRASH_DELAY_SECONDS = 0.09
+# A brittle target reduces its queue this long after it has begun to say so.
+BRITTLE_NOTICE_SECONDS = 3.0
 
 
 def plain_body(request_id: str, body: bytes) -> bytes:
@@ -88,6 +90,12 @@
         self.crashing, self.crashes = crashing, crashes
         # Requests per second that it takes from all daemons together, as named in its answers.
         self.limit: float | None = None
+        # Requests per second that a brittle target may reject for lack of room; with one more it crashes.
+        self.brittle: int | None = None
+        self.brittle_since, self.brittle_queue = 0.0, QUEUED
+        self.rejections: list[float] = []
+        # Ids of the instances that crashed for this reason, and when.
+        self.falls: list[tuple[str, float]] = []
         # Failure mode, and the fraction of requests that it applies to.
         self.failure, self.failure_probability, self.random = "", 0.0, random.Random(address[0])
         self.incarnation, self.accepted, self.is_unresponsive, self.is_up = 0, 0, False, False
@@ -107,6 +115,7 @@
     def start(self) -> None:
         self.incarnation += 1
         self.limit = None
+        self.rejections = []
         self.slots, self.accepted, self.is_up = asyncio.Semaphore(SLOTS), 0, True
         self.restart_cold_period()
 
@@ -124,7 +133,24 @@
     def headers(self, request_id: str, **others: str) -> dict[str, str]:
         """Headers of an answer."""
         headers = {"Request-Id": request_id, **{name.replace("_", "-"): value for name, value in others.items()}}
-        return headers if self.limit is None else headers | {"Server-Limit": f"{self.limit:g}"}
+        limit = {} if self.limit is None else {"Server-Limit": f"{self.limit:g}"}
+        brittle = {} if self.brittle is None else {"Server-Brittle": str(self.brittle)}
+        return headers | limit | brittle
+
+    def become_brittle(self, rejections: int | None, queue: int = QUEUED) -> None:
+        self.brittle, self.brittle_queue, self.brittle_since = rejections, queue, asyncio.get_running_loop().time()
+
+    def room(self) -> int:
+        is_reduced = self.brittle is not None and asyncio.get_running_loop().time() > self.brittle_since + BRITTLE_NOTICE_SECONDS
+        return SLOTS + (self.brittle_queue if is_reduced else QUEUED)
+
+    def fall_if_overloaded(self) -> None:
+        """Counts a rejection for lack of room."""
+        now = asyncio.get_running_loop().time()
+        self.rejections = [at for at in self.rejections if at > now - 1] + [now]
+        if self.brittle is not None and len(self.rejections) > self.brittle and now > self.brittle_since + BRITTLE_NOTICE_SECONDS:
+            self.falls.append((self.id, now))
+            self.crash()
 
     def crash(self) -> None:
         self.is_up = False
@@ -164,7 +190,10 @@
             self.record_run(head, body, request_id)
             writer.write(http1.message("HTTP/1.1 500 Failed", self.headers(request_id)))
             return
-        if failure == REJECTS or self.accepted >= SLOTS + QUEUED:
+        is_full = self.accepted >= self.room()
+        if failure == REJECTS or is_full:
+            if is_full:
+                self.fall_if_overloaded()
             writer.write(http1.message("HTTP/1.1 503 Full", self.headers(request_id, Not_Executed="1")))
             return
         self.accepted += 1
--- a/tools/soak/test_verdict.py
+++ b/tools/soak/test_verdict.py
@@ -31,7 +31,7 @@
 
 
 def findings(records: list, runs: list, **changes) -> list[str]:
-    fleet = SimpleNamespace(callers=SimpleNamespace(records=records), runs=runs, revoked={}, left_at={}, stops=[], evacuations=[], arrivals=[], limits=[], crashes=[], cuts=[], accusations=[], targets=[], started=0.0,
+    fleet = SimpleNamespace(callers=SimpleNamespace(records=records), runs=runs, revoked={}, left_at={}, stops=[], evacuations=[], arrivals=[], limits=[], crashes=[], cuts=[], brittle_times=[], accusations=[], targets=[], started=0.0,
                             fault_times=defaultdict(list), keys=["key-a"], recovered_at=0.0)
     vars(fleet).update(changes)
     return [line.split(" ")[0].rstrip(":") for line in verdict.findings(fleet)]
@@ -78,6 +78,13 @@
         self.assertEqual(count(records(1, 20, 5), records(2, 25, 0)), 0)
         self.assertEqual(count(records(1, 5, 20), records(2, 5, 20)), 0)
 
+    def test_brittle_targets_that_fall_too_often_are_found(self):
+        def count(falls: int) -> int:
+            brittle = [SimpleNamespace(service="plain", falls=[("t", 12.0)] * falls)] + [SimpleNamespace(service="plain", falls=[])] * 9
+            return len(verdict.check_falls(SimpleNamespace(brittle_times=[("plain", 10.0, 20.0)], targets=brittle, started=0.0)))
+
+        self.assertEqual([count(3), count(4)], [0, 1])
+
     def test_a_daemon_that_reports_a_sound_target_as_crashed_is_found(self):
         target = SimpleNamespace(crashed_ids={"t1"})
         fleet = SimpleNamespace(accusations=[(1, "t1"), (2, "t2")], targets=[target])
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -19,6 +19,8 @@
 SERVICES = {"/u/": "plain", "/i/": "plain", "/r/": "streams", "/n/": "streams"}
 NOT_EXECUTED = (408, 421, 429, 503)
 MIN_SERVED_AFTER_RECOVERY = 0.9
+# Crashes of a service's targets while they are brittle: so many, and this fraction of their number.
+MOST_FALLS, FALL_FRACTION = 2, 0.1
 # From this time on, callers of daemons that are cut off from all targets are to be served as well as others: at least this
 # fraction as often, or no more than so many of them fail, and so many of all requests.
 CUT_BOUND, CUT_FRACTION, CUT_FAILURES, CUT_FAILURE_FRACTION = 4.0, 2 / 3, 10, 1 / 50
@@ -41,6 +43,7 @@
     found += check_retry_budget(fleet)
     found += check_crashing_requests(fleet)
     found += check_cuts(fleet)
+    found += check_falls(fleet)
     found += check_accusations(fleet)
     found += [f"STOP vm-{index} ended with {status}" for index, status in fleet.stops if status != 0]
     return found + check_recovery(fleet)
@@ -226,6 +229,17 @@
     return found
 
 
+def check_falls(fleet) -> list[str]:
+    """Counts the targets that crashed because they had to reject too many requests while they said that they were brittle."""
+    found = []
+    for service, began, ended in fleet.brittle_times:
+        brittle = [target for target in fleet.targets if target.service == service]
+        falls = [at for target in brittle for _, at in target.falls if began <= at <= ended]
+        if len(falls) > MOST_FALLS + FALL_FRACTION * len(brittle):
+            found.append(f"LIMIT: {len(falls)} falls of {len(brittle)} brittle targets of {service} from {began - fleet.started:.1f} s on")
+    return found
+
+
 def check_accusations(fleet) -> list[str]:
     """A daemon must not take a target for crashed whose address it doesn't reach."""
     crashed = set().union(*(target.crashed_ids for target in fleet.targets))
