Send brittle targets only what fits into this daemon's own share of their slots

Nobody read what they said, and what a target rejects is a sum over all daemons that no daemon knows.

Now the news is announced to all daemons, as limits are, and the slots of the service's targets are dealt to the daemons: each has its own share, by rendezvous order, so shares don't overlap and their sum is the slots; a changed share is lowered at once and raised when all must know of the change. A daemon without any slot needs a unit for each request, of which a third of the rejections that the targets bear exist a second. A rejection pauses the target at all daemons for a second.

--- a/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
@@ -187,6 +187,33 @@
     auto operator<=>(const TargetLimitNotice &) const = default;
 };
 
+/** The rejections that a target named as its limit, or that it no longer names one. */
+struct BrittlenessNotice
+{
+    /** The limit is that of rejections for lack of room, not of requests. */
+    TargetLimitNotice rejections;
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.rejections);
+    }
+    auto operator<=>(const BrittlenessNotice &) const = default;
+};
+
+/** A target that names a limit of rejections has rejected a request for lack of room. */
+struct TargetFullNotice
+{
+    std::uint64_t target = 0; ///< targetHash() of the instance.
+
+    template <typename Archive, typename Self>
+    static void fields(Archive &archive, Self &self)
+    {
+        archive(self.target);
+    }
+    auto operator<=>(const TargetFullNotice &) const = default;
+};
+
 /** A crash of a target while it ran a request, or a trial of a request that crashes made suspect.
  */
 struct CrashNoticeEntry
@@ -254,9 +281,9 @@
     auto operator<=>(const SuspectReply &) const = default;
 };
 
-using LimitMessage
-    = std::variant<UnitsRequest, UnitsReply, GrantorClaim, GrantorHandover, GrantorDenial,
-                   TargetLimitNotice, CrashNotice, UnitsReturn, SuspectQuery, SuspectReply>;
+using LimitMessage = std::variant<UnitsRequest, UnitsReply, GrantorClaim, GrantorHandover,
+                                  GrantorDenial, TargetLimitNotice, CrashNotice, UnitsReturn,
+                                  SuspectQuery, SuspectReply, BrittlenessNotice, TargetFullNotice>;
 
 /** Sends messages about limits to other daemons; each may be lost, delayed or duplicated. */
 class LimitMessenger
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_limit_announcer.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_limit_announcer.cpp
@@ -23,7 +23,14 @@
     notice->sender = m_self;
     notice->isAnnouncement = true;
     m_limits.recordAnnouncement(target, now);
-    m_messenger.broadcast(*notice);
+    m_messenger.broadcast(message(*notice));
+}
+
+LimitMessage TargetLimitAnnouncer::message(const TargetLimitNotice &notice) const
+{
+    if (m_kind == TargetLimitKind::Rejections)
+        return BrittlenessNotice {notice};
+    return notice;
 }
 
 void TargetLimitAnnouncer::take(const TargetLimitNotice &notice, Instant now)
@@ -39,14 +46,14 @@
     if (!notice)
         return;
     notice->sender = m_self;
-    m_messenger.send(daemon, *notice);
+    m_messenger.send(daemon, message(*notice));
 }
 
 void TargetLimitAnnouncer::report(std::uint64_t target, TargetLimitChange change,
                                   TargetLimitOrigin origin)
 {
     if (change != TargetLimitChange::None)
-        m_listener.onTargetLimitChanged(target, change, origin);
+        m_listener.onTargetLimitChanged(m_kind, target, change, origin);
 }
 
 } // namespace Apricothook
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_limit_announcer.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_limit_announcer.hpp
@@ -12,13 +12,19 @@
 
 std::string_view nameOf(TargetLimitOrigin origin);
 
+/** What a target's limit counts. */
+enum class TargetLimitKind {
+    Requests,   ///< Requests per second that it takes.
+    Rejections, ///< Requests per second that it can reject for lack of room without crashing.
+};
+
 /** Notified when this daemon's knowledge of a target's limit has changed. */
 class TargetLimitListener
 {
 public:
     virtual ~TargetLimitListener() = default;
-    virtual void onTargetLimitChanged(std::uint64_t target, TargetLimitChange change,
-                                      TargetLimitOrigin origin)
+    virtual void onTargetLimitChanged(TargetLimitKind kind, std::uint64_t target,
+                                      TargetLimitChange change, TargetLimitOrigin origin)
         = 0;
 };
 
@@ -33,8 +39,9 @@
 {
 public:
     /** `self`: address of this daemon's datagrams. */
-    TargetLimitAnnouncer(Endpoint self, LimitMessenger &messenger, TargetLimitListener &listener)
-        : m_self(std::move(self)), m_messenger(messenger), m_listener(listener)
+    TargetLimitAnnouncer(TargetLimitKind kind, Endpoint self, LimitMessenger &messenger,
+                         TargetLimitListener &listener)
+        : m_kind(kind), m_self(std::move(self)), m_messenger(messenger), m_listener(listener)
     {
     }
 
@@ -55,6 +62,9 @@
     void announce(std::uint64_t target, Instant now);
     void report(std::uint64_t target, TargetLimitChange change, TargetLimitOrigin origin);
 
+    LimitMessage message(const TargetLimitNotice &notice) const;
+
+    const TargetLimitKind m_kind;
     const Endpoint m_self;
     LimitMessenger &m_messenger;
     TargetLimitListener &m_listener;
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_limits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_limits.cpp
@@ -1,5 +1,7 @@
 #include <apricothook/dispatch/apricothook_target_limits.hpp>
 
+#include <apricothook/dispatch/apricothook_target_table.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -159,6 +161,26 @@
     return budgets;
 }
 
+UnitBudgets TargetLimits::rejectionBudgets() const
+{
+    UnitBudgets budgets;
+    for (const auto &[target, limit] : m_limits) {
+        if (const std::optional<double> perSecond = limit.perSecond())
+            budgets.emplace(rejectionLimitHash(target), rejectionBudget(*perSecond));
+    }
+    return budgets;
+}
+
+std::vector<std::uint64_t> TargetLimits::unconfirmed(Duration age, Instant now) const
+{
+    std::vector<std::uint64_t> targets;
+    for (const auto &[target, limit] : m_limits) {
+        if (limit.thousandthsPerSecond && now - limit.observed > age)
+            targets.push_back(target);
+    }
+    return targets;
+}
+
 void TargetLimits::review(const std::function<bool(std::uint64_t target)> &isKnown, Instant now)
 {
     std::erase_if(m_limits, [&](const auto &entry) {
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_limits.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_limits.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace Apricothook {
 
@@ -87,6 +88,10 @@
     std::optional<TargetLimitNotice> notice(std::uint64_t target, Instant now) const;
     /** Budgets of the targets with a limit, by targetHash(). */
     UnitBudgets budgets(const FleetBounds &bounds) const;
+    /** The same if the limits are those of rejections, by rejectionLimitHash(). */
+    UnitBudgets rejectionBudgets() const;
+    /** Targets whose limits no answer has named for this time. */
+    std::vector<std::uint64_t> unconfirmed(Duration age, Instant now) const;
     /** Forgets ended limits, and those of targets that aren't known for long. */
     void review(const std::function<bool(std::uint64_t target)> &isKnown, Instant now);
 
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -46,6 +46,8 @@
 constexpr std::uint32_t ToleratedFailures = 3;
 /** Time for which a target that reported to be full gets no requests. */
 constexpr std::chrono::milliseconds FullPause {100};
+/** The same for a brittle target: it counts its rejections within a second. */
+constexpr std::chrono::seconds BrittlePause {1};
 /** Time for which a target gets no requests until it is known whether it or the path failed. */
 constexpr std::chrono::milliseconds LossPause {500};
 
@@ -67,6 +69,11 @@
     return hashOf(instance.id.text(), instance.startedAt);
 }
 
+std::uint64_t rejectionLimitHash(std::uint64_t target)
+{
+    return hashOf("rejections", target);
+}
+
 void TargetTable::put(const TargetEntry &entry, Instant now)
 {
     TrackedTarget &target = m_targets[entry.id];
@@ -208,6 +215,9 @@
         return 0;
     if (target.awaitsUnit || target.heldUntil > now)
         return 0;
+    // An empty slot of a brittle target that has just rejected a request isn't one.
+    if (target.hasOwnShare && target.avoidedUntil > now)
+        return 0;
     return target.cellSlots - std::min(target.cellSlots, target.load());
 }
 
@@ -221,10 +231,76 @@
     return static_cast<std::uint32_t>(std::min<double>(target.cellSlots, std::ceil(occupied)));
 }
 
-void TargetTable::setLimit(std::uint64_t target, std::optional<double> perSecond)
+TrackedTarget *TargetTable::findByHash(std::uint64_t target)
 {
     const auto id = m_idsByHash.find(target);
-    TrackedTarget *found = id == m_idsByHash.end() ? nullptr : find(id->second);
+    return id == m_idsByHash.end() ? nullptr : find(id->second);
+}
+
+void TargetTable::setShareMembers(std::vector<std::uint64_t> members, Duration settling,
+                                  Instant now)
+{
+    const bool isChanged = m_shares.setMembers(std::move(members), settling, now);
+    if (m_shares.review(now) || isChanged)
+        assignBrittleSlots();
+}
+
+void TargetTable::setBrittle(std::uint64_t target, std::optional<double> rejectionsPerSecond)
+{
+    TrackedTarget *found = findByHash(target);
+    if (!found || found->rejectionsPerSecond == rejectionsPerSecond)
+        return;
+    found->rejectionsPerSecond = rejectionsPerSecond;
+    assignSlots(found->entry.service);
+}
+
+std::size_t TargetTable::brittleCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_targets, [](const auto &entry) { return entry.second.hasOwnShare; }));
+}
+
+void TargetTable::recordFull(std::uint64_t target, Instant now)
+{
+    TrackedTarget *found = findByHash(target);
+    if (found && found->hasOwnShare)
+        pause(*found, BrittlePause, now);
+}
+
+void TargetTable::assignBrittleSlots()
+{
+    std::set<ServiceId> services;
+    for (const auto &[service, targets] : m_services) {
+        if (targets.isBrittle)
+            services.insert(service);
+    }
+    for (const ServiceId &service : services)
+        assignSlots(service);
+}
+
+void TargetTable::assignShares(const std::vector<TrackedTarget *> &accepting)
+{
+    std::uint32_t shares = 0;
+    std::optional<double> rejections;
+    for (TrackedTarget *target : accepting) {
+        target->hasOwnShare = true;
+        target->cellSlots = m_shares.share(targetHash({target->entry.id}), target->entry.slots);
+        shares += target->cellSlots;
+        if (const std::optional<double> named = target->rejectionsPerSecond)
+            rejections = std::min(rejections.value_or(*named), *named);
+    }
+    // A daemon without any slot would refuse all of its callers.
+    for (TrackedTarget *target : accepting) {
+        if (shares > 0 || target->limitPerSecond)
+            continue;
+        target->rejectionUnits = rejections;
+        target->cellSlots = 1;
+    }
+}
+
+void TargetTable::setLimit(std::uint64_t target, std::optional<double> perSecond)
+{
+    TrackedTarget *found = findByHash(target);
     if (!found || found->limitPerSecond == perSecond)
         return;
     found->limitPerSecond = perSecond;
@@ -295,6 +371,9 @@
             continue;
         targets.all.push_back(&target);
         target.cellSlots = 0;
+        target.hasOwnShare = false;
+        target.rejectionUnits.reset();
+        targets.isBrittle |= target.rejectionsPerSecond.has_value();
         targets.evacuated += m_evacuated.contains(target.entry.dataCentre) ? 1 : 0;
         targets.cold += target.isCold ? 1 : 0;
         // A target that takes no requests gets no share, so that queued requests don't count on it.
@@ -315,10 +394,14 @@
         const bool isSender
             = target.sendsPerSecond > 0 && target.sendsPerSecond != ColdTargetLimiter::Unlimited;
         target.cellSlots = isSender ? target.entry.slots : parts[index];
-        if (target.sendsPerSecond == 0)
-            target.cellSlots = 0;
-        if (target.cellSlots > 0)
-            targets.ofCell.push_back(accepting[index]);
+    }
+    if (targets.isBrittle)
+        assignShares(accepting);
+    for (TrackedTarget *target : accepting) {
+        if (target->sendsPerSecond == 0)
+            target->cellSlots = 0;
+        if (target->cellSlots > 0)
+            targets.ofCell.push_back(target);
     }
 }
 
@@ -381,7 +464,8 @@
     if (outcome == TargetOutcome::Cancelled)
         return;
     if (outcome == TargetOutcome::Full || outcome == TargetOutcome::Lost) {
-        pause(*found, outcome == TargetOutcome::Full ? FullPause : LossPause, now);
+        const Duration fullPause = found->hasOwnShare ? Duration(BrittlePause) : FullPause;
+        pause(*found, outcome == TargetOutcome::Full ? fullPause : LossPause, now);
         return;
     }
     found->speed.addEnd(held, outcome != TargetOutcome::Served);
@@ -520,7 +604,7 @@
 {
     const ServiceTargets &targets = targetsOf(requirements.service);
     const Choice ofCell = chooseAmong(targets.ofCell, requirements, false, now);
-    if (ofCell.someIsHealthy || targets.ofCell.size() == targets.all.size())
+    if (ofCell.someIsHealthy || targets.isBrittle || targets.ofCell.size() == targets.all.size())
         return ofCell.target;
     // The cell's own targets are all gone, failing or already tried.
     const Choice ofOthers = chooseAmong(targets.all, requirements, true, now);
@@ -601,7 +685,7 @@
     const auto isHealthy = [now](const auto *target) {
         return target->avoidedUntil <= now && target->heldUntil <= now;
     };
-    const bool usesOtherCells = targets.ofCell.size() < targets.all.size()
+    const bool usesOtherCells = !targets.isBrittle && targets.ofCell.size() < targets.all.size()
         && std::ranges::none_of(targets.ofCell, isHealthy);
     return usesOtherCells || std::ranges::any_of(targets.ofCell, [this, now](const auto *target) {
                return freeSlots(*target, now) > 0;
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -5,6 +5,7 @@
 #include <apricothook/dispatch/apricothook_recent_sends.hpp>
 #include <apricothook/dispatch/apricothook_serving_configuration.hpp>
 #include <apricothook/dispatch/apricothook_slot_partition.hpp>
+#include <apricothook/dispatch/apricothook_slot_shares.hpp>
 #include <apricothook/dispatch/apricothook_target_speed.hpp>
 
 #include <algorithm>
@@ -30,6 +31,8 @@
  * received.
  */
 std::uint64_t targetHash(const TargetInstance &instance);
+/** Identifies the limit of requests that the target, given by its targetHash(), may reject. */
+std::uint64_t rejectionLimitHash(std::uint64_t target);
 
 /** The size of a request, as far as targets are concerned. */
 struct RequestSize
@@ -79,13 +82,25 @@
     RecentSends recentSends;
     /** Requests per second that the target takes from all daemons, if it names a limit. */
     std::optional<double> limitPerSecond;
+    /**
+     * Requests per second that the target can reject for lack of room, from all daemons, without
+     * crashing; empty if it names no such limit.
+     */
+    std::optional<double> rejectionsPerSecond;
+    /** `cellSlots` are this daemon's alone, because targets of the service crash if overloaded. */
+    bool hasOwnShare = false;
+    /**
+     * Set if no slot of the service is this daemon's: each request then needs a unit of these
+     * rejections per second, the lowest that a target of the service names.
+     */
+    std::optional<double> rejectionUnits;
     /** A request of this daemon waits for a unit of the target's limit. */
     bool awaitsUnit = false;
     /** Until this time the target's limit has no unit for this daemon. */
     Instant heldUntil {};
 
-    /** Known requests, which are those of this daemon's cell. */
-    std::uint32_t load() const { return ownRequests + requestsOfOthers; }
+    /** Known requests in the slots that this daemon uses, its own or its cell's. */
+    std::uint32_t load() const { return ownRequests + (hasOwnShare ? 0 : requestsOfOthers); }
     /** Used fraction of the target, if other cells use their slots to the same degree. */
     double usedFraction() const { return load() / std::max<double>(cellSlots, 1); }
 };
@@ -125,9 +140,11 @@
 class TargetTable
 {
 public:
+    /** `self`: memberHash() of this daemon. */
     explicit TargetTable(DataCentreId own, const PolicySwitches &policies = {},
-                         const ColdTargetLimiter &cold = ColdTargetLimiter())
-        : m_ownDataCentre(std::move(own)), m_policies(policies), m_coldLimiter(cold)
+                         const ColdTargetLimiter &cold = ColdTargetLimiter(),
+                         std::uint64_t self = 0)
+        : m_ownDataCentre(std::move(own)), m_policies(policies), m_coldLimiter(cold), m_shares(self)
     {
     }
 
@@ -143,6 +160,17 @@
     void setServices(const std::vector<ServiceRule> &services, Instant now);
     /** Sets the daemons among which cold targets are divided. */
     void setColdTargetSenders(ColdTargetSenders fleet);
+    /** Sets the daemons that share the slots of brittle targets; see SlotShares::setMembers(). */
+    void setShareMembers(std::vector<std::uint64_t> members, Duration settling, Instant now);
+    /**
+     * Sets the rejections per second that the target bears; empty if it names no limit of them. The
+     * targets of its service are then sent only requests that fit into this daemon's share of their
+     * slots.
+     */
+    void setBrittle(std::uint64_t target, std::optional<double> rejectionsPerSecond);
+    std::size_t brittleCount() const;
+    /** A brittle target has rejected a request of some daemon for lack of room. */
+    void recordFull(std::uint64_t target, Instant now);
     /**
      * Targets of an evacuated data centre get no new requests. When the evacuation ends, they count
      * as cold: they may have restarted in the meantime, and an entry that says otherwise may be
@@ -220,8 +248,13 @@
         std::vector<const TrackedTarget *> ofCell;
         std::uint32_t evacuated = 0;
         std::uint32_t cold = 0;
+        bool isBrittle = false;
     };
 
+    TrackedTarget *findByHash(std::uint64_t target);
+    /** Gives this daemon its own share of the slots of a service with brittle targets. */
+    void assignShares(const std::vector<TrackedTarget *> &accepting);
+    void assignBrittleSlots();
     void assignSlots(const ServiceId &service);
     void assignColdSlots();
     void assignAllSlots();
@@ -258,6 +291,7 @@
     const DataCentreId m_ownDataCentre;
     const PolicySwitches m_policies;
     ColdTargetLimiter m_coldLimiter;
+    SlotShares m_shares;
     std::set<DataCentreId> m_evacuated;
     /** Earliest time at which a cold target becomes warm; empty if none is cold. */
     std::optional<Instant> m_nextWarmTime;
--- a/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.cpp
@@ -69,6 +69,16 @@
                  bounds.targetLimitSlack - 1);
 }
 
+UnitBudget rejectionBudget(double rejectionsPerSecond)
+{
+    constexpr double Part = 3;
+    UnitBudget budget;
+    budget.perSecond = rejectionsPerSecond / Part;
+    budget.bucket = std::max(rejectionsPerSecond / Part, 1.0);
+    budget.needsWholeFleet = true;
+    return budget;
+}
+
 UnitBudgets budgetsOf(const std::vector<CustomerRule> &customers, const FleetBounds &bounds)
 {
     UnitBudgets budgets;
--- a/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.hpp
@@ -57,6 +57,12 @@
  */
 UnitBudget targetBudget(double perSecond, const FleetBounds &bounds);
 
+/**
+ * The budget of requests that a target may have to reject, if it bears so many rejections a second.
+ * The rest is left for requests that other services send it.
+ */
+UnitBudget rejectionBudget(double rejectionsPerSecond);
+
 /** Hash of a customer's name, for messages between daemons. */
 std::uint64_t customerHash(const CustomerId &customer);
 
--- a/packages/dispatch/tests/apricothook_emulated_limits.cpp
+++ b/packages/dispatch/tests/apricothook_emulated_limits.cpp
@@ -58,6 +58,9 @@
     void take(const CrashNotice &notice) { takeSuspectMessage(notice); }
     void take(const SuspectQuery &query) { takeSuspectMessage(query); }
     void take(const SuspectReply &reply) { takeSuspectMessage(reply); }
+    /** No emulated target limits its rejections. */
+    void take(const BrittlenessNotice &) { }
+    void take(const TargetFullNotice &) { }
     void takeSuspectMessage(const LimitMessage &message)
     {
         if (fleet.onSuspectMessage)
--- a/packages/dispatch/tests/apricothook_emulated_target_limits.cpp
+++ b/packages/dispatch/tests/apricothook_emulated_target_limits.cpp
@@ -31,11 +31,13 @@
     Daemon(EmulatedTargetLimits &fleet, std::size_t index)
         : fleet(fleet)
         , index(index)
-        , announcer(EmulatedLimits::addressOf(index), fleet.m_fleet.messenger(index), *this)
+        , announcer(TargetLimitKind::Requests, EmulatedLimits::addressOf(index),
+                    fleet.m_fleet.messenger(index), *this)
     {
     }
 
-    void onTargetLimitChanged(std::uint64_t target, TargetLimitChange, TargetLimitOrigin) override
+    void onTargetLimitChanged(TargetLimitKind, std::uint64_t target, TargetLimitChange,
+                              TargetLimitOrigin) override
     {
         fleet.m_fleet.limits(index).setBudgets(announcer.limits().budgets(FleetBounds()),
                                                fleet.now());
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -40,7 +40,7 @@
 {
     m_attempt->hasHead = true;
     m_attempt->head = head;
-    reportTargetLimit(fields);
+    reportTargetLimits(fields);
     if (fields.isMisdirected || fields.isNotRun) {
         m_attempt->isNotRun = true;
         return;
@@ -60,7 +60,7 @@
     }
 }
 
-void ForwardedRequest::reportTargetLimit(const TargetResponseFields &fields)
+void ForwardedRequest::reportTargetLimits(const TargetResponseFields &fields)
 {
     // Another target answered, which got the address of the one that was meant.
     if (fields.isMisdirected)
@@ -73,10 +73,13 @@
                                 .with("error", std::string(nameOf(*fields.limitError))));
         return;
     }
-    m_context.targetLimitReported({.target = targetHash(target.instance()),
-                                   .perSecond = fields.limitPerSecond,
-                                   .sent = m_attempt->started,
-                                   .received = m_context.loop.now()});
+    TargetLimitReport report {.target = targetHash(target.instance()),
+                              .perSecond = fields.limitPerSecond,
+                              .sent = m_attempt->started,
+                              .received = m_context.loop.now()};
+    m_context.targetLimitReported(TargetLimitKind::Requests, report);
+    report.perSecond = fields.rejectionsPerSecond;
+    m_context.targetLimitReported(TargetLimitKind::Rejections, report);
 }
 
 void ForwardedRequest::onResponseBody(std::string_view bytes)
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -7,6 +7,7 @@
 #include <apricothook/gateway/internal/apricothook_request_fingerprint.hpp>
 #include <apricothook/gateway/internal/apricothook_request_rank.hpp>
 #include <apricothook/gateway/internal/apricothook_request_record.hpp>
+#include <apricothook/gateway/internal/apricothook_target_units.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -132,8 +133,8 @@
 {
     m_waiting = false;
     const TrackedTarget *tracked = m_context.targets.find(target.id);
-    if (tracked && tracked->limitPerSecond) {
-        acquireTargetUnit(target, *tracked->limitPerSecond);
+    if (const std::optional<LimitedUnits> units = unitsFor(tracked, m_context.bounds)) {
+        acquireTargetUnit(target, *units);
         return;
     }
     m_targetUnit.reset();
@@ -166,6 +167,8 @@
                             .with("relay", relay ? relay->text() : std::string())
                             .with("trial", m_trial.has_value())
                             .with("own_load", believed ? believed->ownRequests : 0)
+                            .with("brittle", believed && believed->hasOwnShare)
+                            .with("share", believed ? believed->cellSlots : 0)
                             .with("others_load", believed ? believed->requestsOfOthers : 0)
                             .with("slots", target.slots)
                             .with("cold", believed && believed->isCold)
@@ -338,6 +341,8 @@
                                    lossOf(*m_attempt));
     m_context.targets.requestEnded(m_attempt->target.instance(), m_admitted.size, outcome,
                                    now - m_attempt->started, m_attempt->hasFirstEvent, now);
+    if (outcome == TargetOutcome::Full)
+        m_context.targetFull(m_attempt->target.instance());
     if (outcome == TargetOutcome::Served)
         m_context.urgency.recordHoldTime(m_admitted.service, m_admitted.route->name,
                                          m_admitted.route->tier, now - m_attempt->started);
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -70,12 +70,12 @@
     void acquireUnits();
     void onCustomerUnitsDecided(const LimitDecision &decision);
     /** Sends the request as soon as the target's limit allows it. */
-    void acquireTargetUnit(const TargetEntry &target, double perSecond);
+    void acquireTargetUnit(const TargetEntry &target, const LimitedUnits &units);
     void onTargetUnitDecided(const LimitDecision &decision);
     void logTargetLimitReached(const TargetEntry &target, const LimitDecision &decision);
     /** Gives up the slot of a target that the request hasn't been sent to. */
     void releaseSlot(const TargetEntry &target);
-    void reportTargetLimit(const TargetResponseFields &fields);
+    void reportTargetLimits(const TargetResponseFields &fields);
     void start();
     void submit();
     /** Stops waiting for units or a target. */
@@ -116,7 +116,7 @@
     Progress m_progress = Progress::Nothing;
     bool m_waiting = false;
     bool m_waitsForUnits = false;
-    /** The target whose limit has been asked for a unit. */
+    /** The target one of whose limits has been asked for a unit. */
     std::optional<TargetEntry> m_limitedTarget;
     /** The target that the request is to be tried on; a unit of its trials has been asked for. */
     std::optional<TargetEntry> m_trialTarget;
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_units.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_units.cpp
@@ -3,6 +3,7 @@
 #include <apricothook/http1/apricothook_http_status.hpp>
 
 #include <apricothook/gateway/apricothook_gateway_event.hpp>
+#include <apricothook/gateway/internal/apricothook_target_units.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -16,11 +17,6 @@
 
 /** Smallest Retry-After for a customer that is over its limit. */
 constexpr std::chrono::milliseconds ShortestLimitRetryAfter {100};
-/**
- * Longest time for which a request waits for a unit of a target's limit: other targets may have
- * free slots.
- */
-constexpr std::chrono::milliseconds LongestTargetUnitWait {50};
 /** A grantor that reaches more of the fleet, or a raised limit, has units earlier than was told. */
 constexpr std::chrono::seconds LongestTargetHold {1};
 
@@ -81,16 +77,11 @@
         sendLocalResponse(RequestOutcome::OverLimit, HttpStatus::TooManyRequests, retryAfter);
 }
 
-void ForwardedRequest::acquireTargetUnit(const TargetEntry &target, double perSecond)
+void ForwardedRequest::acquireTargetUnit(const TargetEntry &target, const LimitedUnits &units)
 {
     m_limitedTarget = target;
     const std::optional<LimitDecision> decision
-        = m_context.limits.take(m_id,
-                                {.limit = targetHash(target.instance()),
-                                 .budget = targetBudget(perSecond, m_context.bounds),
-                                 .demand = {1, 0},
-                                 .longestWait = LongestTargetUnitWait},
-                                m_context.loop.now());
+        = m_context.limits.take(m_id, units, m_context.loop.now());
     if (decision && decision->isAdmitted) {
         onTargetUnitDecided(*decision);
         return;
@@ -107,7 +98,7 @@
 {
     const TargetEntry target = *std::exchange(m_limitedTarget, std::nullopt);
     const TrackedTarget *tracked = m_context.targets.find(target.instance());
-    const bool isLimited = tracked && tracked->limitPerSecond;
+    const bool isLimited = unitsFor(tracked, m_context.bounds).has_value();
     const bool isHeld = isLimited && !decision.isAdmitted;
     m_context.targets.unitDecided(target.instance(),
                                   isHeld ? m_context.loop.now() + holdTime(decision) : Instant());
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -6,15 +6,23 @@
 
 namespace Apricothook {
 
+namespace {
+
+/** Time for which a target counts as brittle though no answer says so. */
+constexpr std::chrono::seconds BrittlenessMemory {10};
+
+} // namespace
+
 Gateway::Gateway(EventLoop &loop, const WireProtocol &protocol, RandomSource &random,
                  LogWriter &log, Metrics &metrics, const FleetBounds &bounds,
                  const DataCentreId &dataCentre, const PolicySwitches &policies,
                  const LimitPeer &self)
     : m_loop(loop)
     , m_bounds(bounds)
-    , m_targets(dataCentre, policies, ColdTargetLimiter(self.member, bounds))
+    , m_targets(dataCentre, policies, ColdTargetLimiter(self.member, bounds), self.member)
     , m_limits(self, *this, *this, *this, random)
-    , m_targetLimits(self.address, *this, *this)
+    , m_targetLimits(TargetLimitKind::Requests, self.address, *this, *this)
+    , m_targetRejections(TargetLimitKind::Rejections, self.address, *this, *this)
     , m_dispatcher(m_targets, *this, policies)
     , m_paths(loop, *this, dataCentre, random, log, self.address.address)
     , m_channels(loop, protocol, log, m_paths)
@@ -52,7 +60,9 @@
                              [this, exchange, decision] { onLimitDecided(exchange, decision); });
                      },
                  .targetLimitReported
-                 = [this](const TargetLimitReport &report) { m_targetLimits.observe(report); },
+                 = [this](TargetLimitKind kind,
+                          const TargetLimitReport &report) { announcerOf(kind).observe(report); },
+                 .targetFull = [this](const TargetInstance &target) { onTargetFull(target); },
                  .capacityFreed = [this] { scheduleReview(); }}
 {
     m_limits.setFleet({{{self, 1, false}}, 1, true, std::nullopt}, loop.now());
@@ -71,6 +81,7 @@
     m_limits.setFleet({{}, 1, false, std::nullopt}, m_loop.now());
     setFleetSize(std::nullopt);
     m_targets.setColdTargetSenders({});
+    m_targets.setShareMembers({}, Duration::zero(), m_loop.now());
 }
 
 Result<void, ListenError> Gateway::listen(const Endpoint &address)
@@ -118,6 +129,7 @@
     m_crashDetector.recordRegistered(target);
     const std::uint64_t number = targetHash(target.instance());
     m_targets.setLimit(number, m_targetLimits.limits().perSecond(number));
+    m_targets.setBrittle(number, m_targetRejections.limits().perSecond(number));
     if (target.isDraining || isRestarted)
         m_channels.closeIdle(target.id);
     if (isRestarted) {
@@ -251,25 +263,57 @@
     m_targetLimits.take(notice, m_loop.now());
 }
 
-void Gateway::onTargetLimitChanged(std::uint64_t target, TargetLimitChange change,
-                                   TargetLimitOrigin origin)
+void Gateway::take(const BrittlenessNotice &notice)
 {
-    const TargetLimit *limit = m_targetLimits.limits().find(target);
-    m_context.log.write(LogEvent(GatewayEvent::TargetLimitChanged)
-                            .with("target", m_targets.nameOf(target))
-                            .with("change", std::string(nameOf(change)))
-                            .with("limit_per_s", limit->perSecond().value_or(0))
-                            .with("from", std::string(nameOf(origin)))
-                            .with("limit_age_ms", m_loop.now() - limit->observed));
-    m_targets.setLimit(target, limit->perSecond());
+    m_targetRejections.take(notice.rejections, m_loop.now());
+}
+
+void Gateway::take(const TargetFullNotice &notice)
+{
+    m_targets.recordFull(notice.target, m_loop.now());
+}
+
+void Gateway::onTargetFull(const TargetInstance &target)
+{
+    const TrackedTarget *tracked = m_targets.find(target);
+    if (tracked && tracked->hasOwnShare)
+        broadcast(TargetFullNotice {targetHash(target)});
+}
+
+TargetLimitAnnouncer &Gateway::announcerOf(TargetLimitKind kind)
+{
+    return kind == TargetLimitKind::Requests ? m_targetLimits : m_targetRejections;
+}
+
+void Gateway::onTargetLimitChanged(TargetLimitKind kind, std::uint64_t target,
+                                   TargetLimitChange change, TargetLimitOrigin origin)
+{
+    const TargetLimit *limit = announcerOf(kind).limits().find(target);
+    const bool ofRequests = kind == TargetLimitKind::Requests;
+    m_context.log.write(
+        LogEvent(ofRequests ? GatewayEvent::TargetLimitChanged : GatewayEvent::TargetBrittle)
+            .with("target", m_targets.nameOf(target))
+            .with("change", std::string(nameOf(change)))
+            .with("limit_per_s", limit->perSecond().value_or(0))
+            .with("from", std::string(nameOf(origin)))
+            .with("limit_age_ms", m_loop.now() - limit->observed));
+    if (ofRequests)
+        m_targets.setLimit(target, limit->perSecond());
+    else
+        m_targets.setBrittle(target, limit->perSecond());
     updateBudgets();
     scheduleReview();
 }
 
 void Gateway::reviewTargetLimits()
 {
-    m_targetLimits.review([this](std::uint64_t target) { return m_targets.isKnown(target); },
-                          m_loop.now());
+    const auto isKnown = [this](std::uint64_t target) { return m_targets.isKnown(target); };
+    m_targetLimits.review(isKnown, m_loop.now());
+    m_targetRejections.review(isKnown, m_loop.now());
+    // Targets of the service that aren't used would keep it brittle.
+    for (const std::uint64_t target :
+         m_targetRejections.limits().unconfirmed(BrittlenessMemory, m_loop.now()))
+        m_targets.setBrittle(target, std::nullopt);
 }
 
 void Gateway::onCrashed(const TargetInstance &target, CrashSign sign,
@@ -324,6 +368,7 @@
 void Gateway::updateBudgets()
 {
     UnitBudgets budgets = m_targetLimits.limits().budgets(m_bounds);
+    budgets.merge(m_targetRejections.limits().rejectionBudgets());
     budgets.merge(m_suspects.budgets());
     if (m_context.routes)
         budgets.merge(budgetsOf(m_context.routes->configuration().customers, m_bounds));
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -57,8 +57,10 @@
     TargetTable &targets() { return m_targets; }
     Dispatcher &dispatcher() { return m_dispatcher; }
     FleetRateLimiter &limits() { return m_limits; }
-    /** Applies what another daemon tells of a target's limit. */
+    /** Applies what another daemon tells of a target's limits. */
     void take(const TargetLimitNotice &notice);
+    void take(const BrittlenessNotice &notice);
+    void take(const TargetFullNotice &notice);
     /** Drops limits of targets that are gone; to be called about once a second. */
     void reviewTargetLimits();
     /** Without a messenger, the daemon assumes that it is the only one. */
@@ -95,7 +97,7 @@
     void send(const Endpoint &to, const LimitMessage &message) override;
     void broadcast(const LimitMessage &message) override;
 
-    void onTargetLimitChanged(std::uint64_t target, TargetLimitChange change,
+    void onTargetLimitChanged(TargetLimitKind kind, std::uint64_t target, TargetLimitChange change,
                               TargetLimitOrigin origin) override;
     void onCrashed(const TargetInstance &target, CrashSign sign,
                    const std::vector<DroppedRequest> &requests, Instant crashed) override;
@@ -107,6 +109,9 @@
 
     /** Sets the budgets of the limits of customers, targets and trials. */
     void updateBudgets();
+    TargetLimitAnnouncer &announcerOf(TargetLimitKind kind);
+    /** A target has rejected a request of this daemon for lack of room. */
+    void onTargetFull(const TargetInstance &target);
     /** Sets the budget of the trials of one request. */
     void updateTrialBudget(std::uint64_t request);
 
@@ -122,6 +127,7 @@
     LimitMessenger *m_limitMessenger = nullptr;
     FleetRateLimiter m_limits;
     TargetLimitAnnouncer m_targetLimits;
+    TargetLimitAnnouncer m_targetRejections;
     Dispatcher m_dispatcher;
     PathMonitor m_paths;
     ChannelPool m_channels;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -58,8 +58,10 @@
     std::function<void()> unitsRequested;
     /** Calls onLimitDecided() of the exchange after the current event. */
     std::function<void(ExchangeId exchange, const LimitDecision &decision)> deferLimitDecision;
-    /** Called with what a target's answer tells about its limit. */
-    std::function<void(const TargetLimitReport &report)> targetLimitReported;
+    /** Called with what a target's answer tells about one of its limits. */
+    std::function<void(TargetLimitKind kind, const TargetLimitReport &report)> targetLimitReported;
+    /** Called when a target has rejected a request for lack of room. */
+    std::function<void(const TargetInstance &target)> targetFull;
     /** Called when a slot of a target may have become free. */
     std::function<void()> capacityFreed;
 
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -47,6 +47,9 @@
                               ///< of requests. Operator: check the target if it recurs.
     TargetSurvived = 819,     ///< info: a target that dropped or didn't answer requests accepts
                               ///< connections; target, number of requests. Operator: none.
+    TargetBrittle = 820,      ///< info: a target said that it crashes if it has to reject too many
+                              ///< requests, changed or ended that; target, change, rejections per
+                              ///< second, source, age. Operator: none.
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
@@ -95,7 +95,12 @@
     std::optional<unsigned> keepAliveSeconds;
     /** Requests per second that the target takes from all daemons together, if it names a limit. */
     std::optional<double> limitPerSecond;
-    /** Set if the target names an invalid limit. */
+    /**
+     * Requests per second that the target can reject for lack of room without crashing, if it names
+     * a limit of them.
+     */
+    std::optional<double> rejectionsPerSecond;
+    /** Set if the target names an invalid limit, of either kind. */
     std::optional<TargetLimitError> limitError;
 
     auto operator<=>(const TargetResponseFields &) const = default;
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -110,6 +110,7 @@
     EventName {817, "SuspectHeld", EventLevel::Info},
     EventName {818, "TargetCrashed", EventLevel::Warning},
     EventName {819, "TargetSurvived", EventLevel::Info},
+    EventName {820, "TargetBrittle", EventLevel::Info},
     EventName {851, "ProcessStarted", EventLevel::Info},
     EventName {852, "ProcessStopping", EventLevel::Info},
     EventName {853, "ProcessStopped", EventLevel::Info},
--- a/packages/serving/apricothook/serving/apricothook_limit_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.hpp
@@ -30,6 +30,8 @@
     void take(const ReachProbe &probe);
     void take(const ReachReply &reply);
     void take(const TargetLimitNotice &notice) { m_gateway.take(notice); }
+    void take(const BrittlenessNotice &notice) { m_gateway.take(notice); }
+    void take(const TargetFullNotice &notice) { m_gateway.take(notice); }
     void take(const CrashNotice &notice) { m_gateway.suspects().take(notice); }
     void take(const SuspectQuery &query) { m_gateway.suspects().take(query); }
     void take(const SuspectReply &reply) { m_gateway.suspects().take(reply); }
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -79,9 +79,23 @@
                         .with("view", std::string(nameOf(fleet.view)))
                         .with("members", fleet.members.size()));
     }
+    targets.setShareMembers(shareMembers(fleet), shareSettlingTime(), m_loop.now());
     targets.setColdTargetSenders(std::move(fleet));
 }
 
+std::vector<std::uint64_t> PeerExchange::shareMembers(const ColdTargetSenders &fleet) const
+{
+    // The others deal the slots of a leaving daemon to themselves.
+    if (fleet.view == ColdView::Alone || m_draining)
+        return {};
+    return fleet.members;
+}
+
+Duration PeerExchange::shareSettlingTime() const
+{
+    return std::max<Duration>(ShareSettlingTime, m_directory.otherCellLimit());
+}
+
 void PeerExchange::reviewFleetSize()
 {
     const Instant now = m_loop.now();
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -35,6 +35,9 @@
      */
     static constexpr std::chrono::seconds DirectReadTime {3};
 
+    /** Time within which all daemons of a cell know of a new or leaving member. */
+    static constexpr std::chrono::seconds ShareSettlingTime {2};
+
     PeerExchange(EventLoop &loop, const ServingSettings &settings, Incarnation process,
                  Gateway &gateway, PublishedState &published, RandomSource &random,
                  Metrics &metrics, LogWriter &log);
@@ -71,6 +74,9 @@
 
     void tick();
     void reviewColdTargets();
+    /** Daemons that share the slots of brittle targets; empty while they aren't known. */
+    std::vector<std::uint64_t> shareMembers(const ColdTargetSenders &fleet) const;
+    Duration shareSettlingTime() const;
     void reviewFleetSize();
     /** State of the source as reported by this daemon, its cell and the fleet's readers. */
     SourceReachability sourceReachability() const;
