--- a/packages/gateway/tests/apricothook_scripted_peers.cpp
+++ b/packages/gateway/tests/apricothook_scripted_peers.cpp
@@ -1,11 +1,16 @@
 #include <apricothook_scripted_peers.hpp>
 
+#include <apricothook/model/apricothook_socket_address.hpp>
+
 namespace Apricothook {
 
 ScriptedTarget::ScriptedTarget(EventLoop &loop)
 {
     m_listener = Listener::open(loop, {"127.0.0.1", 0}, [this, &loop](int descriptor) {
                      connections.push_back(std::make_unique<RecordingConnection>(loop, descriptor));
+                     m_sources.push_back(peerAddressOf(descriptor));
+                     if (m_cutOff.contains(m_sources.back()))
+                         connections.back()->socket.abort();
                  }).value();
 }
 
@@ -26,6 +31,15 @@
     return count;
 }
 
+void ScriptedTarget::cutOff(const std::string &source)
+{
+    m_cutOff.insert(source);
+    for (std::size_t index = 0; index < connections.size(); ++index) {
+        if (m_sources[index] == source)
+            connections[index]->socket.abort();
+    }
+}
+
 void ScriptedTarget::crash()
 {
     m_listener.reset();
--- a/packages/gateway/tests/apricothook_scripted_peers.hpp
+++ b/packages/gateway/tests/apricothook_scripted_peers.hpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,11 +41,17 @@
     /** Stops listening and resets all connections. */
     void crash();
     void stopListening() { m_listener.reset(); }
+    /** Resets all connections from the address from now on. */
+    void cutOff(const std::string &source);
+    void mend(const std::string &source) { m_cutOff.erase(source); }
 
     std::vector<std::unique_ptr<RecordingConnection>> connections;
 
 private:
     std::unique_ptr<Listener> m_listener;
+    std::set<std::string> m_cutOff;
+    /** Source address of each connection. */
+    std::vector<std::string> m_sources;
 };
 
 } // namespace Apricothook
--- a/packages/paths/apricothook/paths/apricothook_path_monitor.cpp
+++ b/packages/paths/apricothook/paths/apricothook_path_monitor.cpp
@@ -104,15 +104,13 @@
         ++m_losses[target.instance()];
     else if (loss == AttemptLoss::Unanswered)
         m_relays.recordBroken(*relay);
-    const bool hasFailed = !relay && loss == AttemptLoss::NotConnected;
-    if (!m_inquiries.contains(target.instance()))
-        startInquiry(target, hasFailed);
+    inquire(target);
 }
 
 void PathMonitor::inquire(const TargetEntry &target)
 {
     if (!m_inquiries.contains(target.instance()))
-        startInquiry(target, false);
+        startInquiry(target);
 }
 
 void PathMonitor::testIfDue(const TargetEntry &target)
@@ -121,13 +119,12 @@
         inquire(target);
 }
 
-void PathMonitor::startInquiry(const TargetEntry &target, bool hasFailed)
+void PathMonitor::startInquiry(const TargetEntry &target)
 {
     ReachInquirySetup setup {.target = target,
                              .from = m_from,
                              .panel = m_relays.choosePanel(candidates(), PanelSize),
-                             .isAlone = !m_peers || m_peers->isAlone(),
-                             .hasFailed = hasFailed};
+                             .isAlone = !m_peers || m_peers->isAlone()};
     ReachInquiryListener &listener = *this;
     m_inquiries[target.instance()]
         = std::make_unique<ReachInquiry>(m_loop, std::move(setup), listener);
--- a/packages/paths/apricothook/paths/apricothook_path_monitor.hpp
+++ b/packages/paths/apricothook/paths/apricothook_path_monitor.hpp
@@ -77,7 +77,7 @@
     void onReachConcluded(const TargetEntry &target, const ReachConclusion &conclusion) override;
     void onInquiryFinished(const TargetInstance &target) override;
 
-    void startInquiry(const TargetEntry &target, bool hasFailed);
+    void startInquiry(const TargetEntry &target);
     /** Tests the path if it isn't trusted and hasn't been tested lately. */
     void testIfDue(const TargetEntry &target);
     void recordPath(const TargetEntry &target, const ReachConclusion &conclusion);
--- a/packages/paths/apricothook/paths/apricothook_reach_inquiry.cpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_inquiry.cpp
@@ -8,11 +8,8 @@
     : m_loop(loop), m_setup(std::move(setup)), m_listener(listener), m_started(loop.now())
 {
     m_evidence.isAlone = m_setup.isAlone;
-    if (!m_setup.hasFailed) {
-        m_probe = std::make_unique<ConnectionProbe>(m_loop, m_setup.target.address, m_setup.from);
-    }
-    const Duration wait = m_setup.hasFailed ? Duration::zero() : ConnectionProbe::ProbeTime;
-    m_timer = m_loop.after(wait, [this] {
+    m_probe = std::make_unique<ConnectionProbe>(m_loop, m_setup.target.address, m_setup.from);
+    m_timer = m_loop.after(ConnectionProbe::ProbeTime, [this] {
         m_timer = 0;
         onProbeTime();
     });
@@ -25,29 +22,36 @@
 
 void ReachInquiry::onProbeTime()
 {
-    if (m_probe)
-        m_evidence.own = m_probe->result();
+    m_evidence.own = m_probe->result();
     m_probe.reset();
     if (m_evidence.own != ProbeResult::Kept && !m_setup.panel.empty()) {
-        askOthers();
+        ask(FirstAsked);
         return;
     }
     conclude();
     m_listener.onInquiryFinished(m_setup.target.instance());
 }
 
-void ReachInquiry::askOthers()
+void ReachInquiry::ask(std::size_t most)
 {
-    m_pending = m_setup.panel.size();
     const RelayRequest request {
         RelayService::Test, m_setup.target.instance(), m_setup.target.address, {}};
-    for (const Endpoint &relay : m_setup.panel) {
+    for (; most > 0 && m_asked < m_setup.panel.size(); --most) {
+        const Endpoint &relay = m_setup.panel[m_asked++];
+        ++m_pending;
         m_queries.push_back(std::make_unique<RelayQuery>(
             m_loop, relay, request, m_setup.from,
             [this, relay](RelayOutcome outcome) { onAnswer(relay, outcome); }));
     }
 }
 
+bool ReachInquiry::needsMoreAnswers() const
+{
+    const bool areUnanimous
+        = m_evidence.reached == 0 && m_evidence.uninformed == 0 && m_evidence.silent == 0;
+    return m_asked < m_setup.panel.size() && !areUnanimous;
+}
+
 void ReachInquiry::onAnswer(const Endpoint &relay, RelayOutcome outcome)
 {
     m_evidence.add(outcome);
@@ -55,7 +59,13 @@
         m_reachedBy = relay;
     --m_pending;
     m_listener.onRelayAnswered(m_setup.target, relay, outcome);
-    // Further answers only tell which other daemons reach the target.
+    if (m_pending == 0 && needsMoreAnswers()) {
+        ask(m_setup.panel.size());
+        // Further answers only tell which other daemons reach the target.
+        if (m_reachedBy)
+            conclude();
+        return;
+    }
     if (m_pending == 0 || m_reachedBy)
         conclude();
     if (m_pending == 0)
--- a/packages/paths/apricothook/paths/apricothook_reach_inquiry.hpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_inquiry.hpp
@@ -29,8 +29,6 @@
     std::vector<Endpoint> panel;
     /** No other daemon exists. */
     bool isAlone = false;
-    /** This daemon has just tried to connect and got no connection. */
-    bool hasFailed = false;
 };
 
 /** Receives the results of an inquiry about a target. */
@@ -48,10 +46,17 @@
     virtual void onInquiryFinished(const TargetInstance &target) = 0;
 };
 
-/** Tests a target once, from this daemon and, if it isn't reached, from others. */
+/**
+ * Tests a target once, from this daemon and, if it isn't reached, from others.
+ *
+ * A few others are asked first. If they agree that the target is down, the rest isn't asked: a
+ * crash is noticed by many daemons at once.
+ */
 class ReachInquiry
 {
 public:
+    static constexpr std::size_t FirstAsked = 3;
+
     ReachInquiry(EventLoop &loop, ReachInquirySetup setup, ReachInquiryListener &listener);
     ~ReachInquiry();
     ReachInquiry(const ReachInquiry &) = delete;
@@ -59,7 +64,9 @@
 
 private:
     void onProbeTime();
-    void askOthers();
+    /** Asks up to so many more daemons. */
+    void ask(std::size_t most);
+    bool needsMoreAnswers() const;
     void onAnswer(const Endpoint &relay, RelayOutcome outcome);
     void conclude();
 
@@ -70,6 +77,7 @@
     ReachEvidence m_evidence;
     std::optional<Endpoint> m_reachedBy;
     bool m_isConcluded = false;
+    std::size_t m_asked = 0;
     std::size_t m_pending = 0;
     TimerId m_timer = 0;
     std::unique_ptr<ConnectionProbe> m_probe;
--- a/packages/paths/apricothook/paths/apricothook_relay_query.hpp
+++ b/packages/paths/apricothook/paths/apricothook_relay_query.hpp
@@ -12,7 +12,7 @@
 class RelayQuery : private StreamSocketEvents
 {
 public:
-    /** The other daemon takes up to two probes' time to find out. */
+    /** The other daemon probes the target before it answers. */
     static constexpr std::chrono::milliseconds AnswerTime {400};
 
     /** `answered` is called once; the query may be destroyed after it. */
