--- a/packages/paths/apricothook/paths/apricothook_reach_evidence.cpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_evidence.cpp
@@ -61,9 +61,10 @@
         return ReachVerdict::Elsewhere;
     if (evidence.isAlone)
         return evidence.own == ProbeResult::Refused ? ReachVerdict::Refused : ReachVerdict::Silent;
-    if (evidence.refused > 0)
+    if (evidence.refused > evidence.silent + evidence.uninformed)
         return ReachVerdict::Refused;
-    return evidence.silent > 0 ? ReachVerdict::Silent : ReachVerdict::Unknown;
+    const bool isSilent = evidence.silent > evidence.refused + evidence.uninformed;
+    return isSilent ? ReachVerdict::Silent : ReachVerdict::Unknown;
 }
 
 } // namespace Apricothook
--- a/packages/paths/apricothook/paths/apricothook_reach_evidence.hpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_evidence.hpp
@@ -21,7 +21,7 @@
     Elsewhere, ///< From other daemons, but not from this one: the path is at fault.
     Refused,   ///< From nobody; it refuses or drops them.
     Silent,    ///< From nobody; it doesn't answer.
-    Unknown,   ///< Not from this daemon, and no other one can tell.
+    Unknown,   ///< Not from this daemon, and others can't tell or disagree.
 };
 
 std::string_view nameOf(ReachVerdict verdict);
@@ -43,8 +43,8 @@
 };
 
 /**
- * Judges target and path separately: a target is at fault only by the word of a daemon that reaches
- * other targets at the same time, which one that has lost its paths doesn't.
+ * Judges target and path separately: a target is at fault only if most of those that were asked
+ * agree, and reach other targets at the same time, which a daemon that has lost its paths doesn't.
  */
 ReachVerdict verdictOf(const ReachEvidence &evidence);
 
--- a/packages/paths/apricothook/paths/apricothook_reach_inquiry.cpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_inquiry.cpp
@@ -25,33 +25,25 @@
     m_evidence.own = m_probe->result();
     m_probe.reset();
     if (m_evidence.own != ProbeResult::Kept && !m_setup.panel.empty()) {
-        ask(FirstAsked);
+        askOthers();
         return;
     }
     conclude();
     m_listener.onInquiryFinished(m_setup.target.instance());
 }
 
-void ReachInquiry::ask(std::size_t most)
+void ReachInquiry::askOthers()
 {
+    m_pending = m_setup.panel.size();
     const RelayRequest request {
         RelayService::Test, m_setup.target.instance(), m_setup.target.address, {}};
-    for (; most > 0 && m_asked < m_setup.panel.size(); --most) {
-        const Endpoint &relay = m_setup.panel[m_asked++];
-        ++m_pending;
+    for (const Endpoint &relay : m_setup.panel) {
         m_queries.push_back(std::make_unique<RelayQuery>(
             m_loop, relay, request, m_setup.from,
             [this, relay](RelayOutcome outcome) { onAnswer(relay, outcome); }));
     }
 }
 
-bool ReachInquiry::needsMoreAnswers() const
-{
-    const bool areUnanimous
-        = m_evidence.reached == 0 && m_evidence.uninformed == 0 && m_evidence.silent == 0;
-    return m_asked < m_setup.panel.size() && !areUnanimous;
-}
-
 void ReachInquiry::onAnswer(const Endpoint &relay, RelayOutcome outcome)
 {
     m_evidence.add(outcome);
@@ -59,13 +51,7 @@
         m_reachedBy = relay;
     --m_pending;
     m_listener.onRelayAnswered(m_setup.target, relay, outcome);
-    if (m_pending == 0 && needsMoreAnswers()) {
-        ask(m_setup.panel.size());
-        // Further answers only tell which other daemons reach the target.
-        if (m_reachedBy)
-            conclude();
-        return;
-    }
+    // Further answers only tell which other daemons reach the target.
     if (m_pending == 0 || m_reachedBy)
         conclude();
     if (m_pending == 0)
--- a/packages/paths/apricothook/paths/apricothook_reach_inquiry.hpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_inquiry.hpp
@@ -49,14 +49,12 @@
 /**
  * Tests a target once, from this daemon and, if it isn't reached, from others.
  *
- * A few others are asked first. If they agree that the target is down, the rest isn't asked: a
- * crash is noticed by many daemons at once.
+ * All daemons of the panel are asked: several may be cut off from the same targets, and one that
+ * reaches the target refutes them all.
  */
 class ReachInquiry
 {
 public:
-    static constexpr std::size_t FirstAsked = 3;
-
     ReachInquiry(EventLoop &loop, ReachInquirySetup setup, ReachInquiryListener &listener);
     ~ReachInquiry();
     ReachInquiry(const ReachInquiry &) = delete;
@@ -64,9 +62,7 @@
 
 private:
     void onProbeTime();
-    /** Asks up to so many more daemons. */
-    void ask(std::size_t most);
-    bool needsMoreAnswers() const;
+    void askOthers();
     void onAnswer(const Endpoint &relay, RelayOutcome outcome);
     void conclude();
 
@@ -77,7 +73,6 @@
     ReachEvidence m_evidence;
     std::optional<Endpoint> m_reachedBy;
     bool m_isConcluded = false;
-    std::size_t m_asked = 0;
     std::size_t m_pending = 0;
     TimerId m_timer = 0;
     std::unique_ptr<ConnectionProbe> m_probe;
