--- a/packages/gateway/tests/apricothook_gateway_target_limit_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_target_limit_tests.cpp
@@ -243,3 +243,63 @@
     CHECK(caller.has("Retry-After: "));
     CHECK(fixture.target(0).requests() == 1);
 }
+
+namespace {
+
+struct BrittleFixture : TargetLimitFixture
+{
+    BrittleFixture()
+    {
+        gateway.setLimitMessenger(messages);
+        gateway.targets().setShareMembers({0, 1}, Duration::zero(), clock.now());
+        gateway.targets().setShareMembers({0, 1}, Duration::zero(), clock.now());
+    }
+    std::size_t announced(const LimitMessage &message) const
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(messages.announced, [&](const LimitMessage &each) {
+                return each.index() == message.index();
+            }));
+    }
+    void becomeBrittle()
+    {
+        RecordingConnection &caller = send("brittle");
+        ScriptedTarget *target = waitForTarget();
+        REQUIRE(target);
+        answer(*target,
+               "HTTP/1.1 200 OK\r\nId: brittle\r\nSigned: yes\r\nBrittle: 3\r\n"
+               "Content-Length: 2\r\n\r\nok");
+        REQUIRE(runUntil([&] { return caller.has("ok"); }));
+    }
+};
+
+} // namespace
+
+TEST_CASE("a target that says it is brittle is announced, and gets this daemon's share at once")
+{
+    BrittleFixture fixture;
+    fixture.becomeBrittle();
+    CHECK(fixture.announced(BrittlenessNotice()) == 1);
+    CHECK(fixture.log.count(GatewayEvent::TargetBrittle) == 1);
+    for (const std::string id : {"a", "b", "c", "d"})
+        fixture.send(id);
+    fixture.runPendingEvents();
+    // Two of the target's four slots are this daemon's.
+    CHECK(fixture.target(0).requests() == 3);
+}
+
+TEST_CASE("a rejection by a brittle target is told to all daemons, which leave it alone")
+{
+    BrittleFixture fixture;
+    fixture.becomeBrittle();
+    RecordingConnection &caller = fixture.send("a");
+    REQUIRE(fixture.runUntil([&] { return fixture.target(0).requests() == 2; }));
+    fixture.answer(fixture.target(0),
+                   "HTTP/1.1 503 Full\r\nId: a\r\nNot-Run: 1\r\nBrittle: 3\r\n"
+                   "Content-Length: 0\r\n\r\n");
+    REQUIRE(fixture.runUntil([&] { return caller.has("\r\n\r\n"); }));
+    CHECK(fixture.announced(TargetFullNotice()) == 1);
+    fixture.send("b");
+    fixture.runPendingEvents();
+    CHECK(fixture.target(0).requests() == 2);
+}
--- a/packages/gateway/tests/apricothook_test_protocol.cpp
+++ b/packages/gateway/tests/apricothook_test_protocol.cpp
@@ -52,6 +52,8 @@
         fields.limitError = TargetLimitError::NotANumber;
     else if (!limit.empty())
         fields.limitPerSecond = std::stod(limit);
+    if (const std::string brittle = valueOf(head.headers, "Brittle"); !brittle.empty())
+        fields.rejectionsPerSecond = std::stod(brittle);
     return fields;
 }
 
