--- a/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_serving_configuration.hpp
@@ -133,6 +133,7 @@
     /** Increases with each write of this instance; a write may take effect after later ones. */
     std::uint64_t sequence = 0;
     ServiceId service;
+    TargetVersion version;
     Endpoint address;
     DataCentreId dataCentre;
     /** Requests that the target runs concurrently. */
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -128,6 +128,8 @@
         target->speed.addGap((now - m_attempt->lastEvent) / static_cast<int>(events.count));
     }
     m_attempt->lastEvent = now;
+    if (m_beganVersion.isEmpty())
+        m_beganVersion = m_attempt->target.version;
     if (m_progress == Progress::Nothing)
         forwardHead({BodyFraming::Kind::Chunked, 0});
     m_responder.sendBody(events.bytes);
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -166,6 +166,10 @@
     m_context.log.write(line.markRoutine()
                             .forRequest(m_admitted.fields.id)
                             .with("target", target.id.text())
+                            .with("version", target.version.text())
+                            .with("stream", m_admitted.fields.resumes.text())
+                            .with("began_version", m_beganVersion.text())
+                            .with("last_event", m_lastEvent.value_or(0))
                             .with("path", std::string(nameOf(paths.state(target.instance()))))
                             .with("path_lost_ms", lost ? now - *lost : Duration())
                             .with("relay", relay ? relay->text() : std::string())
@@ -273,6 +277,8 @@
     m_context.log.write(LogEvent(GatewayEvent::AttemptFailed)
                             .forRequest(m_admitted.fields.id)
                             .with("target", m_attempt->target.id.text())
+                            .with("version", m_attempt->target.version.text())
+                            .with("last_event", m_lastEvent.value_or(0))
                             .with("relay", relay ? relay->text() : std::string())
                             .with("cause", std::string(cause))
                             .with("status", m_attempt->head.status)
@@ -457,6 +463,9 @@
         .route = m_admitted.route ? m_admitted.route->name : ClassId(),
         .customer = m_admitted.customer ? m_admitted.customer->name : CustomerId(),
         .service = m_admitted.service,
+        .stream = m_admitted.fields.resumes,
+        .beganVersion = m_beganVersion,
+        .lastEvent = m_lastEvent,
         .tier = m_admitted.tier,
         .generation = m_admitted.generation(),
         .status = m_status,
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -150,6 +150,8 @@
     std::optional<Attempt> m_failedAttempt;
     EventStreamScanner m_scanner;
     std::optional<std::uint64_t> m_lastEvent;
+    /** Version of the target whose event was the first to be forwarded. */
+    TargetVersion m_beganVersion;
     std::optional<Instant> m_firstByteTime;
     /** Set if the dispatcher refused the request. */
     std::optional<RefusalDetails> m_refusal;
--- a/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
@@ -31,6 +31,8 @@
     std::optional<std::uint64_t> totalTokens;
     /** The last event of the stream that the caller has received. */
     std::optional<std::uint64_t> lastEventId;
+    /** The caller's attempt that brought the first event of the stream; empty if not stated. */
+    RequestKey resumes;
 
     auto operator<=>(const RequestFields &) const = default;
 };
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
@@ -53,6 +53,15 @@
         .with("retry_after_ms", limit.retryAfter);
 }
 
+void addStream(LogEvent &line, const RequestRecord &record)
+{
+    if (!record.lastEvent && record.stream.isEmpty())
+        return;
+    line.with("stream", record.stream.text())
+        .with("began_version", record.beganVersion.text())
+        .with("last_event", record.lastEvent.value_or(0));
+}
+
 void addSuspicion(LogEvent &line, const RequestRecord &record)
 {
     line.with("suspect", std::to_string(record.suspect))
@@ -83,6 +92,7 @@
         .with("took_ms", record.duration)
         .with("left_ms", record.remaining)
         .with("generation", record.generation.value());
+    addStream(line, record);
     if (record.timeToFirstByte)
         line.with("first_ms", *record.timeToFirstByte);
     if (record.refusal)
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
@@ -19,6 +19,12 @@
     ClassId route;
     CustomerId customer;
     ServiceId service;
+    /** The caller's attempt that began the stream; empty for one that begins anew. */
+    RequestKey stream;
+    /** Version of the target whose event was the first to be forwarded; empty if there was none. */
+    TargetVersion beganVersion;
+    /** The last event of the stream that was forwarded, or that the caller had before. */
+    std::optional<std::uint64_t> lastEvent;
     Tier tier;
     Generation generation;
     unsigned status = 0;
--- a/packages/gateway/tests/apricothook_test_protocol.cpp
+++ b/packages/gateway/tests/apricothook_test_protocol.cpp
@@ -24,6 +24,9 @@
     request.customerKey = valueOf(head.headers, "Key");
     if (const auto patience = head.headers.find("Patience"))
         request.timeout = std::chrono::milliseconds(std::stoi(std::string(*patience)));
+    if (const auto last = head.headers.find("Last"))
+        request.lastEventId = std::stoul(std::string(*last));
+    request.resumes = RequestKey(valueOf(head.headers, "Resumes"));
     return request;
 }
 
@@ -32,6 +35,7 @@
 {
     RequestHead head = fromCaller;
     head.headers.removeHopByHop();
+    head.headers.remove("Last");
     head.headers.set("Only", fields.target.text());
     const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(fields.timeout);
     head.headers.set("Patience", std::to_string(patience.count()));
--- a/packages/model/apricothook/model/apricothook_identifiers.hpp
+++ b/packages/model/apricothook/model/apricothook_identifiers.hpp
@@ -42,6 +42,8 @@
 /** Identifies a daemon process: chosen at start, larger than all earlier ones of its member. */
 using Incarnation = Number<struct IncarnationKind>;
 using TargetId = Name<struct TargetIdKind>;
+/** Version of a target's software; empty if it isn't known. At most MaximumKeyBytes bytes. */
+using TargetVersion = Name<struct TargetVersionKind>;
 using VmId = Name<struct VmIdKind>;
 using DataCentreId = Name<struct DataCentreIdKind>;
 using RegionId = Name<struct RegionIdKind>;
