--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -13,6 +13,8 @@
 REQUEST_TIMEOUT_MS = 5000
 KINDS = {"unsafe": "/u/p/", "safe": "/i/p/", "resumable": "/r/s/", "single": "/n/s/"}
 ABANDON_PROBABILITY = 0.04
+# Attempts at one stream beyond the first, and the wait before one if the daemon named none.
+MOST_RESUMPTIONS, RESUMPTION_PAUSE = 3, 0.05
 
 
 @dataclass
@@ -33,6 +35,18 @@
     abandoned: bool = False
     ended: float = 0.0
     is_repeated: bool = False
+    # The request that began the stream, and the last event that the caller has, if this one takes the stream up.
+    resumes: str = ""
+    last_event: int = 0
+    retry_after: float = 0.0
+
+    @property
+    def stream_id(self) -> str:
+        return self.resumes or self.request_id
+
+    def events(self) -> int:
+        """Number of complete events that the caller has after this request."""
+        return self.last_event + self.answer.count(b"\n\n")
 
 
 @dataclass
@@ -75,13 +89,46 @@
                 self.records.append(record)
                 try:
                     closes = await asyncio.wait_for(self.exchange(record, reader, writer), REQUEST_TIMEOUT_MS / 1000)
-                finally:
+                except (http1.Broken, OSError):
                     record.ended = asyncio.get_running_loop().time()
+                    await self.take_up(record)
+                    return
+                finally:
+                    record.ended = record.ended or asyncio.get_running_loop().time()
                 if closes or record.abandoned:
                     return
         finally:
             writer.close()
 
+    async def take_up(self, broken: RequestRecord) -> None:
+        """Goes on with a resumable stream that broke after its first event, at any daemon and on new connections."""
+        until = broken.sent + REQUEST_TIMEOUT_MS / 1000
+        for _ in range(MOST_RESUMPTIONS):
+            if broken.kind != "resumable" or broken.events() == 0 or broken.complete and broken.status == 200:
+                return
+            await asyncio.sleep(broken.retry_after or RESUMPTION_PAUSE)
+            left = until - asyncio.get_running_loop().time()
+            if left <= 0:
+                return
+            try:
+                daemon, link = self.links[self.random.choice(await asyncio.wait_for(self.resolve(), 1))]
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(*link), 1)
+            except (http1.Broken, OSError, TimeoutError, IndexError):
+                continue
+            record = replace(self.new_record(daemon), kind=broken.kind, line=broken.line, key=broken.key, body=broken.body,
+                             resumes=broken.stream_id, last_event=broken.events())
+            self.records.append(record)
+            try:
+                await asyncio.wait_for(self.exchange(record, reader, writer), left)
+            except (http1.Broken, OSError, TimeoutError):
+                pass
+            finally:
+                record.ended = asyncio.get_running_loop().time()
+                writer.close()
+            if record.abandoned:
+                return
+            broken = record
+
     async def repeat_request(self, kind: str, body: bytes, until: float, mean_pause: float) -> None:
         """Sends the same request repeatedly, with equal path, key and body."""
         line, key = f"POST {KINDS[kind]}1 HTTP/1.1", self.keys[0]
@@ -106,14 +153,16 @@
         return RequestRecord(request_id, kind, line, body, self.random.choice(self.keys), daemon, now)
 
     async def exchange(self, record: RequestRecord, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        taken_up = {"Resumes": record.resumes, "Last-Event-Id": str(record.last_event)} if record.resumes else {}
         writer.write(http1.message(record.line, {
             "Host": HOST, "Request-Id": record.request_id, "Request-Deadline": str(REQUEST_TIMEOUT_MS),
-            "Authorization": f"Bearer {record.key}", "Token-Counts": "100,150"}, record.body))
+            "Authorization": f"Bearer {record.key}", "Token-Counts": "100,150", **taken_up}, record.body))
         if self.random.random() < ABANDON_PROBABILITY:
             await asyncio.sleep(self.random.uniform(0, 0.3))
             record.abandoned = True
             return True
         head = await http1.read_head(reader)
+        record.retry_after = float(head.headers.get("retry-after", "0"))
         record.status, record.signature = head.status, head.headers.get("response-signature", "")
         async for part in http1.chunks(reader, head):
             record.answer += part
@@ -123,7 +172,7 @@
 
 def expected_answer(record: RequestRecord) -> bytes:
     if "/s/" in record.line:
-        return b"".join(targets.event(record.request_id, number) for number in range(1, targets.EVENTS + 1))
+        return b"".join(targets.event(record.stream_id, number) for number in range(record.last_event + 1, targets.EVENTS + 1))
     return targets.plain_body(record.request_id, record.body)
 
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -50,6 +50,7 @@
         # Only when named explicitly, so that a seed keeps its faults; the first one crashes most targets.
         self.opt_in_kinds = [self.crashing_request, self.resize_configuration, self.silence_store, self.replace_key,
                              self.limit_target, self.cut_daemons, self.cut_zone, self.cut_all_but_one,
+                             self.kill_most, self.reset_callers, self.release_target, self.crash_to_next_version,
                              self.cut_from_half, self.cut_in_series, self.silence_target, self.brittle_service]
         if chosen != "on":
             known = {kind.__name__: kind for kind in self.kinds + self.opt_in_kinds}
@@ -106,6 +107,15 @@
         chosen = self.random.sample(self.fleet.daemons, count)
         await asyncio.gather(*(self.restart(daemon, signal.SIGKILL) for daemon in chosen))
 
+    async def kill_most(self) -> None:
+        """Kills six daemons in ten at once, and one at least."""
+        chosen = self.random.sample(self.fleet.daemons, max(1, len(self.fleet.daemons) * 6 // 10))
+        await asyncio.gather(*(self.restart(daemon, signal.SIGKILL) for daemon in chosen))
+
+    async def reset_callers(self) -> None:
+        """Resets all connections between callers and a daemon, which lives on and serves new ones at once."""
+        self.fleet.caller_links[self.random_daemon().index].reset()
+
     async def kill_in_series(self) -> None:
         """Kills all daemons several times in a row, so that no process knows the sends of the current retry window."""
         for _ in range(self.random.randint(2, 4)):
@@ -185,6 +195,25 @@
         target.start()
         await self.fleet.announce(target)
 
+    async def crash_to_next_version(self) -> None:
+        """A target crashes, and a target of the next version gets its address soon; its old entry expires later."""
+        target = self.random.choice(self.fleet.targets)
+        if not target.is_up:
+            return
+        crashed_id = target.id
+        target.crash()
+        await asyncio.sleep(self.random.uniform(0.05, 1))
+        if target.id == crashed_id:
+            target.raise_version()
+            target.start()
+            await self.fleet.announce(target)
+        await asyncio.sleep(ENTRY_EXPIRY_SECONDS)
+        await self.fleet.remove(crashed_id)
+
+    async def release_target(self) -> None:
+        """Planned replacement of a target by one of the next version."""
+        await self.replace_target(raises_version=True)
+
     async def crashing_request(self) -> None:
         """Callers repeat a request that crashes each target that runs it, beside one that is answered. Crashed targets are restarted."""
         if self.crashing_requests >= MOST_CRASHING_REQUESTS:
@@ -324,7 +353,7 @@
         for target in failing:
             target.failure = ""
 
-    async def replace_target(self) -> None:
+    async def replace_target(self, raises_version: bool = False) -> None:
         """Planned replacement: a target drains, a delayed older write of its entry is applied, it stops, a new process starts."""
         target = self.random.choice(self.fleet.targets)
         if not target.is_up:
@@ -344,6 +373,8 @@
         await asyncio.sleep(self.random.uniform(0.1, 1))
         if target.id != leaving_id:
             return
+        if raises_version:
+            target.raise_version()
         target.start()
         await self.fleet.announce(target)
 
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -4,6 +4,7 @@
 import hashlib
 import math
 import random
+import re
 from dataclasses import dataclass
 
 import http1
@@ -32,9 +33,20 @@
     return hashlib.sha256(f"signed {request_id}".encode()).hexdigest()[:16]
 
 
-def event(request_id: str, number: int) -> bytes:
-    text = hashlib.sha256(f"{request_id} {number}".encode()).hexdigest()[:12]
-    return f"id: {number}\ndata: {text}\n\n".encode()
+def event(stream_id: str, number: int, version: str = "") -> bytes:
+    """An event of the stream that the caller's request `stream_id` began; without a version, as the checks compare it."""
+    text = hashlib.sha256(f"{stream_id} {number}".encode()).hexdigest()[:12]
+    mark = f"@{version}" if version else ""
+    return f"id: {number}\ndata: {text}{mark}\n\n".encode()
+
+
+def without_versions(events: bytes) -> bytes:
+    return re.sub(rb"@[^\n]*", b"", events)
+
+
+def versions_of(events: bytes) -> list[str]:
+    """The versions of the targets that wrote the events, one for each event."""
+    return [version.decode() for version in re.findall(rb"@([^\n]*)", events)]
 
 
 @dataclass(frozen=True)
@@ -98,6 +110,8 @@
         self.falls: list[tuple[str, float]] = []
         # Failure mode, and the fraction of requests that it applies to.
         self.failure, self.failure_probability, self.random = "", 0.0, random.Random(address[0])
+        # Version of the software; a release raises it with the next start.
+        self.version = "v1"
         self.incarnation, self.accepted, self.is_unresponsive, self.is_up = 0, 0, False, False
         self.crashed_ids: set[str] = set()
         self.cold_seconds = COLD_SECONDS
@@ -119,6 +133,9 @@
         self.slots, self.accepted, self.is_up = asyncio.Semaphore(SLOTS), 0, True
         self.restart_cold_period()
 
+    def raise_version(self) -> None:
+        self.version = f"v{int(self.version[1:]) + 1}"
+
     def restart_cold_period(self) -> None:
         self.cold_until = asyncio.get_running_loop().time() + self.cold_seconds
 
@@ -238,9 +255,10 @@
                                Transfer_Encoding="chunked")
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+        stream_id, version = head.headers.get("resumes", request_id), self.version
         for number in range(int(head.headers.get("last-event-id", "0")) + 1, EVENTS + 1):
             await asyncio.sleep(GAP_SECONDS)
-            writer.write(http1.chunk(event(request_id, number)))
+            writer.write(http1.chunk(event(stream_id, number, version)))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
--- a/tools/soak/test_verdict.py
+++ b/tools/soak/test_verdict.py
@@ -49,6 +49,43 @@
         self.assertEqual(findings([record], [run_of(record, customer="someone")]), ["UNASKED"])
         self.assertEqual(findings([record], [run_of(record, service="streams")]), ["ROUTE"])
 
+    def findings_of_streams(self, records: list) -> list[str]:
+        """Beside a request that shows that the fleet serves after the run."""
+        return findings([*records, request("safe", sent=SENT_AT + 9)], [], recovered_at=SENT_AT + 8)
+
+    def test_streams_of_two_versions_are_found(self):
+        def part(first: int, last: int, version: str, **changes):
+            events = b"".join(targets.event("id-resumable", number, version) for number in range(first, last + 1))
+            return request("resumable", answer=events, complete=False, **changes)
+
+        def taken_up(first: int, version: str):
+            return part(first, targets.EVENTS, version, request_id="second", signature=targets.signature("second"),
+                        resumes="id-resumable", last_event=first - 1)
+
+        self.assertEqual(self.findings_of_streams([part(1, 9, "v1"), taken_up(10, "v1")]), [])
+        self.assertEqual(self.findings_of_streams([part(1, 9, "v1"), taken_up(10, "v2")]), ["ORDER"])
+        within = part(1, 9, "v1")
+        within.answer += targets.event("id-resumable", 10, "v2")
+        self.assertEqual(self.findings_of_streams([within]), ["ORDER"])
+
+    def test_streams_that_are_taken_up_and_seldom_go_on_are_found(self):
+        new = request("resumable")
+
+        def taken_up(count: int, lost: int) -> list:
+            return [request("resumable", request_id=f"r{index}", resumes="id-resumable", last_event=3, status=503 if index < lost else 200,
+                            signature="" if index < lost else targets.signature(f"r{index}"), answer=b"", complete=False)
+                    for index in range(count)]
+
+        def found(count: int, lost: int) -> list:
+            records = [new, *taken_up(count, lost)]
+            for record in records[1 + lost:]:
+                record.answer = targets.event("id-resumable", 4)
+            return self.findings_of_streams(records)
+
+        self.assertEqual(found(verdict.FEWEST_RESUMPTIONS, 6), [])
+        self.assertEqual(found(verdict.FEWEST_RESUMPTIONS, 7), ["LOST"])
+        self.assertEqual(found(verdict.FEWEST_RESUMPTIONS - 1, 11), [])
+
     def test_retries_count_against_the_budget_of_their_service(self):
         """Rejected sends count, first arrivals don't, and old arrivals drop out of the window."""
         records = [request("safe", request_id=f"r{number}", status=0, abandoned=True) for number in range(99)]
@@ -97,7 +134,7 @@
 
     def test_a_refusal_of_an_executed_request_is_found(self):
         refused = request("unsafe", status=503, signature="", answer=b"")
-        self.assertEqual(findings([refused], [run_of(refused)], recovered_at=99.0), ["REFUSED", "RECOVER"])
+        self.assertEqual(findings([refused], [run_of(refused)]), ["REFUSED", "RECOVER"])
 
     def test_a_request_at_an_evacuated_target_is_found(self):
         record = request("safe")
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -24,6 +24,8 @@
 # From this time on, callers of daemons that are cut off from all targets are to be served as well as others: at least this
 # fraction as often, or no more than so many of them fail, and so many of all requests.
 CUT_BOUND, CUT_FRACTION, CUT_FAILURES, CUT_FAILURE_FRACTION = 4.0, 2 / 3, 10, 1 / 50
+# Of so many streams that are taken up, the share that goes on is at least this fraction of the share of new ones that begin.
+FEWEST_RESUMPTIONS, RESUMPTION_FRACTION = 12, 0.5
 
 
 def findings(fleet) -> list[str]:
@@ -42,6 +44,7 @@
     found += check_limits(fleet, sent)
     found += check_retry_budget(fleet)
     found += check_crashing_requests(fleet)
+    found += check_versions(fleet)
     found += check_cuts(fleet)
     found += check_falls(fleet)
     found += check_accusations(fleet)
@@ -72,13 +75,13 @@
         if record.status and record.signature:
             found.append(f"MIXED {record.request_id}: status {record.status} with a signature")
         return found
-    expected = callers.expected_answer(record)
+    expected, answer = callers.expected_answer(record), targets.without_versions(record.answer)
     if record.signature != targets.signature(record.request_id):
         found.append(f"MIXED {record.request_id}: signature {record.signature}")
-    if record.complete and record.answer != expected:
+    if record.complete and answer != expected:
         found.append(f"MIXED {record.request_id} ({record.kind}): a complete answer of {len(record.answer)} bytes, "
                      f"not {len(expected)}")
-    if not expected.startswith(record.answer):
+    if not expected.startswith(answer):
         found.append(f"ORDER {record.request_id} ({record.kind}): not a beginning of the target's answer")
     return found
 
@@ -210,6 +213,47 @@
             for body, count in late.items() if count > 3]
 
 
+def streams_of_several_versions(fleet) -> tuple[set[str], set[str]]:
+    """Streams with events of targets of several versions: within one answer, and over a caller's attempts only."""
+    versions, within = defaultdict(set), set()
+    for record in fleet.callers.records:
+        found = set(targets.versions_of(record.answer))
+        versions[record.stream_id] |= found
+        if len(found) > 1:
+            within.add(record.stream_id)
+    return within, {stream for stream, found in versions.items() if len(found) > 1} - within
+
+
+def resumption_counts(fleet) -> tuple[int, int, int, int]:
+    """Attempts that take a stream up: those that went on, and all; new resumable streams: those that began, and all."""
+    ended = [record for record in fleet.callers.records
+             if record.kind == "resumable" and record.ended and not record.abandoned and not record.is_repeated]
+    taken_up, new = ([record for record in ended if bool(record.resumes) == taken] for taken in (True, False))
+    # A stream whose last event the caller had already got ends at once.
+    went_on = sum(record.events() > record.last_event or record.complete and record.status == 200 for record in taken_up)
+    return went_on, len(taken_up), sum(record.events() > 0 for record in new), len(new)
+
+
+def stream_summary(fleet) -> str:
+    within, over_attempts = streams_of_several_versions(fleet)
+    went_on, taken_up, began, new = resumption_counts(fleet)
+    return (f"of several versions: {len(within)} in one answer, {len(over_attempts)} over attempts; "
+            f"taken up: {went_on} of {taken_up} went on; new: {began} of {new} began")
+
+
+def check_versions(fleet) -> list[str]:
+    """A stream goes on only at the version that began it, and nearly as often as new ones begin."""
+    found = []
+    within, over_attempts = streams_of_several_versions(fleet)
+    if within or over_attempts:
+        found.append(f"ORDER: streams hold events of several versions, {len(within)} in one answer, {len(over_attempts)} over attempts: "
+                     f"{sorted(within | over_attempts)[:3]}")
+    went_on, taken_up, began, new = resumption_counts(fleet)
+    if taken_up >= FEWEST_RESUMPTIONS and went_on / taken_up < RESUMPTION_FRACTION * began / new:
+        found.append(f"LOST: {went_on} of {taken_up} streams that were taken up went on, {began} of {new} new ones began")
+    return found
+
+
 def check_cuts(fleet) -> list[str]:
     """Compares the requests at daemons that are cut off from all targets with those at the others."""
     found = []
