Let a stream go on only at the version that began it

Callers got streams with events of targets of two software versions, which don't fit together.

Cause: what a stream began at was nobody's knowledge. A daemon that resumed a stream placed it like a new request, on any target that wasn't tried; one that was asked to take a stream up had nothing of the daemon that began it but the names that the caller sends, and read none of them.

Why this works: each placement of a stream that has begun is constrained to the version of the target whose event was the first to be forwarded (TargetConstraint, StreamContinuation), and a version that isn't known allows no target, so a mixed stream needs a wrong version, not a missing one. A stream stays at the service that began it too. If no other target of the version is there, a stalled stream isn't cancelled.

The fixture's targets have a version now, as all targets of the platform do; a target without one can't go on with streams. The check of the share that goes on counts streams while two targets of their version live, as the rule does.

--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -26,9 +26,9 @@
 void Dispatcher::submit(QueuedRequest request, Instant now)
 {
     const QueuedRequest submitted = request;
-    const bool triedAll = !submitted.excluded.empty()
-        && !m_targets.hasAlternative(submitted.service, submitted.excluded);
-    if (triedAll || m_targets.isEvacuated(submitted.service)) {
+    const bool hasNoTarget = !submitted.constraint.allowsAll()
+        && !m_targets.hasAlternative(submitted.service, submitted.constraint);
+    if (hasNoTarget || m_targets.isEvacuated(submitted.service)) {
         refuse(submitted, now);
         return;
     }
@@ -70,8 +70,10 @@
 
 void Dispatcher::sortByPriority(Queue &queue)
 {
+    // A stream that has begun can use only the targets of its version, and work was done for it.
     std::ranges::stable_sort(queue, {}, [](const QueuedRequest &request) {
-        return std::tuple(request.rank, request.arrived + request.objective);
+        return std::tuple(request.rank, !request.constraint.version,
+                          request.arrived + request.objective);
     });
 }
 
@@ -100,7 +102,7 @@
                             .size = request.size,
                             .timeToFirstEvent = request.arrived + request.objective - now,
                             .timeToEnd = request.deadline - now,
-                            .excluded = request.excluded},
+                            .constraint = request.constraint},
                            now);
     if (!target)
         return false;
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -29,8 +29,7 @@
     Duration objective {};
     /** Time by which the final answer must be sent. */
     Instant deadline {};
-    /** Targets that were already tried. */
-    std::set<TargetInstance> excluded;
+    TargetConstraint constraint;
 };
 
 /** Requests of one rank that are queued for a service at one member; part of its heartbeat. */
--- a/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <apricothook/dispatch/apricothook_stream_origin_messages.hpp>
 #include <apricothook/model/apricothook_endpoint.hpp>
 
 #include <cstdint>
@@ -380,9 +381,11 @@
 using LimitMessage
     = std::variant<UnitsRequest, UnitsReply, GrantorClaim, GrantorHandover, GrantorDenial,
                    TargetLimitNotice, CrashNotice, UnitsReturn, SuspectQuery, SuspectReply,
-                   BrittlenessNotice, TargetFullNotice, PermitRequest, PermitReply, PermitReport>;
+                   BrittlenessNotice, TargetFullNotice, PermitRequest, PermitReply, PermitReport,
+                   StreamOriginNotice, StreamOriginQuery, StreamOriginReply>;
 
-/** Sends messages about limits to other daemons; each may be lost, delayed or duplicated. */
+/** Sends messages about requests and limits to other daemons; each may be lost, delayed or
+ * duplicated. */
 class LimitMessenger
 {
 public:
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -82,7 +82,12 @@
         m_idsByHash.erase(targetHash(target.entry.instance()));
         target = {};
     }
+    // Two versions of one instance contradict each other, so neither is known to be true.
+    const bool isContradictory
+        = !target.entry.id.isEmpty() && target.entry.version != entry.version;
     target.entry = entry;
+    if (isContradictory)
+        target.entry.version = TargetVersion();
     updateCold(target, now + entry.remainingColdTime, now);
     m_idsByHash[targetHash(entry.instance())] = entry.id;
     target.requestsOfOthers = 0;
@@ -631,7 +636,7 @@
     bool fullTargetMeetsDeadline = false;
     bool fullTargetIsHealthy = false;
     for (const TrackedTarget *target : candidates) {
-        if (!acceptsRequests(*target) || requirements.excluded.contains(target->entry.instance()))
+        if (!acceptsRequests(*target) || !requirements.constraint.allows(target->entry))
             continue;
         if (target->sendsPerSecond == 0 || target->heldUntil > now)
             continue;
@@ -660,11 +665,10 @@
     return {best, someIsHealthy};
 }
 
-bool TargetTable::hasAlternative(const ServiceId &service,
-                                 const std::set<TargetInstance> &excluded) const
+bool TargetTable::hasAlternative(const ServiceId &service, const TargetConstraint &constraint) const
 {
     return std::ranges::any_of(targetsOf(service).all, [&, this](const TrackedTarget *target) {
-        return acceptsRequests(*target) && !excluded.contains(target->entry.instance());
+        return acceptsRequests(*target) && constraint.allows(target->entry);
     });
 }
 
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -6,6 +6,7 @@
 #include <apricothook/dispatch/apricothook_serving_configuration.hpp>
 #include <apricothook/dispatch/apricothook_slot_partition.hpp>
 #include <apricothook/dispatch/apricothook_slot_shares.hpp>
+#include <apricothook/dispatch/apricothook_target_constraint.hpp>
 #include <apricothook/dispatch/apricothook_target_speed.hpp>
 
 #include <algorithm>
@@ -114,8 +115,7 @@
     Duration timeToFirstEvent {};
     /** Time left until the complete answer is due. */
     Duration timeToEnd {};
-    /** Targets that already received the request. */
-    std::set<TargetInstance> excluded;
+    TargetConstraint constraint;
 };
 
 /** Totals over the targets of a service that take new requests of this daemon's cell. */
@@ -218,8 +218,8 @@
     const TrackedTarget *choose(const TargetRequirements &requirements, Instant now) const;
     /** Whether the target is neither draining nor in an evacuated data centre. */
     bool acceptsRequests(const TrackedTarget &target) const;
-    /** Whether some target of the service takes requests and isn't among `excluded`. */
-    bool hasAlternative(const ServiceId &service, const std::set<TargetInstance> &excluded) const;
+    /** Whether some target of the service takes requests and may get this one. */
+    bool hasAlternative(const ServiceId &service, const TargetConstraint &constraint) const;
     /** Whether the service has targets, and all that could serve are in evacuated data centres. */
     bool isEvacuated(const ServiceId &service) const;
     /** Whether some target can take a request now, even one that is avoided. */
--- a/packages/dispatch/tests/apricothook_emulated_limits.cpp
+++ b/packages/dispatch/tests/apricothook_emulated_limits.cpp
@@ -61,6 +61,9 @@
     void take(const PermitRequest &request) { takeSuspectMessage(request); }
     void take(const PermitReply &reply) { takeSuspectMessage(reply); }
     void take(const PermitReport &report) { takeSuspectMessage(report); }
+    void take(const StreamOriginNotice &notice) { takeStreamMessage(notice); }
+    void take(const StreamOriginQuery &query) { takeStreamMessage(query); }
+    void take(const StreamOriginReply &reply) { takeStreamMessage(reply); }
     /** No emulated target limits its rejections. */
     void take(const BrittlenessNotice &) { }
     void take(const TargetFullNotice &) { }
@@ -69,6 +72,11 @@
         if (fleet.onSuspectMessage)
             fleet.onSuspectMessage(index, message);
     }
+    void takeStreamMessage(const LimitMessage &message)
+    {
+        if (fleet.onStreamMessage)
+            fleet.onStreamMessage(index, message);
+    }
     template <typename Message>
     void take(const Message &message)
     {
--- a/packages/dispatch/tests/apricothook_emulated_limits.hpp
+++ b/packages/dispatch/tests/apricothook_emulated_limits.hpp
@@ -90,6 +90,8 @@
         onExchangeDecided;
     /** Called for messages about suspect requests. */
     std::function<void(std::size_t daemon, const LimitMessage &message)> onSuspectMessage;
+    /** Called for messages about what streams began at. */
+    std::function<void(std::size_t daemon, const LimitMessage &message)> onStreamMessage;
     std::function<void(std::size_t daemon, const TargetLimitNotice &notice)> onNotice;
     /** Called before a daemon asks another one for units. */
     std::function<void(std::size_t daemon, const Endpoint &to, std::uint64_t limit)> onUnitsRequest;
--- a/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_peer_datagram.hpp
@@ -121,7 +121,8 @@
                    GrantorClaim, GrantorHandover, ReachProbe, ReachReply, ReaderAnnouncement,
                    GrantorDenial, SuspectNotice, TargetLimitNotice, CrashNotice, UnitsReturn,
                    SuspectQuery, SuspectReply, BrittlenessNotice, TargetFullNotice, PermitRequest,
-                   PermitReply, PermitReport>;
+                   PermitReply, PermitReport, StreamOriginNotice, StreamOriginQuery,
+                   StreamOriginReply>;
 
 std::string writePeerDatagram(const PeerDatagram &datagram);
 Result<PeerDatagram, CodecError> parsePeerDatagram(std::string_view bytes);
--- a/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
+++ b/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
@@ -52,6 +52,9 @@
     PermitRequest {{"10.0.0.1", 1}, 9, 6, 2500},
     PermitReply {7, 9, PermitOutcome::Busy, true, 40},
     PermitReport {9, 6, PermitUse::Crashed, 5, 300},
+    StreamOriginNotice {8, {4, TargetVersion("v1.2")}, 6000},
+    StreamOriginQuery {{"10.0.0.1", 7}, 8},
+    StreamOriginReply {3, true, {8, {4, TargetVersion("v1.2")}, 5000}},
 };
 
 } // namespace
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -122,14 +122,13 @@
     const Instant now = m_context.loop.now();
     if (!std::exchange(m_attempt->hasFirstEvent, true)) {
         reportPermit(PermitUse::Sound);
+        m_continuation.onFirstEvent(m_admitted, m_attempt->target);
         m_context.targets.firstEventReceived(m_attempt->target.instance(), m_admitted.size,
                                              now - m_attempt->started);
     } else if (TrackedTarget *target = m_context.targets.find(m_attempt->target.instance())) {
         target->speed.addGap((now - m_attempt->lastEvent) / static_cast<int>(events.count));
     }
     m_attempt->lastEvent = now;
-    if (m_beganVersion.isEmpty())
-        m_beganVersion = m_attempt->target.version;
     if (m_progress == Progress::Nothing)
         forwardHead({BodyFraming::Kind::Chunked, 0});
     m_responder.sendBody(events.bytes);
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -43,6 +43,7 @@
     , m_received(std::move(request))
     , m_responder(responder)
     , m_arrived(context.loop.now())
+    , m_continuation(context, id)
 {
 }
 
@@ -77,7 +78,7 @@
         m_deadlineTimer = 0;
         onDeadline();
     });
-    acquireUnits();
+    findOrigin();
 }
 
 void ForwardedRequest::start()
@@ -89,6 +90,7 @@
 
 void ForwardedRequest::stopWaiting()
 {
+    m_continuation.cancel();
     if (std::exchange(m_waiting, false))
         m_context.dispatcher.cancel(m_id);
     if (std::exchange(m_waitsForUnits, false))
@@ -119,7 +121,7 @@
                                  .arrived = isFirst ? m_arrived : now,
                                  .objective = m_admitted.route->objective,
                                  .deadline = m_admitted.deadline,
-                                 .excluded = m_triedTargets},
+                                 .constraint = constraint()},
                                 now);
 }
 
@@ -168,7 +170,7 @@
                             .with("target", target.id.text())
                             .with("version", target.version.text())
                             .with("stream", m_admitted.fields.resumes.text())
-                            .with("began_version", m_beganVersion.text())
+                            .with("began_version", m_continuation.versionName().text())
                             .with("last_event", m_lastEvent.value_or(0))
                             .with("path", std::string(nameOf(paths.state(target.instance()))))
                             .with("path_lost_ms", lost ? now - *lost : Duration())
@@ -256,7 +258,8 @@
     m_attempt->silenceTimer = m_context.loop.after(limit, [this, limit] {
         m_attempt->silenceTimer = 0;
         // If no retry is possible, keep waiting: a late response is better than none.
-        if (!m_admitted.route->isRetryable() || m_runs + 1 >= m_admitted.route->maximumAttempts
+        if (!m_context.targets.hasAlternative(m_admitted.service, constraint())
+            || !m_admitted.route->isRetryable() || m_runs + 1 >= m_admitted.route->maximumAttempts
             || !mayRetry()) {
             armSilenceTimer(limit);
             return;
@@ -464,7 +467,7 @@
         .customer = m_admitted.customer ? m_admitted.customer->name : CustomerId(),
         .service = m_admitted.service,
         .stream = m_admitted.fields.resumes,
-        .beganVersion = m_beganVersion,
+        .beganVersion = m_continuation.versionName(),
         .lastEvent = m_lastEvent,
         .tier = m_admitted.tier,
         .generation = m_admitted.generation(),
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -6,6 +6,7 @@
 #include <apricothook/gateway/apricothook_request_outcome.hpp>
 #include <apricothook/gateway/internal/apricothook_attempt.hpp>
 #include <apricothook/gateway/internal/apricothook_request_admission.hpp>
+#include <apricothook/gateway/internal/apricothook_stream_continuation.hpp>
 
 #include <optional>
 #include <set>
@@ -38,6 +39,9 @@
     /** The limit of the customer, or of the target, granted or refused the request its units. */
     void onLimitDecided(const LimitDecision &decision);
     void onPermitDecided(const PermitDecision &decision);
+    /** Another daemon knows what the stream began at that the request goes on with, or none does.
+     */
+    void onOriginDecided(const StreamOriginDecision &decision);
     /** Fails the attempt if it was sent to an earlier instance of the target. */
     void onTargetRestarted(const TargetInstance &current);
     void onCallerGone() override;
@@ -76,6 +80,10 @@
     /** Records the outcome of the attempt for the suspicion of the request. */
     void recordCompleted();
     void recordDropped();
+    /** Finds out first which version the request is bound to if it goes on with a stream. */
+    void findOrigin();
+    /** The targets that may still get the request. */
+    TargetConstraint constraint() const;
     void acquireUnits();
     void onCustomerUnitsDecided(const LimitDecision &decision);
     /** Sends the request as soon as the target's limit allows it. */
@@ -150,8 +158,7 @@
     std::optional<Attempt> m_failedAttempt;
     EventStreamScanner m_scanner;
     std::optional<std::uint64_t> m_lastEvent;
-    /** Version of the target whose event was the first to be forwarded. */
-    TargetVersion m_beganVersion;
+    StreamContinuation m_continuation;
     std::optional<Instant> m_firstByteTime;
     /** Set if the dispatcher refused the request. */
     std::optional<RefusalDetails> m_refusal;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -26,6 +26,10 @@
     , m_dispatcher(m_targets, *this, policies)
     , m_paths(loop, *this, dataCentre, random, log, self.address.address)
     , m_channels(loop, protocol, log, m_paths)
+    , m_streams(loop, self, *this, log,
+                [this](ExchangeId exchange, const StreamOriginDecision &decision) {
+                    onOriginDecided(exchange, decision);
+                })
     , m_suspects(loop, self, m_limits.ranking(), *this, random, log,
                  {.budgetChanged = [this](std::uint64_t request) { updateTrialBudget(request); },
                   .permitDecided =
@@ -47,6 +51,7 @@
                  .limits = m_limits,
                  .targetLimits = m_targetLimits.limits(),
                  .crashDetector = m_crashDetector,
+                 .streams = m_streams,
                  .suspectGuard = &m_suspects,
                  .routes = nullptr,
                  .members = 1,
@@ -241,6 +246,13 @@
         found->second->onPermitDecided(decision);
 }
 
+void Gateway::onOriginDecided(ExchangeId exchange, const StreamOriginDecision &decision)
+{
+    const auto found = m_exchanges.find(exchange.value());
+    if (found != m_exchanges.end())
+        found->second->onOriginDecided(decision);
+}
+
 void Gateway::onGrantorChanged(std::uint64_t limit, GrantorChange change, double level)
 {
     CustomerId name;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -69,6 +69,8 @@
     FleetSuspectGuard &suspects() { return m_suspects; }
     /** Replaces the guard that shares its knowledge with the fleet. */
     void setSuspectGuard(SuspectGuard &guard) { m_context.suspectGuard = &guard; }
+    /** What the fleet remembers of streams that callers may take up. */
+    FleetStreamOrigins &streams() { return m_streams; }
     /** Without peers, the daemon assumes that no other one reaches targets for it. */
     void setRelayPeers(const RelayPeers &peers) { m_paths.setPeers(peers); }
     /** This daemon's own paths to targets. */
@@ -94,6 +96,7 @@
 
     void onLimitDecided(ExchangeId exchange, const LimitDecision &decision) override;
     void onPermitDecided(ExchangeId exchange, const PermitDecision &decision);
+    void onOriginDecided(ExchangeId exchange, const StreamOriginDecision &decision);
     void onGrantorChanged(std::uint64_t limit, GrantorChange change, double level) override;
     void send(const Endpoint &to, const LimitMessage &message) override;
     void broadcast(const LimitMessage &message) override;
@@ -132,6 +135,7 @@
     Dispatcher m_dispatcher;
     PathMonitor m_paths;
     ChannelPool m_channels;
+    FleetStreamOrigins m_streams;
     FleetSuspectGuard m_suspects;
     CrashDetector m_crashDetector;
     GatewayContext m_context;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -11,6 +11,7 @@
 #include <apricothook/dispatch/apricothook_target_limit_announcer.hpp>
 #include <apricothook/gateway/apricothook_channel_pool.hpp>
 #include <apricothook/gateway/apricothook_crash_detector.hpp>
+#include <apricothook/gateway/apricothook_fleet_stream_origins.hpp>
 #include <apricothook/gateway/apricothook_suspect_guard.hpp>
 #include <apricothook/observe/apricothook_metrics.hpp>
 #include <apricothook/paths/apricothook_path_monitor.hpp>
@@ -39,6 +40,7 @@
     FleetRateLimiter &limits;
     const TargetLimits &targetLimits;
     CrashDetector &crashDetector;
+    FleetStreamOrigins &streams;
     SuspectGuard *suspectGuard; ///< Never null.
     /** Null until the first configuration is received. */
     std::shared_ptr<const RouteTable> routes;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -56,6 +56,15 @@
     PermitExpired = 822,      ///< warning: a daemon reported nothing of a permitted request, which
                               ///< counts as a crash; its number, age. Operator: look for daemons
                               ///< that ended.
+    StreamBegun = 823,        ///< info: the first event of a stream that can be resumed is being
+                              ///< forwarded; version of its target, daemons that remember it, for
+                              ///< how long. Operator: none.
+    StreamTakenUp = 824,      ///< info: a caller goes on with an earlier stream; the request that
+                              ///< began it, its version, which daemon knew it, queries, answers.
+                              ///< Operator: see docs/OPERATIONS.md if the version isn't known.
+    StreamsForgotten = 825,   ///< warning: more streams were to be remembered than this daemon can;
+                              ///< the number forgotten since its start. Operator: look for callers
+                              ///< that begin more streams than planned.
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_request_outcome.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_request_outcome.cpp
@@ -29,6 +29,8 @@
         return "quarantined";
     case RequestOutcome::Uninformed:
         return "uninformed";
+    case RequestOutcome::UnknownVersion:
+        return "unknown-version";
     case RequestOutcome::TargetFailed:
         return "target-failed";
     case RequestOutcome::TimedOut:
--- a/packages/gateway/apricothook/gateway/apricothook_request_outcome.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_request_outcome.hpp
@@ -18,6 +18,7 @@
     TargetsRefused,
     Quarantined,
     Uninformed,
+    UnknownVersion,
     TargetFailed,
     TimedOut,
     CallerGone,
--- a/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
@@ -42,6 +42,7 @@
     MissingId,
     InvalidTarget,
     InvalidNumber,
+    InvalidStream, ///< The stream to be taken up isn't named, or several are.
 };
 
 /** The fields that the daemon sets in a request to a target. */
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.cpp
@@ -33,10 +33,7 @@
     const RouteRule &route = *request.route;
     const bool hasTier = request.customer && request.customer->tier;
     request.tier = hasTier ? *request.customer->tier : route.tier;
-    const ServiceRule *service = request.routes->service(request.service);
-    const std::uint64_t perEvent = service ? std::max(service->tokensPerEvent, 1U) : 1;
-    request.size = {request.fields.promptTokens, request.fields.expectedOutputTokens / perEvent,
-                    route.isStream};
+    assignService(request, request.service);
     const Duration patience = request.fields.timeout.value_or(route.timeout);
     // The caller's timeout also covers the upload of the body. A target that was given the full
     // timeout after the upload would still work after the caller has disconnected.
@@ -79,6 +76,15 @@
     return Outcomes::success();
 }
 
+void assignService(AdmittedRequest &request, const ServiceId &service)
+{
+    request.service = service;
+    const ServiceRule *rule = request.routes->service(service);
+    const std::uint64_t perEvent = rule ? std::max(rule->tokensPerEvent, 1U) : 1;
+    request.size = {request.fields.promptTokens, request.fields.expectedOutputTokens / perEvent,
+                    request.route->isStream};
+}
+
 UnitDemand unitDemand(GatewayContext &context, const AdmittedRequest &request)
 {
     const LimitUnit unit = request.customer->unit;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.hpp
@@ -41,6 +41,9 @@
 Result<void, AdmissionRefusal> admit(const ReceivedRequest &received, GatewayContext &context,
                                      AdmittedRequest &request);
 
+/** Sends the admitted request to another service of its route. */
+void assignService(AdmittedRequest &request, const ServiceId &service);
+
 /** The units that an admitted request needs from its customer's limit. */
 UnitDemand unitDemand(GatewayContext &context, const AdmittedRequest &request);
 
--- a/packages/gateway/tests/apricothook_gateway_fixture.cpp
+++ b/packages/gateway/tests/apricothook_gateway_fixture.cpp
@@ -50,6 +50,7 @@
         TargetEntry entry;
         entry.id = TargetId("t" + std::to_string(i));
         entry.service = ServiceId("s");
+        entry.version = TargetVersion("v1");
         entry.address = targets.back()->address();
         entry.dataCentre = DataCentreId("here");
         entry.slots = 4;
--- a/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
@@ -27,6 +27,7 @@
 {
     m_gateway.setLimitMessenger(*this);
     m_gateway.suspects().joinFleet();
+    m_gateway.streams().joinFleet();
 }
 
 void LimitExchange::tick()
@@ -48,7 +49,9 @@
                      .startedTogether = startedTogether()},
                     now);
     sendProbes();
-    m_gateway.suspects().review(liveDaemons(), knowsFleet, fraction >= 1);
+    const std::vector<LiveDaemon> live = liveDaemons();
+    m_gateway.suspects().review(live, knowsFleet, fraction >= 1);
+    m_gateway.streams().review(live, knowsFleet);
     m_gateway.scheduleLimitReview();
 }
 
--- a/packages/serving/apricothook/serving/apricothook_limit_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.hpp
@@ -38,6 +38,9 @@
     void take(const PermitRequest &request) { m_gateway.suspects().take(request); }
     void take(const PermitReply &reply) { m_gateway.suspects().take(reply); }
     void take(const PermitReport &report) { m_gateway.suspects().take(report); }
+    void take(const StreamOriginNotice &notice) { m_gateway.streams().take(notice); }
+    void take(const StreamOriginQuery &query) { m_gateway.streams().take(query); }
+    void take(const StreamOriginReply &reply) { m_gateway.streams().take(reply); }
     template <typename Message>
     void take(const Message &message)
     {
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -92,6 +92,15 @@
     since: float
 
 
+@dataclass
+class Life:
+    """A target's process of a version, from its start to its end."""
+
+    version: str
+    since: float
+    until: float = math.inf
+
+
 class Target:
     """A process of a service at a fixed address; each restart changes its id."""
 
@@ -112,6 +121,7 @@
         self.failure, self.failure_probability, self.random = "", 0.0, random.Random(address[0])
         # Version of the software; a release raises it with the next start.
         self.version = "v1"
+        self.lives: list[Life] = []
         self.incarnation, self.accepted, self.is_unresponsive, self.is_up = 0, 0, False, False
         self.crashed_ids: set[str] = set()
         self.cold_seconds = COLD_SECONDS
@@ -128,6 +138,7 @@
 
     def start(self) -> None:
         self.incarnation += 1
+        self.lives.append(Life(self.version, asyncio.get_running_loop().time()))
         self.limit = None
         self.rejections = []
         self.slots, self.accepted, self.is_up = asyncio.Semaphore(SLOTS), 0, True
@@ -171,6 +182,7 @@
 
     def crash(self) -> None:
         self.is_up = False
+        self.lives[-1].until = asyncio.get_running_loop().time()
         self.crashed_ids.add(self.id)
         for writer in list(self.writers):
             writer.transport.abort()
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -26,6 +26,8 @@
 CUT_BOUND, CUT_FRACTION, CUT_FAILURES, CUT_FAILURE_FRACTION = 4.0, 2 / 3, 10, 1 / 50
 # Of so many streams that are taken up, the share that goes on is at least this fraction of the share of new ones that begin.
 FEWEST_RESUMPTIONS, RESUMPTION_FRACTION = 12, 0.5
+# A target that lives so long before and after a request could serve it.
+LIFE_MARGIN = 0.5
 
 
 def findings(fleet) -> list[str]:
@@ -224,21 +226,38 @@
     return within, {stream for stream, found in versions.items() if len(found) > 1} - within
 
 
-def resumption_counts(fleet) -> tuple[int, int, int, int]:
-    """Attempts that take a stream up: those that went on, and all; new resumable streams: those that began, and all."""
-    ended = [record for record in fleet.callers.records
-             if record.kind == "resumable" and record.ended and not record.abandoned and not record.is_repeated]
-    taken_up, new = ([record for record in ended if bool(record.resumes) == taken] for taken in (True, False))
-    # A stream whose last event the caller had already got ends at once.
-    went_on = sum(record.events() > record.last_event or record.complete and record.status == 200 for record in taken_up)
-    return went_on, len(taken_up), sum(record.events() > 0 for record in new), len(new)
+def is_serving(fleet, version: str, record) -> bool:
+    """Whether two targets of the version live around the time of the request."""
+    alive = sum(life.version == version and life.since < record.sent - LIFE_MARGIN and record.sent + LIFE_MARGIN < life.until
+                for target in fleet.targets for life in target.lives if target.service == "streams")
+    return alive >= 2
+
+
+def went_on(record) -> bool:
+    """A stream whose last event the caller had already got ends at once."""
+    return record.events() > record.last_event or record.complete and record.status == 200
+
+
+def resumption_counts(fleet, in_touch: bool) -> tuple[int, int, int, int]:
+    """Streams that callers took up while their version served: those that went on, and all; new streams: those that began, and all."""
+    ended = [record for record in fleet.callers.records if record.kind == "resumable" and record.ended and not record.abandoned
+             and not record.is_repeated and (not in_touch or is_undisturbed(fleet, record, record.sent))]
+    versions = {record.stream_id: targets.versions_of(record.answer)[0] for record in fleet.callers.records if targets.versions_of(record.answer)}
+    taken_up = defaultdict(bool)
+    for record in ended:
+        if record.resumes and is_serving(fleet, versions.get(record.resumes, ""), record):
+            taken_up[record.resumes] |= went_on(record)
+    new = [record for record in ended if not record.resumes]
+    return sum(taken_up.values()), len(taken_up), sum(record.events() > 0 for record in new), len(new)
 
 
 def stream_summary(fleet) -> str:
     within, over_attempts = streams_of_several_versions(fleet)
-    went_on, taken_up, began, new = resumption_counts(fleet)
-    return (f"of several versions: {len(within)} in one answer, {len(over_attempts)} over attempts; "
-            f"taken up: {went_on} of {taken_up} went on; new: {began} of {new} began")
+    parts = [f"of several versions: {len(within)} in one answer, {len(over_attempts)} over attempts"]
+    for where, in_touch in (("anywhere", False), ("in touch", True)):
+        resumed, taken_up, began, new = resumption_counts(fleet, in_touch)
+        parts.append(f"{where}: {resumed} of {taken_up} taken up went on, {began} of {new} new ones began")
+    return "; ".join(parts)
 
 
 def check_versions(fleet) -> list[str]:
@@ -248,9 +267,9 @@
     if within or over_attempts:
         found.append(f"ORDER: streams hold events of several versions, {len(within)} in one answer, {len(over_attempts)} over attempts: "
                      f"{sorted(within | over_attempts)[:3]}")
-    went_on, taken_up, began, new = resumption_counts(fleet)
-    if taken_up >= FEWEST_RESUMPTIONS and went_on / taken_up < RESUMPTION_FRACTION * began / new:
-        found.append(f"LOST: {went_on} of {taken_up} streams that were taken up went on, {began} of {new} new ones began")
+    resumed, taken_up, began, new = resumption_counts(fleet, in_touch=True)
+    if taken_up >= FEWEST_RESUMPTIONS and new and resumed / taken_up < RESUMPTION_FRACTION * began / new:
+        found.append(f"LOST: {resumed} of {taken_up} streams that were taken up went on, {began} of {new} new ones began")
     return found
 
 
