Let streams that callers don't name go on if a service has one version only

Nothing can be looked up for them, but nothing can be mixed either while all targets of the service have had one version for as long as such a stream may last. A metric counts streams that are taken up, by who knew their version.

--- /dev/null
+++ b/packages/dispatch/apricothook/dispatch/apricothook_service_versions.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <apricothook/dispatch/apricothook_serving_configuration.hpp>
+
+#include <map>
+#include <optional>
+
+namespace Apricothook {
+
+/**
+ * The versions that targets of each service had lately, by the published entries.
+ *
+ * What was published is known only as far as it is confirmed to be complete. After a gap between
+ * two confirmations a target may have come and gone unseen, so the history begins anew.
+ */
+class ServiceVersions
+{
+public:
+    /** Longest gap between confirmations; no target's entry is published for a shorter time. */
+    static constexpr std::chrono::seconds LongestGap {2};
+    /** Time for which a version is remembered after its last target. */
+    static constexpr std::chrono::minutes Memory {5};
+
+    void put(const TargetEntry &entry);
+    void remove(const TargetEntry &entry, Instant now);
+    /** All that was published until `time` is known. */
+    void confirm(Instant time);
+    /**
+     * The only version of the service's targets from `from` to `until`; empty if there was another
+     * one, or none, or if that isn't known.
+     */
+    std::optional<TargetVersion> soleVersion(const ServiceId &service, Instant from,
+                                             Instant until) const;
+
+private:
+    struct Seen
+    {
+        std::size_t targets = 0;
+        /** When the last target left; only if there is none. */
+        Instant left {};
+    };
+
+    std::map<ServiceId, std::map<TargetVersion, Seen>> m_versions;
+    std::optional<Instant> m_unbrokenSince;
+    Instant m_confirmed {};
+};
+
+} // namespace Apricothook
--- a/packages/dispatch/apricothook/dispatch/apricothook_stream_origin_exchange.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_stream_origin_exchange.cpp
@@ -24,6 +24,8 @@
         return "self";
     case StreamOriginSource::Other:
         return "daemon";
+    case StreamOriginSource::SoleVersion:
+        return "sole-version";
     case StreamOriginSource::Nobody:
         break;
     }
--- a/packages/dispatch/apricothook/dispatch/apricothook_stream_origin_exchange.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_stream_origin_exchange.hpp
@@ -13,9 +13,10 @@
 
 /** Who knew what a stream began at. */
 enum class StreamOriginSource {
-    Self,   ///< This daemon.
-    Other,  ///< A daemon that was asked.
-    Nobody, ///< No daemon that answered.
+    Self,        ///< This daemon.
+    Other,       ///< A daemon that was asked.
+    SoleVersion, ///< The caller names no stream, but the service has had one version only.
+    Nobody,      ///< No daemon that answered.
 };
 
 std::string_view nameOf(StreamOriginSource source);
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -30,6 +30,10 @@
                 [this](ExchangeId exchange, const StreamOriginDecision &decision) {
                     onOriginDecided(exchange, decision);
                 })
+    , m_unnamedStreams(loop,
+                       [this](ExchangeId exchange, const StreamOriginDecision &decision) {
+                           onOriginDecided(exchange, decision);
+                       })
     , m_suspects(loop, self, m_limits.ranking(), *this, random, log,
                  {.budgetChanged = [this](std::uint64_t request) { updateTrialBudget(request); },
                   .permitDecided =
@@ -52,6 +56,7 @@
                  .targetLimits = m_targetLimits.limits(),
                  .crashDetector = m_crashDetector,
                  .streams = m_streams,
+                 .unnamedStreams = m_unnamedStreams,
                  .suspectGuard = &m_suspects,
                  .routes = nullptr,
                  .members = 1,
@@ -126,6 +131,7 @@
 {
     m_context.routes = std::move(routes);
     updateBudgets();
+    m_unnamedStreams.setConfiguration(m_context.routes->configuration());
     m_targets.setServices(m_context.routes->configuration().services, m_loop.now());
 }
 
@@ -134,6 +140,7 @@
     const TrackedTarget *known = m_targets.find(target.id);
     const TargetInstance previous = known ? known->entry.instance() : TargetInstance();
     const bool isRestarted = known && previous != target.instance();
+    m_unnamedStreams.putTarget(known ? &known->entry : nullptr, target);
     m_targets.put(target, m_loop.now());
     if (!known || isRestarted)
         m_suspects.recordLoss(target.service);
@@ -163,6 +170,7 @@
 void Gateway::removeTarget(const TargetId &target)
 {
     if (const TrackedTarget *known = m_targets.find(target)) {
+        m_unnamedStreams.removeTarget(known->entry);
         m_paths.forget(known->entry.instance());
         if (!known->entry.isDraining)
             m_suspects.recordLoss(known->entry.service);
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -71,6 +71,8 @@
     void setSuspectGuard(SuspectGuard &guard) { m_context.suspectGuard = &guard; }
     /** What the fleet remembers of streams that callers may take up. */
     FleetStreamOrigins &streams() { return m_streams; }
+    /** All that was published until `time` is known. */
+    void confirmView(Instant time) { m_unnamedStreams.confirmView(time); }
     /** Without peers, the daemon assumes that no other one reaches targets for it. */
     void setRelayPeers(const RelayPeers &peers) { m_paths.setPeers(peers); }
     /** This daemon's own paths to targets. */
@@ -136,6 +138,7 @@
     PathMonitor m_paths;
     ChannelPool m_channels;
     FleetStreamOrigins m_streams;
+    UnnamedStreams m_unnamedStreams;
     FleetSuspectGuard m_suspects;
     CrashDetector m_crashDetector;
     GatewayContext m_context;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -13,6 +13,7 @@
 #include <apricothook/gateway/apricothook_crash_detector.hpp>
 #include <apricothook/gateway/apricothook_fleet_stream_origins.hpp>
 #include <apricothook/gateway/apricothook_suspect_guard.hpp>
+#include <apricothook/gateway/apricothook_unnamed_streams.hpp>
 #include <apricothook/observe/apricothook_metrics.hpp>
 #include <apricothook/paths/apricothook_path_monitor.hpp>
 
@@ -41,6 +42,7 @@
     const TargetLimits &targetLimits;
     CrashDetector &crashDetector;
     FleetStreamOrigins &streams;
+    UnnamedStreams &unnamedStreams;
     SuspectGuard *suspectGuard; ///< Never null.
     /** Null until the first configuration is received. */
     std::shared_ptr<const RouteTable> routes;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_stream_continuation.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_stream_continuation.cpp
@@ -12,6 +12,9 @@
 /** Time for which a stream is remembered after its caller has stopped waiting. */
 constexpr std::chrono::seconds LifetimeSlack {2};
 
+/** Longest time that callers wait for a stream, in timeouts of its route. */
+constexpr int LongestUnnamedTimeouts = 2;
+
 /** The caller's request that began the stream. */
 const RequestKey &streamOf(const AdmittedRequest &request)
 {
@@ -44,9 +47,12 @@
 
 std::optional<StreamOriginDecision> StreamContinuation::findOrigin(const AdmittedRequest &request)
 {
-    // The id of the request itself names no earlier stream.
-    if (request.fields.resumes.isEmpty())
-        return StreamOriginDecision {};
+    if (request.fields.resumes.isEmpty()) {
+        m_context.unnamedStreams.find(m_exchange, *request.route,
+                                      LongestUnnamedTimeouts * request.route->timeout);
+        m_isWaiting = true;
+        return std::nullopt;
+    }
     const std::optional<StreamOriginDecision> decision
         = m_context.streams.find(m_exchange, request.fields.resumes);
     m_isWaiting = !decision;
@@ -55,8 +61,10 @@
 
 void StreamContinuation::cancel()
 {
-    if (std::exchange(m_isWaiting, false))
-        m_context.streams.cancel(m_exchange);
+    if (!std::exchange(m_isWaiting, false))
+        return;
+    m_context.streams.cancel(m_exchange);
+    m_context.unnamedStreams.cancel(m_exchange);
 }
 
 bool StreamContinuation::apply(const StreamOriginDecision &decision, AdmittedRequest &request)
@@ -64,6 +72,7 @@
     m_isWaiting = false;
     const WeightedService *service
         = decision.origin ? findService(*request.route, decision.origin->service) : nullptr;
+    m_context.metrics.streamTakenUp(service ? nameOf(decision.source) : "unknown");
     m_version = service ? decision.origin->version : TargetVersion();
     m_context.log.write(LogEvent(GatewayEvent::StreamTakenUp)
                             .forRequest(request.fields.id)
--- a/packages/gateway/tests/apricothook_gateway_version_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_version_tests.cpp
@@ -88,3 +88,61 @@
     CHECK(caller.has("Retry-After"));
     CHECK(fixture.target(0).requests() + fixture.target(1).requests() == 0);
 }
+
+TEST_CASE("a stream that isn't named goes on only at the sole version of a service")
+{
+    // Guards against a guess where callers don't name the request that began the stream.
+    const auto unnamed = [](const std::string &id) {
+        std::string request = GatewayFixture::request("resumable", id);
+        return request.insert(request.size() - 2, "Last: 1\r\n");
+    };
+    const auto knowsHistory = [](GatewayFixture &fixture) {
+        for (int second = 0; second < 30; ++second) {
+            fixture.gateway.confirmView(fixture.clock.now());
+            fixture.clock.advance(std::chrono::seconds(1));
+        }
+    };
+    SUBCASE("one version, and the view is confirmed after the request")
+    {
+        GatewayFixture fixture(2);
+        knowsHistory(fixture);
+        fixture.connect().socket.send(unnamed("b"));
+        fixture.runPendingEvents();
+        CHECK_FALSE(fixture.waitForTarget());
+        fixture.gateway.confirmView(fixture.clock.now());
+        CHECK(fixture.waitForTarget());
+    }
+    SUBCASE("the view isn't confirmed in time")
+    {
+        GatewayFixture fixture(2);
+        knowsHistory(fixture);
+        RecordingConnection &caller = fixture.connect();
+        caller.socket.send(unnamed("b"));
+        fixture.runPendingEvents();
+        fixture.clock.advance(UnnamedStreams::LongestWait);
+        CHECK(fixture.runUntil([&] { return caller.has("HTTP/1.1 503"); }));
+    }
+    SUBCASE("another version left a while ago")
+    {
+        GatewayFixture fixture(2);
+        setVersion(fixture, 1, "v2");
+        setVersion(fixture, 1, "v1");
+        fixture.clock.advance(std::chrono::seconds(1));
+        fixture.gateway.confirmView(fixture.clock.now());
+        RecordingConnection &caller = fixture.connect();
+        caller.socket.send(unnamed("b"));
+        fixture.runPendingEvents();
+        fixture.gateway.confirmView(fixture.clock.now());
+        CHECK(fixture.runUntil([&] { return caller.has("HTTP/1.1 503"); }));
+    }
+    SUBCASE("the daemon has just started")
+    {
+        GatewayFixture fixture(2);
+        fixture.gateway.confirmView(fixture.clock.now());
+        RecordingConnection &caller = fixture.connect();
+        caller.socket.send(unnamed("b"));
+        fixture.runPendingEvents();
+        fixture.gateway.confirmView(fixture.clock.now());
+        CHECK(fixture.runUntil([&] { return caller.has("HTTP/1.1 503"); }));
+    }
+}
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -179,6 +179,12 @@
         .Increment();
 }
 
+void Metrics::streamTakenUp(std::string_view origin)
+{
+    const std::lock_guard lock(m_tables->mutex);
+    m_tables->streamsTakenUp.Add({{"origin", std::string(origin)}}).Increment();
+}
+
 void Metrics::controlBytes(Direction direction, std::uint64_t bytes)
 {
     const std::string name = direction == Direction::Sent ? "sent" : "received";
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -77,6 +77,8 @@
     void retryDecided(const ServiceId &service, bool isGranted);
     /** Counts whether a request that was to be sent to a target got a unit of its limit. */
     void targetUnitDecided(const ServiceId &service, bool isGranted);
+    /** Counts a request that goes on with an earlier stream; `origin`: who knew its version. */
+    void streamTakenUp(std::string_view origin);
     void controlBytes(Direction direction, std::uint64_t bytes);
     /**
      * Reassigns the per-customer series to the customers with the most traffic. To be called about
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
@@ -65,6 +65,8 @@
                       "Sends of a request after its first one, by the retry budget's verdict"))
     , targetUnits(counter(registry, "apricothook_target_limit_decisions_total",
                           "Requests to targets that name a limit, by the limit's verdict"))
+    , streamsTakenUp(counter(registry, "apricothook_streams_taken_up_total",
+                             "Requests that go on with an earlier stream, by who knew its version"))
     , customerRequests(counter(registry, "apricothook_customer_requests_total",
                                "Requests that ended, by customer and result"))
     , requestSeconds(histogram(registry, "apricothook_request_seconds",
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
@@ -63,6 +63,7 @@
     CounterFamily &controlBytes;
     CounterFamily &repeats;
     CounterFamily &targetUnits;
+    CounterFamily &streamsTakenUp;
     CounterFamily &customerRequests;
     ClassHistograms requestSeconds;
     ClassHistograms firstTokenSeconds;
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -148,11 +148,19 @@
 void PeerExchange::confirmView(const ViewReport &report)
 {
     m_viewAge.confirm(report, m_published.replica().revision(), m_loop.now());
+    passViewOn();
+}
+
+void PeerExchange::passViewOn()
+{
+    if (const std::optional<Duration> age = viewAge())
+        m_gateway.confirmView(m_loop.now() - *age);
 }
 
 void PeerExchange::onSourceConfirmed(Instant time)
 {
     m_viewAge.confirm(time);
+    passViewOn();
     // The next announcement would report this confirmation only when it is older.
     if (m_directory.isFleetReader(ownInfo(), m_loop.now()))
         sendReaderAnnouncement();
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -83,6 +83,8 @@
     void updateSourceReachability();
     void reviewReading();
     void confirmView(const ViewReport &report);
+    /** Tells the gateway until when it knows all that was published. */
+    void passViewOn();
     /** Checks and logs whether this daemon's view is confirmed recently enough. */
     void reviewViewAge();
     /** Informs the readers of the other cells, if this daemon reads for the fleet. */
