Refuse a stream that isn't named at once if the history is too short

The history now covers the route's timeout, after which no stream of the route goes on, and what can't be known later is refused at once, so that the caller has time to ask another daemon.

--- a/packages/dispatch/apricothook/dispatch/apricothook_service_versions.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_service_versions.cpp
@@ -31,8 +31,7 @@
                                                           Instant until) const
 {
     const auto versions = m_versions.find(service);
-    if (!m_unbrokenSince || *m_unbrokenSince > from || m_confirmed < until
-        || versions == m_versions.end())
+    if (!remembers(from) || m_confirmed < until || versions == m_versions.end())
         return std::nullopt;
     std::optional<TargetVersion> sole;
     for (const auto &[version, seen] : versions->second) {
--- a/packages/dispatch/apricothook/dispatch/apricothook_service_versions.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_service_versions.hpp
@@ -25,6 +25,8 @@
     void remove(const TargetEntry &entry, Instant now);
     /** All that was published until `time` is known. */
     void confirm(Instant time);
+    /** Whether all that was published since `from` is known, as far as it is confirmed. */
+    bool remembers(Instant from) const { return m_unbrokenSince && *m_unbrokenSince <= from; }
     /**
      * The only version of the service's targets from `from` to `until`; empty if there was another
      * one, or none, or if that isn't known.
--- a/packages/gateway/apricothook/gateway/apricothook_unnamed_streams.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_unnamed_streams.cpp
@@ -41,13 +41,16 @@
     decideUntil(time);
 }
 
-void UnnamedStreams::find(ExchangeId exchange, const RouteRule &route, Duration age)
+std::optional<StreamOriginDecision> UnnamedStreams::find(ExchangeId exchange,
+                                                         const RouteRule &route, Duration age)
 {
+    const Instant from = m_loop.now() - age;
     // A route with several services doesn't tell which of them began the stream.
-    const ServiceId service
-        = route.services.size() == 1 ? route.services.front().service : ServiceId();
-    m_pending.push_back({exchange, service, m_loop.now(), age});
+    if (route.services.size() != 1 || m_routesMoved > from || !m_versions.remembers(from))
+        return StreamOriginDecision {};
+    m_pending.push_back({exchange, route.services.front().service, m_loop.now(), age});
     scheduleRefusal();
+    return std::nullopt;
 }
 
 void UnnamedStreams::cancel(ExchangeId exchange)
--- a/packages/gateway/apricothook/gateway/apricothook_unnamed_streams.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_unnamed_streams.hpp
@@ -37,8 +37,12 @@
     void setConfiguration(const ServingConfiguration &configuration);
     /** All that was published until `time` is known. */
     void confirmView(Instant time);
-    /** Finds the version of a stream of the route that is at most `age` old; decides later. */
-    void find(ExchangeId exchange, const RouteRule &route, Duration age);
+    /**
+     * Finds the version of a stream of the route that is at most `age` old. Returns nothing if it
+     * is decided later.
+     */
+    std::optional<StreamOriginDecision> find(ExchangeId exchange, const RouteRule &route,
+                                             Duration age);
     void cancel(ExchangeId exchange);
 
 private:
--- a/packages/gateway/apricothook/gateway/internal/apricothook_stream_continuation.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_stream_continuation.cpp
@@ -12,9 +12,6 @@
 /** Time for which a stream is remembered after its caller has stopped waiting. */
 constexpr std::chrono::seconds LifetimeSlack {2};
 
-/** Longest time that callers wait for a stream, in timeouts of its route. */
-constexpr int LongestUnnamedTimeouts = 2;
-
 /** The caller's request that began the stream. */
 const RequestKey &streamOf(const AdmittedRequest &request)
 {
@@ -47,14 +44,10 @@
 
 std::optional<StreamOriginDecision> StreamContinuation::findOrigin(const AdmittedRequest &request)
 {
-    if (request.fields.resumes.isEmpty()) {
-        m_context.unnamedStreams.find(m_exchange, *request.route,
-                                      LongestUnnamedTimeouts * request.route->timeout);
-        m_isWaiting = true;
-        return std::nullopt;
-    }
-    const std::optional<StreamOriginDecision> decision
-        = m_context.streams.find(m_exchange, request.fields.resumes);
+    const RequestKey &stream = request.fields.resumes;
+    const std::optional<StreamOriginDecision> decision = stream.isEmpty()
+        ? m_context.unnamedStreams.find(m_exchange, *request.route, request.route->timeout)
+        : m_context.streams.find(m_exchange, stream);
     m_isWaiting = !decision;
     return decision;
 }
