--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -258,8 +258,7 @@
     m_attempt->silenceTimer = m_context.loop.after(limit, [this, limit] {
         m_attempt->silenceTimer = 0;
         // If no retry is possible, keep waiting: a late response is better than none.
-        if (!m_context.targets.hasAlternative(m_admitted.service, constraint())
-            || !m_admitted.route->isRetryable() || m_runs + 1 >= m_admitted.route->maximumAttempts
+        if (!m_admitted.route->isRetryable() || m_runs + 1 >= m_admitted.route->maximumAttempts
             || !mayRetry()) {
             armSilenceTimer(limit);
             return;
