Don't retry a body of which a part was forwarded

A caller could get bodies of two runs joined to one: of an idempotent request whose body is over 1 MiB, the part that was buffered is forwarded, and when its target failed after that, another one got the request and its whole body was appended, as for streams that go on after an event. The test failed before: the second target got the request. Now a request whose response has begun is retried only if it is a stream; otherwise the response is broken off, and the caller may retry.

--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -313,7 +313,9 @@
 bool ForwardedRequest::mayRetry()
 {
     const Instant now = m_context.loop.now();
-    const bool allowed = m_context.policies.repeats
+    // A part of a body can't be followed by that of another run; a stream goes on after an event.
+    const bool canGoOn = m_progress == Progress::Nothing || m_continuation.version();
+    const bool allowed = canGoOn && m_context.policies.repeats
         && (!m_mayHaveRun || m_admitted.route->isRetryable()) && m_sends < MaxSends
         && m_runs < std::max(m_admitted.route->maximumAttempts, 1U)
         && m_admitted.deadline - now > MinTimeToRetry && !m_trial
--- a/packages/gateway/tests/apricothook_gateway_plain_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_plain_tests.cpp
@@ -275,3 +275,23 @@
     }
     CHECK(gone->requests() == 1);
 }
+
+TEST_CASE("a long body that breaks off isn't joined with that of another target")
+{
+    // Guards against bodies of two runs in one response, once a part of the first was forwarded.
+    GatewayFixture fixture(2);
+    RecordingConnection &caller = fixture.connect();
+    caller.socket.send(GatewayFixture::request("idempotent", "a"));
+    ScriptedTarget *first = fixture.waitForTarget();
+    REQUIRE(first);
+    ScriptedTarget &second = fixture.target(first == &fixture.target(0) ? 1 : 0);
+    constexpr std::size_t Part = (1 << 20) + 1000;
+    first->connection(0).socket.send(
+        "HTTP/1.1 200 OK\r\nId: a\r\nSigned: yes\r\nContent-Length: 3000000\r\n\r\n"
+        + std::string(Part, 'x'));
+    REQUIRE(fixture.runUntil([&] { return caller.received.size() > Part / 2; }));
+    first->connection(0).socket.abort();
+    fixture.runUntil([&] { return caller.end.has_value() || second.requests() > 0; });
+    CHECK(caller.end.has_value());
+    CHECK(second.requests() == 0);
+}
