--- a/packages/gateway/apricothook/gateway/apricothook_fleet_stream_origins.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_fleet_stream_origins.cpp
@@ -27,7 +27,7 @@
 std::optional<StreamOriginDecision> FleetStreamOrigins::find(ExchangeId exchange,
                                                              const RequestKey &stream)
 {
-    const std::optional<StreamOriginDecision> decision
+    std::optional<StreamOriginDecision> decision
         = m_exchange.find(exchange, streamHash(stream), m_loop.now());
     scheduleQueries();
     return decision;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_stream_continuation.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_stream_continuation.cpp
@@ -45,7 +45,7 @@
 std::optional<StreamOriginDecision> StreamContinuation::findOrigin(const AdmittedRequest &request)
 {
     const RequestKey &stream = request.fields.resumes;
-    const std::optional<StreamOriginDecision> decision = stream.isEmpty()
+    std::optional<StreamOriginDecision> decision = stream.isEmpty()
         ? m_context.unnamedStreams.find(m_exchange, *request.route, request.route->timeout)
         : m_context.streams.find(m_exchange, stream);
     m_isWaiting = !decision;
