--- a/packages/dispatch/tests/apricothook_emulated_streams.hpp
+++ b/packages/dispatch/tests/apricothook_emulated_streams.hpp
@@ -21,8 +21,8 @@
     std::size_t wentOn = 0;
     /** Went on at another version than the one that began them. */
     std::size_t mixed = 0;
+    /** Messages between daemons that were delivered. */
     std::size_t messages = 0;
-    std::size_t bytes = 0;
 };
 
 /**
@@ -49,7 +49,7 @@
     void setFrozen(std::size_t daemon, bool frozen);
     /** Resets the callers' connections to the daemon, which lives on. */
     void resetCallers(std::size_t daemon);
-    /** From now on streams begin at targets of `versions` versions; the oldest one leaves. */
+    /** The oldest version leaves and a new one takes its place. */
     void release() { ++m_release; }
 
     const ResumptionCounts &counts() const { return m_counts; }
--- a/packages/dispatch/tests/apricothook_stream_fleet_tests.cpp
+++ b/packages/dispatch/tests/apricothook_stream_fleet_tests.cpp
@@ -62,7 +62,7 @@
 /** One fault, and the smallest fraction of the streams taken up that must go on. */
 struct Fault
 {
-    const char *name;
+    std::string name;
     double fraction;
     std::function<void(StreamFleet &fleet)> play;
 };
