Log a target that is silent, and what the daemon does about it

TargetSilent holds the target, how long it was silent against which limit, the last event, whether the caller has got a part of the response, and the decision. No logic is changed.

--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -258,8 +258,10 @@
     m_attempt->silenceTimer = m_context.loop.after(limit, [this, limit] {
         m_attempt->silenceTimer = 0;
         // If no retry is possible, keep waiting: a late response is better than none.
-        if (!m_admitted.route->isRetryable() || m_runs + 1 >= m_admitted.route->maximumAttempts
-            || !mayRetry()) {
+        const bool isCancelled = m_admitted.route->isRetryable()
+            && m_runs + 1 < m_admitted.route->maximumAttempts && mayRetry();
+        logSilence(limit, isCancelled ? "cancels" : "waits");
+        if (!isCancelled) {
             armSilenceTimer(limit);
             return;
         }
@@ -272,6 +274,24 @@
     });
 }
 
+void ForwardedRequest::logSilence(Duration limit, std::string_view decision)
+{
+    const Instant now = m_context.loop.now();
+    const std::optional<Endpoint> &relay = m_attempt->channel->relay();
+    m_context.log.write(LogEvent(GatewayEvent::TargetSilent)
+                            .forRequest(m_admitted.fields.id)
+                            .with("target", m_attempt->target.id.text())
+                            .with("version", m_attempt->target.version.text())
+                            .with("relay", relay ? relay->text() : std::string())
+                            .with("decision", std::string(decision))
+                            .with("silent_ms", now - m_attempt->lastEvent)
+                            .with("limit_ms", limit)
+                            .with("last_event", m_lastEvent.value_or(0))
+                            .with("forwarded", m_progress != Progress::Nothing)
+                            .with("attempt", m_sends)
+                            .with("left_ms", m_admitted.deadline - now));
+}
+
 void ForwardedRequest::onAttemptFailed(TargetOutcome outcome, std::string_view cause)
 {
     const Instant now = m_context.loop.now();
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -101,6 +101,7 @@
     void logPlacement();
     void send(const TargetEntry &target);
     void armSilenceTimer(Duration limit);
+    void logSilence(Duration limit, std::string_view decision);
     Duration firstEventTimeout() const;
     bool isStreaming() const;
     void forwardEvents(std::string_view bytes);
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -65,6 +65,9 @@
     StreamsForgotten = 825,   ///< warning: more streams were to be remembered than this daemon can;
                               ///< the number forgotten since its start. Operator: look for callers
                               ///< that begin more streams than planned.
+    TargetSilent = 826, ///< info: a target has sent nothing of a response for too long; target,
+                        ///< how long, the last event, what this daemon does. Operator: see
+                        ///< docs/OPERATIONS.md if it recurs.
 };
 
 } // namespace Apricothook
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -116,6 +116,7 @@
     EventName {823, "StreamBegun", EventLevel::Info},
     EventName {824, "StreamTakenUp", EventLevel::Info},
     EventName {825, "StreamsForgotten", EventLevel::Warning},
+    EventName {826, "TargetSilent", EventLevel::Info},
     EventName {851, "ProcessStarted", EventLevel::Info},
     EventName {852, "ProcessStopping", EventLevel::Info},
     EventName {853, "ProcessStopped", EventLevel::Info},
