--- a/packages/gateway/tests/apricothook_gateway_fixture.cpp
+++ b/packages/gateway/tests/apricothook_gateway_fixture.cpp
@@ -141,4 +141,9 @@
     return writeChunk("id: " + std::to_string(id) + "\ndata: token\n\n");
 }
 
+bool endsComplete(const RecordingConnection &caller)
+{
+    return caller.received.ends_with("\r\n" + std::string(LastChunk));
+}
+
 } // namespace Apricothook
--- a/packages/gateway/tests/apricothook_gateway_fixture.hpp
+++ b/packages/gateway/tests/apricothook_gateway_fixture.hpp
@@ -73,5 +73,7 @@
 std::string streamHead(const std::string &id);
 /** A stream event as one chunk. */
 std::string eventChunk(unsigned id);
+/** Whether the caller received a chunked response to its end. */
+bool endsComplete(const RecordingConnection &caller);
 
 } // namespace Apricothook
--- a/packages/gateway/tests/apricothook_gateway_stream_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_stream_tests.cpp
@@ -4,17 +4,6 @@
 
 using namespace Apricothook;
 
-namespace {
-
-constexpr std::string_view End = "\r\n0\r\n\r\n";
-
-bool endsComplete(const RecordingConnection &caller)
-{
-    return caller.received.ends_with(End);
-}
-
-} // namespace
-
 TEST_CASE("a stream is forwarded event by event")
 {
     GatewayFixture fixture;
