Keep a silent attempt until another target has answered

Callers' answers were cut, or told as 502, while their target only stood still for a second: the connection was reset, with no other placement, though the target went on.

Cause: when a target was silent for too long its attempt was cancelled first and another target was looked for afterwards. No free slot, no unit, no permit, no other target of the version or a second silent target each left nothing to answer with. The class: what may still work is given up before its replacement stands.

Why this works: the search for another target leaves the attempt alone, so a refusal ends the search and nothing else (SilenceRetry). Both attempts are kept until one yields its first event, or its whole response; that one answers and the other one is cancelled in the same step, so no event is doubled or missing, and no target works on beside one that answers. The retry budget is asked before the search and taken when the backup is sent; each attempt that was sent counts as a run. A target whose caller doesn't read isn't watched.

The test on a stalled stream expected the first attempt to end before the second one answered, which is the fault; it expects now that it ends after, and not before.

--- a/packages/dispatch/apricothook/dispatch/apricothook_retry_budget_share.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_retry_budget_share.cpp
@@ -2,7 +2,7 @@
 
 namespace Apricothook {
 
-RetryDecision RetryBudgetShare::tryTake(Instant now, std::optional<std::size_t> daemons)
+RetryDecision RetryBudgetShare::check(Instant now, std::optional<std::size_t> daemons)
 {
     dropBefore(now - m_bounds.retryWindow);
     RetryDecision decision;
@@ -12,6 +12,12 @@
     const double requestShare = m_bounds.retryRatio * static_cast<double>(decision.requests);
     decision.allowed = UsedFraction * (requestShare + slackShare(daemons, now));
     decision.isGranted = static_cast<double>(decision.retries) + 1 <= decision.allowed;
+    return decision;
+}
+
+RetryDecision RetryBudgetShare::tryTake(Instant now, std::optional<std::size_t> daemons)
+{
+    const RetryDecision decision = check(now, daemons);
     if (decision.isGranted)
         m_retries.push_back(now);
     return decision;
--- a/packages/dispatch/apricothook/dispatch/apricothook_retry_budget_share.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_retry_budget_share.hpp
@@ -51,6 +51,8 @@
     }
 
     void countRequest(Instant now) { m_requests.push_back(now); }
+    /** What tryTake() would return, without taking a retry. */
+    RetryDecision check(Instant now, std::optional<std::size_t> daemons);
     /** Takes one retry if the budget allows it. `daemons`: size of the fleet, if known. */
     RetryDecision tryTake(Instant now, std::optional<std::size_t> daemons);
 
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -485,6 +485,12 @@
     target.avoidedUntil = std::max(target.avoidedUntil, now + pause);
 }
 
+void TargetTable::recordSilence(const TargetInstance &target, Instant now)
+{
+    if (TrackedTarget *found = find(target))
+        pause(*found, LossPause, now);
+}
+
 void TargetTable::recordUnreachable(const TargetInstance &target, unsigned failures, Instant now)
 {
     TrackedTarget *found = find(target);
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -31,43 +31,45 @@
 
 } // namespace
 
-bool ForwardedRequest::isStreaming() const
+bool ForwardedRequest::isStreaming(const Attempt &attempt) const
 {
-    return m_admitted.route->isStream && m_attempt && m_attempt->head.status == HttpStatus::Ok;
+    return m_admitted.route->isStream && attempt.head.status == HttpStatus::Ok;
 }
 
-void ForwardedRequest::onResponseHead(const ResponseHead &head, const TargetResponseFields &fields)
+void ForwardedRequest::onResponseHead(Attempt &attempt, const ResponseHead &head,
+                                      const TargetResponseFields &fields)
 {
-    m_attempt->hasHead = true;
-    m_attempt->head = head;
-    reportTargetLimits(fields);
+    attempt.hasHead = true;
+    attempt.head = head;
+    reportTargetLimits(attempt, fields);
     if (fields.isMisdirected)
-        m_context.targets.recordUnreachable(m_attempt->target.instance(), 1, m_context.loop.now());
+        m_context.targets.recordUnreachable(attempt.target.instance(), 1, m_context.loop.now());
     if (fields.isMisdirected || fields.isNotRun) {
-        m_attempt->isNotRun = true;
+        attempt.isNotRun = true;
         return;
     }
     // The caller would take the error's body and end for a part of the stream to be resumed.
     if (m_progress != Progress::Nothing && head.status != HttpStatus::Ok) {
-        m_attempt->channel->cancel();
+        attempt.channel->cancel();
         m_mayHaveRun = true;
-        onAttemptFailed(TargetOutcome::Failed, "not-resumed");
+        onAttemptFailed(attempt, TargetOutcome::Failed, "not-resumed");
         return;
     }
     const bool isSuccess = head.status >= HttpStatus::Ok && head.status < HttpStatus::FirstRedirect;
     if (isSuccess && (!fields.isSigned || head.headers.find("Content-Encoding"))) {
-        m_attempt->channel->cancel();
+        attempt.channel->cancel();
         m_mayHaveRun = true;
-        onAttemptFailed(TargetOutcome::Failed, "unsigned");
+        onAttemptFailed(attempt, TargetOutcome::Failed, "unsigned");
     }
 }
 
-void ForwardedRequest::reportTargetLimits(const TargetResponseFields &fields)
+void ForwardedRequest::reportTargetLimits(const Attempt &attempt,
+                                          const TargetResponseFields &fields)
 {
     // Another target answered, which got the address of the one that was meant.
     if (fields.isMisdirected)
         return;
-    const TargetEntry &target = m_attempt->target;
+    const TargetEntry &target = attempt.target;
     if (fields.limitError) {
         m_context.log.write(LogEvent(GatewayEvent::TargetLimitInvalid)
                                 .forRequest(m_admitted.fields.id)
@@ -77,119 +79,136 @@
     }
     TargetLimitReport report {.target = targetHash(target.instance()),
                               .perSecond = fields.limitPerSecond,
-                              .sent = m_attempt->started,
+                              .sent = attempt.started,
                               .received = m_context.loop.now()};
     m_context.targetLimitReported(TargetLimitKind::Requests, report);
     report.perSecond = fields.rejectionsPerSecond;
     m_context.targetLimitReported(TargetLimitKind::Rejections, report);
 }
 
-void ForwardedRequest::onResponseBody(std::string_view bytes)
+void ForwardedRequest::onResponseBody(Attempt &attempt, std::string_view bytes)
 {
-    if (m_attempt->isNotRun)
+    if (attempt.isNotRun)
         return;
-    if (isStreaming()) {
-        forwardEvents(bytes);
+    if (isStreaming(attempt)) {
+        forwardEvents(attempt, bytes);
         return;
     }
-    m_attempt->body.append(bytes);
-    if (m_attempt->body.size() > MaxBufferedBody)
-        forwardBufferedBody();
+    attempt.body.append(bytes);
+    if (attempt.body.size() > MaxBufferedBody)
+        forwardBufferedBody(attempt);
 }
 
-void ForwardedRequest::forwardBufferedBody()
+void ForwardedRequest::forwardBufferedBody(Attempt &attempt)
 {
+    select(attempt);
     if (m_progress == Progress::Nothing)
-        forwardHead({BodyFraming::Kind::Chunked, 0});
-    m_responder.sendBody(std::exchange(m_attempt->body, {}));
-    if (m_responder.unsentBytes() > MaxUnsentBytes)
-        m_attempt->channel->setReading(false);
+        forwardHead(attempt.head, {BodyFraming::Kind::Chunked, 0});
+    m_responder.sendBody(std::exchange(attempt.body, {}));
+    limitUnsentBytes(attempt);
 }
 
-void ForwardedRequest::forwardHead(BodyFraming framing)
+void ForwardedRequest::limitUnsentBytes(Attempt &attempt)
+{
+    if (m_responder.unsentBytes() <= MaxUnsentBytes)
+        return;
+    attempt.channel->setReading(false);
+    m_silence.pause();
+}
+
+void ForwardedRequest::forwardHead(const ResponseHead &head, BodyFraming framing)
 {
     m_progress = Progress::Head;
-    m_status = m_attempt->head.status;
+    m_status = head.status;
     m_firstByteTime = m_context.loop.now();
-    m_responder.sendHead(m_context.protocol.callerResponse(m_attempt->head), framing);
+    m_responder.sendHead(m_context.protocol.callerResponse(head), framing);
 }
 
-void ForwardedRequest::forwardEvents(std::string_view bytes)
+void ForwardedRequest::forwardEvents(Attempt &attempt, std::string_view bytes)
 {
-    const CompleteEvents events = m_scanner.feed(bytes);
+    const CompleteEvents events = attempt.scanner.feed(bytes);
     if (events.count == 0)
         return;
-    const Instant now = m_context.loop.now();
-    if (!std::exchange(m_attempt->hasFirstEvent, true)) {
-        reportPermit(PermitUse::Sound);
-        m_continuation.onFirstEvent(m_admitted, m_attempt->target);
-        m_context.targets.firstEventReceived(m_attempt->target.instance(), m_admitted.size,
-                                             now - m_attempt->started);
-    } else if (TrackedTarget *target = m_context.targets.find(m_attempt->target.instance())) {
-        target->speed.addGap((now - m_attempt->lastEvent) / static_cast<int>(events.count));
-    }
-    m_attempt->lastEvent = now;
+    select(attempt);
+    recordEvents(attempt, events);
     if (m_progress == Progress::Nothing)
-        forwardHead({BodyFraming::Kind::Chunked, 0});
+        forwardHead(attempt.head, {BodyFraming::Kind::Chunked, 0});
     m_responder.sendBody(events.bytes);
     m_lastEvent = events.lastId ? events.lastId : m_lastEvent;
-    if (m_responder.unsentBytes() > MaxUnsentBytes)
-        m_attempt->channel->setReading(false);
     if (m_admitted.route->isRetryable())
-        armSilenceTimer(std::max<Duration>(ShortestStallTimeout,
+        m_silence.watch(std::max<Duration>(ShortestStallTimeout,
                                            StallTimeoutFactor * m_admitted.route->gapObjective));
+    limitUnsentBytes(attempt);
+}
+
+void ForwardedRequest::recordEvents(Attempt &attempt, const CompleteEvents &events)
+{
+    const Instant now = m_context.loop.now();
+    const TargetInstance target = attempt.target.instance();
+    // A pause of the target tells nothing of its speed.
+    const bool wasSilent = std::exchange(attempt.isSilent, false);
+    if (!std::exchange(attempt.hasFirstEvent, true)) {
+        reportPermit(attempt, PermitUse::Sound);
+        m_continuation.onFirstEvent(m_admitted, attempt.target);
+        m_context.targets.firstEventReceived(target, m_admitted.size, now - attempt.started);
+    } else if (TrackedTarget *tracked = m_context.targets.find(target); tracked && !wasSilent) {
+        tracked->speed.addGap((now - attempt.lastEvent) / static_cast<int>(events.count));
+    }
+    attempt.lastEvent = now;
 }
 
-void ForwardedRequest::onResponseComplete()
+void ForwardedRequest::onResponseComplete(Attempt &attempt)
 {
-    if (m_attempt->isNotRun)
-        onAttemptFailed(TargetOutcome::Full, "not-run");
-    else if (isStreaming())
-        completeStream();
+    if (attempt.isNotRun)
+        onAttemptFailed(attempt, TargetOutcome::Full, "not-run");
+    else if (isStreaming(attempt))
+        completeStream(attempt);
     else
-        completeNonStream();
+        completeNonStream(attempt);
 }
 
-void ForwardedRequest::completeStream()
+void ForwardedRequest::completeStream(Attempt &attempt)
 {
-    if (!m_scanner.incompleteEvent().empty()) {
+    if (!attempt.scanner.incompleteEvent().empty()) {
         m_mayHaveRun = true;
-        onAttemptFailed(TargetOutcome::Failed, "cut-event");
+        onAttemptFailed(attempt, TargetOutcome::Failed, "cut-event");
         return;
     }
+    select(attempt);
     if (m_progress == Progress::Nothing)
-        forwardHead({BodyFraming::Kind::Chunked, 0});
-    endAttempt(TargetOutcome::Served);
+        forwardHead(attempt.head, {BodyFraming::Kind::Chunked, 0});
+    endAttempt(std::move(m_attempt), TargetOutcome::Served);
     finish(RequestOutcome::Answered);
 }
 
-void ForwardedRequest::completeNonStream()
+void ForwardedRequest::completeNonStream(Attempt &attempt)
 {
-    const bool isFailure = m_attempt->head.status >= HttpStatus::FirstServerError;
+    const bool isFailure = attempt.head.status >= HttpStatus::FirstServerError;
     if (isFailure && m_progress == Progress::Nothing) {
         m_mayHaveRun = true;
-        m_failedAttempt = m_attempt;
-        recordCompleted();
-        onAttemptFailed(TargetOutcome::Failed, "error-status");
+        m_failedResponse = {attempt.head, attempt.body};
+        recordCompleted(attempt);
+        onAttemptFailed(attempt, TargetOutcome::Failed, "error-status");
         return;
     }
+    select(attempt);
     if (m_progress == Progress::Nothing)
-        forwardHead({BodyFraming::Kind::Sized, m_attempt->body.size()});
-    m_responder.sendBody(m_attempt->body);
-    endAttempt(TargetOutcome::Served);
+        forwardHead(attempt.head, {BodyFraming::Kind::Sized, attempt.body.size()});
+    m_responder.sendBody(attempt.body);
+    endAttempt(std::move(m_attempt), TargetOutcome::Served);
     finish(RequestOutcome::Answered);
 }
 
-void ForwardedRequest::onResponseFailed(ChannelFailure failure)
+void ForwardedRequest::onResponseFailed(Attempt &attempt, ChannelFailure failure)
 {
-    if (m_attempt->isNotRun) {
-        onAttemptFailed(TargetOutcome::Full, "not-run");
+    if (attempt.isNotRun) {
+        onAttemptFailed(attempt, TargetOutcome::Full, "not-run");
         return;
     }
     m_mayHaveRun |= failure != ChannelFailure::NotConnected;
     if (failure == ChannelFailure::Broken)
-        recordDropped();
-    onAttemptFailed(outcomeOf(failure), AttemptFailure::causeOf(failure));
+        recordDropped(attempt);
+    onAttemptFailed(attempt, outcomeOf(failure), AttemptFailure::causeOf(failure));
 }
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -22,18 +22,9 @@
 constexpr std::chrono::milliseconds DeadlineGrace {60};
 /** Without this much time before the deadline a request isn't retried. */
 constexpr std::chrono::milliseconds MinTimeToRetry {100};
-/** Multiple of the expected time to the first event after which a target is unresponsive. */
-constexpr int FirstEventTimeoutFactor = 3;
 /** Retry-After if every target refused the request for lack of free slots. */
 constexpr std::chrono::milliseconds DefaultRetryAfter {500};
 
-AttemptLoss lossOf(const Attempt &attempt)
-{
-    if (!attempt.isSent)
-        return AttemptLoss::NotConnected;
-    return attempt.hasHead ? AttemptLoss::CutShort : AttemptLoss::Unanswered;
-}
-
 } // namespace
 
 ForwardedRequest::ForwardedRequest(GatewayContext &context, ExchangeId id, ReceivedRequest request,
@@ -43,6 +34,7 @@
     , m_received(std::move(request))
     , m_responder(responder)
     , m_arrived(context.loop.now())
+    , m_silence(context.loop, *this)
     , m_continuation(context, id)
 {
 }
@@ -51,8 +43,6 @@
 {
     m_context.loop.cancel(m_deadlineTimer);
     m_context.loop.cancel(m_holdTimer);
-    if (m_attempt)
-        m_context.loop.cancel(m_attempt->silenceTimer);
 }
 
 void ForwardedRequest::begin()
@@ -106,6 +96,7 @@
         releaseSlot(*target);
     }
     m_context.loop.cancel(m_holdTimer);
+    m_silence.stop();
 }
 
 void ForwardedRequest::submit()
@@ -128,8 +119,10 @@
 void ForwardedRequest::onRefused(const RefusalDetails &facts)
 {
     m_waiting = false;
+    if (refuseBackup("no-room"))
+        return;
     m_refusal = facts;
-    if (m_mayHaveRun || m_progress != Progress::Nothing || m_failedAttempt)
+    if (m_mayHaveRun || m_progress != Progress::Nothing || m_failedResponse)
         failRequest();
     else
         sendLocalResponse(RequestOutcome::NoRoom, HttpStatus::Unavailable, facts.retryAfter);
@@ -147,13 +140,13 @@
     sendOrTry(target);
 }
 
-void ForwardedRequest::logPlacement()
+void ForwardedRequest::logPlacement(const Attempt &attempt)
 {
     const Instant now = m_context.loop.now();
-    const TargetEntry &target = m_attempt->target;
+    const TargetEntry &target = attempt.target;
     const TargetPaths &paths = m_context.paths.paths();
     const std::optional<Instant> lost = paths.lostSince(target.instance());
-    const std::optional<Endpoint> &relay = m_attempt->channel->relay();
+    const std::optional<Endpoint> &relay = attempt.channel->relay();
     const TrackedTarget *believed = m_context.targets.find(target.id);
     LogEvent line(GatewayEvent::RequestPlaced);
     if (m_targetUnit) {
@@ -183,6 +176,7 @@
                             .with("slots", target.slots)
                             .with("cold", believed && believed->isCold)
                             .with("attempt", m_sends)
+                            .with("backup", isBackup(attempt))
                             .with("prompt", m_admitted.size.promptTokens)
                             .with("events", m_admitted.size.events)
                             .with("urgency", m_rank.route.rank())
@@ -193,45 +187,63 @@
 
 void ForwardedRequest::onTargetRestarted(const TargetInstance &current)
 {
-    const bool isLost = m_attempt && m_attempt->target.id == current.id
-        && m_attempt->target.instance() != current;
-    if (!isLost)
-        return;
+    for (Attempt *attempt : {m_silence.backup(), m_attempt.get()}) {
+        if (attempt && attempt->target.id == current.id && attempt->target.instance() != current)
+            failRestarted(*attempt);
+    }
+}
+
+void ForwardedRequest::failRestarted(Attempt &attempt)
+{
     // The connection to the earlier instance may stay open without traffic; the caller would then
     // wait until the deadline for a response that is never sent.
-    m_attempt->channel->cancel();
-    if (!m_attempt->isSent) {
-        onAttemptFailed(TargetOutcome::Cancelled, AttemptFailure::NotConnected);
+    attempt.channel->cancel();
+    if (!attempt.isSent) {
+        onAttemptFailed(attempt, TargetOutcome::Cancelled, AttemptFailure::NotConnected);
         return;
     }
     m_mayHaveRun = true;
-    recordDropped();
-    onAttemptFailed(TargetOutcome::Lost, "restarted");
+    recordDropped(attempt);
+    onAttemptFailed(attempt, TargetOutcome::Lost, "restarted");
 }
 
 void ForwardedRequest::send(const TargetEntry &target)
+{
+    if (m_silence.isPlacing()) {
+        sendBackup(target);
+        return;
+    }
+    m_attempt = makeAttempt(target);
+    startAttempt(*m_attempt);
+}
+
+std::unique_ptr<Attempt> ForwardedRequest::makeAttempt(const TargetEntry &target)
 {
     ++m_sends;
     m_triedTargets.insert(target.instance());
-    m_scanner.clear();
-    m_attempt.emplace();
-    m_attempt->target = target;
-    m_attempt->started = m_context.loop.now();
-    m_attempt->channel = &m_context.channels.acquire(target, m_admitted.fields.id,
-                                                     m_admitted.route->isRetryable());
-    logPlacement();
-    m_attempt->channel->start(m_admitted.fields.id, m_received.head.method == "HEAD", *this);
+    AttemptEvents &events = *this;
+    auto attempt = std::make_unique<Attempt>(events, target, m_context.loop.now());
+    attempt->permit = std::exchange(m_permit, std::nullopt);
+    return attempt;
 }
 
-std::string ForwardedRequest::writeRequest()
+void ForwardedRequest::startAttempt(Attempt &attempt)
+{
+    attempt.channel = &m_context.channels.acquire(attempt.target, m_admitted.fields.id,
+                                                  m_admitted.route->isRetryable());
+    logPlacement(attempt);
+    attempt.start(m_admitted.fields.id, m_received.head.method == "HEAD");
+}
+
+std::string ForwardedRequest::writeRequest(Attempt &attempt)
 {
     const Instant now = m_context.loop.now();
-    m_attempt->isSent = true;
-    m_attempt->started = now;
-    m_attempt->lastEvent = now;
+    attempt.isSent = true;
+    attempt.started = now;
+    attempt.lastEvent = now;
     const TargetRequestFields fields {
         .timeout = std::max(m_admitted.deadline - now, Duration::zero()),
-        .target = m_attempt->target.id,
+        .target = attempt.target.id,
         .customer = m_admitted.customer ? m_admitted.customer->name : CustomerId(),
         .lastEventId = m_lastEvent,
     };
@@ -240,111 +252,97 @@
         || m_received.head.headers.find("Transfer-Encoding");
     const BodyFraming framing
         = {hasBody ? BodyFraming::Kind::Sized : BodyFraming::Kind::None, m_received.body.size()};
-    if (m_admitted.route->isRetryable())
-        armSilenceTimer(firstEventTimeout());
+    if (m_admitted.route->isRetryable() && !isBackup(attempt))
+        m_silence.watch(firstEventTimeout());
     return writeRequestHead(head, framing) + m_received.body;
 }
 
-Duration ForwardedRequest::firstEventTimeout() const
-{
-    const Duration expected
-        = m_context.targets.expectedTimeToFirstEvent(m_admitted.service, m_admitted.size);
-    return std::max(m_admitted.route->objective, FirstEventTimeoutFactor * expected);
-}
-
-void ForwardedRequest::armSilenceTimer(Duration limit)
-{
-    m_context.loop.cancel(m_attempt->silenceTimer);
-    m_attempt->silenceTimer = m_context.loop.after(limit, [this, limit] {
-        m_attempt->silenceTimer = 0;
-        // If no retry is possible, keep waiting: a late response is better than none.
-        const bool isCancelled = m_admitted.route->isRetryable()
-            && m_runs + 1 < m_admitted.route->maximumAttempts && mayRetry();
-        logSilence(limit, isCancelled ? "cancels" : "waits");
-        if (!isCancelled) {
-            armSilenceTimer(limit);
-            return;
-        }
-        m_attempt->channel->cancel();
-        m_mayHaveRun = true;
-        ++m_runs;
-        recordDropped();
-        endAttempt(TargetOutcome::Lost);
-        submit();
-    });
+void ForwardedRequest::onAttemptFailed(Attempt &attempt, TargetOutcome outcome,
+                                       std::string_view cause)
+{
+    logFailure(attempt, cause);
+    // Without a connection the target received nothing: neither a run nor a retry is counted.
+    const bool hasArrived = cause != AttemptFailure::NotConnected;
+    m_runs += hasArrived && outcome != TargetOutcome::Full ? 1 : 0;
+    if (outcome == TargetOutcome::Full)
+        withdrawTrial();
+    if (!hasArrived && m_trial) {
+        giveTrialUnitBack();
+        withdrawTrial();
+    }
+    // The target may be reached through another daemon.
+    if (!hasArrived && attempt.channel->relay())
+        m_triedTargets.erase(attempt.target.instance());
+    const bool wasBackup = isBackup(attempt);
+    endAttempt(release(attempt), outcome);
+    if (wasBackup)
+        m_silence.onBackupFailed();
+    else
+        goOn(hasArrived);
 }
 
-void ForwardedRequest::logSilence(Duration limit, std::string_view decision)
+void ForwardedRequest::goOn(bool hasArrived)
 {
-    const Instant now = m_context.loop.now();
-    const std::optional<Endpoint> &relay = m_attempt->channel->relay();
-    m_context.log.write(LogEvent(GatewayEvent::TargetSilent)
-                            .forRequest(m_admitted.fields.id)
-                            .with("target", m_attempt->target.id.text())
-                            .with("version", m_attempt->target.version.text())
-                            .with("relay", relay ? relay->text() : std::string())
-                            .with("decision", std::string(decision))
-                            .with("silent_ms", now - m_attempt->lastEvent)
-                            .with("limit_ms", limit)
-                            .with("last_event", m_lastEvent.value_or(0))
-                            .with("forwarded", m_progress != Progress::Nothing)
-                            .with("attempt", m_sends)
-                            .with("left_ms", m_admitted.deadline - now));
+    if (m_silence.backup()) {
+        m_attempt = m_silence.takeBackup();
+        if (m_attempt->isSent)
+            m_silence.watch(firstEventTimeout());
+        return;
+    }
+    // The search for a backup becomes that for the next attempt.
+    const bool isPlacing = m_silence.isPlacing();
+    m_silence.stop();
+    if (hasArrived ? mayRetry() : m_sends < MaxSends) {
+        if (!isPlacing)
+            submit();
+        return;
+    }
+    stopWaiting();
+    failRequest();
 }
 
-void ForwardedRequest::onAttemptFailed(TargetOutcome outcome, std::string_view cause)
+void ForwardedRequest::logFailure(const Attempt &attempt, std::string_view cause)
 {
     const Instant now = m_context.loop.now();
-    const std::optional<Endpoint> relay = m_attempt->channel->relay();
+    const std::optional<Endpoint> &relay = attempt.channel->relay();
     m_context.log.write(LogEvent(GatewayEvent::AttemptFailed)
                             .forRequest(m_admitted.fields.id)
-                            .with("target", m_attempt->target.id.text())
-                            .with("version", m_attempt->target.version.text())
+                            .with("target", attempt.target.id.text())
+                            .with("version", attempt.target.version.text())
                             .with("last_event", m_lastEvent.value_or(0))
                             .with("relay", relay ? relay->text() : std::string())
                             .with("cause", std::string(cause))
-                            .with("status", m_attempt->head.status)
+                            .with("status", attempt.head.status)
                             .with("attempt", m_sends)
+                            .with("backup", isBackup(attempt))
                             .with("may_have_run", m_mayHaveRun)
                             .with("suspect", std::to_string(suspectHash(m_fingerprint)))
                             .with("trial", m_trial.has_value())
-                            .with("took_ms", now - m_attempt->started)
+                            .with("took_ms", now - attempt.started)
                             .with("left_ms", m_admitted.deadline - now));
-    // Without a connection the target received nothing: neither a run nor a retry is counted.
-    const bool arrived = cause != AttemptFailure::NotConnected;
-    m_runs += arrived && outcome != TargetOutcome::Full ? 1 : 0;
-    if (outcome == TargetOutcome::Full)
-        withdrawTrial();
-    if (!arrived && m_trial) {
-        giveTrialUnitBack();
-        withdrawTrial();
-    }
-    // The target may be reached through another daemon.
-    if (!arrived && relay)
-        m_triedTargets.erase(m_attempt->target.instance());
-    endAttempt(outcome);
-    if (arrived ? mayRetry() : m_sends < MaxSends) {
-        submit();
-        return;
-    }
-    failRequest();
 }
 
-bool ForwardedRequest::mayRetry()
+std::string_view ForwardedRequest::retryObstacle() const
 {
-    const Instant now = m_context.loop.now();
     // A part of a body can't be followed by that of another run; a stream goes on after an event.
     const bool canGoOn = m_progress == Progress::Nothing || m_continuation.version();
-    const bool allowed = canGoOn && m_context.policies.repeats
-        && (!m_mayHaveRun || m_admitted.route->isRetryable()) && m_sends < MaxSends
-        && m_runs < std::max(m_admitted.route->maximumAttempts, 1U)
-        && m_admitted.deadline - now > MinTimeToRetry && !m_trial
-        && m_context.suspectGuard->decide(m_fingerprint).verdict != TrialVerdict::Quarantined;
-    if (!allowed)
-        return false;
-    return takeRetryFromBudget(now);
+    if (!canGoOn || (m_mayHaveRun && !m_admitted.route->isRetryable()))
+        return "not-repeatable";
+    if (!m_context.policies.repeats)
+        return "policy";
+    if (m_sends >= MaxSends || m_runs >= std::max(m_admitted.route->maximumAttempts, 1U))
+        return "attempts";
+    if (m_admitted.deadline - m_context.loop.now() <= MinTimeToRetry)
+        return "deadline";
+    const bool isQuarantined
+        = m_context.suspectGuard->decide(m_fingerprint).verdict == TrialVerdict::Quarantined;
+    return m_trial || isQuarantined ? "suspect" : std::string_view();
 }
 
+bool ForwardedRequest::mayRetry()
+{
+    return retryObstacle().empty() && takeRetryFromBudget(m_context.loop.now());
+}
 bool ForwardedRequest::takeRetryFromBudget(Instant now)
 {
     const RetryDecision decision
@@ -364,24 +362,22 @@
     return decision.isGranted;
 }
 
-void ForwardedRequest::endAttempt(TargetOutcome outcome)
+void ForwardedRequest::endAttempt(std::unique_ptr<Attempt> attempt, TargetOutcome outcome)
 {
-    m_context.loop.cancel(m_attempt->silenceTimer);
     const Instant now = m_context.loop.now();
+    const TargetInstance target = attempt->target.instance();
     if (outcome == TargetOutcome::Served)
-        recordCompleted();
-    reportPermit(permitUseOf(outcome));
+        recordCompleted(*attempt);
+    reportPermit(*attempt, permitUseOf(*attempt, outcome));
     if (outcome == TargetOutcome::Lost)
-        m_context.paths.recordLost(m_attempt->target, m_attempt->channel->relay(),
-                                   lossOf(*m_attempt));
-    m_context.targets.requestEnded(m_attempt->target.instance(), m_admitted.size, outcome,
-                                   now - m_attempt->started, m_attempt->hasFirstEvent, now);
+        m_context.paths.recordLost(attempt->target, attempt->channel->relay(), attempt->loss());
+    m_context.targets.requestEnded(target, m_admitted.size, outcome, now - attempt->started,
+                                   attempt->hasFirstEvent, now);
     if (outcome == TargetOutcome::Full)
-        m_context.targetFull(m_attempt->target.instance());
+        m_context.targetFull(target);
     if (outcome == TargetOutcome::Served)
         m_context.urgency.recordHoldTime(m_admitted.service, m_admitted.route->name,
-                                         m_admitted.route->tier, now - m_attempt->started);
-    m_attempt.reset();
+                                         m_admitted.route->tier, now - attempt->started);
     m_context.capacityFreed();
 }
 
@@ -389,11 +385,10 @@
 {
     if (m_progress != Progress::Nothing) {
         abort(RequestOutcome::TargetFailed);
-    } else if (m_failedAttempt) {
-        m_attempt = std::exchange(m_failedAttempt, std::nullopt);
-        forwardHead({BodyFraming::Kind::Sized, m_attempt->body.size()});
-        m_responder.sendBody(m_attempt->body);
-        m_attempt.reset();
+    } else if (m_failedResponse) {
+        forwardHead(m_failedResponse->head,
+                    {BodyFraming::Kind::Sized, m_failedResponse->body.size()});
+        m_responder.sendBody(m_failedResponse->body);
         finish(RequestOutcome::TargetFailed);
     } else if (m_mayHaveRun) {
         sendLocalResponse(RequestOutcome::TargetFailed, HttpStatus::BadGateway, std::nullopt);
@@ -413,44 +408,66 @@
         });
         return;
     }
-    if (m_attempt) {
-        m_mayHaveRun |= m_attempt->isSent;
-        m_attempt->channel->cancel();
-        if (m_attempt->isSent && !m_attempt->hasHead)
-            recordDropped();
-        endAttempt(m_attempt->hasFirstEvent ? TargetOutcome::Cancelled : TargetOutcome::Lost);
-    }
     stopWaiting();
+    cancelAtDeadline(m_silence.takeBackup());
+    cancelAtDeadline(std::move(m_attempt));
     if (m_progress != Progress::Nothing)
         abort(RequestOutcome::TimedOut);
+    else if (m_failedResponse)
+        failRequest();
     else if (m_mayHaveRun)
         sendLocalResponse(RequestOutcome::TimedOut, HttpStatus::GatewayTimeout, std::nullopt);
     else
         sendLocalResponse(RequestOutcome::TimedOut, HttpStatus::Unavailable, Duration::zero());
 }
 
+void ForwardedRequest::cancelAtDeadline(std::unique_ptr<Attempt> attempt)
+{
+    if (!attempt)
+        return;
+    m_mayHaveRun |= attempt->isSent;
+    if (attempt->isSent && !attempt->hasHead)
+        recordDropped(*attempt);
+    const bool hasFirstEvent = attempt->hasFirstEvent;
+    cancelAttempt(std::move(attempt),
+                  hasFirstEvent ? TargetOutcome::Cancelled : TargetOutcome::Lost);
+}
+
 void ForwardedRequest::onCallerGone()
 {
     if (m_progress == Progress::Ended)
         return;
     stopWaiting();
-    if (m_attempt) {
-        const bool wasSilent = m_attempt->isSent && !m_attempt->hasHead
-            && m_context.loop.now() - m_attempt->started > firstEventTimeout();
-        m_attempt->channel->cancel();
-        if (wasSilent)
-            recordDropped();
-        endAttempt(wasSilent ? TargetOutcome::Lost : TargetOutcome::Cancelled);
-    }
+    cancelForLeftCaller(m_silence.takeBackup());
+    cancelForLeftCaller(std::move(m_attempt));
     m_progress = Progress::Ended;
     m_context.loop.cancel(m_deadlineTimer);
     record(RequestOutcome::CallerGone);
 }
 
+void ForwardedRequest::cancelForLeftCaller(std::unique_ptr<Attempt> attempt)
+{
+    if (!attempt)
+        return;
+    const bool wasSilent = attempt->isSent && !attempt->hasHead
+        && m_context.loop.now() - attempt->started > firstEventTimeout();
+    if (wasSilent)
+        recordDropped(*attempt);
+    cancelAttempt(std::move(attempt), wasSilent ? TargetOutcome::Lost : TargetOutcome::Cancelled);
+}
+
+void ForwardedRequest::cancelAttempt(std::unique_ptr<Attempt> attempt, TargetOutcome outcome)
+{
+    attempt->channel->cancel();
+    endAttempt(std::move(attempt), outcome);
+}
+
 void ForwardedRequest::onCallerDrained()
 {
-    if (m_attempt)
-        m_attempt->channel->setReading(true);
+    if (!m_attempt)
+        return;
+    m_attempt->channel->setReading(true);
+    m_silence.resume();
 }
 
 void ForwardedRequest::sendLocalResponse(RequestOutcome outcome, unsigned status,
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
 #include <apricothook/gateway/apricothook_caller_responder.hpp>
-#include <apricothook/gateway/apricothook_event_stream_scanner.hpp>
 #include <apricothook/gateway/apricothook_gateway_context.hpp>
 #include <apricothook/gateway/apricothook_request_outcome.hpp>
 #include <apricothook/gateway/internal/apricothook_attempt.hpp>
 #include <apricothook/gateway/internal/apricothook_request_admission.hpp>
+#include <apricothook/gateway/internal/apricothook_silence_retry.hpp>
 #include <apricothook/gateway/internal/apricothook_stream_continuation.hpp>
 
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -23,7 +24,7 @@
  * target that received it stated that it didn't run it. Otherwise the caller is told that the
  * request may have run.
  */
-class ForwardedRequest : public CallerRequestEvents, private TargetResponseEvents
+class ForwardedRequest : public CallerRequestEvents, private AttemptEvents, private SilenceRetryHost
 {
 public:
     ForwardedRequest(GatewayContext &context, ExchangeId id, ReceivedRequest request,
@@ -51,11 +52,39 @@
     /** The part of the response that was sent to the caller. */
     enum class Progress { Nothing, Head, Ended };
 
-    std::string writeRequest() override;
-    void onResponseHead(const ResponseHead &head, const TargetResponseFields &fields) override;
-    void onResponseBody(std::string_view bytes) override;
-    void onResponseComplete() override;
-    void onResponseFailed(ChannelFailure failure) override;
+    struct FailedResponse
+    {
+        ResponseHead head;
+        std::string body;
+    };
+
+    std::string writeRequest(Attempt &attempt) override;
+    void onResponseHead(Attempt &attempt, const ResponseHead &head,
+                        const TargetResponseFields &fields) override;
+    void onResponseBody(Attempt &attempt, std::string_view bytes) override;
+    void onResponseComplete(Attempt &attempt) override;
+    void onResponseFailed(Attempt &attempt, ChannelFailure failure) override;
+
+    bool onTargetSilent(Duration silence, Duration limit) override;
+    void placeBackup() override { submit(); }
+    void logSilence(Duration silence, Duration limit, std::string_view decision);
+    /** Records that the target may have been lost. */
+    void recordSilence();
+    /** Sends the request to a target beside the silent one. */
+    void sendBackup(const TargetEntry &target);
+    /** Ends the search for a backup, if there is one; returns whether there was. */
+    bool refuseBackup(std::string_view cause);
+    /** The attempt answers the caller from now on; the other one, if there is one, is ended. */
+    void select(Attempt &attempt);
+    void takeOver();
+    void cancelBackup();
+    void logBackupEnd(std::string_view outcome, const Attempt &kept, const Attempt &ended);
+    bool isBackup(const Attempt &attempt) const { return m_silence.backup() == &attempt; }
+    std::unique_ptr<Attempt> release(const Attempt &attempt);
+    /** Cancels an attempt that its request no longer needs or waits for. */
+    void cancelAttempt(std::unique_ptr<Attempt> attempt, TargetOutcome outcome);
+    void cancelAtDeadline(std::unique_ptr<Attempt> attempt);
+    void cancelForLeftCaller(std::unique_ptr<Attempt> attempt);
 
     /**
      * Sends the request, with a permit if its service has lost targets. If it is suspect, it takes
@@ -65,8 +94,8 @@
     void acquirePermit(const TargetEntry &target);
     void logPermit(const PermitDecision &decision);
     /** Reports what became of the permitted attempt, unless that is known already. */
-    void reportPermit(PermitUse use);
-    PermitUse permitUseOf(TargetOutcome outcome) const;
+    void reportPermit(Attempt &attempt, PermitUse use);
+    static PermitUse permitUseOf(const Attempt &attempt, TargetOutcome outcome);
     void acquireTrialUnit(const TargetEntry &target);
     void onTrialUnitDecided(const LimitDecision &decision);
     void giveTrialUnitBack();
@@ -78,8 +107,8 @@
     void hold(const TrialDecision &suspicion);
     void refuseSuspect(const TrialDecision &suspicion);
     /** Records the outcome of the attempt for the suspicion of the request. */
-    void recordCompleted();
-    void recordDropped();
+    void recordCompleted(const Attempt &attempt);
+    void recordDropped(const Attempt &attempt);
     /** Finds out first which version the request is bound to if it goes on with a stream. */
     void findOrigin();
     /** The targets that may still get the request. */
@@ -92,25 +121,34 @@
     void logTargetLimitReached(const TargetEntry &target, const LimitDecision &decision);
     /** Gives up the slot of a target that the request hasn't been sent to. */
     void releaseSlot(const TargetEntry &target);
-    void reportTargetLimits(const TargetResponseFields &fields);
+    void reportTargetLimits(const Attempt &attempt, const TargetResponseFields &fields);
     void start();
     void submit();
     /** Stops waiting for units or a target. */
     void stopWaiting();
     /** Logs the attempt that has just been started. */
-    void logPlacement();
+    void logPlacement(const Attempt &attempt);
+    void failRestarted(Attempt &attempt);
     void send(const TargetEntry &target);
-    void armSilenceTimer(Duration limit);
-    void logSilence(Duration limit, std::string_view decision);
+    std::unique_ptr<Attempt> makeAttempt(const TargetEntry &target);
+    void startAttempt(Attempt &attempt);
     Duration firstEventTimeout() const;
-    bool isStreaming() const;
-    void forwardEvents(std::string_view bytes);
-    void forwardBufferedBody();
-    void forwardHead(BodyFraming framing);
-    void completeStream();
-    void completeNonStream();
-    void onAttemptFailed(TargetOutcome outcome, std::string_view cause);
-    void endAttempt(TargetOutcome outcome);
+    bool isStreaming(const Attempt &attempt) const;
+    void forwardEvents(Attempt &attempt, std::string_view bytes);
+    void recordEvents(Attempt &attempt, const CompleteEvents &events);
+    void forwardBufferedBody(Attempt &attempt);
+    void forwardHead(const ResponseHead &head, BodyFraming framing);
+    /** Stops reading the target while the caller is slow. */
+    void limitUnsentBytes(Attempt &attempt);
+    void completeStream(Attempt &attempt);
+    void completeNonStream(Attempt &attempt);
+    void onAttemptFailed(Attempt &attempt, TargetOutcome outcome, std::string_view cause);
+    void logFailure(const Attempt &attempt, std::string_view cause);
+    /** Goes on with the backup or with a new attempt, or ends the request. */
+    void goOn(bool hasArrived);
+    void endAttempt(std::unique_ptr<Attempt> attempt, TargetOutcome outcome);
+    /** Why the request may not be sent to another target; empty if it may. */
+    std::string_view retryObstacle() const;
     bool mayRetry();
     /** Takes one retry from the retry budget; false if it is used up. */
     bool takeRetryFromBudget(Instant now);
@@ -142,7 +180,7 @@
     std::optional<std::uint64_t> m_trial;
     /** The target that the request is to be sent to; a permit has been asked for. */
     std::optional<TargetEntry> m_permitTarget;
-    /** The permit of the current attempt, until its use is reported. */
+    /** The permit that the next attempt is sent with. */
     std::optional<std::uint64_t> m_permit;
     TimerId m_holdTimer = 0;
     Duration m_held {};
@@ -154,10 +192,11 @@
     unsigned m_sends = 0;
     unsigned m_status = 0;
     std::set<TargetInstance> m_triedTargets;
-    std::optional<Attempt> m_attempt;
+    /** The attempt that answers the caller, unless a backup does so earlier. */
+    std::unique_ptr<Attempt> m_attempt;
+    SilenceRetry m_silence;
     /** A target's error response, forwarded if no other attempt succeeds. */
-    std::optional<Attempt> m_failedAttempt;
-    EventStreamScanner m_scanner;
+    std::optional<FailedResponse> m_failedResponse;
     std::optional<std::uint64_t> m_lastEvent;
     StreamContinuation m_continuation;
     std::optional<Instant> m_firstByteTime;
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_trial.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_trial.cpp
@@ -35,7 +35,8 @@
             send(target);
         return;
     }
-    if (suspicion.verdict == TrialVerdict::MayBeTried) {
+    // A trial is the only attempt of its request.
+    if (suspicion.verdict == TrialVerdict::MayBeTried && !m_silence.isPlacing()) {
         acquireTrialUnit(target);
         return;
     }
@@ -95,15 +96,15 @@
                             .with("left_ms", m_admitted.deadline - m_context.loop.now()));
 }
 
-void ForwardedRequest::reportPermit(PermitUse use)
+void ForwardedRequest::reportPermit(Attempt &attempt, PermitUse use)
 {
-    if (const std::optional<std::uint64_t> permit = std::exchange(m_permit, std::nullopt))
-        m_context.suspectGuard->reportPermit(*permit, use, m_attempt->target.instance());
+    if (const std::optional<std::uint64_t> permit = std::exchange(attempt.permit, std::nullopt))
+        m_context.suspectGuard->reportPermit(*permit, use, attempt.target.instance());
 }
 
-PermitUse ForwardedRequest::permitUseOf(TargetOutcome outcome) const
+PermitUse ForwardedRequest::permitUseOf(const Attempt &attempt, TargetOutcome outcome)
 {
-    if (!m_attempt->isSent || outcome == TargetOutcome::Full || outcome == TargetOutcome::Failed)
+    if (!attempt.isSent || outcome == TargetOutcome::Full || outcome == TargetOutcome::Failed)
         return PermitUse::Unused;
     return outcome == TargetOutcome::Served ? PermitUse::Sound : PermitUse::Lost;
 }
@@ -217,7 +218,9 @@
 
 void ForwardedRequest::refuseSuspect(const TrialDecision &suspicion)
 {
-    if (m_mayHaveRun || m_progress != Progress::Nothing || m_failedAttempt) {
+    if (refuseBackup(nameOf(suspicion.verdict)))
+        return;
+    if (m_mayHaveRun || m_progress != Progress::Nothing || m_failedResponse) {
         failRequest();
         return;
     }
@@ -230,30 +233,29 @@
     sendLocalResponse(outcome, HttpStatus::Unavailable, retryAfter);
 }
 
-void ForwardedRequest::recordCompleted()
+void ForwardedRequest::recordCompleted(const Attempt &attempt)
 {
-    m_context.crashDetector.recordAlive(m_attempt->target.instance());
+    m_context.crashDetector.recordAlive(attempt.target.instance());
     // A target may fail before it runs the request.
-    if (m_attempt->head.status >= HttpStatus::FirstServerError) {
+    if (attempt.head.status >= HttpStatus::FirstServerError) {
         if (m_trial)
             giveTrialUnitBack();
         withdrawTrial();
         return;
     }
     // The connection of a target that crashes ends too.
-    if (m_attempt->head.bodyEndsAtClose) {
-        m_context.crashDetector.recordDropped(m_attempt->target,
-                                              {m_fingerprint, m_attempt->started, true});
+    if (attempt.head.bodyEndsAtClose) {
+        m_context.crashDetector.recordDropped(attempt.target,
+                                              {m_fingerprint, attempt.started, true});
         return;
     }
-    m_context.suspectGuard->recordAnswer(m_fingerprint, m_attempt->started);
+    m_context.suspectGuard->recordAnswer(m_fingerprint, attempt.started);
 }
 
-void ForwardedRequest::recordDropped()
+void ForwardedRequest::recordDropped(const Attempt &attempt)
 {
     m_context.suspectGuard->recordDrop(m_admitted.service);
-    m_context.crashDetector.recordDropped(m_attempt->target,
-                                          {m_fingerprint, m_attempt->started, false});
+    m_context.crashDetector.recordDropped(attempt.target, {m_fingerprint, attempt.started, false});
 }
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -65,9 +65,14 @@
     StreamsForgotten = 825,   ///< warning: more streams were to be remembered than this daemon can;
                               ///< the number forgotten since its start. Operator: look for callers
                               ///< that begin more streams than planned.
-    TargetSilent = 826, ///< info: a target has sent nothing of a response for too long; target,
-                        ///< how long, the last event, what this daemon does. Operator: see
-                        ///< docs/OPERATIONS.md if it recurs.
+    TargetSilent = 826,  ///< info: a target has sent nothing of a response for too long; target,
+                         ///< how long, the last event, whether another target is tried or why not.
+                         ///< Operator: see docs/OPERATIONS.md if it recurs.
+    BackupRefused = 827, ///< info: a request wasn't sent to another target beside its silent one;
+                         ///< silent target, cause. Operator: none.
+    BackupEnded = 828,   ///< info: one of a request's two targets has answered and the attempt at
+                         ///< the other one was cancelled; which was kept, the last event.
+                         ///< Operator: none.
 };
 
 } // namespace Apricothook
--- a/packages/gateway/tests/apricothook_gateway_silence_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_silence_tests.cpp
@@ -69,18 +69,18 @@
 TEST_CASE("a request is answered by its target after a silence if no other target can take it")
 {
     // Guards against 502 for requests whose sound target answers late.
-    GatewayFixture fixture(1);
     for (const std::string &route : {std::string("idempotent"), std::string("resumable")}) {
+        GatewayFixture fixture(1);
         const SentRequest request(fixture, route);
         fallSilent(fixture);
         fallSilent(fixture);
         const bool isStream = route == "resumable";
-        RecordingConnection &target = *request.first->connections.back();
+        RecordingConnection &target = request.first->connection(0);
         target.socket.send(isStream ? streamHead("a") + eventChunk(1) + std::string(LastChunk)
                                     : signedResponse("a", "tile"));
         REQUIRE(fixture.runUntil([&] { return request.caller.has("\r\n\r\n"); }));
         CHECK(request.caller.has("HTTP/1.1 200 "));
-        fixture.runUntil([&] { return request.caller.has(isStream ? "id: 1\n" : "tile"); });
+        CHECK(fixture.runUntil([&] { return request.caller.has(isStream ? "id: 1\n" : "tile"); }));
     }
 }
 
--- a/packages/gateway/tests/apricothook_gateway_stream_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_stream_tests.cpp
@@ -86,8 +86,8 @@
 
 TEST_CASE("a stalled stream is resumed on another target")
 {
-    // The first target's connection stays open but sends nothing more. After the stall timeout the
-    // first attempt is cancelled and another target resumes the stream.
+    // The first target's connection stays open but sends nothing more. After the stall timeout
+    // another target resumes the stream; its first event cancels the first attempt.
     GatewayFixture fixture(2);
     RecordingConnection &caller = fixture.connect();
     caller.socket.send(GatewayFixture::request("resumable", "a"));
@@ -99,8 +99,10 @@
 
     fixture.clock.advance(std::chrono::milliseconds(1300));
     REQUIRE(fixture.runUntil([&] { return second.requests() == 1; }));
+    CHECK_FALSE(first->connection(0).end.has_value());
+    second.connection(0).socket.send(streamHead("a") + eventChunk(2));
     CHECK(fixture.runUntil([&] { return first->connection(0).end.has_value(); }));
-    second.connection(0).socket.send(streamHead("a") + eventChunk(2) + std::string(LastChunk));
+    second.connection(0).socket.send(std::string(LastChunk));
     CHECK(fixture.runUntil([&] { return endsComplete(caller); }));
 }
 
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -117,6 +117,8 @@
     EventName {824, "StreamTakenUp", EventLevel::Info},
     EventName {825, "StreamsForgotten", EventLevel::Warning},
     EventName {826, "TargetSilent", EventLevel::Info},
+    EventName {827, "BackupRefused", EventLevel::Info},
+    EventName {828, "BackupEnded", EventLevel::Info},
     EventName {851, "ProcessStarted", EventLevel::Info},
     EventName {852, "ProcessStopping", EventLevel::Info},
     EventName {853, "ProcessStopped", EventLevel::Info},
