Tell what ended a response, and count it by cause

RequestFailed said target-failed whether the target broke off or the daemon gave up. It has the cause now, of the last attempt or deadline, and two counters tell incomplete responses by cause and backups by outcome.

--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
@@ -85,6 +85,7 @@
 {
     if (!m_silence.isPlacing())
         return false;
+    m_context.metrics.backupEnded("refused");
     m_context.log.write(LogEvent(GatewayEvent::BackupRefused)
                             .markRoutine()
                             .forRequest(m_admitted.fields.id)
@@ -128,6 +129,7 @@
                                     const Attempt &ended)
 {
     const Instant now = m_context.loop.now();
+    m_context.metrics.backupEnded(outcome);
     m_context.log.write(LogEvent(GatewayEvent::BackupEnded)
                             .forRequest(m_admitted.fields.id)
                             .with("outcome", std::string(outcome))
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -261,6 +261,7 @@
                                        std::string_view cause)
 {
     logFailure(attempt, cause);
+    m_failureCause = cause;
     // Without a connection the target received nothing: neither a run nor a retry is counted.
     const bool hasArrived = cause != AttemptFailure::NotConnected;
     m_runs += hasArrived && outcome != TargetOutcome::Full ? 1 : 0;
@@ -275,10 +276,12 @@
         m_triedTargets.erase(attempt.target.instance());
     const bool wasBackup = isBackup(attempt);
     endAttempt(release(attempt), outcome);
-    if (wasBackup)
-        m_silence.onBackupFailed();
-    else
+    if (!wasBackup) {
         goOn(hasArrived);
+        return;
+    }
+    m_context.metrics.backupEnded("failed");
+    m_silence.onBackupFailed();
 }
 
 void ForwardedRequest::goOn(bool hasArrived)
@@ -408,6 +411,8 @@
         });
         return;
     }
+    if (m_attempt)
+        m_failureCause = "deadline";
     stopWaiting();
     cancelAtDeadline(m_silence.takeBackup());
     cancelAtDeadline(std::move(m_attempt));
@@ -512,6 +517,7 @@
         .status = m_status,
         .sends = m_sends,
         .mayHaveRun = m_mayHaveRun,
+        .cause = m_failureCause,
         .duration = now - m_arrived,
         .remaining = m_admitted.deadline - now,
         .timeToFirstByte = std::nullopt,
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -197,6 +197,8 @@
     SilenceRetry m_silence;
     /** A target's error response, forwarded if no other attempt succeeds. */
     std::optional<FailedResponse> m_failedResponse;
+    /** Why the last attempt ended without a complete response. */
+    std::string_view m_failureCause;
     std::optional<std::uint64_t> m_lastEvent;
     StreamContinuation m_continuation;
     std::optional<Instant> m_firstByteTime;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
@@ -93,6 +93,10 @@
         .with("left_ms", record.remaining)
         .with("generation", record.generation.value());
     addStream(line, record);
+    if (line.number() == static_cast<int>(GatewayEvent::RequestFailed)) {
+        metrics.responseIncomplete(record.cause);
+        line.with("cause", std::string(record.cause));
+    }
     if (record.timeToFirstByte)
         line.with("first_ms", *record.timeToFirstByte);
     if (record.refusal)
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
@@ -8,6 +8,7 @@
 #include <apricothook/observe/apricothook_structured_log.hpp>
 
 #include <optional>
+#include <string_view>
 
 namespace Apricothook {
 
@@ -31,6 +32,8 @@
     /** Sends to targets, including those that a target refused. */
     unsigned sends = 0;
     bool mayHaveRun = false;
+    /** What ended a request without a complete response. */
+    std::string_view cause;
     Duration duration {};
     /** Time until the deadline; negative after it. */
     Duration remaining {};
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -179,6 +179,18 @@
         .Increment();
 }
 
+void Metrics::responseIncomplete(std::string_view cause)
+{
+    const std::lock_guard lock(m_tables->mutex);
+    m_tables->incompleteResponses.Add({{"cause", std::string(cause)}}).Increment();
+}
+
+void Metrics::backupEnded(std::string_view outcome)
+{
+    const std::lock_guard lock(m_tables->mutex);
+    m_tables->backups.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void Metrics::streamTakenUp(std::string_view origin)
 {
     const std::lock_guard lock(m_tables->mutex);
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -77,6 +77,10 @@
     void retryDecided(const ServiceId &service, bool isGranted);
     /** Counts whether a request that was to be sent to a target got a unit of its limit. */
     void targetUnitDecided(const ServiceId &service, bool isGranted);
+    /** Counts a request that may have run and ended without a complete response, by its cause. */
+    void responseIncomplete(std::string_view cause);
+    /** Counts a second attempt beside that at a silent target, by its outcome. */
+    void backupEnded(std::string_view outcome);
     /** Counts a request that goes on with an earlier stream; `origin`: who knew its version. */
     void streamTakenUp(std::string_view origin);
     void controlBytes(Direction direction, std::uint64_t bytes);
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
@@ -67,6 +67,10 @@
                           "Requests to targets that name a limit, by the limit's verdict"))
     , streamsTakenUp(counter(registry, "apricothook_streams_taken_up_total",
                              "Requests that go on with an earlier stream, by who knew its version"))
+    , incompleteResponses(counter(registry, "apricothook_incomplete_responses_total",
+                                  "Requests that may have run and got no complete response"))
+    , backups(counter(registry, "apricothook_backups_total",
+                      "Second attempts beside those at silent targets"))
     , customerRequests(counter(registry, "apricothook_customer_requests_total",
                                "Requests that ended, by customer and result"))
     , requestSeconds(histogram(registry, "apricothook_request_seconds",
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
@@ -64,6 +64,8 @@
     CounterFamily &repeats;
     CounterFamily &targetUnits;
     CounterFamily &streamsTakenUp;
+    CounterFamily &incompleteResponses;
+    CounterFamily &backups;
     CounterFamily &customerRequests;
     ClassHistograms requestSeconds;
     ClassHistograms firstTokenSeconds;
