--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
@@ -1,6 +1,6 @@
 #include <apricothook/gateway/apricothook_forwarded_request.hpp>
 
-#include <apricothook/gateway/apricothook_gateway_event.hpp>
+#include <apricothook/gateway/internal/apricothook_attempt_log.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -35,7 +35,7 @@
                 .check(m_context.loop.now(), m_context.fleetSize)
                 .isGranted)
         obstacle = "budget";
-    logSilence(silence, limit, obstacle.empty() ? "places-backup" : obstacle);
+    attemptLog().silent(*m_attempt, silence, limit, obstacle.empty() ? "places-backup" : obstacle);
     m_attempt->isSilent = true;
     if (obstacle.empty() && !std::exchange(m_attempt->isReported, true))
         recordSilence();
@@ -50,24 +50,6 @@
     m_context.targets.recordSilence(m_attempt->target.instance(), m_context.loop.now());
 }
 
-void ForwardedRequest::logSilence(Duration silence, Duration limit, std::string_view decision)
-{
-    const std::optional<Endpoint> &relay = m_attempt->channel->relay();
-    m_context.log.write(LogEvent(GatewayEvent::TargetSilent)
-                            .forRequest(m_admitted.fields.id)
-                            .with("target", m_attempt->target.id.text())
-                            .with("version", m_attempt->target.version.text())
-                            .with("relay", relay ? relay->text() : std::string())
-                            .with("decision", std::string(decision))
-                            .with("silent_ms", silence)
-                            .with("limit_ms", limit)
-                            .with("last_event", m_lastEvent.value_or(0))
-                            .with("forwarded", m_progress != Progress::Nothing)
-                            .with("attempt", m_sends)
-                            .with("runs", m_runs)
-                            .with("left_ms", m_admitted.deadline - m_context.loop.now()));
-}
-
 void ForwardedRequest::sendBackup(const TargetEntry &target)
 {
     if (!takeRetryFromBudget(m_context.loop.now())) {
@@ -85,13 +67,7 @@
 {
     if (!m_silence.isPlacing())
         return false;
-    m_context.metrics.backupEnded("refused");
-    m_context.log.write(LogEvent(GatewayEvent::BackupRefused)
-                            .markRoutine()
-                            .forRequest(m_admitted.fields.id)
-                            .with("target", m_attempt->target.id.text())
-                            .with("cause", std::string(cause))
-                            .with("left_ms", m_admitted.deadline - m_context.loop.now()));
+    attemptLog().backupRefused(*m_attempt, cause);
     m_silence.onPlacementRefused();
     return true;
 }
@@ -109,7 +85,7 @@
 void ForwardedRequest::takeOver()
 {
     std::unique_ptr<Attempt> silent = std::exchange(m_attempt, m_silence.takeBackup());
-    logBackupEnd("took-over", *m_attempt, *silent);
+    attemptLog().backupEnded("took-over", *m_attempt, *silent);
     m_mayHaveRun = true;
     ++m_runs;
     cancelAttempt(std::move(silent), TargetOutcome::Cancelled);
@@ -118,29 +94,13 @@
 void ForwardedRequest::cancelBackup()
 {
     std::unique_ptr<Attempt> backup = m_silence.takeBackup();
-    logBackupEnd("not-needed", *m_attempt, *backup);
+    attemptLog().backupEnded("not-needed", *m_attempt, *backup);
     m_runs += backup->isSent ? 1 : 0;
     // The request has just been answered elsewhere, so it doesn't crash its targets.
     reportPermit(*backup, PermitUse::Sound);
     cancelAttempt(std::move(backup), TargetOutcome::Cancelled);
 }
 
-void ForwardedRequest::logBackupEnd(std::string_view outcome, const Attempt &kept,
-                                    const Attempt &ended)
-{
-    const Instant now = m_context.loop.now();
-    m_context.metrics.backupEnded(outcome);
-    m_context.log.write(LogEvent(GatewayEvent::BackupEnded)
-                            .forRequest(m_admitted.fields.id)
-                            .with("outcome", std::string(outcome))
-                            .with("target", kept.target.id.text())
-                            .with("cancelled", ended.target.id.text())
-                            .with("cancelled_silent_ms", now - ended.lastEvent)
-                            .with("kept_age_ms", now - kept.started)
-                            .with("last_event", m_lastEvent.value_or(0))
-                            .with("left_ms", m_admitted.deadline - now));
-}
-
 std::unique_ptr<Attempt> ForwardedRequest::release(const Attempt &attempt)
 {
     return isBackup(attempt) ? m_silence.takeBackup() : std::move(m_attempt);
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -4,6 +4,7 @@
 
 #include <apricothook/gateway/apricothook_gateway_event.hpp>
 #include <apricothook/gateway/internal/apricothook_attempt_failure.hpp>
+#include <apricothook/gateway/internal/apricothook_attempt_log.hpp>
 #include <apricothook/gateway/internal/apricothook_request_fingerprint.hpp>
 #include <apricothook/gateway/internal/apricothook_request_rank.hpp>
 #include <apricothook/gateway/internal/apricothook_request_record.hpp>
@@ -140,49 +141,21 @@
     sendOrTry(target);
 }
 
-void ForwardedRequest::logPlacement(const Attempt &attempt)
+AttemptLog ForwardedRequest::attemptLog()
 {
-    const Instant now = m_context.loop.now();
-    const TargetEntry &target = attempt.target;
-    const TargetPaths &paths = m_context.paths.paths();
-    const std::optional<Instant> lost = paths.lostSince(target.instance());
-    const std::optional<Endpoint> &relay = attempt.channel->relay();
-    const TrackedTarget *believed = m_context.targets.find(target.id);
-    LogEvent line(GatewayEvent::RequestPlaced);
-    if (m_targetUnit) {
-        m_context.metrics.targetUnitDecided(m_admitted.service, true);
-        const TargetLimit *limit = m_context.targetLimits.find(targetHash(target.instance()));
-        line.with("limit_per_s", limit ? limit->perSecond().value_or(0) : 0)
-            .with("limit_age_ms", limit ? now - limit->observed : Duration())
-            .with("limit_from", std::string(nameOf(m_targetUnit->source)))
-            .with("limit_wait_ms", m_targetUnit->waited)
-            .with("level", m_targetUnit->level);
-    }
-    m_context.log.write(line.markRoutine()
-                            .forRequest(m_admitted.fields.id)
-                            .with("target", target.id.text())
-                            .with("version", target.version.text())
-                            .with("stream", m_admitted.fields.resumes.text())
-                            .with("began_version", m_continuation.versionName().text())
-                            .with("last_event", m_lastEvent.value_or(0))
-                            .with("path", std::string(nameOf(paths.state(target.instance()))))
-                            .with("path_lost_ms", lost ? now - *lost : Duration())
-                            .with("relay", relay ? relay->text() : std::string())
-                            .with("trial", m_trial.has_value())
-                            .with("own_load", believed ? believed->ownRequests : 0)
-                            .with("brittle", believed && believed->hasOwnShare)
-                            .with("share", believed ? believed->cellSlots : 0)
-                            .with("others_load", believed ? believed->requestsOfOthers : 0)
-                            .with("slots", target.slots)
-                            .with("cold", believed && believed->isCold)
-                            .with("attempt", m_sends)
-                            .with("backup", isBackup(attempt))
-                            .with("prompt", m_admitted.size.promptTokens)
-                            .with("events", m_admitted.size.events)
-                            .with("urgency", m_rank.route.rank())
-                            .with("waited_ms", now - m_arrived)
-                            .with("left_ms", m_admitted.deadline - now)
-                            .with("generation", m_admitted.generation().value()));
+    return {m_context,
+            {.request = m_admitted,
+             .arrived = m_arrived,
+             .fingerprint = m_fingerprint,
+             .rank = m_rank,
+             .beganVersion = m_continuation.versionName(),
+             .lastEvent = m_lastEvent,
+             .targetUnit = m_targetUnit,
+             .sends = m_sends,
+             .runs = m_runs,
+             .mayHaveRun = m_mayHaveRun,
+             .isForwarded = m_progress != Progress::Nothing,
+             .isTrial = m_trial.has_value()}};
 }
 
 void ForwardedRequest::onTargetRestarted(const TargetInstance &current)
@@ -231,7 +204,7 @@
 {
     attempt.channel = &m_context.channels.acquire(attempt.target, m_admitted.fields.id,
                                                   m_admitted.route->isRetryable());
-    logPlacement(attempt);
+    attemptLog().placed(attempt, isBackup(attempt));
     attempt.start(m_admitted.fields.id, m_received.head.method == "HEAD");
 }
 
@@ -260,7 +233,8 @@
 void ForwardedRequest::onAttemptFailed(Attempt &attempt, TargetOutcome outcome,
                                        std::string_view cause)
 {
-    logFailure(attempt, cause);
+    const bool wasBackup = isBackup(attempt);
+    attemptLog().failed(attempt, cause, wasBackup);
     m_failureCause = cause;
     // Without a connection the target received nothing: neither a run nor a retry is counted.
     const bool hasArrived = cause != AttemptFailure::NotConnected;
@@ -274,7 +248,6 @@
     // The target may be reached through another daemon.
     if (!hasArrived && attempt.channel->relay())
         m_triedTargets.erase(attempt.target.instance());
-    const bool wasBackup = isBackup(attempt);
     endAttempt(release(attempt), outcome);
     if (!wasBackup) {
         goOn(hasArrived);
@@ -304,27 +277,6 @@
     failRequest();
 }
 
-void ForwardedRequest::logFailure(const Attempt &attempt, std::string_view cause)
-{
-    const Instant now = m_context.loop.now();
-    const std::optional<Endpoint> &relay = attempt.channel->relay();
-    m_context.log.write(LogEvent(GatewayEvent::AttemptFailed)
-                            .forRequest(m_admitted.fields.id)
-                            .with("target", attempt.target.id.text())
-                            .with("version", attempt.target.version.text())
-                            .with("last_event", m_lastEvent.value_or(0))
-                            .with("relay", relay ? relay->text() : std::string())
-                            .with("cause", std::string(cause))
-                            .with("status", attempt.head.status)
-                            .with("attempt", m_sends)
-                            .with("backup", isBackup(attempt))
-                            .with("may_have_run", m_mayHaveRun)
-                            .with("suspect", std::to_string(suspectHash(m_fingerprint)))
-                            .with("trial", m_trial.has_value())
-                            .with("took_ms", now - attempt.started)
-                            .with("left_ms", m_admitted.deadline - now));
-}
-
 std::string_view ForwardedRequest::retryObstacle() const
 {
     // A part of a body can't be followed by that of another run; a stream goes on after an event.
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -16,6 +16,8 @@
 
 namespace Apricothook {
 
+class AttemptLog;
+
 /**
  * Forwards one request: admission, queueing for a target, relaying the response, and retries on
  * other targets where the route allows them.
@@ -67,7 +69,6 @@
 
     bool onTargetSilent(Duration silence, Duration limit) override;
     void placeBackup() override { submit(); }
-    void logSilence(Duration silence, Duration limit, std::string_view decision);
     /** Records that the target may have been lost. */
     void recordSilence();
     /** Sends the request to a target beside the silent one. */
@@ -78,7 +79,6 @@
     void select(Attempt &attempt);
     void takeOver();
     void cancelBackup();
-    void logBackupEnd(std::string_view outcome, const Attempt &kept, const Attempt &ended);
     bool isBackup(const Attempt &attempt) const { return m_silence.backup() == &attempt; }
     std::unique_ptr<Attempt> release(const Attempt &attempt);
     /** Cancels an attempt that its request no longer needs or waits for. */
@@ -126,8 +126,7 @@
     void submit();
     /** Stops waiting for units or a target. */
     void stopWaiting();
-    /** Logs the attempt that has just been started. */
-    void logPlacement(const Attempt &attempt);
+    AttemptLog attemptLog();
     void failRestarted(Attempt &attempt);
     void send(const TargetEntry &target);
     std::unique_ptr<Attempt> makeAttempt(const TargetEntry &target);
@@ -143,7 +142,6 @@
     void completeStream(Attempt &attempt);
     void completeNonStream(Attempt &attempt);
     void onAttemptFailed(Attempt &attempt, TargetOutcome outcome, std::string_view cause);
-    void logFailure(const Attempt &attempt, std::string_view cause);
     /** Goes on with the backup or with a new attempt, or ends the request. */
     void goOn(bool hasArrived);
     void endAttempt(std::unique_ptr<Attempt> attempt, TargetOutcome outcome);
