Count bytes of a response as a sign of its target

A target that sent a response outside streams slowly, a byte each 300 ms, was taken for silent, accused, and the request run once more: only complete events renewed the watch. A search that finds no other target is repeated after 250 ms, then doubled up to the limit, rather than four times a second, which wrote eight lines a second for each silent request.

--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -90,6 +90,8 @@
 {
     if (attempt.isNotRun)
         return;
+    if (!isBackup(attempt))
+        m_silence.onBytes();
     if (isStreaming(attempt)) {
         forwardEvents(attempt, bytes);
         return;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_silence_retry.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_silence_retry.cpp
@@ -1,5 +1,6 @@
 #include <apricothook/gateway/internal/apricothook_silence_retry.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Apricothook {
@@ -14,10 +15,17 @@
     m_isPaused = false;
     m_isPlacing = false;
     m_limit = limit;
+    m_placementPause = FirstPlacementPause;
     m_lastSign = m_loop.now();
     startTimer(limit);
 }
 
+void SilenceRetry::onBytes()
+{
+    if (m_timer != 0)
+        watch(m_limit);
+}
+
 void SilenceRetry::pause()
 {
     m_loop.cancel(m_timer);
@@ -65,7 +73,14 @@
 void SilenceRetry::onPlacementRefused()
 {
     m_isPlacing = false;
-    startTimer(PlacementPause);
+    waitToPlace();
+}
+
+void SilenceRetry::waitToPlace()
+{
+    startTimer(m_placementPause);
+    m_placementPause
+        = std::min(2 * m_placementPause, std::max<Duration>(m_limit, FirstPlacementPause));
 }
 
 void SilenceRetry::begin(std::unique_ptr<Attempt> backup)
--- a/packages/gateway/apricothook/gateway/internal/apricothook_silence_retry.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_silence_retry.hpp
@@ -27,8 +27,8 @@
 class SilenceRetry
 {
 public:
-    /** Pause after which another target is looked for again. */
-    static constexpr std::chrono::milliseconds PlacementPause {250};
+    /** Pause after which another target is looked for again; doubled each time, up to the limit. */
+    static constexpr std::chrono::milliseconds FirstPlacementPause {250};
 
     SilenceRetry(EventLoop &loop, SilenceRetryHost &host) : m_loop(loop), m_host(host) { }
     ~SilenceRetry();
@@ -38,6 +38,8 @@
     /** The target was sent the request or has answered; it may be silent for `limit` from now on.
      */
     void watch(Duration limit);
+    /** The target has sent a part of an event or response. */
+    void onBytes();
     /** The target isn't read for a while, so its silence means nothing. */
     void pause();
     void resume();
@@ -52,16 +54,18 @@
     /** Hands the backup over, which becomes the request's only attempt or is ended. */
     std::unique_ptr<Attempt> takeBackup() { return std::move(m_backup); }
     /** The backup failed; another one may follow. */
-    void onBackupFailed() { startTimer(PlacementPause); }
+    void onBackupFailed() { waitToPlace(); }
 
 private:
     void startTimer(Duration delay);
+    void waitToPlace();
     void onTimer();
 
     EventLoop &m_loop;
     SilenceRetryHost &m_host;
     TimerId m_timer = 0;
     Duration m_limit {};
+    Duration m_placementPause {};
     Instant m_lastSign {};
     bool m_isPaused = false;
     bool m_isPlacing = false;
--- a/packages/gateway/tests/apricothook_gateway_silence_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_silence_tests.cpp
@@ -223,3 +223,87 @@
     CHECK(request.other(fixture).requests() == 0);
     CHECK_FALSE(target.end.has_value());
 }
+
+TEST_CASE("a response whose bytes arrive slowly isn't taken for silent")
+{
+    // Guards against second runs, and accusations, of targets that are sending their response.
+    GatewayFixture fixture(2);
+    const SentRequest request(fixture, "idempotent");
+    RecordingConnection &target = request.first->connection(0);
+    target.socket.send("HTTP/1.1 200 OK\r\nId: a\r\nSigned: yes\r\nContent-Length: 100\r\n\r\n");
+    fixture.runPendingEvents();
+    for (int part = 0; part < 8; ++part) {
+        fixture.clock.advance(std::chrono::milliseconds(300));
+        target.socket.send("x");
+        fixture.runPendingEvents();
+    }
+    CHECK(fixture.log.count(GatewayEvent::TargetSilent) == 0);
+    CHECK(request.other(fixture).requests() == 0);
+}
+
+TEST_CASE("backups that find no connection take one retry of the budget")
+{
+    // Guards against a retry budget used up by attempts that no target received.
+    GatewayFixture fixture(3);
+    const SentRequest request(fixture, "idempotent");
+    for (std::size_t index = 0; index < 3; ++index) {
+        if (&fixture.target(index) != request.first)
+            fixture.target(index).stopListening();
+    }
+    fallSilent(fixture);
+    fixture.runPendingEvents();
+    fixture.clock.advance(std::chrono::milliseconds(300));
+    fixture.runPendingEvents();
+    fixture.clock.advance(std::chrono::milliseconds(300));
+    fixture.runPendingEvents();
+    CHECK(fixture.log.count(GatewayEvent::RetryGranted) <= 1);
+}
+
+TEST_CASE("a target whose bytes wait to be read isn't taken for silent")
+{
+    // Guards against second runs of all streams of a daemon that was held up itself.
+    GatewayFixture fixture(2);
+    const SentRequest request(fixture, "resumable", streamHead("a") + eventChunk(1));
+    request.first->connection(0).socket.send(eventChunk(2));
+    fallSilent(fixture);
+    CHECK(request.caller.has("id: 2\n"));
+    CHECK(fixture.log.count(GatewayEvent::TargetSilent) == 0);
+    CHECK(request.other(fixture).requests() == 0);
+}
+
+TEST_CASE("a target that hangs for good is avoided for longer each time")
+{
+    // Guards against a target that answers nothing and yet gets a request every half second.
+    GatewayFixture fixture(2);
+    std::size_t atHung = 0;
+    ScriptedTarget *hung = nullptr;
+    for (int round = 0; round < 20; ++round) {
+        const std::string id = "r" + std::to_string(round);
+        RecordingConnection &caller = fixture.connect();
+        const std::size_t before[] = {fixture.target(0).requests(), fixture.target(1).requests()};
+        caller.socket.send(GatewayFixture::request("idempotent", id));
+        const auto received
+            = [&](std::size_t index) { return fixture.target(index).requests() > before[index]; };
+        REQUIRE(fixture.runUntil([&] { return received(0) || received(1); }));
+        ScriptedTarget &to = fixture.target(received(0) ? 0 : 1);
+        if (!hung)
+            hung = &to;
+        ScriptedTarget &sound = fixture.target(hung == &fixture.target(0) ? 1 : 0);
+        if (&to == hung) {
+            ++atHung;
+            fallSilent(fixture);
+            if (!fixture.runUntil([&] { return received(&sound == &fixture.target(0) ? 0 : 1); })) {
+                caller.socket.abort();
+                fixture.runPendingEvents();
+                MESSAGE("no backup in round " << round);
+                continue;
+            }
+        }
+        sound.connections.back()->socket.send(signedResponse(id, "tile"));
+        REQUIRE(fixture.runUntil([&] { return caller.has("tile"); }));
+        fixture.clock.advance(std::chrono::milliseconds(600));
+        fixture.runPendingEvents();
+    }
+    MESSAGE("requests at the hung target: " << atHung << " of 20");
+    CHECK(atHung <= 8);
+}
