Avoid a target that hangs, once for each silence

Cause: with backups, the silent attempt ended as cancelled, which says nothing of its target. Now the first attempt of the daemon that finds a target silent ends as lost when it is superseded, so the target is inquired and avoided for longer each time; the others that meet the same pause count nothing, so that a sound target with many streams isn't avoided for seconds. A request that ended leaves no timer behind, and holds of a search for a backup don't count against those of a later retry.

--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -485,10 +485,13 @@
     target.avoidedUntil = std::max(target.avoidedUntil, now + pause);
 }
 
-void TargetTable::recordSilence(const TargetInstance &target, Instant now)
+bool TargetTable::recordSilence(const TargetInstance &target, Instant now)
 {
-    if (TrackedTarget *found = find(target))
-        pause(*found, LossPause, now);
+    TrackedTarget *found = find(target);
+    if (!found || found->avoidedUntil > now)
+        return false;
+    pause(*found, LossPause, now);
+    return true;
 }
 
 void TargetTable::recordUnreachable(const TargetInstance &target, unsigned failures, Instant now)
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -204,8 +204,11 @@
     /** `hadFirstEvent`: firstEventReceived() was called for this request. */
     void requestEnded(const TargetInstance &target, const RequestSize &size, TargetOutcome outcome,
                       Duration held, bool hadFirstEvent, Instant now);
-    /** A target that stands still gets no further requests for a moment. */
-    void recordSilence(const TargetInstance &target, Instant now);
+    /**
+     * A target that stands still gets no further requests for a moment. Returns false if it got
+     * none already.
+     */
+    bool recordSilence(const TargetInstance &target, Instant now);
     /** The target accepts no connections, or didn't respond on a path that carries others. */
     void recordUnreachable(const TargetInstance &target, unsigned failures, Instant now);
     /** The target accepts connections, so nothing that was lost on the way speaks against it. */
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
@@ -47,7 +47,20 @@
     // If the target has crashed, a permit decides whether another one may get the request.
     recordDropped(*m_attempt);
     reportPermit(*m_attempt, PermitUse::Lost);
-    m_context.targets.recordSilence(m_attempt->target.instance(), m_context.loop.now());
+    m_attempt->isFirstSilent
+        = m_context.targets.recordSilence(m_attempt->target.instance(), m_context.loop.now());
+}
+
+void ForwardedRequest::placeBackup()
+{
+    m_held = {};
+    submit();
+}
+
+void ForwardedRequest::failBackup()
+{
+    m_context.metrics.backupEnded("failed");
+    m_silence.onBackupFailed();
 }
 
 void ForwardedRequest::sendBackup(const TargetEntry &target)
@@ -88,7 +101,10 @@
     attemptLog().backupEnded("took-over", *m_attempt, *silent);
     m_mayHaveRun = true;
     ++m_runs;
-    cancelAttempt(std::move(silent), TargetOutcome::Cancelled);
+    // A pause counts once, however many requests it meets; a target that hangs, again and again.
+    const TargetOutcome outcome
+        = silent->isFirstSilent ? TargetOutcome::Lost : TargetOutcome::Cancelled;
+    cancelAttempt(std::move(silent), outcome);
 }
 
 void ForwardedRequest::cancelBackup()
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -249,12 +249,10 @@
     if (!hasArrived && attempt.channel->relay())
         m_triedTargets.erase(attempt.target.instance());
     endAttempt(release(attempt), outcome);
-    if (!wasBackup) {
+    if (wasBackup)
+        failBackup();
+    else
         goOn(hasArrived);
-        return;
-    }
-    m_context.metrics.backupEnded("failed");
-    m_silence.onBackupFailed();
 }
 
 void ForwardedRequest::goOn(bool hasArrived)
@@ -268,6 +266,7 @@
     // The search for a backup becomes that for the next attempt.
     const bool isPlacing = m_silence.isPlacing();
     m_silence.stop();
+    m_held = {};
     if (hasArrived ? mayRetry() : m_sends < MaxSends) {
         if (!isPlacing)
             submit();
@@ -285,7 +284,8 @@
         return "not-repeatable";
     if (!m_context.policies.repeats)
         return "policy";
-    if (m_sends >= MaxSends || m_runs >= std::max(m_admitted.route->maximumAttempts, 1U))
+    if (m_sends >= MaxSends
+        || m_runs >= std::max(m_admitted.route->maximumAttempts, 1U))
         return "attempts";
     if (m_admitted.deadline - m_context.loop.now() <= MinTimeToRetry)
         return "deadline";
@@ -398,6 +398,7 @@
     cancelForLeftCaller(m_silence.takeBackup());
     cancelForLeftCaller(std::move(m_attempt));
     m_progress = Progress::Ended;
+    m_silence.stop();
     m_context.loop.cancel(m_deadlineTimer);
     record(RequestOutcome::CallerGone);
 }
@@ -439,6 +440,7 @@
 void ForwardedRequest::finish(RequestOutcome outcome)
 {
     m_progress = Progress::Ended;
+    m_silence.stop();
     m_context.loop.cancel(m_deadlineTimer);
     record(outcome);
     m_responder.finishResponse();
@@ -447,6 +449,7 @@
 void ForwardedRequest::abort(RequestOutcome outcome)
 {
     m_progress = Progress::Ended;
+    m_silence.stop();
     m_context.loop.cancel(m_deadlineTimer);
     record(outcome);
     m_responder.abortResponse();
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -68,7 +68,8 @@
     void onResponseFailed(Attempt &attempt, ChannelFailure failure) override;
 
     bool onTargetSilent(Duration silence, Duration limit) override;
-    void placeBackup() override { submit(); }
+    void placeBackup() override;
+    void failBackup();
     /** Records that the target may have been lost. */
     void recordSilence();
     /** Sends the request to a target beside the silent one. */
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt.hpp
@@ -50,6 +50,8 @@
     bool isSilent = false;
     /** Its silence was reported as a possible loss. */
     bool isReported = false;
+    /** It was the first of this daemon's attempts to find its target silent. */
+    bool isFirstSilent = false;
     /** The target stated that it didn't run the request. */
     bool isNotRun = false;
     ResponseHead head;
