--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
@@ -57,8 +57,13 @@
     submit();
 }
 
-void ForwardedRequest::failBackup()
+void ForwardedRequest::failBackup(bool hasArrived, std::optional<Instant> retryTaken)
 {
+    if (!hasArrived) {
+        ++m_unconnectedBackups;
+        if (retryTaken)
+            m_context.retryBudgetOf(m_admitted.service).giveBack(*retryTaken);
+    }
     m_context.metrics.backupEnded("failed");
     m_silence.onBackupFailed();
 }
@@ -73,6 +78,7 @@
         return;
     }
     m_silence.begin(makeAttempt(target));
+    m_silence.backup()->retryTaken = m_context.loop.now();
     startAttempt(*m_silence.backup());
 }
 
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -248,9 +248,10 @@
     // The target may be reached through another daemon.
     if (!hasArrived && attempt.channel->relay())
         m_triedTargets.erase(attempt.target.instance());
+    const std::optional<Instant> retryTaken = attempt.retryTaken;
     endAttempt(release(attempt), outcome);
     if (wasBackup)
-        failBackup();
+        failBackup(hasArrived, retryTaken);
     else
         goOn(hasArrived);
 }
@@ -284,7 +285,7 @@
         return "not-repeatable";
     if (!m_context.policies.repeats)
         return "policy";
-    if (m_sends >= MaxSends
+    if (m_sends - m_unconnectedBackups >= MaxSends
         || m_runs >= std::max(m_admitted.route->maximumAttempts, 1U))
         return "attempts";
     if (m_admitted.deadline - m_context.loop.now() <= MinTimeToRetry)
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -69,7 +69,8 @@
 
     bool onTargetSilent(Duration silence, Duration limit) override;
     void placeBackup() override;
-    void failBackup();
+    /** `retryTaken`: when a retry was taken for it. */
+    void failBackup(bool hasArrived, std::optional<Instant> retryTaken);
     /** Records that the target may have been lost. */
     void recordSilence();
     /** Sends the request to a target beside the silent one. */
@@ -189,6 +190,8 @@
     bool m_mayHaveRun = false;
     unsigned m_runs = 0;
     unsigned m_sends = 0;
+    /** Those of the sends that reached no target, beside an attempt that goes on. */
+    unsigned m_unconnectedBackups = 0;
     unsigned m_status = 0;
     std::set<TargetInstance> m_triedTargets;
     /** The attempt that answers the caller, unless a backup does so earlier. */
