Find answers that a daemon cut, and let emulated targets pause

The soak took a resumable stream that broke for one that was taken up, so it couldn't see that the daemon had cut the answer of a sound target. CUT tells each answer, failure or lost request that neither a target, a fault of the daemon, its caller nor a time limit explains. Targets pause one by one, half or all at once and in series; configurations change limits and times in quick series; callers may use connections until they end.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import itertools
 import json
 import random
 from dataclasses import dataclass, field, replace
@@ -39,6 +40,8 @@
     resumes: str = ""
     last_event: int = 0
     retry_after: float = 0.0
+    # Whether the connection ended before the whole answer had come, and not by the caller.
+    is_broken: bool = False
 
     @property
     def stream_id(self) -> str:
@@ -59,6 +62,8 @@
     random: random.Random
     records: list[RequestRecord] = field(default_factory=list)
     stopping: bool = False
+    # Mean pause between requests on a connection that is used until it ends; None if callers close theirs after a few.
+    reuse_pause: float | None = None
 
     async def run(self, mean_pause: float) -> None:
         while not self.stopping:
@@ -84,7 +89,11 @@
         daemon, link = self.links[address]
         reader, writer = await asyncio.wait_for(asyncio.open_connection(*link), 1)
         try:
-            for _ in range(self.random.randint(1, 4)):
+            for number in range(self.random.randint(1, 4)) if self.reuse_pause is None else itertools.count():
+                if self.reuse_pause is not None and number > 0:
+                    await asyncio.sleep(self.random.uniform(0, 2 * self.reuse_pause))
+                    if self.stopping or reader.at_eof():
+                        return
                 record = self.new_record(daemon)
                 self.records.append(record)
                 try:
@@ -139,7 +148,10 @@
                 reader, writer = await asyncio.wait_for(asyncio.open_connection(*link), 1)
                 record = replace(self.new_record(daemon), kind=kind, line=line, key=key, body=body, is_repeated=True)
                 self.records.append(record)
-                await asyncio.wait_for(self.exchange(record, reader, writer), REQUEST_TIMEOUT_MS / 1000)
+                try:
+                    await asyncio.wait_for(self.exchange(record, reader, writer), REQUEST_TIMEOUT_MS / 1000)
+                finally:
+                    record.ended = asyncio.get_running_loop().time()
                 writer.close()
             except (http1.Broken, OSError, TimeoutError, IndexError):
                 continue
@@ -153,6 +165,13 @@
         return RequestRecord(request_id, kind, line, body, self.random.choice(self.keys), daemon, now)
 
     async def exchange(self, record: RequestRecord, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        try:
+            return await self.send_and_receive(record, reader, writer)
+        except (http1.Broken, OSError):
+            record.is_broken = True
+            raise
+
+    async def send_and_receive(self, record: RequestRecord, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         taken_up = {"Resumes": record.resumes, "Last-Event-Id": str(record.last_event)} if record.resumes else {}
         writer.write(http1.message(record.line, {
             "Host": HOST, "Request-Id": record.request_id, "Request-Deadline": str(REQUEST_TIMEOUT_MS),
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -4,6 +4,7 @@
 import random
 import signal
 
+import daemons
 import links
 import store
 import targets
@@ -26,6 +27,12 @@
 CUT_SECONDS = (6.0, 9.0)
 # For this time a target that is sound may be silent.
 SILENCE_SECONDS = (0.8, 1.3)
+# For this time a sound target may read and write nothing.
+PAUSE_SECONDS = (1.0, 1.6)
+# Connections that a fault breaks may end so much later.
+HARM_MARGIN = 0.5
+# From this fraction of the grace period on, a daemon that stops may break requests off.
+GRACE_FRACTION = 5 / 6
 BRITTLE_SECONDS = (8.0, 12.0)
 BURST_CALLERS, BURST_CALLER_PAUSE = 60, 0.1
 MOST_CRASHING_REQUESTS = 3
@@ -51,7 +58,8 @@
         self.opt_in_kinds = [self.crashing_request, self.resize_configuration, self.silence_store, self.replace_key,
                              self.limit_target, self.cut_daemons, self.cut_zone, self.cut_all_but_one,
                              self.kill_most, self.reset_callers, self.release_target, self.crash_to_next_version,
-                             self.cut_from_half, self.cut_in_series, self.silence_target, self.brittle_service]
+                             self.cut_from_half, self.cut_in_series, self.silence_target, self.brittle_service,
+                             self.pause_one, self.pause_half, self.pause_all, self.pause_in_series, self.change_limits]
         if chosen != "on":
             known = {kind.__name__: kind for kind in self.kinds + self.opt_in_kinds}
             names = [] if chosen == "off" else chosen.split(",")
@@ -83,15 +91,32 @@
                 daemon.last_fault_at = loop.time()
             await asyncio.sleep(0.1)
 
+    def record_harm(self, daemons, began: float) -> None:
+        """Notes that the daemons' connections may have been broken by a fault from `began` until now."""
+        for daemon in daemons:
+            self.fleet.harms[daemon.index].append((began, asyncio.get_running_loop().time() + HARM_MARGIN))
+
+    async def harm(self, daemons, seconds: float) -> None:
+        """As mark_affected(), for a fault that may break the daemons' connections."""
+        began = asyncio.get_running_loop().time()
+        await self.mark_affected(daemons, seconds)
+        self.record_harm(daemons, began)
+
     async def restart(self, daemon, signal_number: signal.Signals) -> None:
         if daemon.is_stopping:
             return
         daemon.is_stopping = True
         if signal_number == signal.SIGTERM and asyncio.get_running_loop().time() < daemon.started + STARTUP_SECONDS:
             await self.mark_affected([daemon], STARTUP_SECONDS)
+        loop = asyncio.get_running_loop()
+        harmed_from = loop.time()
+        if signal_number == signal.SIGTERM:
+            harmed_from += daemons.GRACE_SECONDS * GRACE_FRACTION
         stopping = asyncio.create_task(daemon.stop(signal_number))
         while not stopping.done():
             await self.mark_affected([daemon], 0.1)
+        if loop.time() > harmed_from:
+            self.record_harm([daemon], harmed_from)
         if signal_number == signal.SIGTERM:
             self.fleet.stops.append((daemon.index, stopping.result()))
         await self.mark_affected([daemon], self.random.uniform(0.2, 1.5))
@@ -114,7 +139,9 @@
 
     async def reset_callers(self) -> None:
         """Resets all connections between callers and a daemon, which lives on and serves new ones at once."""
-        self.fleet.caller_links[self.random_daemon().index].reset()
+        daemon = self.random_daemon()
+        self.fleet.caller_links[daemon.index].reset()
+        self.record_harm([daemon], asyncio.get_running_loop().time())
 
     async def kill_in_series(self) -> None:
         """Kills all daemons several times in a row, so that no process knows the sends of the current retry window."""
@@ -127,7 +154,7 @@
     async def freeze(self) -> None:
         daemon = self.random_daemon()
         daemon.send_signal(signal.SIGSTOP)
-        await self.mark_affected([daemon], self.random.uniform(0.3, 3))
+        await self.harm([daemon], self.random.uniform(0.3, 3))
         daemon.send_signal(signal.SIGCONT)
 
     async def freeze_others(self) -> None:
@@ -136,7 +163,7 @@
             others = [daemon for daemon in self.fleet.daemons if daemon is not active]
             for daemon in others:
                 daemon.send_signal(signal.SIGSTOP)
-            await self.mark_affected(self.fleet.daemons, self.random.uniform(1.2, 2.5))
+            await self.harm(self.fleet.daemons, self.random.uniform(1.2, 2.5))
             for daemon in others:
                 daemon.send_signal(signal.SIGCONT)
             await self.mark_affected(others, 0.2)
@@ -148,7 +175,7 @@
 
     async def disturb_link(self, link, daemons) -> None:
         link.state = self.random.choice(links.FAULT_STATES)
-        await self.mark_affected(daemons, self.random.uniform(0.3, 2))
+        await self.harm(daemons, self.random.uniform(0.3, 2))
         if link.state != links.DELAYED:
             # Bytes were dropped, so the connections of the link can't continue and are reset.
             link.reset()
@@ -164,7 +191,7 @@
     async def reset_links(self) -> None:
         for link in self.random.sample(self.fleet.target_links, len(self.fleet.target_links) // 2):
             link.reset()
-        await self.mark_affected(self.fleet.daemons, 0.1)
+        await self.harm(self.fleet.daemons, 0.1)
 
     async def store_away(self) -> None:
         daemon = self.random_daemon()
@@ -266,6 +293,7 @@
         await asyncio.sleep(seconds)
         for link in target_links:
             link.mend(sources)
+        self.record_harm([daemon for daemon in self.fleet.daemons if daemon.index in chosen], began)
         if len(target_links) == len(self.fleet.target_links):
             self.fleet.cuts.append((chosen, began, loop.time()))
         self.cut_off -= chosen
@@ -303,6 +331,30 @@
         await asyncio.sleep(self.random.uniform(*SILENCE_SECONDS))
         target.is_unresponsive = False
 
+    async def pause(self, chosen) -> None:
+        async def pause_target(target) -> None:
+            if not target.is_paused:
+                target.is_paused = True
+                await asyncio.sleep(self.random.uniform(*PAUSE_SECONDS))
+                target.is_paused = False
+
+        await asyncio.gather(*(pause_target(target) for target in chosen))
+
+    async def pause_one(self) -> None:
+        await self.pause([self.random.choice(self.fleet.targets)])
+
+    async def pause_half(self) -> None:
+        await self.pause(self.random.sample(self.fleet.targets, len(self.fleet.targets) // 2))
+
+    async def pause_all(self) -> None:
+        await self.pause(self.fleet.targets)
+
+    async def pause_in_series(self) -> None:
+        """Pauses parts of the targets, of which each begins before the one before has ended."""
+        for _ in range(self.random.randint(3, 6)):
+            self.running.add(asyncio.create_task(self.pause_half()))
+            await asyncio.sleep(self.random.uniform(0.3, 1.2))
+
     async def limit_target(self) -> None:
         """A target names a limit in its answers, changes it now and then, and stops naming it."""
         target = self.random.choice(self.fleet.targets)
@@ -389,6 +441,20 @@
     async def change_configuration(self) -> None:
         await self.fleet.configure()
 
+    async def change_limits(self) -> None:
+        """Writes configurations in quick series that change limits, time-outs and idle times."""
+        for _ in range(self.random.randint(2, 5)):
+            self.fleet.change_limits(
+                {"MaxHeaderBytes": self.random.choice((8192, 16384, 32768)),
+                 "MaxBodyBytes": self.random.choice((1 << 16, 1 << 20)),
+                 "HeaderTimeoutMs": self.random.choice((1500, 3000, 5000)),
+                 "IdleTimeoutMs": self.random.choice((300, 1000, 10000))},
+                {"TimeoutMs": self.random.choice((3500, 4000, 4600)),
+                 "TargetLatencyMs": self.random.choice((300, 400, 800)),
+                 "TargetGapMs": self.random.choice((150, 300, 500))})
+            await self.fleet.configure()
+            await asyncio.sleep(self.random.uniform(0.05, 0.5))
+
     async def revoke_key(self) -> None:
         if len(self.fleet.keys) > 2:
             self.fleet.revoked[self.fleet.keys.pop()] = asyncio.get_running_loop().time()
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -17,6 +17,8 @@
 EVENTS = 30
 # Failure modes: rejects the request as not executed, answers with an error, or resets the connection.
 REJECTS, FAILS, RESETS = "rejects", "fails", "resets"
+# How a run ended: with its whole answer, by the target's own failure, or as its connection was closed.
+COMPLETED, BROKEN_OFF, DISCONNECTED = "completed", "broken off", "disconnected"
 # Body prefixes of requests that crash each target that runs them, before the head of the answer or after it.
 CRASH_PREFIX = b"crash "
 CRASH_AFTER_HEAD_PREFIX = CRASH_PREFIX + b"after head "
@@ -64,6 +66,16 @@
     is_cold: bool = False
 
 
+@dataclass(frozen=True)
+class RunEnd:
+    """The end of a run; see COMPLETED and the others."""
+
+    request_id: str
+    target: str
+    how: str
+    at: float
+
+
 @dataclass(frozen=True)
 class Crash:
     """A crash of a target that a request caused."""
@@ -105,10 +117,14 @@
     """A process of a service at a fixed address; each restart changes its id."""
 
     def __init__(self, service: str, address: tuple[str, int], runs: list[Run], arrivals: list[Arrival],
-                 limits: list[NamedLimit], crashing: set[bytes], crashes: list[Crash]) -> None:
+                 limits: list[NamedLimit], crashing: set[bytes], crashes: list[Crash], ends: list[RunEnd]) -> None:
         self.service, self.address, self.runs, self.arrivals, self.limits = service, address, runs, arrivals, limits
         # Bodies of the requests that crash a target now, and the crashes that they have caused.
         self.crashing, self.crashes = crashing, crashes
+        # Ends of runs, and the ids of requests that run now.
+        self.ends, self.running = ends, set()
+        # A paused target reads and writes nothing.
+        self.is_paused = False
         # Requests per second that it takes from all daemons together, as named in its answers.
         self.limit: float | None = None
         # Requests per second that a brittle target may reject for lack of room; with one more it crashes.
@@ -184,6 +200,8 @@
         self.is_up = False
         self.lives[-1].until = asyncio.get_running_loop().time()
         self.crashed_ids.add(self.id)
+        for request_id in sorted(self.running):
+            self.record_end(request_id, BROKEN_OFF)
         for writer in list(self.writers):
             writer.transport.abort()
 
@@ -197,6 +215,9 @@
             while incarnation == self.incarnation:
                 head = await http1.read_head(reader)
                 body = await http1.read_body(reader, head)
+                await self.wait_while_paused()
+                if incarnation != self.incarnation:
+                    return
                 await self.answer(head, body, writer, incarnation)
         except (http1.Broken, ConnectionError):
             pass
@@ -213,10 +234,12 @@
         failure = self.failure if self.random.random() < self.failure_probability else ""
         if failure == RESETS:
             self.record_run(head, body, request_id)
+            self.record_end(request_id, BROKEN_OFF)
             writer.transport.abort()
             return
         if failure == FAILS:
             self.record_run(head, body, request_id)
+            self.record_end(request_id, BROKEN_OFF)
             writer.write(http1.message("HTTP/1.1 500 Failed", self.headers(request_id)))
             return
         is_full = self.accepted >= self.room()
@@ -239,6 +262,13 @@
                              head.headers.get("tenant-name", ""), asyncio.get_running_loop().time(), self.zone,
                              self.remaining_cold_ms() > 0))
 
+    def record_end(self, request_id: str, how: str) -> None:
+        self.ends.append(RunEnd(request_id, self.id, how, asyncio.get_running_loop().time()))
+
+    async def wait_while_paused(self) -> None:
+        while self.is_paused and self.is_up:
+            await asyncio.sleep(0.02)
+
     async def crash_during(self, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
         incarnation = self.incarnation
         if body.startswith(CRASH_AFTER_HEAD_PREFIX):
@@ -252,6 +282,17 @@
 
     async def run(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
         self.record_run(head, body, request_id)
+        self.running.add(request_id)
+        try:
+            await self.respond(head, body, writer, request_id)
+            self.record_end(request_id, COMPLETED)
+        except ConnectionError:
+            self.record_end(request_id, DISCONNECTED)
+            raise
+        finally:
+            self.running.discard(request_id)
+
+    async def respond(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
         if body in self.crashing:
             await self.crash_during(body, writer, request_id)
             return
@@ -259,6 +300,7 @@
             await asyncio.sleep(0.05)
         if "/s/" not in head.line:
             await asyncio.sleep(PLAIN_SECONDS)
+            await self.wait_while_paused()
             writer.write(http1.message("HTTP/1.1 200 OK", self.headers(request_id, Response_Signature=signature(request_id)),
                                        plain_body(request_id, body)))
             await writer.drain()
@@ -270,6 +312,7 @@
         stream_id, version = head.headers.get("resumes", request_id), self.version
         for number in range(int(head.headers.get("last-event-id", "0")) + 1, EVENTS + 1):
             await asyncio.sleep(GAP_SECONDS)
+            await self.wait_while_paused()
             writer.write(http1.chunk(event(stream_id, number, version)))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/tools/soak/test_verdict.py
+++ b/tools/soak/test_verdict.py
@@ -31,7 +31,7 @@
 
 
 def findings(records: list, runs: list, **changes) -> list[str]:
-    fleet = SimpleNamespace(callers=SimpleNamespace(records=records), runs=runs, revoked={}, left_at={}, stops=[], evacuations=[], arrivals=[], limits=[], crashes=[], cuts=[], brittle_times=[], accusations=[], targets=[], started=0.0,
+    fleet = SimpleNamespace(callers=SimpleNamespace(records=records), runs=runs, revoked={}, left_at={}, stops=[], evacuations=[], arrivals=[], limits=[], crashes=[], ends=[], timeouts=[], harms=defaultdict(list), cuts=[], brittle_times=[], accusations=[], targets=[], started=0.0,
                             fault_times=defaultdict(list), keys=["key-a"], recovered_at=0.0)
     vars(fleet).update(changes)
     return [line.split(" ")[0].rstrip(":") for line in verdict.findings(fleet)]
@@ -196,6 +196,52 @@
         self.assertEqual(findings([record], runs, left_at={"t1": LEFT_AT}, revoked={"key-a": REVOKED_AT}, fault_times=faulted), [])
         self.assertEqual(findings([record], runs, left_at={"t1": SENT_AT - 1}), [])
 
+    def cuts(self, record: callers.RequestRecord, how: str = targets.DISCONNECTED, **changes) -> int:
+        """Cuts found of a request that one target ran, or none if `how` is empty."""
+        ends = [targets.RunEnd(record.request_id, "t1", how, record.ended)] if how else []
+        arrivals = [targets.Arrival(record.request_id, "plain", record.sent, "t1")] if how else []
+        fleet = SimpleNamespace(callers=SimpleNamespace(records=[record]), ends=ends, arrivals=arrivals, targets=[], started=0.0,
+                                timeouts=[(0.0, 4.0)], harms=defaultdict(list))
+        vars(fleet).update(changes)
+        return len(verdict.check_ends(fleet))
+
+    def test_an_answer_that_a_daemon_cut_is_found(self):
+        """Guards against answers that end early though their targets are sound, resumable ones too."""
+        for kind in callers.KINDS:
+            whole = request(kind)
+            cut = replace(whole, complete=False, is_broken=True, answer=whole.answer[:20])
+            self.assertEqual(self.cuts(cut), 1)
+            self.assertEqual(self.cuts(cut, targets.COMPLETED), 1)
+            self.assertEqual(self.cuts(whole), 0)
+            for status, expected in ((502, 1), (500, 1), (504, 1), (503, 0), (429, 0)):
+                self.assertEqual(self.cuts(replace(whole, status=status, signature="", answer=b"")), expected)
+
+    def test_a_cut_is_excused_only_by_target_caller_fault_or_time_limit(self):
+        """Guards against a check that reports others' failures, or that excuses the daemon's for a fault elsewhere."""
+        cut = request("resumable", complete=False, is_broken=True, answer=b"")
+        self.assertEqual(self.cuts(cut, targets.BROKEN_OFF), 0)
+        self.assertEqual(self.cuts(replace(cut, abandoned=True)), 0)
+        self.assertEqual(self.cuts(replace(cut, ended=SENT_AT + 4.0)), 0)
+        self.assertEqual(self.cuts(replace(cut, ended=SENT_AT + 3.9)), 1)
+        self.assertEqual(self.cuts(cut, timeouts=[(0.0, 1.0), (SENT_AT - 1, 4.0)]), 0)
+        self.assertEqual(self.cuts(cut, timeouts=[(0.0, 4.0), (SENT_AT + 0.5, 0.5)]), 1)
+        for began, ended, expected in ((9.0, 10.5, 0), (10.5, 12.0, 0), (8.0, 9.9, 1), (11.1, 12.0, 1)):
+            self.assertEqual(self.cuts(cut, harms=defaultdict(list, {1: [(began, ended)]})), expected)
+        self.assertEqual(self.cuts(cut, harms=defaultdict(list, {2: [(9.0, 12.0)]})), 1)
+
+    def test_a_request_that_was_lost_before_a_target_read_it_is_found(self):
+        """Guards against requests that get neither an answer nor a refusal."""
+        lost = request("unsafe", complete=False, is_broken=True, status=0, answer=b"")
+        self.assertEqual(self.cuts(lost, ""), 1)
+        crossing = replace(lost, ended=SENT_AT + verdict.CROSSING_SECONDS / 2)
+        self.assertEqual([self.cuts(crossing, ""), self.cuts(crossing)], [0, 1])
+        failed = replace(crossing, is_broken=False, status=502)
+        self.assertEqual(self.cuts(failed, ""), 1)
+        crashed = SimpleNamespace(service="plain", lives=[targets.Life("v1", 0.0, SENT_AT + 0.05), targets.Life("v1", SENT_AT + 2)])
+        self.assertEqual(self.cuts(failed, "", targets=[crashed]), 0)
+        alive = SimpleNamespace(service="plain", lives=[targets.Life("v1", 0.0)])
+        self.assertEqual(self.cuts(failed, "", targets=[alive]), 1)
+
     def test_a_failed_shutdown_is_found(self):
         record = request("safe")
         self.assertEqual(findings([record], [run_of(record)], stops=[(1, 0), (2, -9)]), ["STOP"])
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -26,6 +26,10 @@
 CUT_BOUND, CUT_FRACTION, CUT_FAILURES, CUT_FAILURE_FRACTION = 4.0, 2 / 3, 10, 1 / 50
 # Of so many streams that are taken up, the share that goes on is at least this fraction of the share of new ones that begin.
 FEWEST_RESUMPTIONS, RESUMPTION_FRACTION = 12, 0.5
+# A request that reaches a connection as it is closed may be lost if it wasn't passed on; its end is told within this time.
+CROSSING_SECONDS = 0.2
+# Configurations in force at a daemon may be so old.
+CONFIGURATION_AGE = 10.0
 # A target that lives so long before and after a request could serve it.
 LIFE_MARGIN = 0.5
 
@@ -40,6 +44,7 @@
     for record in fleet.callers.records:
         found += check_answer(record, runs[record.request_id])
         found += check_revoked_key(record, fleet)
+    found += check_ends(fleet)
     found += check_drain(fleet, sent)
     found += check_evacuation(fleet, sent)
     found += check_cold_targets(fleet)
@@ -92,6 +97,47 @@
     return all(not since - UNDISTURBED_SECONDS <= fault_time <= record.sent + 1 for fault_time in fleet.fault_times[record.daemon])
 
 
+def shortest_timeout(fleet, at: float) -> float:
+    """The shortest time limit of routes in the configurations that may be in force."""
+    older = [seconds for since, seconds in fleet.timeouts if since <= at - CONFIGURATION_AGE][-1:]
+    newer = [seconds for since, seconds in fleet.timeouts if at - CONFIGURATION_AGE < since <= at]
+    return min([*older, *newer, callers.REQUEST_TIMEOUT_MS / 1000])
+
+
+def is_harmed(fleet, record) -> bool:
+    return any(began <= record.ended and record.sent <= ended for began, ended in fleet.harms[record.daemon])
+
+
+def was_down(fleet, record) -> bool:
+    """Whether a target of the request's service wasn't up for its whole time; what it hadn't run may have been lost there."""
+    service = SERVICES[record.line.split(" ")[1][:3]]
+    return any(not any(life.since <= record.sent and record.ended <= life.until for life in target.lives)
+               for target in fleet.targets if target.service == service)
+
+
+def check_ends(fleet) -> list[str]:
+    """A daemon may not end an answer, or leave a request without one, if neither its target nor a fault of its own did."""
+    ends, arrived = defaultdict(list), {arrival.request_id for arrival in fleet.arrivals}
+    for end in fleet.ends:
+        ends[end.request_id].append(end)
+    found = []
+    for record in fleet.callers.records:
+        is_error = record.status >= 500 and record.status not in NOT_EXECUTED
+        lasted = record.ended - record.sent
+        if not (record.is_broken or is_error) or record.abandoned or lasted >= shortest_timeout(fleet, record.sent):
+            continue
+        is_crossing = not record.status and record.request_id not in arrived and lasted < CROSSING_SECONDS
+        was_broken_off = any(end.how == targets.BROKEN_OFF for end in ends[record.request_id])
+        is_lost_at_target = record.request_id not in arrived and was_down(fleet, record)
+        if is_crossing or was_broken_off or is_lost_at_target or is_harmed(fleet, record):
+            continue
+        what = "cut" if record.is_broken else "failed"
+        runs = ", ".join(f"{end.target} {end.how} at {end.at - fleet.started:.2f}" for end in ends[record.request_id])
+        found.append(f"CUT {record.request_id} ({record.kind}): {what} by vm-{record.daemon} at {record.ended - fleet.started:.2f} s "
+                     f"after {lasted:.2f} s, status {record.status}, {record.events() - record.last_event} events; runs: {runs or 'none'}")
+    return found
+
+
 def check_revoked_key(record, fleet) -> list[str]:
     revoked = fleet.revoked.get(record.key)
     if record.status != 200 or revoked is None or record.sent < revoked + APPLY_BOUND:
