--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -115,26 +115,44 @@
                for target in fleet.targets if target.service == service)
 
 
-def check_ends(fleet) -> list[str]:
-    """A daemon may not end an answer, or leave a request without one, if neither its target nor a fault of its own did."""
+def ends_by_excuse(fleet) -> dict[str, list]:
+    """Requests that ended early, each with the ends of its runs, by what explains it; those of the daemons have no excuse ("")."""
     ends, arrived = defaultdict(list), {arrival.request_id for arrival in fleet.arrivals}
     for end in fleet.ends:
         ends[end.request_id].append(end)
-    found = []
+    found = defaultdict(list)
     for record in fleet.callers.records:
         is_error = record.status >= 500 and record.status not in NOT_EXECUTED
-        lasted = record.ended - record.sent
-        if not (record.is_broken or is_error) or record.abandoned or lasted >= shortest_timeout(fleet, record.sent):
-            continue
-        is_crossing = not record.status and record.request_id not in arrived and lasted < CROSSING_SECONDS
-        was_broken_off = any(end.how == targets.BROKEN_OFF for end in ends[record.request_id])
-        is_lost_at_target = record.request_id not in arrived and was_down(fleet, record)
-        if is_crossing or was_broken_off or is_lost_at_target or is_harmed(fleet, record):
-            continue
+        if (record.is_broken or is_error) and not record.abandoned:
+            runs = ends[record.request_id]
+            found[excuse(fleet, record, runs, record.request_id in arrived)].append((record, runs))
+    return found
+
+
+def excuse(fleet, record, runs, has_arrived: bool) -> str:
+    lasted = record.ended - record.sent
+    if lasted >= shortest_timeout(fleet, record.sent):
+        return "time limit"
+    if any(end.how == targets.BROKEN_OFF for end in runs):
+        return "target"
+    if is_harmed(fleet, record):
+        return "fault"
+    if not has_arrived and was_down(fleet, record):
+        return "target that was down"
+    if not has_arrived and not record.status and lasted < CROSSING_SECONDS:
+        return "crossed a close"
+    return ""
+
+
+def check_ends(fleet) -> list[str]:
+    """A daemon may not end an answer, or leave a request without one, if neither its target nor a fault of its own did."""
+    found = []
+    for record, ends in ends_by_excuse(fleet)[""]:
         what = "cut" if record.is_broken else "failed"
-        runs = ", ".join(f"{end.target} {end.how} at {end.at - fleet.started:.2f}" for end in ends[record.request_id])
+        runs = ", ".join(f"{end.target} {end.how} at {end.at - fleet.started:.2f}" for end in ends)
         found.append(f"CUT {record.request_id} ({record.kind}): {what} by vm-{record.daemon} at {record.ended - fleet.started:.2f} s "
-                     f"after {lasted:.2f} s, status {record.status}, {record.events() - record.last_event} events; runs: {runs or 'none'}")
+                     f"after {record.ended - record.sent:.2f} s, status {record.status}, {record.events() - record.last_event} events; "
+                     f"runs: {runs or 'none'}")
     return found
 
 
