--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -144,16 +144,21 @@
     return ""
 
 
+def describe_end(fleet, record, ends) -> str:
+    what = "cut" if record.is_broken else "failed"
+    runs = ", ".join(f"{end.target} {end.how} at {end.at - fleet.started:.2f}" for end in ends)
+    return (f"{record.request_id} ({record.kind}): {what} by vm-{record.daemon} at {record.ended - fleet.started:.2f} s after "
+            f"{record.ended - record.sent:.2f} s, status {record.status}, {record.events() - record.last_event} events; runs: {runs or 'none'}")
+
+
 def check_ends(fleet) -> list[str]:
     """A daemon may not end an answer, or leave a request without one, if neither its target nor a fault of its own did."""
-    found = []
-    for record, ends in ends_by_excuse(fleet)[""]:
-        what = "cut" if record.is_broken else "failed"
-        runs = ", ".join(f"{end.target} {end.how} at {end.at - fleet.started:.2f}" for end in ends)
-        found.append(f"CUT {record.request_id} ({record.kind}): {what} by vm-{record.daemon} at {record.ended - fleet.started:.2f} s "
-                     f"after {record.ended - record.sent:.2f} s, status {record.status}, {record.events() - record.last_event} events; "
-                     f"runs: {runs or 'none'}")
-    return found
+    return [f"CUT {describe_end(fleet, record, ends)}" for record, ends in ends_by_excuse(fleet)[""]]
+
+
+def excused_ends(fleet) -> list[str]:
+    return [f"excused, {reason}: {describe_end(fleet, record, ends)}"
+            for reason, early in ends_by_excuse(fleet).items() if reason for record, ends in early]
 
 
 def check_revoked_key(record, fleet) -> list[str]:
