Read what has arrived before running timers after a hold-up

Symptom: a daemon that was held up, by a large configuration that is applied on the loop or because its process was frozen, took streams for silent and idle connections for expired though their bytes waited in the kernel.

Cause: the loop ran due timers before it read its descriptors, and read at most 64 of them at a time.

Why it works: no timer runs if the descriptors were last polled more than 10 ms ago; they are polled first, until a poll reports fewer events than it may. The number of polls is bounded, so that timers run even if each handler holds the loop up again. An iteration that isn't late makes no additional call, which a test shows.

--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
@@ -49,6 +49,7 @@
     : m_clock(clock)
     , m_epoll(throwOnError(epoll_create1(EPOLL_CLOEXEC), "epoll_create1"))
     , m_wakeupEvent(throwOnError(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd"))
+    , m_polled(clock.now())
 {
     epoll_event event = interest(EPOLLIN, watchOf(m_wakeupEvent, 0));
     throwOnError(epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wakeupEvent, &event), "epoll_ctl");
@@ -121,6 +122,7 @@
 void EventLoop::runOnce(std::chrono::milliseconds longestWait)
 {
     runDeferred();
+    readLateEvents();
     runDueTimers();
     runDeferred();
     wait(static_cast<int>(longestWait.count()));
@@ -149,6 +151,27 @@
     }
 }
 
+bool EventLoop::hasOutdatedTimer() const
+{
+    if (m_timers.empty())
+        return false;
+    const Instant present = now();
+    return m_timers.begin()->first.first <= present && present - m_polled > MaxPollAge;
+}
+
+void EventLoop::readLateEvents()
+{
+    if (!hasOutdatedTimer())
+        return;
+    // Bounded, as handlers may hold the loop up again each time.
+    std::size_t polls = m_watches.size() / MaxEventsPerWait + 2;
+    int reported = MaxEventsPerWait;
+    while (polls-- > 0 && (reported == MaxEventsPerWait || hasOutdatedTimer())) {
+        reported = poll(0);
+        runDeferred();
+    }
+}
+
 void EventLoop::runDeferred()
 {
     while (!m_deferred.empty()) {
@@ -184,8 +207,17 @@
     int wait = millisecondsToNextTimer();
     if (maxMilliseconds >= 0)
         wait = wait < 0 ? maxMilliseconds : std::min(wait, maxMilliseconds);
+    poll(wait);
+}
+
+int EventLoop::poll(int milliseconds)
+{
+    const Instant latest
+        = milliseconds < 0 ? Instant::max() : now() + std::chrono::milliseconds(milliseconds);
     std::array<epoll_event, MaxEventsPerWait> events;
-    const int count = epoll_wait(m_epoll, events.data(), MaxEventsPerWait, wait);
+    const int count = epoll_wait(m_epoll, events.data(), MaxEventsPerWait, milliseconds);
+    // The process may have been frozen since the descriptors were polled.
+    m_polled = std::min(now(), latest);
     for (int i = 0; i < count; ++i) {
         const epoll_event event = events[static_cast<std::size_t>(i)];
         const std::uint64_t watch = event.data.u64;
@@ -202,6 +234,7 @@
         if (event.events & (EPOLLIN | EPOLLHUP | EPOLLERR))
             report(watch, &DescriptorEvents::onReadable);
     }
+    return count;
 }
 
 void EventLoop::report(std::uint64_t watch, void (DescriptorEvents::*call)())
--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
@@ -55,7 +55,10 @@
     bool post(std::function<void()> action);
 
     void run();
-    /** One iteration: runs due timers, then waits up to `longestWait` for events. */
+    /**
+     * One iteration: runs due timers, then waits up to `longestWait` for events. If the loop was
+     * held up, events that are ready are reported first, as they may cancel timers.
+     */
     void runOnce(std::chrono::milliseconds longestWait);
     /** Makes run() return; safe from any thread and from signal handlers. */
     void stop();
@@ -69,6 +72,8 @@
     static constexpr std::size_t PostQueueCapacity = 256;
     /** Most events taken from one epoll_wait(). */
     static constexpr int MaxEventsPerWait = 64;
+    /** Time since the descriptors were polled after which no timer runs before the next poll. */
+    static constexpr std::chrono::milliseconds MaxPollAge {10};
 
     struct Watch
     {
@@ -82,12 +87,19 @@
     void runDueTimers();
     void runDeferred();
     void runPosted();
+    /** Whether a timer is due, but events that are older may not have been reported. */
+    bool hasOutdatedTimer() const;
+    void readLateEvents();
     void wait(int maxMilliseconds);
+    /** Reports the events of one epoll_wait(); returns their number. */
+    int poll(int milliseconds);
     int millisecondsToNextTimer() const;
 
     const Clock &m_clock;
     const int m_epoll;
     const int m_wakeupEvent;
+    /** The descriptors were polled at this time or later. */
+    Instant m_polled;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_hasPosted = false;
     TimerId m_lastTimer = 0;
--- a/packages/eventloop/tests/apricothook_event_loop_tests.cpp
+++ b/packages/eventloop/tests/apricothook_event_loop_tests.cpp
@@ -8,8 +8,11 @@
 #include <unistd.h>
 
 #include <array>
+#include <functional>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace Apricothook;
 
@@ -151,3 +154,127 @@
     close(second[0]);
     close(second[1]);
 }
+
+namespace {
+
+/** Notes a letter and reads all bytes. */
+class NotingReader : public DescriptorEvents
+{
+public:
+    NotingReader(Bench &bench, char letter) : m_bench(bench), m_letter(letter), m_ends(openPair())
+    {
+        m_bench.loop.watch(m_ends[0], *this);
+    }
+    ~NotingReader() override
+    {
+        m_bench.loop.unwatch(m_ends[0]);
+        close(m_ends[0]);
+        close(m_ends[1]);
+    }
+    NotingReader(const NotingReader &) = delete;
+    NotingReader &operator=(const NotingReader &) = delete;
+
+    void receive() { REQUIRE(write(m_ends[1], "x", 1) == 1); }
+    void onReadable() override
+    {
+        m_bench.order += m_letter;
+        char byte = 0;
+        REQUIRE(read(m_ends[0], &byte, 1) == 1);
+        if (action)
+            action();
+    }
+    void onWritable() override { }
+
+    std::function<void()> action;
+
+private:
+    Bench &m_bench;
+    const char m_letter;
+    const std::array<int, 2> m_ends;
+};
+
+constexpr std::chrono::milliseconds HoldUp {400};
+
+} // namespace
+
+TEST_CASE("bytes that arrived while the loop was held up are read before timers run")
+{
+    // A frozen daemon would take streams for silent, and idle connections for expired, though their
+    // bytes wait in the kernel.
+    Bench bench;
+    constexpr std::size_t Readers = 200;
+    std::vector<std::unique_ptr<NotingReader>> readers;
+    for (std::size_t i = 0; i < Readers; ++i)
+        readers.push_back(std::make_unique<NotingReader>(bench, 'r'));
+    bench.note('t', std::chrono::milliseconds(395));
+    bench.pass(NoWait);
+    for (const std::unique_ptr<NotingReader> &reader : readers)
+        reader->receive();
+    bench.pass(HoldUp);
+    CHECK(bench.order == std::string(Readers, 'r') + 't');
+}
+
+TEST_CASE("a timer that is cancelled by bytes read after a hold-up doesn't run")
+{
+    // The stream's next event arrived in time, so its target isn't silent.
+    Bench bench;
+    NotingReader reader(bench, 'r');
+    TimerId silence = bench.note('s', std::chrono::milliseconds(100));
+    bench.pass(NoWait);
+    reader.action = [&] { bench.loop.cancel(silence); };
+    reader.receive();
+    bench.pass(HoldUp);
+    CHECK(bench.order == "r");
+}
+
+TEST_CASE("a handler that holds the loop up lets the other descriptors be read before timers")
+{
+    // Applying a large configuration is such a handler.
+    Bench bench;
+    NotingReader configuration(bench, 'c');
+    NotingReader stream(bench, 'r');
+    bench.note('t', std::chrono::milliseconds(300));
+    bench.pass(NoWait);
+    configuration.action = [&] {
+        bench.clock.advance(HoldUp);
+        stream.receive();
+    };
+    configuration.receive();
+    bench.pass(NoWait);
+    bench.pass(NoWait);
+    CHECK(bench.order == "crt");
+}
+
+TEST_CASE("timers run though each event holds the loop up")
+{
+    // An overloaded loop would never reach a deadline.
+    Bench bench;
+    NotingReader reader(bench, 'r');
+    reader.action = [&] {
+        bench.clock.advance(HoldUp);
+        reader.receive();
+    };
+    bench.note('t', std::chrono::milliseconds(10));
+    reader.receive();
+    bench.pass(HoldUp);
+    CHECK(bench.order.find('t') != std::string::npos);
+}
+
+TEST_CASE("a loop that isn't late polls its descriptors once an iteration")
+{
+    // A second poll for each timer would cost a system call.
+    Bench bench;
+    const std::array<int, 2> ends = openPair();
+    CountingEvents events;
+    bench.loop.watch(ends[0], events);
+    REQUIRE(write(ends[1], "x", 1) == 1);
+    bench.note('t', std::chrono::milliseconds(1));
+    bench.pass(NoWait);
+    CHECK(events.readable == 1);
+    bench.pass(std::chrono::milliseconds(1));
+    CHECK(bench.order == "t");
+    CHECK(events.readable == 2);
+    bench.loop.unwatch(ends[0]);
+    close(ends[0]);
+    close(ends[1]);
+}
