Take a backup's retry once its connection stands

Now a backup takes its retry when it is written, so one that finds no connection takes none, and giving back goes.

--- a/packages/dispatch/apricothook/dispatch/apricothook_retry_budget_share.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_retry_budget_share.cpp
@@ -1,7 +1,5 @@
 #include <apricothook/dispatch/apricothook_retry_budget_share.hpp>
 
-#include <algorithm>
-
 namespace Apricothook {
 
 RetryDecision RetryBudgetShare::check(Instant now, std::optional<std::size_t> daemons)
@@ -25,12 +23,6 @@
     return decision;
 }
 
-void RetryBudgetShare::giveBack(Instant taken)
-{
-    if (const auto found = std::ranges::find(m_retries, taken); found != m_retries.end())
-        m_retries.erase(found);
-}
-
 double RetryBudgetShare::slackShare(std::optional<std::size_t> daemons, Instant now) const
 {
     if (!daemons)
--- a/packages/dispatch/apricothook/dispatch/apricothook_retry_budget_share.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_retry_budget_share.hpp
@@ -55,8 +55,6 @@
     RetryDecision check(Instant now, std::optional<std::size_t> daemons);
     /** Takes one retry if the budget allows it. `daemons`: size of the fleet, if known. */
     RetryDecision tryTake(Instant now, std::optional<std::size_t> daemons);
-    /** Gives back a retry that was taken at the time and reached no target. */
-    void giveBack(Instant taken);
 
 private:
     void dropBefore(Instant start);
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
@@ -57,31 +57,27 @@
     submit();
 }
 
-void ForwardedRequest::failBackup(bool hasArrived, std::optional<Instant> retryTaken)
+void ForwardedRequest::failBackup(bool hasArrived)
 {
-    if (!hasArrived) {
-        ++m_unconnectedBackups;
-        if (retryTaken)
-            m_context.retryBudgetOf(m_admitted.service).giveBack(*retryTaken);
-    }
+    m_unconnectedBackups += hasArrived ? 0 : 1;
     m_context.metrics.backupEnded("failed");
     m_silence.onBackupFailed();
 }
 
 void ForwardedRequest::sendBackup(const TargetEntry &target)
 {
-    if (!takeRetryFromBudget(m_context.loop.now())) {
-        if (const std::optional<std::uint64_t> permit = std::exchange(m_permit, std::nullopt))
-            m_context.suspectGuard->reportPermit(*permit, PermitUse::Unused, target.instance());
-        releaseSlot(target);
-        refuseBackup("budget");
-        return;
-    }
     m_silence.begin(makeAttempt(target));
-    m_silence.backup()->retryTaken = m_context.loop.now();
     startAttempt(*m_silence.backup());
 }
 
+void ForwardedRequest::withdrawBackup()
+{
+    attemptLog().backupRefused(*m_attempt, "budget");
+    ++m_unconnectedBackups;
+    cancelAttempt(m_silence.takeBackup(), TargetOutcome::Cancelled);
+    m_silence.onBackupFailed();
+}
+
 bool ForwardedRequest::refuseBackup(std::string_view cause)
 {
     if (!m_silence.isPlacing())
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -211,6 +211,11 @@
 std::string ForwardedRequest::writeRequest(Attempt &attempt)
 {
     const Instant now = m_context.loop.now();
+    // A backup takes its retry once it has a connection; one that finds none costs nothing.
+    if (isBackup(attempt) && !takeRetryFromBudget(now)) {
+        withdrawBackup();
+        return {};
+    }
     attempt.isSent = true;
     attempt.started = now;
     attempt.lastEvent = now;
@@ -248,10 +253,9 @@
     // The target may be reached through another daemon.
     if (!hasArrived && attempt.channel->relay())
         m_triedTargets.erase(attempt.target.instance());
-    const std::optional<Instant> retryTaken = attempt.retryTaken;
     endAttempt(release(attempt), outcome);
     if (wasBackup)
-        failBackup(hasArrived, retryTaken);
+        failBackup(hasArrived);
     else
         goOn(hasArrived);
 }
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -69,8 +69,9 @@
 
     bool onTargetSilent(Duration silence, Duration limit) override;
     void placeBackup() override;
-    /** `retryTaken`: when a retry was taken for it. */
-    void failBackup(bool hasArrived, std::optional<Instant> retryTaken);
+    void failBackup(bool hasArrived);
+    /** The retry budget has been used up since the backup was begun. */
+    void withdrawBackup();
     /** Records that the target may have been lost. */
     void recordSilence();
     /** Sends the request to a target beside the silent one. */
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt.hpp
@@ -52,8 +52,6 @@
     bool isReported = false;
     /** It was the first of this daemon's attempts to find its target silent. */
     bool isFirstSilent = false;
-    /** When a retry of the budget was taken for it. */
-    std::optional<Instant> retryTaken;
     /** The target stated that it didn't run the request. */
     bool isNotRun = false;
     ResponseHead head;
