Judge a request by the size limits in force when it begins

Symptom: on a kept connection a request that the newest configuration allows was rejected with 413 or 431.

Cause: the connection made the reader of the next request right after the one before it, with the limits of that moment.

Evidence: "a request on a kept connection is judged by the size limits in force when it begins" failed before (no request at the target) and passes. "a request that has begun keeps its size limits when a configuration lowers them" passed before, too.

Why it works: the reader is made when the first byte of a request is read, and keeps its limits until the request is complete.

--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -97,6 +97,7 @@
 {
     if (!m_reader.hasStarted()) {
         m_receiveStarted = m_loop.now();
+        m_reader = RequestReader(m_handler.messageLimits());
         setTimer(m_handler.headTimeout(), &CallerConnection::onHeadTimeout);
     }
     const Result<std::size_t, MessageError> taken = m_reader.feed(m_input);
--- a/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
@@ -13,6 +13,13 @@
     return caller.received.size() > Start ? std::stoi(caller.received.substr(Start, 3)) : 0;
 }
 
+void configure(GatewayFixture &fixture, const CallerBounds &limits)
+{
+    ServingConfiguration configuration = GatewayFixture::configuration();
+    configuration.limits = limits;
+    fixture.gateway.setConfiguration(std::make_shared<const RouteTable>(configuration));
+}
+
 int answerTo(GatewayFixture &fixture, const std::string &bytes)
 {
     RecordingConnection &caller = fixture.connect();
@@ -209,3 +216,39 @@
     REQUIRE(target);
     CHECK(target->connection(0).has("Patience: 900\r\n"));
 }
+
+TEST_CASE("a request on a kept connection is judged by the size limits in force when it begins")
+{
+    // A request that a new configuration allows would be rejected with 413 or 431.
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    fixture.runPendingEvents();
+    CallerBounds raised = GatewayFixture::configuration().limits;
+    raised.bodyBytes = 5000;
+    raised.headBytes = 4000;
+    configure(fixture, raised);
+    caller.socket.send("POST /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nLong: "
+                       + std::string(2000, 'x') + "\r\nContent-Length: 3000\r\n\r\n"
+                       + std::string(3000, 'x'));
+    REQUIRE(fixture.runUntil(
+        [&] { return fixture.target(0).requests() == 1 || caller.has("\r\n\r\n"); }));
+    CHECK(fixture.target(0).requests() == 1);
+}
+
+TEST_CASE("a request that has begun keeps its size limits when a configuration lowers them")
+{
+    // The caller sends its body by the limits that it knew when it began.
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    caller.socket.send("POST /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n"
+                       + writeChunk(std::string(900, 'x')));
+    fixture.runPendingEvents();
+    CallerBounds lowered = GatewayFixture::configuration().limits;
+    lowered.bodyBytes = 1000;
+    configure(fixture, lowered);
+    caller.socket.send(writeChunk(std::string(900, 'x')) + std::string(LastChunk));
+    REQUIRE(fixture.runUntil(
+        [&] { return fixture.target(0).requests() == 1 || caller.has("\r\n\r\n"); }));
+    CHECK(fixture.target(0).requests() == 1);
+}
