Close a connection only after the longest timeout its caller may know

Symptom: a connection was closed as idle at the time of an older configuration though the newest one allowed its caller to use it for longer; a request sent meanwhile got no answer. A slow head got 408 the same way. A lowered idle timeout closed connections at once whose callers didn't know it.

Cause: the timer was set with the limit of the moment at which the connection became idle, or the head began, and never looked at it again.

Evidence: "an idle connection is kept for the idle timeout that was raised meanwhile", "an idle connection is kept for the idle timeout before a configuration lowered it" and "a slow head is judged by the timeout that was raised meanwhile" failed before and pass.

Why it works: when the timer fires, the limit is read again, and the longest value since the time began counts. A lowered idle timeout holds for new idle times only once the configuration has had its time to be applied everywhere.

--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <apricothook/http1/apricothook_http_status.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Apricothook {
@@ -34,7 +35,7 @@
     , m_reader(handler.messageLimits())
     , m_socket(loop, *this, descriptor)
 {
-    setTimer(m_handler.idleTimeout(), &CallerConnection::onIdleTimeout);
+    limitTime(&CallerRequestHandler::idleTimeout, &CallerConnection::onIdleTimeout);
 }
 
 CallerConnection::~CallerConnection()
@@ -51,6 +52,27 @@
     });
 }
 
+void CallerConnection::limitTime(TimeLimit limit, void (CallerConnection::*onTime)())
+{
+    m_limitedSince = m_loop.now();
+    m_longestTime = (m_handler.*limit)();
+    setLimitTimer(limit, onTime);
+}
+
+void CallerConnection::setLimitTimer(TimeLimit limit, void (CallerConnection::*onTime)())
+{
+    m_loop.cancel(m_timer);
+    const Duration left = m_limitedSince + m_longestTime - m_loop.now();
+    m_timer = m_loop.after(left, [this, limit, onTime] {
+        m_timer = 0;
+        m_longestTime = std::max(m_longestTime, (m_handler.*limit)());
+        if (m_loop.now() < m_limitedSince + m_longestTime)
+            setLimitTimer(limit, onTime);
+        else
+            (this->*onTime)();
+    });
+}
+
 bool CallerConnection::isIdle() const
 {
     return !m_answering && !m_lingering && m_input.empty() && !m_reader.hasStarted();
@@ -98,7 +120,7 @@
     if (!m_reader.hasStarted()) {
         m_receiveStarted = m_loop.now();
         m_reader = RequestReader(m_handler.messageLimits());
-        setTimer(m_handler.headTimeout(), &CallerConnection::onHeadTimeout);
+        limitTime(&CallerRequestHandler::headTimeout, &CallerConnection::onHeadTimeout);
     }
     const Result<std::size_t, MessageError> taken = m_reader.feed(m_input);
     if (!taken) {
@@ -112,7 +134,7 @@
             m_socket.send(Continue);
     }
     if (m_headComplete)
-        setTimer(m_handler.idleTimeout(), &CallerConnection::onBodyTimeout);
+        limitTime(&CallerRequestHandler::idleTimeout, &CallerConnection::onBodyTimeout);
     if (!m_reader.isComplete())
         return false;
     beginRequest();
@@ -179,7 +201,7 @@
 void CallerConnection::awaitNextRequest()
 {
     m_socket.setReading(true);
-    setTimer(m_handler.idleTimeout(), &CallerConnection::onIdleTimeout);
+    limitTime(&CallerRequestHandler::idleTimeout, &CallerConnection::onIdleTimeout);
     readRequests();
 }
 
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
@@ -32,6 +32,8 @@
     bool isIdle() const;
 
 private:
+    using TimeLimit = Duration (CallerRequestHandler::*)() const;
+
     /** Buffer limit for pipelined requests while one is being answered. */
     static constexpr std::size_t MaxPipelinedBytes = 65536;
     /** How long input is still drained after the last response before the connection is closed. */
@@ -55,6 +57,12 @@
     void respondAndLinger(unsigned status);
     void awaitNextRequest();
     void setTimer(Duration delay, void (CallerConnection::*onTime)());
+    /**
+     * Calls `onTime` after the longest of the values that the limit has from now on, as the caller
+     * may know any of them.
+     */
+    void limitTime(TimeLimit limit, void (CallerConnection::*onTime)());
+    void setLimitTimer(TimeLimit limit, void (CallerConnection::*onTime)());
     void onHeadTimeout();
     void onBodyTimeout();
     void onIdleTimeout();
@@ -76,6 +84,9 @@
     bool m_lingering = false;
     bool m_inReadRequests = false;
     TimerId m_timer = 0;
+    /** When the time began that is limited by the timer. */
+    Instant m_limitedSince {};
+    Duration m_longestTime {};
     StreamSocket m_socket;
 };
 
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -129,10 +129,15 @@
 
 void Gateway::setConfiguration(std::shared_ptr<const RouteTable> routes)
 {
+    const Instant now = m_loop.now();
+    const Duration replaced = callerBounds().idleTimeout;
+    const Duration longest = idleTimeout();
     m_context.routes = std::move(routes);
+    if (callerBounds().idleTimeout < replaced)
+        m_formerIdleTimeout = {longest, now + m_bounds.applyTimeout};
     updateBudgets();
     m_unnamedStreams.setConfiguration(m_context.routes->configuration());
-    m_targets.setServices(m_context.routes->configuration().services, m_loop.now());
+    m_targets.setServices(m_context.routes->configuration().services, now);
 }
 
 void Gateway::putTarget(const TargetEntry &target)
@@ -214,14 +219,21 @@
     m_exchanges.erase(found);
 }
 
-CallerBounds Gateway::limits() const
+CallerBounds Gateway::callerBounds() const
 {
     return m_context.routes ? m_context.routes->configuration().limits : CallerBounds();
 }
 
 MessageLimits Gateway::messageLimits() const
 {
-    return {limits().headBytes, limits().bodyBytes};
+    return {callerBounds().headBytes, callerBounds().bodyBytes};
+}
+
+Duration Gateway::idleTimeout() const
+{
+    const Duration current = callerBounds().idleTimeout;
+    return m_loop.now() < m_formerIdleTimeout.until ? std::max(current, m_formerIdleTimeout.time)
+                                                    : current;
 }
 
 void Gateway::onPlaced(ExchangeId exchange, const TargetEntry &target)
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -85,11 +85,18 @@
     void scheduleReview();
 
 private:
+    /** A longer timeout than that in force, which callers may still go by. */
+    struct FormerTimeout
+    {
+        Duration time {};
+        Instant until {};
+    };
+
     CallerRequestEvents &begin(ReceivedRequest request, CallerResponder &responder) override;
     void release(CallerRequestEvents &events) override;
     MessageLimits messageLimits() const override;
-    Duration headTimeout() const override { return limits().headTimeout; }
-    Duration idleTimeout() const override { return limits().idleTimeout; }
+    Duration headTimeout() const override { return callerBounds().headTimeout; }
+    Duration idleTimeout() const override;
     const WireProtocol &protocol() const override { return m_context.protocol; }
     bool isDraining() const override { return m_draining; }
 
@@ -125,7 +132,7 @@
     void onTargetRestarted(const TargetInstance &current);
     void connectionClosed(CallerConnection &connection);
     void review();
-    CallerBounds limits() const;
+    CallerBounds callerBounds() const;
 
     EventLoop &m_loop;
     const FleetBounds m_bounds;
@@ -146,6 +153,7 @@
     std::list<std::unique_ptr<CallerConnection>> m_connections;
     std::unordered_map<std::uint64_t, std::unique_ptr<ForwardedRequest>> m_exchanges;
     std::uint64_t m_lastExchange = 0;
+    FormerTimeout m_formerIdleTimeout;
     bool m_draining = false;
     bool m_reviewPending = false;
     TimerId m_dispatchTimer = 0;
--- a/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
@@ -20,6 +20,13 @@
     fixture.gateway.setConfiguration(std::make_shared<const RouteTable>(configuration));
 }
 
+CallerBounds idleFor(std::chrono::milliseconds time)
+{
+    CallerBounds limits = GatewayFixture::configuration().limits;
+    limits.idleTimeout = time;
+    return limits;
+}
+
 int answerTo(GatewayFixture &fixture, const std::string &bytes)
 {
     RecordingConnection &caller = fixture.connect();
@@ -252,3 +259,54 @@
         [&] { return fixture.target(0).requests() == 1 || caller.has("\r\n\r\n"); }));
     CHECK(fixture.target(0).requests() == 1);
 }
+
+TEST_CASE("an idle connection is kept for the idle timeout that was raised meanwhile")
+{
+    // Callers that know the new timeout still send requests on the connection.
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    fixture.runPendingEvents();
+    configure(fixture, idleFor(std::chrono::seconds(30)));
+    fixture.clock.advance(std::chrono::seconds(24));
+    fixture.runPendingEvents();
+    CHECK_FALSE(caller.end);
+    fixture.clock.advance(std::chrono::seconds(7));
+    CHECK(fixture.runUntil([&] { return caller.end.has_value(); }));
+}
+
+TEST_CASE("an idle connection is kept for the idle timeout before a configuration lowered it")
+{
+    // Callers may not know the new timeout yet.
+    GatewayFixture fixture;
+    RecordingConnection &before = fixture.connect();
+    fixture.runPendingEvents();
+    configure(fixture, idleFor(std::chrono::seconds(1)));
+    RecordingConnection &after = fixture.connect();
+    fixture.runPendingEvents();
+    fixture.clock.advance(fixture.bounds.applyTimeout - std::chrono::milliseconds(100));
+    fixture.runPendingEvents();
+    CHECK_FALSE(before.end);
+    CHECK_FALSE(after.end);
+    fixture.clock.advance(std::chrono::seconds(2));
+    fixture.runPendingEvents();
+    CHECK_FALSE(before.end);
+    fixture.clock.advance(std::chrono::seconds(14));
+    CHECK(fixture.runUntil([&] { return before.end && after.end; }));
+}
+
+TEST_CASE("a slow head is judged by the timeout that was raised meanwhile")
+{
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    caller.socket.send("GET /once/x HTTP/1.1\r\nHost: ho");
+    fixture.runPendingEvents();
+    CallerBounds raised = GatewayFixture::configuration().limits;
+    raised.headTimeout = std::chrono::seconds(6);
+    configure(fixture, raised);
+    fixture.clock.advance(std::chrono::seconds(4));
+    fixture.runPendingEvents();
+    caller.socket.send("st\r\nId: a\r\n\r\n");
+    REQUIRE(fixture.runUntil(
+        [&] { return fixture.target(0).requests() == 1 || caller.has("\r\n\r\n"); }));
+    CHECK(fixture.target(0).requests() == 1);
+}
