Read once more before an idle connection is closed

Symptom: a request that arrived just before its connection was closed, as expired or by a leaving daemon, got a reset: neither an answer nor a refusal.

Cause: the connection was closed in the timer, without another read; closing with unread bytes resets it.

Evidence: "a request that arrives just before its connection expires is answered", "a request that arrives just before a leaving daemon closes is rejected as not run" and, for the loop, "a timer that another timer sets runs after the descriptors were polled" failed before and pass.

Why it works: the close is a second timer without delay. The loop polls the descriptors before it, and a request that is read replaces the timer. A leaving daemon refuses new requests by then, so the caller hears 503. What arrives after the poll is reset as before; it wasn't read.

--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
@@ -143,8 +143,8 @@
 
 void EventLoop::runDueTimers()
 {
-    const Instant present = now();
-    while (!m_timers.empty() && m_timers.begin()->first.first <= present) {
+    const std::pair last(now(), m_lastTimer);
+    while (!m_timers.empty() && m_timers.begin()->first <= last) {
         auto node = m_timers.extract(m_timers.begin());
         m_dueTimes.erase(node.key().second);
         node.mapped()();
--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
@@ -45,6 +45,7 @@
     void setInterest(int descriptor, bool readable, bool writable);
     void unwatch(int descriptor);
 
+    /** A timer that is set by another one runs after the next poll of the descriptors. */
     TimerId after(Duration delay, std::function<void()> action);
     /** Has no effect on a timer that already ran. Sets `timer` to zero. */
     void cancel(TimerId &timer);
--- a/packages/eventloop/tests/apricothook_event_loop_tests.cpp
+++ b/packages/eventloop/tests/apricothook_event_loop_tests.cpp
@@ -245,6 +245,18 @@
     CHECK(bench.order == "crt");
 }
 
+TEST_CASE("a timer that another timer sets runs after the descriptors were polled")
+{
+    // A connection that is about to be closed would lose a request that has just arrived.
+    Bench bench;
+    NotingReader reader(bench, 'r');
+    bench.loop.after(NoWait, [&] { bench.note('t', NoWait); });
+    reader.receive();
+    bench.loop.runOnce(NoWait);
+    bench.loop.runOnce(NoWait);
+    CHECK(bench.order == "rt");
+}
+
 TEST_CASE("timers run though each event holds the loop up")
 {
     // An overloaded loop would never reach a deadline.
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -81,7 +81,13 @@
 void CallerConnection::closeIfIdle()
 {
     if (isIdle())
-        close();
+        closeAfterPoll();
+}
+
+void CallerConnection::closeAfterPoll()
+{
+    // Closing with unread bytes resets the connection. The timer is replaced if a request arrives.
+    setTimer(Duration::zero(), &CallerConnection::close);
 }
 
 void CallerConnection::close()
@@ -246,7 +252,7 @@
 
 void CallerConnection::onIdleTimeout()
 {
-    close();
+    closeAfterPoll();
 }
 
 void CallerConnection::onDrained()
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
@@ -27,7 +27,10 @@
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
 
-    /** Closes the connection unless a request is being read or answered. */
+    /**
+     * Closes the connection unless a request is being read or answered. Called from a timer, a
+     * request that has arrived meanwhile is read first.
+     */
     void closeIfIdle();
     bool isIdle() const;
 
@@ -66,6 +69,8 @@
     void onHeadTimeout();
     void onBodyTimeout();
     void onIdleTimeout();
+    /** Closes the connection unless a request has arrived by the next poll of the descriptors. */
+    void closeAfterPoll();
     void close();
 
     EventLoop &m_loop;
--- a/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
@@ -310,3 +310,37 @@
         [&] { return fixture.target(0).requests() == 1 || caller.has("\r\n\r\n"); }));
     CHECK(fixture.target(0).requests() == 1);
 }
+
+TEST_CASE("a request that arrives just before its connection expires is answered")
+{
+    // Closing with unread bytes would reset the connection, and the caller would hear nothing.
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    fixture.runPendingEvents();
+    fixture.clock.advance(std::chrono::milliseconds(14995));
+    fixture.runPendingEvents();
+    caller.socket.send(GatewayFixture::request("once", "a"));
+    fixture.clock.advance(std::chrono::milliseconds(8));
+    REQUIRE(fixture.runUntil([&] { return fixture.target(0).requests() == 1 || caller.end; }));
+    CHECK_FALSE(caller.end);
+    CHECK(fixture.target(0).requests() == 1);
+}
+
+TEST_CASE("a request that arrives just before a leaving daemon closes is rejected as not run")
+{
+    // The caller of a reset connection wouldn't know whether its request ran.
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    RecordingConnection &idle = fixture.connect();
+    fixture.runPendingEvents();
+    fixture.loop.after(Duration::zero(), [&] {
+        fixture.gateway.startDraining();
+        fixture.gateway.refuseNewRequests();
+        fixture.gateway.stopListening();
+    });
+    caller.socket.send(GatewayFixture::request("once", "a"));
+    REQUIRE(fixture.runUntil([&] { return caller.end && idle.end; }));
+    CHECK(*caller.end == CloseReason::PeerClosed);
+    CHECK(statusOf(caller) == 503);
+    CHECK(fixture.target(0).requests() == 0);
+}
