--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
@@ -27,11 +27,16 @@
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
 
-    /** Closes the connection unless a request is being read or answered. */
+    /**
+     * Closes the connection unless a request is being read or answered. Called from a timer, a
+     * request that has arrived meanwhile is read first.
+     */
     void closeIfIdle();
     bool isIdle() const;
 
 private:
+    using TimeLimit = Duration (CallerRequestHandler::*)() const;
+
     /** Buffer limit for pipelined requests while one is being answered. */
     static constexpr std::size_t MaxPipelinedBytes = 65536;
     /** How long input is still drained after the last response before the connection is closed. */
@@ -55,9 +60,17 @@
     void respondAndLinger(unsigned status);
     void awaitNextRequest();
     void setTimer(Duration delay, void (CallerConnection::*onTime)());
+    /**
+     * Calls `onTime` after the longest of the values that the limit has from now on, as the caller
+     * may know any of them.
+     */
+    void limitTime(TimeLimit limit, void (CallerConnection::*onTime)());
+    void setLimitTimer(TimeLimit limit, void (CallerConnection::*onTime)());
     void onHeadTimeout();
     void onBodyTimeout();
     void onIdleTimeout();
+    /** Closes the connection unless a request has arrived by the next poll of the descriptors. */
+    void closeAfterPoll();
     void close();
 
     EventLoop &m_loop;
@@ -76,6 +89,9 @@
     bool m_lingering = false;
     bool m_inReadRequests = false;
     TimerId m_timer = 0;
+    /** When the time began that is limited by the timer. */
+    Instant m_limitedSince {};
+    Duration m_longestTime {};
     StreamSocket m_socket;
 };
 
--- a/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
@@ -13,6 +13,20 @@
     return caller.received.size() > Start ? std::stoi(caller.received.substr(Start, 3)) : 0;
 }
 
+void configure(GatewayFixture &fixture, const CallerBounds &limits)
+{
+    ServingConfiguration configuration = GatewayFixture::configuration();
+    configuration.limits = limits;
+    fixture.gateway.setConfiguration(std::make_shared<const RouteTable>(configuration));
+}
+
+CallerBounds idleFor(std::chrono::milliseconds time)
+{
+    CallerBounds limits = GatewayFixture::configuration().limits;
+    limits.idleTimeout = time;
+    return limits;
+}
+
 int answerTo(GatewayFixture &fixture, const std::string &bytes)
 {
     RecordingConnection &caller = fixture.connect();
@@ -209,3 +223,124 @@
     REQUIRE(target);
     CHECK(target->connection(0).has("Patience: 900\r\n"));
 }
+
+TEST_CASE("a request on a kept connection is judged by the size limits in force when it begins")
+{
+    // A request that a new configuration allows would be rejected with 413 or 431.
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    fixture.runPendingEvents();
+    CallerBounds raised = GatewayFixture::configuration().limits;
+    raised.bodyBytes = 5000;
+    raised.headBytes = 4000;
+    configure(fixture, raised);
+    caller.socket.send("POST /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\nLong: "
+                       + std::string(2000, 'x') + "\r\nContent-Length: 3000\r\n\r\n"
+                       + std::string(3000, 'x'));
+    REQUIRE(fixture.runUntil(
+        [&] { return fixture.target(0).requests() == 1 || caller.has("\r\n\r\n"); }));
+    CHECK(fixture.target(0).requests() == 1);
+}
+
+TEST_CASE("a request that has begun keeps its size limits when a configuration lowers them")
+{
+    // The caller sends its body by the limits that it knew when it began.
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    caller.socket.send("POST /once/x HTTP/1.1\r\nHost: host\r\nId: a\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n"
+                       + writeChunk(std::string(900, 'x')));
+    fixture.runPendingEvents();
+    CallerBounds lowered = GatewayFixture::configuration().limits;
+    lowered.bodyBytes = 1000;
+    configure(fixture, lowered);
+    caller.socket.send(writeChunk(std::string(900, 'x')) + std::string(LastChunk));
+    REQUIRE(fixture.runUntil(
+        [&] { return fixture.target(0).requests() == 1 || caller.has("\r\n\r\n"); }));
+    CHECK(fixture.target(0).requests() == 1);
+}
+
+TEST_CASE("an idle connection is kept for the idle timeout that was raised meanwhile")
+{
+    // Callers that know the new timeout still send requests on the connection.
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    fixture.runPendingEvents();
+    configure(fixture, idleFor(std::chrono::seconds(30)));
+    fixture.clock.advance(std::chrono::seconds(24));
+    fixture.runPendingEvents();
+    CHECK_FALSE(caller.end);
+    fixture.clock.advance(std::chrono::seconds(7));
+    CHECK(fixture.runUntil([&] { return caller.end.has_value(); }));
+}
+
+TEST_CASE("an idle connection is kept for the idle timeout before a configuration lowered it")
+{
+    // Callers may not know the new timeout yet.
+    GatewayFixture fixture;
+    RecordingConnection &before = fixture.connect();
+    fixture.runPendingEvents();
+    configure(fixture, idleFor(std::chrono::seconds(1)));
+    RecordingConnection &after = fixture.connect();
+    fixture.runPendingEvents();
+    fixture.clock.advance(fixture.bounds.applyTimeout - std::chrono::milliseconds(100));
+    fixture.runPendingEvents();
+    CHECK_FALSE(before.end);
+    CHECK_FALSE(after.end);
+    fixture.clock.advance(std::chrono::seconds(2));
+    fixture.runPendingEvents();
+    CHECK_FALSE(before.end);
+    fixture.clock.advance(std::chrono::seconds(14));
+    CHECK(fixture.runUntil([&] { return before.end && after.end; }));
+}
+
+TEST_CASE("a slow head is judged by the timeout that was raised meanwhile")
+{
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    caller.socket.send("GET /once/x HTTP/1.1\r\nHost: ho");
+    fixture.runPendingEvents();
+    CallerBounds raised = GatewayFixture::configuration().limits;
+    raised.headTimeout = std::chrono::seconds(6);
+    configure(fixture, raised);
+    fixture.clock.advance(std::chrono::seconds(4));
+    fixture.runPendingEvents();
+    caller.socket.send("st\r\nId: a\r\n\r\n");
+    REQUIRE(fixture.runUntil(
+        [&] { return fixture.target(0).requests() == 1 || caller.has("\r\n\r\n"); }));
+    CHECK(fixture.target(0).requests() == 1);
+}
+
+TEST_CASE("a request that arrives just before its connection expires is answered")
+{
+    // Closing with unread bytes would reset the connection, and the caller would hear nothing.
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    fixture.runPendingEvents();
+    fixture.clock.advance(std::chrono::milliseconds(14995));
+    fixture.runPendingEvents();
+    caller.socket.send(GatewayFixture::request("once", "a"));
+    fixture.clock.advance(std::chrono::milliseconds(8));
+    REQUIRE(fixture.runUntil([&] { return fixture.target(0).requests() == 1 || caller.end; }));
+    CHECK_FALSE(caller.end);
+    CHECK(fixture.target(0).requests() == 1);
+}
+
+TEST_CASE("a request that arrives just before a leaving daemon closes is rejected as not run")
+{
+    // The caller of a reset connection wouldn't know whether its request ran.
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    RecordingConnection &idle = fixture.connect();
+    fixture.runPendingEvents();
+    fixture.loop.after(Duration::zero(), [&] {
+        fixture.gateway.startDraining();
+        fixture.gateway.refuseNewRequests();
+        fixture.gateway.stopListening();
+    });
+    caller.socket.send(GatewayFixture::request("once", "a"));
+    REQUIRE(fixture.runUntil([&] { return caller.end && idle.end; }));
+    CHECK(*caller.end == CloseReason::PeerClosed);
+    CHECK(statusOf(caller) == 503);
+    CHECK(fixture.target(0).requests() == 0);
+}
