--- a/packages/gateway/tests/apricothook_gateway_relay_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_relay_tests.cpp
@@ -47,6 +47,26 @@
         for (const std::unique_ptr<ScriptedTarget> &target : targets)
             target->mend(OwnAddress);
     }
+    /** Connections from the address open, or are open, and carry nothing. */
+    void silence(const std::string &source = OwnAddress)
+    {
+        for (const std::unique_ptr<ScriptedTarget> &target : targets)
+            target->stopReading(source);
+    }
+    void endSilence(const std::string &source = OwnAddress)
+    {
+        for (const std::unique_ptr<ScriptedTarget> &target : targets)
+            target->resumeReading(source);
+    }
+    /** Passes time in small steps, so that no timer expires late. */
+    void pass(milliseconds time)
+    {
+        constexpr milliseconds Step {10};
+        for (milliseconds passed {}; passed < time; passed += Step) {
+            clock.advance(Step);
+            runPendingEvents();
+        }
+    }
     RecordingConnection &send(const std::string &route, const std::string &id)
     {
         RecordingConnection &caller = connect();
@@ -280,3 +300,91 @@
     fixture.relay->startDraining();
     CHECK(statusFor(known) == RelayOutcome::Busy);
 }
+
+TEST_CASE("a path that carries nothing is found lost within half a second")
+{
+    // Guards against requests that time out one by one on connections that open and stay silent.
+    RelayFixture fixture;
+    fixture.silence();
+    RecordingConnection &caller = fixture.send("idempotent", "a");
+    fixture.pass(milliseconds(500));
+    REQUIRE(fixture.gateway.paths().lostCount() > 0);
+    fixture.waitFor("a").socket.send(signedResponse("a", "whole"));
+    CHECK(fixture.runUntil([&] { return caller.has("whole"); }));
+}
+
+TEST_CASE("an unsafe request on a path that carries nothing is written once")
+{
+    // Guards against a second run of a request that may be under way at its target.
+    RelayFixture fixture;
+    fixture.silence();
+    fixture.send("once", "a");
+    fixture.pass(milliseconds(500));
+    REQUIRE(fixture.gateway.paths().lostCount() > 0);
+    fixture.pass(milliseconds(300));
+    CHECK(fixture.connectionOf("a") == nullptr);
+    RecordingConnection &next = fixture.send("once", "b");
+    fixture.waitFor("b").socket.send(signedResponse("b", "whole"));
+    CHECK(fixture.runUntil([&] { return next.has("whole"); }));
+}
+
+TEST_CASE("a target that stands still is not taken for a lost path")
+{
+    // Guards against paths that are given up because their target pauses for a second.
+    RelayFixture fixture;
+    RecordingConnection &caller = fixture.send("stream", "a");
+    RecordingConnection &target = fixture.waitFor("a");
+    fixture.silence();
+    fixture.silence(RelayAddress);
+    fixture.pass(milliseconds(1600));
+    fixture.endSilence();
+    fixture.endSilence(RelayAddress);
+    target.socket.send(streamHead("a") + eventChunk(1) + std::string(LastChunk));
+    CHECK(fixture.runUntil([&] { return endsComplete(caller); }));
+    fixture.pass(milliseconds(300));
+    CHECK(fixture.gateway.paths().lostCount() == 0);
+}
+
+TEST_CASE("a target that goes on while other daemons are asked is not taken for a lost path")
+{
+    // Guards against an answer of a peer that is newer than the own probe.
+    RelayFixture fixture;
+    fixture.silence();
+    fixture.silence(RelayAddress);
+    const TargetEntry entry = fixture.gateway.targets().find(TargetId("t0"))->entry;
+    fixture.send("idempotent", "a");
+    for (int step = 0; step < 60; ++step) {
+        fixture.pass(milliseconds(10));
+        // The peer probes only once it is asked, after the own probe.
+        if (step == 45) {
+            fixture.endSilence(RelayAddress);
+            fixture.endSilence();
+        }
+    }
+    fixture.pass(milliseconds(300));
+    CHECK(fixture.gateway.paths().lostCount() == 0);
+}
+
+TEST_CASE("a path that carried nothing is used again once it carries bytes")
+{
+    // Guards against connections that count as proof though nothing passes on them.
+    RelayFixture fixture(1);
+    fixture.silence();
+    fixture.send("once", "a");
+    fixture.pass(milliseconds(500));
+    REQUIRE(fixture.gateway.paths().lostCount() == 1);
+    fixture.pass(milliseconds(600));
+    fixture.send("once", "b");
+    fixture.pass(milliseconds(600));
+    CHECK(fixture.gateway.paths().lostCount() == 1);
+    fixture.endSilence();
+    fixture.send("once", "c");
+    fixture.pass(milliseconds(300));
+    CHECK(fixture.gateway.paths().lostCount() == 0);
+}
+
+TEST_CASE("a connection outlives the longest pause of a sound target")
+{
+    // Guards against connections to a machine that stands still and goes on.
+    CHECK(StreamSocket::DeadPeerTimeout > CrashDetector::LongestStandstill);
+}
--- a/packages/gateway/tests/apricothook_scripted_peers.cpp
+++ b/packages/gateway/tests/apricothook_scripted_peers.cpp
@@ -9,8 +9,11 @@
     m_listener = Listener::open(loop, {"127.0.0.1", 0}, [this, &loop](int descriptor) {
                      connections.push_back(std::make_unique<RecordingConnection>(loop, descriptor));
                      m_sources.push_back(peerAddressOf(descriptor));
+                     connections.back()->answersTo = "GET / HTTP/1.1\r\nHost: probe\r\n\r\n";
                      if (m_cutOff.contains(m_sources.back()))
                          connections.back()->socket.abort();
+                     else if (m_unread.contains(m_sources.back()))
+                         connections.back()->socket.setReading(false);
                  }).value();
 }
 
@@ -40,6 +43,24 @@
     }
 }
 
+void ScriptedTarget::stopReading(const std::string &source)
+{
+    m_unread.insert(source);
+    for (std::size_t index = 0; index < connections.size(); ++index) {
+        if (m_sources[index] == source)
+            connections[index]->socket.setReading(false);
+    }
+}
+
+void ScriptedTarget::resumeReading(const std::string &source)
+{
+    m_unread.erase(source);
+    for (std::size_t index = 0; index < connections.size(); ++index) {
+        if (m_sources[index] == source && connections[index]->socket.isOpen())
+            connections[index]->socket.setReading(true);
+    }
+}
+
 void ScriptedTarget::crash()
 {
     m_listener.reset();
--- a/packages/gateway/tests/apricothook_scripted_peers.hpp
+++ b/packages/gateway/tests/apricothook_scripted_peers.hpp
@@ -19,11 +19,18 @@
     RecordingConnection(EventLoop &loop, int descriptor) : socket(loop, *this, descriptor) { }
     RecordingConnection(EventLoop &loop, const Endpoint &to) : socket(loop, *this, to) { }
 
-    void onData(std::string_view bytes) override { received.append(bytes); }
+    void onData(std::string_view bytes) override
+    {
+        received.append(bytes);
+        if (!answersTo.empty() && received == answersTo)
+            socket.send("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+    }
     void onEnd(CloseReason how) override { end = how; }
     bool has(std::string_view text) const { return received.find(text) != std::string::npos; }
 
     std::string received;
+    /** A request without an id, which is rejected. */
+    std::string answersTo;
     std::optional<CloseReason> end;
     StreamSocket socket;
 };
@@ -44,12 +51,16 @@
     /** Resets all connections from the address from now on. */
     void cutOff(const std::string &source);
     void mend(const std::string &source) { m_cutOff.erase(source); }
+    /** Reads nothing on connections from the address from now on, and keeps them open. */
+    void stopReading(const std::string &source);
+    void resumeReading(const std::string &source);
 
     std::vector<std::unique_ptr<RecordingConnection>> connections;
 
 private:
     std::unique_ptr<Listener> m_listener;
     std::set<std::string> m_cutOff;
+    std::set<std::string> m_unread;
     /** Source address of each connection. */
     std::vector<std::string> m_sources;
 };
