Test paths by bytes, and find lost ones while answers are owed

Symptom: daemons whose connections to targets open, or are open, and carry nothing served 0 of 51 first tries beside 372 of 372 at the others. Cause: a probe counted a connection that opens as proof of its path, and a path was only doubted once a request had failed on it. Change: a probe sends a request that targets reject without running it, and counts bytes. Open attempts on a path that is found lost look for a backup at once; the silent attempt is kept. The fixture's targets answer probes, which they don't count as requests.

--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
@@ -68,6 +68,14 @@
                             .with("left_ms", m_admitted.deadline - m_context.loop.now()));
 }
 
+void ForwardedRequest::onPathLost(const TargetInstance &target)
+{
+    const bool isAffected = m_attempt && m_attempt->isSent && !m_attempt->channel->relay()
+        && m_attempt->target.instance() == target;
+    if (isAffected && m_admitted.route->isRetryable())
+        m_silence.expire();
+}
+
 void ForwardedRequest::sendBackup(const TargetEntry &target)
 {
     if (!takeRetryFromBudget(m_context.loop.now())) {
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -123,6 +123,7 @@
 
     void accept(int descriptor);
     void onTargetRestarted(const TargetInstance &current);
+    void onPathLost(const TargetInstance &target);
     void connectionClosed(CallerConnection &connection);
     void review();
     CallerBounds limits() const;
--- a/packages/gateway/tests/apricothook_gateway_relay_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_relay_tests.cpp
@@ -111,7 +111,13 @@
     FakePeers peers;
     TargetPaths relayPaths;
     std::unique_ptr<RelayServer> relay = std::make_unique<RelayServer>(
-        RelayServerContext {loop, peers, gateway.targets(), relayPaths, log, RelayAddress}, random);
+        RelayServerContext {loop,
+                            peers,
+                            gateway.targets(),
+                            relayPaths,
+                            log,
+                            {RelayAddress, writeRequestHead(protocol.targetProbe(), {})}},
+        random);
 };
 
 } // namespace
--- a/packages/paths/apricothook/paths/apricothook_connection_probe.cpp
+++ b/packages/paths/apricothook/paths/apricothook_connection_probe.cpp
@@ -4,9 +4,9 @@
 
 namespace Apricothook {
 
-ConnectionProbe::ConnectionProbe(EventLoop &loop, const Endpoint &to, const std::string &from,
+ConnectionProbe::ConnectionProbe(EventLoop &loop, const Endpoint &to, const ProbeSetup &setup,
                                  std::function<void()> changed)
-    : m_changed(std::move(changed)), m_socket(loop, *this, to, from)
+    : m_request(setup.request), m_changed(std::move(changed)), m_socket(loop, *this, to, setup.from)
 {
 }
 
@@ -17,21 +17,29 @@
 
 ProbeResult ConnectionProbe::result() const
 {
-    if (m_hasEnded)
-        return ProbeResult::Refused;
-    return m_isConnected ? ProbeResult::Kept : ProbeResult::Silent;
+    return m_result;
 }
 
 void ConnectionProbe::onConnected()
 {
-    m_isConnected = true;
-    if (m_changed)
-        m_changed();
+    m_socket.send(m_request);
+}
+
+void ConnectionProbe::onData(std::string_view)
+{
+    conclude(ProbeResult::Answered);
 }
 
 void ConnectionProbe::onEnd(CloseReason)
 {
-    m_hasEnded = true;
+    conclude(ProbeResult::Refused);
+}
+
+void ConnectionProbe::conclude(ProbeResult result)
+{
+    if (m_result != ProbeResult::Silent)
+        return;
+    m_result = result;
     if (m_changed)
         m_changed();
 }
--- a/packages/paths/apricothook/paths/apricothook_reach_tester.cpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_tester.cpp
@@ -6,8 +6,8 @@
 namespace Apricothook {
 
 ReachTester::ReachTester(EventLoop &loop, const TargetTable &targets, RandomSource &random,
-                         std::string from)
-    : m_loop(loop), m_targets(targets), m_random(random), m_from(std::move(from))
+                         ProbeSetup setup)
+    : m_loop(loop), m_targets(targets), m_random(random), m_setup(std::move(setup))
 {
 }
 
@@ -41,24 +41,27 @@
 std::unique_ptr<ConnectionProbe> ReachTester::makeProbe(const TargetInstance &target,
                                                         const Endpoint &address)
 {
-    return std::make_unique<ConnectionProbe>(m_loop, address, m_from,
+    return std::make_unique<ConnectionProbe>(m_loop, address, m_setup,
                                              [this, target] { onProbeChanged(target); });
 }
 
 void ReachTester::onProbeChanged(const TargetInstance &target)
 {
     const auto found = m_tests.find(target);
-    if (found == m_tests.end() || !found->second.target || !found->second.target->hasEnded())
+    if (found == m_tests.end() || !found->second.target)
         return;
+    const ProbeResult result = found->second.target->result();
     const std::vector<std::unique_ptr<ConnectionProbe>> &others = found->second.others;
     const bool reachesAnother
         = std::ranges::any_of(others, [](const std::unique_ptr<ConnectionProbe> &probe) {
-              return probe->result() == ProbeResult::Kept;
+              return probe->result() == ProbeResult::Answered;
           });
     const bool reachesNone
-        = std::ranges::all_of(others, &ConnectionProbe::hasEnded,
-                              [](const auto &probe) -> const ConnectionProbe & { return *probe; });
-    if (reachesAnother || reachesNone)
+        = std::ranges::all_of(others, [](const std::unique_ptr<ConnectionProbe> &probe) {
+              return probe->result() == ProbeResult::Refused;
+          });
+    const bool isRefused = result == ProbeResult::Refused && (reachesAnother || reachesNone);
+    if (result == ProbeResult::Answered || isRefused)
         concludeAfter(target, Duration::zero());
 }
 
@@ -72,11 +75,11 @@
 RelayOutcome ReachTester::outcomeOf(const Test &test)
 {
     const ProbeResult result = test.target->result();
-    if (result == ProbeResult::Kept)
+    if (result == ProbeResult::Answered)
         return RelayOutcome::Reached;
     const bool reachesOthers
         = std::ranges::any_of(test.others, [](const std::unique_ptr<ConnectionProbe> &probe) {
-              return probe->result() == ProbeResult::Kept;
+              return probe->result() == ProbeResult::Answered;
           });
     // Without any other target nothing could contradict this daemon's own finding.
     if (!reachesOthers && !test.others.empty())
--- a/packages/paths/apricothook/paths/apricothook_reach_tester.hpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_tester.hpp
@@ -25,9 +25,8 @@
 
     using Tested = std::function<void(RelayOutcome outcome)>;
 
-    /** `from`: address of this VM to connect from. */
     ReachTester(EventLoop &loop, const TargetTable &targets, RandomSource &random,
-                std::string from);
+                ProbeSetup setup);
     ~ReachTester();
     ReachTester(const ReachTester &) = delete;
     ReachTester &operator=(const ReachTester &) = delete;
@@ -55,7 +54,7 @@
     EventLoop &m_loop;
     const TargetTable &m_targets;
     RandomSource &m_random;
-    const std::string m_from;
+    const ProbeSetup m_setup;
     std::map<TargetInstance, Test> m_tests;
 };
 
--- a/packages/paths/apricothook/paths/apricothook_relay_server.hpp
+++ b/packages/paths/apricothook/paths/apricothook_relay_server.hpp
@@ -19,8 +19,7 @@
     const TargetTable &targets;
     const TargetPaths &paths;
     LogWriter &log;
-    /** Address of this VM to connect from. */
-    std::string from;
+    ProbeSetup probe;
 };
 
 /**
