Keep connections to machines that stand still

Symptom: connections to a sound machine that stands still for 1.6 s end. Cause: unacknowledged bytes ended a connection after 1.5 s. Cost: a connection whose peer is gone is noticed a second later.

--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
@@ -40,8 +40,8 @@
 class StreamSocket : public StreamConnection, private DescriptorEvents
 {
 public:
-    /** Allows for a few retransmissions, but is shorter than the pause that callers tolerate. */
-    static constexpr std::chrono::milliseconds DeadPeerTimeout {1500};
+    /** Longer than a sound machine stands still. */
+    static constexpr std::chrono::milliseconds DeadPeerTimeout {2500};
 
     /** Takes ownership of an accepted descriptor. */
     StreamSocket(EventLoop &loop, StreamSocketEvents &events, int descriptor);
