Cut daemons off in the soak by connections that carry nothing

The opt-in kind cut_silently: one, half or all but one of the daemons, open and new connections, one direction or both. Emulated targets reject requests without an id, as probes send them.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -51,7 +51,7 @@
         self.opt_in_kinds = [self.crashing_request, self.resize_configuration, self.silence_store, self.replace_key,
                              self.limit_target, self.cut_daemons, self.cut_zone, self.cut_all_but_one,
                              self.kill_most, self.reset_callers, self.release_target, self.crash_to_next_version,
-                             self.cut_from_half, self.cut_in_series, self.silence_target, self.brittle_service]
+                             self.cut_from_half, self.cut_in_series, self.cut_silently, self.silence_target, self.brittle_service]
         if chosen != "on":
             known = {kind.__name__: kind for kind in self.kinds + self.opt_in_kinds}
             names = [] if chosen == "off" else chosen.split(",")
@@ -296,6 +296,12 @@
             await self.cut(daemons, self.fleet.target_links, self.random.choice(links.CUTS), self.random.uniform(0.3, 2.5))
             await asyncio.sleep(self.random.uniform(0.1, 1.0))
 
+    async def cut_silently(self) -> None:
+        """One, half or all but one of the daemons have connections that carry nothing."""
+        count = self.random.choice((1, len(self.fleet.daemons) // 2, len(self.fleet.daemons) - 1))
+        await self.cut(self.random.sample(self.fleet.daemons, count), self.fleet.target_links,
+                       self.random.choice(links.SILENT_CUTS), self.random.uniform(*CUT_SECONDS))
+
     async def silence_target(self) -> None:
         """A sound target is silent for a moment and goes on."""
         target = self.random.choice(self.fleet.targets)
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -12,6 +12,9 @@
 # What a cut does to the connections of a source: all hang, all are reset, or open ones live on and new ones are reset.
 HANGS, RESETS, REFUSES_NEW = "hangs", "resets", "refuses new"
 CUTS = (HANGS, RESETS, REFUSES_NEW)
+# Connections open, or stay open, and carry nothing: in neither direction, or not to or from the target.
+SILENT, SILENT_THERE, SILENT_BACK = "carries nothing", "carries nothing there", "carries nothing back"
+SILENT_CUTS = (SILENT, SILENT_THERE, SILENT_BACK)
 # The socket option and the instructions of Linux packet filters, which Python doesn't name.
 SO_ATTACH_FILTER = 26
 LOAD_WORD, JUMP_IF_EQUAL, RETURN = 0x20, 0x15, 0x06
@@ -76,28 +79,28 @@
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         source = writer.get_extra_info("peername")[0]
-        if source in self.cuts:
+        if source in self.cuts and self.cuts[source] not in SILENT_CUTS:
             writer.transport.abort()
             return
         self.accepted[writer] = source
         try:
-            await self.forward(reader, writer)
+            await self.forward(reader, writer, source)
         finally:
             del self.accepted[writer]
 
-    async def forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, source: str) -> None:
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(*self.to)
         except OSError:
             writer.transport.abort()
             return
         self.writers |= {writer, upstream_writer}
-        directions = [asyncio.create_task(self.copy(reader, upstream_writer, CUT_UPSTREAM)),
-                asyncio.create_task(self.copy(upstream_reader, writer, CUT_DOWNSTREAM))]
+        directions = [asyncio.create_task(self.copy(reader, upstream_writer, CUT_UPSTREAM, source)),
+                asyncio.create_task(self.copy(upstream_reader, writer, CUT_DOWNSTREAM, source))]
         await asyncio.wait(directions, return_when=asyncio.ALL_COMPLETED)
         self.writers -= {writer, upstream_writer}
 
-    async def copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut: str) -> None:
+    async def copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut: str, source: str = "") -> None:
         has_dropped = False
         try:
             while data := await reader.read(65536):
@@ -110,6 +113,8 @@
                 if self.state == DELAYED:
                     await asyncio.sleep(random.uniform(*DELAY_SECONDS))
                 await self.wait_while_hung(writer)
+                while self.cuts.get(source) in (SILENT, SILENT_THERE if cut == CUT_UPSTREAM else SILENT_BACK):
+                    await asyncio.sleep(0.02)
                 writer.write(data)
                 await writer.drain()
             if writer.can_write_eof():
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -206,6 +206,11 @@
 
     async def answer(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, incarnation: int) -> None:
         request_id = head.headers.get("request-id", "")
+        if not request_id:
+            while self.is_unresponsive and self.is_up:
+                await asyncio.sleep(0.05)
+            writer.write(http1.message("HTTP/1.1 400 No id", {"Not-Executed": "1"}))
+            return
         self.arrivals.append(Arrival(request_id, self.service, asyncio.get_running_loop().time(), self.id))
         if head.headers.get("expected-instance", self.id) != self.id:
             writer.write(http1.message("HTTP/1.1 421 Other", self.headers(request_id, Instance_Id=self.id)))
--- a/tools/soak/test_links.py
+++ b/tools/soak/test_links.py
@@ -65,7 +65,7 @@
         link = links.Link(("127.0.0.1", 0), server.sockets[0].getsockname())
         await link.start()
         port = link.server.sockets[0].getsockname()[1]
-        for how in links.CUTS:
+        for how in links.CUTS + links.SILENT_CUTS:
             link.cut(["127.0.0.2"], how)
             self.assertFalse(await is_answered("127.0.0.2", port), how)
             self.assertTrue(await is_answered("127.0.0.3", port), how)
