--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -121,8 +121,8 @@
         self.service, self.address, self.runs, self.arrivals, self.limits = service, address, runs, arrivals, limits
         # Bodies of the requests that crash a target now, and the crashes that they have caused.
         self.crashing, self.crashes = crashing, crashes
-        # Ends of runs, and the ids of requests that run now.
-        self.ends, self.running = ends, set()
+        # Ends of runs, and the ids of requests that wait for a slot or run now.
+        self.ends, self.held = ends, set()
         # A paused target reads and writes nothing.
         self.is_paused = False
         # Requests per second that it takes from all daemons together, as named in its answers.
@@ -200,7 +200,7 @@
         self.is_up = False
         self.lives[-1].until = asyncio.get_running_loop().time()
         self.crashed_ids.add(self.id)
-        for request_id in sorted(self.running):
+        for request_id in sorted(self.held):
             self.record_end(request_id, BROKEN_OFF)
         for writer in list(self.writers):
             writer.transport.abort()
@@ -216,7 +216,7 @@
                 head = await http1.read_head(reader)
                 body = await http1.read_body(reader, head)
                 await self.wait_while_paused()
-                if incarnation != self.incarnation:
+                if incarnation != self.incarnation or not self.is_up:
                     return
                 await self.answer(head, body, writer, incarnation)
         except (http1.Broken, ConnectionError):
@@ -254,11 +254,13 @@
             writer.write(http1.message("HTTP/1.1 503 Full", self.headers(request_id, Not_Executed="1")))
             return
         self.accepted += 1
+        self.held.add(request_id)
         try:
             async with self.slots:
                 if incarnation == self.incarnation and self.is_up and not writer.is_closing():
                     await self.run(head, body, writer, request_id)
         finally:
+            self.held.discard(request_id)
             if incarnation == self.incarnation:
                 self.accepted -= 1
 
@@ -287,15 +289,12 @@
 
     async def run(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
         self.record_run(head, body, request_id)
-        self.running.add(request_id)
         try:
             await self.respond(head, body, writer, request_id)
             self.record_end(request_id, COMPLETED)
         except ConnectionError:
             self.record_end(request_id, DISCONNECTED)
             raise
-        finally:
-            self.running.discard(request_id)
 
     async def respond(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
         if body in self.crashing:
