--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -109,18 +109,17 @@
         if signal_number == signal.SIGTERM and asyncio.get_running_loop().time() < daemon.started + STARTUP_SECONDS:
             await self.mark_affected([daemon], STARTUP_SECONDS)
         loop = asyncio.get_running_loop()
-        harmed_from = loop.time()
-        if signal_number == signal.SIGTERM:
-            harmed_from += daemons.GRACE_SECONDS * GRACE_FRACTION
+        harmed_from = loop.time() + (daemons.GRACE_SECONDS * GRACE_FRACTION if signal_number == signal.SIGTERM else 0)
         stopping = asyncio.create_task(daemon.stop(signal_number))
         while not stopping.done():
             await self.mark_affected([daemon], 0.1)
-        if loop.time() > harmed_from:
-            self.record_harm([daemon], harmed_from)
+        is_harmed = loop.time() > harmed_from
         if signal_number == signal.SIGTERM:
             self.fleet.stops.append((daemon.index, stopping.result()))
         await self.mark_affected([daemon], self.random.uniform(0.2, 1.5))
         await daemon.start()
+        if is_harmed:
+            self.record_harm([daemon], harmed_from)
         daemon.is_stopping = False
         await self.mark_affected([daemon], 0.3)
 
