--- a/packages/paths/apricothook/paths/apricothook_path_monitor.cpp
+++ b/packages/paths/apricothook/paths/apricothook_path_monitor.cpp
@@ -163,11 +163,23 @@
         inquire(target);
 }
 
+std::vector<Endpoint> PathMonitor::panelFor(const TargetEntry &target)
+{
+    const std::vector<RelayCandidate> all = candidates();
+    if (m_paths.state(target.instance()) != PathState::Lost)
+        return m_relays.choosePanel(all, PanelSize);
+    const std::optional<Endpoint> relay = m_relays.choose(all, target.dataCentre, m_loop.now());
+    std::vector<Endpoint> panel = m_relays.choosePanel(all, relay ? RetestPanelSize : PanelSize);
+    if (relay && !std::ranges::count(panel, *relay))
+        panel.back() = *relay;
+    return panel;
+}
+
 void PathMonitor::startInquiry(const TargetEntry &target)
 {
     ReachInquirySetup setup {.target = target,
                              .probe = m_probe,
-                             .panel = m_relays.choosePanel(candidates(), PanelSize),
+                             .panel = panelFor(target),
                              .isAlone = !m_peers || m_peers->isAlone()};
     ReachInquiryListener &listener = *this;
     m_inquiries[target.instance()]
--- a/packages/paths/apricothook/paths/apricothook_path_monitor.hpp
+++ b/packages/paths/apricothook/paths/apricothook_path_monitor.hpp
@@ -49,6 +49,8 @@
     static constexpr std::chrono::milliseconds RelayTimeout {400};
     /** Daemons that are asked whether they reach a target. */
     static constexpr std::size_t PanelSize = 8;
+    /** The same for a path that is known to be lost, if a daemon is known that reaches targets. */
+    static constexpr std::size_t RetestPanelSize = 3;
     /** Interval at which quiet targets are looked for; one is tested each time. */
     static constexpr std::chrono::milliseconds QuietCheckInterval {50};
 
@@ -84,6 +86,7 @@
     void onInquiryFinished(const TargetInstance &target) override;
 
     void startInquiry(const TargetEntry &target);
+    std::vector<Endpoint> panelFor(const TargetEntry &target);
     void scheduleQuietCheck();
     void testQuietTargets();
     /** Tests the path if it isn't trusted and hasn't been tested lately. */
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -114,6 +114,9 @@
                     await asyncio.sleep(random.uniform(*DELAY_SECONDS))
                 await self.wait_while_hung(writer)
                 while self.cuts.get(source) in (SILENT, SILENT_THERE if cut == CUT_UPSTREAM else SILENT_BACK):
+                    # Connections that were given up would otherwise pile up here.
+                    if reader.at_eof() or reader.exception() or writer.is_closing():
+                        raise ConnectionResetError
                     await asyncio.sleep(0.02)
                 writer.write(data)
                 await writer.drain()
