--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_backup.cpp
@@ -64,14 +64,6 @@
     m_silence.onBackupFailed();
 }
 
-void ForwardedRequest::onPathLost(const TargetInstance &target)
-{
-    const bool isAffected = m_attempt && m_attempt->isSent && !m_attempt->channel->relay()
-        && m_attempt->target.instance() == target;
-    if (isAffected && m_admitted.route->isRetryable())
-        m_silence.expire();
-}
-
 void ForwardedRequest::sendBackup(const TargetEntry &target)
 {
     m_silence.begin(makeAttempt(target));
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -47,8 +47,6 @@
     void onOriginDecided(const StreamOriginDecision &decision);
     /** Fails the attempt if it was sent to an earlier instance of the target. */
     void onTargetRestarted(const TargetInstance &current);
-    /** This daemon's own path to the target carries nothing, though others reach the target. */
-    void onPathLost(const TargetInstance &target);
     void onCallerGone() override;
     void onCallerDrained() override;
 
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -24,8 +24,7 @@
     , m_targetLimits(TargetLimitKind::Requests, self.address, *this, *this)
     , m_targetRejections(TargetLimitKind::Rejections, self.address, *this, *this)
     , m_dispatcher(m_targets, *this, policies)
-    , m_paths(loop, *this, dataCentre, random, log,
-              {self.address.address, writeRequestHead(protocol.targetProbe(), {})})
+    , m_paths(loop, *this, dataCentre, random, log, self.address.address)
     , m_channels(loop, protocol, log, m_paths)
     , m_streams(loop, self, *this, log,
                 [this](ExchangeId exchange, const StreamOriginDecision &decision) {
@@ -173,15 +172,6 @@
         exchange->onTargetRestarted(current);
 }
 
-void Gateway::onPathLost(const TargetInstance &target)
-{
-    std::vector<ForwardedRequest *> open;
-    for (const auto &[id, exchange] : m_exchanges)
-        open.push_back(exchange.get());
-    for (ForwardedRequest *exchange : open)
-        exchange->onPathLost(target);
-}
-
 void Gateway::removeTarget(const TargetId &target)
 {
     if (const TrackedTarget *known = m_targets.find(target)) {
@@ -399,8 +389,6 @@
         m_targets.recordUnreachable(target.instance(), losses, m_loop.now());
         break;
     case ReachVerdict::Elsewhere:
-        onPathLost(target.instance());
-        // After the requests, which report the target's silence.
         m_targets.recordReachable(target.instance());
         scheduleReview();
         break;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -130,7 +130,6 @@
 
     void accept(int descriptor);
     void onTargetRestarted(const TargetInstance &current);
-    void onPathLost(const TargetInstance &target);
     void connectionClosed(CallerConnection &connection);
     void review();
     CallerBounds callerBounds() const;
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
@@ -7,7 +7,7 @@
 TargetChannel::TargetChannel(EventLoop &loop, const WireProtocol &protocol,
                              TargetChannelOwner &owner, TargetConnector &connector,
                              const TargetEntry &target, const RequestKey &request)
-    : m_loop(loop), m_protocol(protocol), m_owner(owner), m_connector(connector), m_target(target)
+    : m_loop(loop), m_protocol(protocol), m_owner(owner), m_target(target)
 {
     StreamSocketEvents &events = *this;
     OpeningConnection opening = connector.open(target, request, events);
@@ -40,18 +40,9 @@
 
 void TargetChannel::sendRequest()
 {
-    m_isAwaitingAnswer = true;
-    m_connector.recordSent(m_target, m_relay);
     m_connection->send(m_events->writeRequest());
 }
 
-TargetResponseEvents *TargetChannel::takeEvents()
-{
-    if (std::exchange(m_isAwaitingAnswer, false))
-        m_connector.recordEnded(m_target, m_relay);
-    return std::exchange(m_events, nullptr);
-}
-
 void TargetChannel::resetResponse()
 {
     m_reader = ResponseReader(m_isHeadResponse);
@@ -61,7 +52,7 @@
 
 void TargetChannel::cancel()
 {
-    static_cast<void>(takeEvents());
+    m_events = nullptr;
     close();
 }
 
@@ -86,7 +77,6 @@
 void TargetChannel::onData(std::string_view bytes)
 {
     if (m_events) {
-        m_connector.recordReceived(m_target, m_relay);
         readResponse(bytes);
         return;
     }
@@ -146,7 +136,7 @@
     // next request as the rest of this body, so the channel isn't reused.
     const bool reusable = m_reader.head().isKeepAlive && !m_reader.head().bodyEndsAtClose
         && m_connection->isOpen() && m_connection->unsentBytes() == 0 && !hasMoreBytes;
-    TargetResponseEvents *events = takeEvents();
+    TargetResponseEvents *events = std::exchange(m_events, nullptr);
     if (hasMoreBytes)
         m_owner.onUnexpectedResponse(*this);
     if (reusable) {
@@ -164,7 +154,7 @@
     const bool isWhole = m_events && !m_isUnexpected && m_headReported
         && end == CloseReason::PeerClosed && m_reader.finish().has_value();
     if (isWhole) {
-        TargetResponseEvents *events = takeEvents();
+        TargetResponseEvents *events = std::exchange(m_events, nullptr);
         m_owner.onChannelClosed(*this);
         events->onResponseComplete();
         return;
@@ -175,7 +165,7 @@
 void TargetChannel::fail(ChannelFailure failure)
 {
     m_loop.cancel(m_connectTimer);
-    TargetResponseEvents *events = takeEvents();
+    TargetResponseEvents *events = std::exchange(m_events, nullptr);
     m_owner.onChannelClosed(*this);
     if (events)
         events->onResponseFailed(failure);
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
@@ -88,19 +88,15 @@
     void completeResponse(bool hasMoreBytes);
     void fail(ChannelFailure failure);
     void resetResponse();
-    /** Hands the events over, as the request has ended. */
-    TargetResponseEvents *takeEvents();
 
     EventLoop &m_loop;
     const WireProtocol &m_protocol;
     TargetChannelOwner &m_owner;
-    TargetConnector &m_connector;
     const TargetEntry m_target;
     TargetResponseEvents *m_events = nullptr;
     RequestKey m_request;
     bool m_isHeadResponse = false;
     bool m_connected = false;
-    bool m_isAwaitingAnswer = false;
     bool m_headReported = false;
     bool m_isUnexpected = false;
     unsigned m_unexpectedResponses = 0;
--- a/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
@@ -122,8 +122,6 @@
     /** The request head for a target: hop-by-hop and reserved headers are replaced. */
     virtual RequestHead targetRequest(const RequestHead &fromCaller,
                                       const TargetRequestFields &fields) const = 0;
-    /** A request that a target answers without running it and without taking a slot. */
-    virtual RequestHead targetProbe() const = 0;
     virtual TargetResponseFields targetResponse(const ResponseHead &head) const = 0;
     /** The target's response head as it is forwarded to the caller. */
     virtual ResponseHead callerResponse(const ResponseHead &fromTarget) const = 0;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_silence_retry.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_silence_retry.cpp
@@ -49,15 +49,6 @@
     m_isPlacing = false;
 }
 
-void SilenceRetry::expire()
-{
-    if (m_limit == Duration::zero() || m_isPaused || m_isPlacing || m_backup)
-        return;
-    m_loop.cancel(m_timer);
-    m_timer = 0;
-    onTimer();
-}
-
 void SilenceRetry::startTimer(Duration delay)
 {
     m_loop.cancel(m_timer);
--- a/packages/gateway/apricothook/gateway/internal/apricothook_silence_retry.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_silence_retry.hpp
@@ -43,8 +43,6 @@
     /** The target isn't read for a while, so its silence means nothing. */
     void pause();
     void resume();
-    /** Looks for another target now, as the path to the silent one was found lost. */
-    void expire();
     /** Ends the watch and the search for another target. A backup that was sent stays. */
     void stop();
 
--- a/packages/paths/apricothook/paths/apricothook_connection_probe.cpp
+++ b/packages/paths/apricothook/paths/apricothook_connection_probe.cpp
@@ -4,9 +4,9 @@
 
 namespace Apricothook {
 
-ConnectionProbe::ConnectionProbe(EventLoop &loop, const Endpoint &to, const ProbeSetup &setup,
+ConnectionProbe::ConnectionProbe(EventLoop &loop, const Endpoint &to, const std::string &from,
                                  std::function<void()> changed)
-    : m_request(setup.request), m_changed(std::move(changed)), m_socket(loop, *this, to, setup.from)
+    : m_changed(std::move(changed)), m_socket(loop, *this, to, from)
 {
 }
 
@@ -17,29 +17,21 @@
 
 ProbeResult ConnectionProbe::result() const
 {
-    return m_result;
+    if (m_hasEnded)
+        return ProbeResult::Refused;
+    return m_isConnected ? ProbeResult::Kept : ProbeResult::Silent;
 }
 
 void ConnectionProbe::onConnected()
 {
-    m_socket.send(m_request);
-}
-
-void ConnectionProbe::onData(std::string_view)
-{
-    conclude(ProbeResult::Answered);
+    m_isConnected = true;
+    if (m_changed)
+        m_changed();
 }
 
 void ConnectionProbe::onEnd(CloseReason)
 {
-    conclude(ProbeResult::Refused);
-}
-
-void ConnectionProbe::conclude(ProbeResult result)
-{
-    if (m_result != ProbeResult::Silent)
-        return;
-    m_result = result;
+    m_hasEnded = true;
     if (m_changed)
         m_changed();
 }
--- a/packages/paths/apricothook/paths/apricothook_connection_probe.hpp
+++ b/packages/paths/apricothook/paths/apricothook_connection_probe.hpp
@@ -7,48 +7,35 @@
 
 namespace Apricothook {
 
-/** How this daemon tests a target. */
-struct ProbeSetup
-{
-    /** The address of this VM to connect from. */
-    std::string from;
-    /** A request that a target answers without running anything. */
-    std::string request;
-};
-
-/**
- * A connection that tests whether bytes pass to an address and back. The kernel of a target accepts
- * connections while its process stands still, and a path may carry nothing but handshakes.
- */
+/** A connection that tests whether an address accepts connections and keeps them. */
 class ConnectionProbe : private StreamSocketEvents
 {
 public:
-    /** Time after which a missing answer counts as silence. */
+    /** Time after which an accepted connection counts as kept, and a missing answer as silence. */
     static constexpr std::chrono::milliseconds ProbeTime {150};
 
     /**
-     * `changed` is called when the first byte is received, and when the connection is refused or
-     * ends; it may destroy the probe later.
+     * `changed` is called when the connection is accepted, and when it is refused or ends; it may
+     * destroy the probe later.
      */
-    ConnectionProbe(EventLoop &loop, const Endpoint &to, const ProbeSetup &setup,
+    ConnectionProbe(EventLoop &loop, const Endpoint &to, const std::string &from,
                     std::function<void()> changed = {});
     ~ConnectionProbe() override;
     ConnectionProbe(const ConnectionProbe &) = delete;
     ConnectionProbe &operator=(const ConnectionProbe &) = delete;
 
-    /** Final once it isn't Silent, or ProbeTime has passed. */
+    /** Final once the connection has ended or ProbeTime has passed. */
     ProbeResult result() const;
+    bool hasEnded() const { return m_hasEnded; }
 
 private:
     void onConnected() override;
-    void onData(std::string_view bytes) override;
-    void onEnd(CloseReason end) override;
-
-    void conclude(ProbeResult result);
+    void onData(std::string_view) override { }
+    void onEnd(CloseReason) override;
 
-    const std::string m_request;
     const std::function<void()> m_changed;
-    ProbeResult m_result = ProbeResult::Silent;
+    bool m_isConnected = false;
+    bool m_hasEnded = false;
     StreamSocket m_socket;
 };
 
--- a/packages/paths/apricothook/paths/apricothook_path_monitor.cpp
+++ b/packages/paths/apricothook/paths/apricothook_path_monitor.cpp
@@ -42,19 +42,16 @@
 } // namespace
 
 PathMonitor::PathMonitor(EventLoop &loop, ReachListener &listener, const DataCentreId &dataCentre,
-                         RandomSource &random, LogWriter &log, ProbeSetup probe)
+                         RandomSource &random, LogWriter &log, std::string from)
     : m_loop(loop)
     , m_listener(listener)
     , m_log(log)
-    , m_probe(std::move(probe))
+    , m_from(std::move(from))
     , m_relays(dataCentre, random)
 {
 }
 
-PathMonitor::~PathMonitor()
-{
-    m_loop.cancel(m_quietTimer);
-}
+PathMonitor::~PathMonitor() = default;
 
 std::vector<RelayCandidate> PathMonitor::candidates() const
 {
@@ -73,8 +70,8 @@
     if (state == PathState::Lost)
         return {std::make_unique<UnavailableConnection>(m_loop, events), std::nullopt,
                 ConnectTimeout};
-    return {std::make_unique<StreamSocket>(m_loop, events, target.address, m_probe.from),
-            std::nullopt, ConnectTimeout};
+    return {std::make_unique<StreamSocket>(m_loop, events, target.address, m_from), std::nullopt,
+            ConnectTimeout};
 }
 
 OpeningConnection PathMonitor::openRelayed(const TargetEntry &target, const RequestKey &request,
@@ -85,7 +82,7 @@
     return {std::make_unique<RelayedConnection>(
                 m_loop, events, relay,
                 RelayRequest {RelayService::Connect, target.instance(), target.address, request},
-                m_probe.from, opened),
+                m_from, opened),
             relay, RelayTimeout};
 }
 
@@ -100,47 +97,6 @@
                                [&](const RelayCandidate &one) { return one.address == *relay; });
 }
 
-void PathMonitor::recordSent(const TargetEntry &target, const std::optional<Endpoint> &relay)
-{
-    if (relay)
-        return;
-    m_quiet.recordSent(target, m_loop.now());
-    scheduleQuietCheck();
-}
-
-void PathMonitor::recordReceived(const TargetEntry &target, const std::optional<Endpoint> &relay)
-{
-    if (!relay)
-        m_quiet.recordReceived(target.instance(), m_loop.now());
-}
-
-void PathMonitor::recordEnded(const TargetEntry &target, const std::optional<Endpoint> &relay)
-{
-    if (!relay)
-        m_quiet.recordEnded(target.instance());
-}
-
-void PathMonitor::scheduleQuietCheck()
-{
-    if (m_quietTimer != 0 || m_quiet.isEmpty())
-        return;
-    m_quietTimer = m_loop.after(QuietCheckInterval, [this] {
-        m_quietTimer = 0;
-        testQuietTargets();
-        scheduleQuietCheck();
-    });
-}
-
-void PathMonitor::testQuietTargets()
-{
-    // Once a path is lost, the others are likely to be.
-    const std::size_t most = m_paths.lostCount() > 0 ? PanelSize : 1;
-    for (const TargetEntry &target : m_quiet.takeDue(m_loop.now(), most)) {
-        if (m_paths.state(target.instance()) != PathState::Lost)
-            testIfDue(target);
-    }
-}
-
 void PathMonitor::recordLost(const TargetEntry &target, const std::optional<Endpoint> &relay,
                              AttemptLoss loss)
 {
@@ -163,23 +119,11 @@
         inquire(target);
 }
 
-std::vector<Endpoint> PathMonitor::panelFor(const TargetEntry &target)
-{
-    const std::vector<RelayCandidate> all = candidates();
-    if (m_paths.state(target.instance()) != PathState::Lost)
-        return m_relays.choosePanel(all, PanelSize);
-    const std::optional<Endpoint> relay = m_relays.choose(all, target.dataCentre, m_loop.now());
-    std::vector<Endpoint> panel = m_relays.choosePanel(all, relay ? RetestPanelSize : PanelSize);
-    if (relay && !std::ranges::count(panel, *relay))
-        panel.back() = *relay;
-    return panel;
-}
-
 void PathMonitor::startInquiry(const TargetEntry &target)
 {
     ReachInquirySetup setup {.target = target,
-                             .probe = m_probe,
-                             .panel = panelFor(target),
+                             .from = m_from,
+                             .panel = m_relays.choosePanel(candidates(), PanelSize),
                              .isAlone = !m_peers || m_peers->isAlone()};
     ReachInquiryListener &listener = *this;
     m_inquiries[target.instance()]
@@ -214,7 +158,6 @@
                     .with("silent", evidence.silent)
                     .with("uninformed", evidence.uninformed)
                     .with("losses", losses)
-                    .with("quiet_ms", m_quiet.silence(target.instance(), m_loop.now()))
                     .with("took_ms", conclusion.took));
     recordPath(target, conclusion);
     m_listener.onReachConcluded(target, conclusion, losses);
@@ -238,8 +181,6 @@
                     .with("target", target.id.text())
                     .with("own", std::string(nameOf(conclusion.evidence.own)))
                     .with("reached_by", textOf(conclusion.reachedBy))
-                    .with("quiet_ms", m_quiet.silence(target.instance(), now))
-                    .with("took_ms", conclusion.took)
                     .with("lost_paths", m_paths.lostCount()));
 }
 
@@ -257,7 +198,6 @@
 {
     m_paths.forget(target);
     m_losses.erase(target);
-    m_quiet.forget(target);
     m_inquiries.erase(target);
 }
 
--- a/packages/paths/apricothook/paths/apricothook_path_monitor.hpp
+++ b/packages/paths/apricothook/paths/apricothook_path_monitor.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <apricothook/observe/apricothook_structured_log.hpp>
-#include <apricothook/paths/apricothook_quiet_targets.hpp>
 #include <apricothook/paths/apricothook_reach_inquiry.hpp>
 #include <apricothook/paths/apricothook_relay_selection.hpp>
 #include <apricothook/paths/apricothook_target_connector.hpp>
@@ -37,8 +36,7 @@
  * A failed attempt doesn't tell whether the target or the path is at fault. It starts an inquiry:
  * this daemon connects once more, and if that fails it asks others. If one of them reaches the
  * target, the path is lost, and the paths to all other targets are tested before they are used
- * again. A target that owes an answer and is quiet for a while is tested too. Nothing else is
- * tested and no other daemon is asked while all attempts succeed.
+ * again. Nothing is tested and no other daemon is asked while all attempts succeed.
  */
 class PathMonitor : public TargetConnector, private ReachInquiryListener
 {
@@ -49,13 +47,10 @@
     static constexpr std::chrono::milliseconds RelayTimeout {400};
     /** Daemons that are asked whether they reach a target. */
     static constexpr std::size_t PanelSize = 8;
-    /** The same for a path that is known to be lost, if a daemon is known that reaches targets. */
-    static constexpr std::size_t RetestPanelSize = 3;
-    /** Interval at which quiet targets are looked for; one is tested each time. */
-    static constexpr std::chrono::milliseconds QuietCheckInterval {50};
 
+    /** `from`: address of this VM to connect from. */
     PathMonitor(EventLoop &loop, ReachListener &listener, const DataCentreId &dataCentre,
-                RandomSource &random, LogWriter &log, ProbeSetup probe);
+                RandomSource &random, LogWriter &log, std::string from);
     ~PathMonitor() override;
     PathMonitor(const PathMonitor &) = delete;
     PathMonitor &operator=(const PathMonitor &) = delete;
@@ -66,9 +61,6 @@
     OpeningConnection open(const TargetEntry &target, const RequestKey &request,
                            StreamSocketEvents &events) override;
     bool isUsable(const TargetEntry &target, const std::optional<Endpoint> &relay) const override;
-    void recordSent(const TargetEntry &target, const std::optional<Endpoint> &relay) override;
-    void recordReceived(const TargetEntry &target, const std::optional<Endpoint> &relay) override;
-    void recordEnded(const TargetEntry &target, const std::optional<Endpoint> &relay) override;
 
     /** An attempt failed. `relay`: the daemon that carried it; empty on this daemon's own path. */
     void recordLost(const TargetEntry &target, const std::optional<Endpoint> &relay,
@@ -86,9 +78,6 @@
     void onInquiryFinished(const TargetInstance &target) override;
 
     void startInquiry(const TargetEntry &target);
-    std::vector<Endpoint> panelFor(const TargetEntry &target);
-    void scheduleQuietCheck();
-    void testQuietTargets();
     /** Tests the path if it isn't trusted and hasn't been tested lately. */
     void testIfDue(const TargetEntry &target);
     void recordPath(const TargetEntry &target, const ReachConclusion &conclusion);
@@ -99,11 +88,9 @@
     EventLoop &m_loop;
     ReachListener &m_listener;
     LogWriter &m_log;
-    const ProbeSetup m_probe;
+    const std::string m_from;
     const RelayPeers *m_peers = nullptr;
     TargetPaths m_paths;
-    QuietTargets m_quiet;
-    TimerId m_quietTimer = 0;
     RelaySelection m_relays;
     std::map<TargetInstance, std::unique_ptr<ReachInquiry>> m_inquiries;
     std::map<TargetInstance, unsigned> m_losses;
--- a/packages/paths/apricothook/paths/apricothook_reach_evidence.cpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_evidence.cpp
@@ -5,8 +5,8 @@
 std::string_view nameOf(ProbeResult result)
 {
     switch (result) {
-    case ProbeResult::Answered:
-        return "answered";
+    case ProbeResult::Kept:
+        return "kept";
     case ProbeResult::Refused:
         return "refused";
     case ProbeResult::Silent:
@@ -55,7 +55,7 @@
 
 ReachVerdict verdictOf(const ReachEvidence &evidence)
 {
-    if (evidence.own == ProbeResult::Answered)
+    if (evidence.own == ProbeResult::Kept)
         return ReachVerdict::Here;
     if (evidence.reached > 0)
         return ReachVerdict::Elsewhere;
--- a/packages/paths/apricothook/paths/apricothook_reach_evidence.hpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_evidence.hpp
@@ -8,9 +8,9 @@
 
 /** What a daemon found when it tried to connect to a target. */
 enum class ProbeResult {
-    Answered, ///< Bytes passed both ways.
-    Refused,  ///< The connection was refused, or ended without a byte.
-    Silent,   ///< Nothing was answered.
+    Kept,    ///< The connection was accepted and kept.
+    Refused, ///< It was refused, or ended soon.
+    Silent,  ///< Nothing was answered.
 };
 
 std::string_view nameOf(ProbeResult result);
--- a/packages/paths/apricothook/paths/apricothook_reach_inquiry.hpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_inquiry.hpp
@@ -23,7 +23,8 @@
 struct ReachInquirySetup
 {
     TargetEntry target;
-    ProbeSetup probe;
+    /** The address of this VM to connect from. */
+    std::string from;
     /** Daemons to ask if this one doesn't reach the target. */
     std::vector<Endpoint> panel;
     /** No other daemon exists. */
@@ -54,12 +55,6 @@
 class ReachInquiry
 {
 public:
-    /**
-     * Time for which the own probe may still be answered after another daemon's was: a target that
-     * stood still answers all of them when it goes on.
-     */
-    static constexpr std::chrono::milliseconds OwnAnswerTime {50};
-
     ReachInquiry(EventLoop &loop, ReachInquirySetup setup, ReachInquiryListener &listener);
     ~ReachInquiry();
     ReachInquiry(const ReachInquiry &) = delete;
@@ -70,9 +65,6 @@
     void onProbeChanged();
     void onProbeTime();
     void askOthers();
-    /** All that was asked has answered, or another daemon reaches the target. */
-    void onEnoughKnown();
-    void finish();
     void onAnswer(const Endpoint &relay, RelayOutcome outcome);
     void conclude();
 
@@ -83,8 +75,6 @@
     ReachEvidence m_evidence;
     std::optional<Endpoint> m_reachedBy;
     bool m_isConcluded = false;
-    bool m_isFinished = false;
-    bool m_hasAskedOthers = false;
     std::size_t m_pending = 0;
     TimerId m_timer = 0;
     std::unique_ptr<ConnectionProbe> m_probe;
--- a/packages/paths/apricothook/paths/apricothook_reach_tester.cpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_tester.cpp
@@ -6,8 +6,8 @@
 namespace Apricothook {
 
 ReachTester::ReachTester(EventLoop &loop, const TargetTable &targets, RandomSource &random,
-                         ProbeSetup setup)
-    : m_loop(loop), m_targets(targets), m_random(random), m_setup(std::move(setup))
+                         std::string from)
+    : m_loop(loop), m_targets(targets), m_random(random), m_from(std::move(from))
 {
 }
 
@@ -41,27 +41,24 @@
 std::unique_ptr<ConnectionProbe> ReachTester::makeProbe(const TargetInstance &target,
                                                         const Endpoint &address)
 {
-    return std::make_unique<ConnectionProbe>(m_loop, address, m_setup,
+    return std::make_unique<ConnectionProbe>(m_loop, address, m_from,
                                              [this, target] { onProbeChanged(target); });
 }
 
 void ReachTester::onProbeChanged(const TargetInstance &target)
 {
     const auto found = m_tests.find(target);
-    if (found == m_tests.end() || !found->second.target)
+    if (found == m_tests.end() || !found->second.target || !found->second.target->hasEnded())
         return;
-    const ProbeResult result = found->second.target->result();
     const std::vector<std::unique_ptr<ConnectionProbe>> &others = found->second.others;
     const bool reachesAnother
         = std::ranges::any_of(others, [](const std::unique_ptr<ConnectionProbe> &probe) {
-              return probe->result() == ProbeResult::Answered;
+              return probe->result() == ProbeResult::Kept;
           });
     const bool reachesNone
-        = std::ranges::all_of(others, [](const std::unique_ptr<ConnectionProbe> &probe) {
-              return probe->result() == ProbeResult::Refused;
-          });
-    const bool isRefused = result == ProbeResult::Refused && (reachesAnother || reachesNone);
-    if (result == ProbeResult::Answered || isRefused)
+        = std::ranges::all_of(others, &ConnectionProbe::hasEnded,
+                              [](const auto &probe) -> const ConnectionProbe & { return *probe; });
+    if (reachesAnother || reachesNone)
         concludeAfter(target, Duration::zero());
 }
 
@@ -75,11 +72,11 @@
 RelayOutcome ReachTester::outcomeOf(const Test &test)
 {
     const ProbeResult result = test.target->result();
-    if (result == ProbeResult::Answered)
+    if (result == ProbeResult::Kept)
         return RelayOutcome::Reached;
     const bool reachesOthers
         = std::ranges::any_of(test.others, [](const std::unique_ptr<ConnectionProbe> &probe) {
-              return probe->result() == ProbeResult::Answered;
+              return probe->result() == ProbeResult::Kept;
           });
     // Without any other target nothing could contradict this daemon's own finding.
     if (!reachesOthers && !test.others.empty())
--- a/packages/paths/apricothook/paths/apricothook_reach_tester.hpp
+++ b/packages/paths/apricothook/paths/apricothook_reach_tester.hpp
@@ -25,8 +25,9 @@
 
     using Tested = std::function<void(RelayOutcome outcome)>;
 
+    /** `from`: address of this VM to connect from. */
     ReachTester(EventLoop &loop, const TargetTable &targets, RandomSource &random,
-                ProbeSetup setup);
+                std::string from);
     ~ReachTester();
     ReachTester(const ReachTester &) = delete;
     ReachTester &operator=(const ReachTester &) = delete;
@@ -54,7 +55,7 @@
     EventLoop &m_loop;
     const TargetTable &m_targets;
     RandomSource &m_random;
-    const ProbeSetup m_setup;
+    const std::string m_from;
     std::map<TargetInstance, Test> m_tests;
 };
 
--- a/packages/paths/apricothook/paths/apricothook_relay_server.cpp
+++ b/packages/paths/apricothook/paths/apricothook_relay_server.cpp
@@ -129,7 +129,7 @@
 
     void connect(const TargetEntry &target)
     {
-        m_target = std::make_unique<Target>(*this, target.address, m_server.m_context.probe.from);
+        m_target = std::make_unique<Target>(*this, target.address, m_server.m_context.from);
         startTimer(ConnectionProbe::ProbeTime, [this] {
             m_target->socket.abort();
             answer(RelayOutcome::TargetSilent);
@@ -225,7 +225,7 @@
 
 RelayServer::RelayServer(RelayServerContext context, RandomSource &random)
     : m_context(std::move(context))
-    , m_tester(m_context.loop, m_context.targets, random, m_context.probe)
+    , m_tester(m_context.loop, m_context.targets, random, m_context.from)
 {
 }
 
--- a/packages/paths/apricothook/paths/apricothook_relay_server.hpp
+++ b/packages/paths/apricothook/paths/apricothook_relay_server.hpp
@@ -19,7 +19,8 @@
     const TargetTable &targets;
     const TargetPaths &paths;
     LogWriter &log;
-    ProbeSetup probe;
+    /** Address of this VM to connect from. */
+    std::string from;
 };
 
 /**
--- a/packages/paths/apricothook/paths/apricothook_target_connector.hpp
+++ b/packages/paths/apricothook/paths/apricothook_target_connector.hpp
@@ -30,12 +30,6 @@
     /** Whether an idle connection that took the given way may carry another request. */
     virtual bool isUsable(const TargetEntry &target,
                           const std::optional<Endpoint> &relay) const = 0;
-    /** A request was sent on a connection that took the given way, and an answer is owed. */
-    virtual void recordSent(const TargetEntry &target, const std::optional<Endpoint> &relay) = 0;
-    virtual void recordReceived(const TargetEntry &target, const std::optional<Endpoint> &relay)
-        = 0;
-    /** The answer was received, or isn't waited for. */
-    virtual void recordEnded(const TargetEntry &target, const std::optional<Endpoint> &relay) = 0;
 };
 
 } // namespace Apricothook
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -37,12 +37,8 @@
                 settings.policies, {memberHash(settings.member), settings.peerAddress})
     , m_published(m_loop, m_gateway, adapters.decoder, log)
     , m_peers(m_loop, m_settings, m_incarnation, m_gateway, m_published, random, m_metrics, log)
-    , m_relay({m_loop,
-               m_relayPeers,
-               m_gateway.targets(),
-               m_gateway.paths(),
-               log,
-               {settings.peerAddress.address, writeRequestHead(adapters.wire.targetProbe(), {})}},
+    , m_relay({m_loop, m_relayPeers, m_gateway.targets(), m_gateway.paths(), log,
+               settings.peerAddress.address},
               random)
 {
     m_gateway.setRelayPeers(m_relayPeers);
