Answer requests without a response before the process ends

Symptom: at the end of the grace time, callers of requests that waited for a target, a unit or a permit, or whose target hadn't answered, only saw a closed connection.

Cause: the process ended with requests open.

The serving process itself has no test of this yet.

Why it works: a request that no target received hears 503; one that may have run hears 502, or its target's error, and is cancelled there. A response that has begun ends with the process, as before.

--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -395,6 +395,28 @@
                   hasFirstEvent ? TargetOutcome::Cancelled : TargetOutcome::Lost);
 }
 
+void ForwardedRequest::cancelWithProcess(std::unique_ptr<Attempt> attempt)
+{
+    if (!attempt)
+        return;
+    m_mayHaveRun |= attempt->isSent;
+    cancelAttempt(std::move(attempt), TargetOutcome::Cancelled);
+}
+
+void ForwardedRequest::onProcessEnds()
+{
+    if (m_progress != Progress::Nothing)
+        return;
+    m_failureCause = "process-ends";
+    stopWaiting();
+    cancelWithProcess(m_silence.takeBackup());
+    cancelWithProcess(std::move(m_attempt));
+    if (m_mayHaveRun || m_failedResponse)
+        failRequest();
+    else
+        sendLocalResponse(RequestOutcome::Leaving, HttpStatus::Unavailable, Duration::zero());
+}
+
 void ForwardedRequest::onCallerGone()
 {
     if (m_progress == Progress::Ended)
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -47,6 +47,8 @@
     void onOriginDecided(const StreamOriginDecision &decision);
     /** Fails the attempt if it was sent to an earlier instance of the target. */
     void onTargetRestarted(const TargetInstance &current);
+    /** Answers the caller if there is no response yet. */
+    void onProcessEnds();
     void onCallerGone() override;
     void onCallerDrained() override;
 
@@ -86,6 +88,7 @@
     std::unique_ptr<Attempt> release(const Attempt &attempt);
     /** Cancels an attempt that its request no longer needs or waits for. */
     void cancelAttempt(std::unique_ptr<Attempt> attempt, TargetOutcome outcome);
+    void cancelWithProcess(std::unique_ptr<Attempt> attempt);
     void cancelAtDeadline(std::unique_ptr<Attempt> attempt);
     void cancelForLeftCaller(std::unique_ptr<Attempt> attempt);
 
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -164,11 +164,7 @@
 
 void Gateway::onTargetRestarted(const TargetInstance &current)
 {
-    std::vector<ForwardedRequest *> open;
-    for (const auto &[id, exchange] : m_exchanges)
-        open.push_back(exchange.get());
-    // Requests that end in this loop are destroyed after the current event.
-    for (ForwardedRequest *exchange : open)
+    for (ForwardedRequest *exchange : openExchanges())
         exchange->onTargetRestarted(current);
 }
 
@@ -200,6 +196,20 @@
         connection->closeIfIdle();
 }
 
+void Gateway::endUnansweredRequests()
+{
+    for (ForwardedRequest *exchange : openExchanges())
+        exchange->onProcessEnds();
+}
+
+std::vector<ForwardedRequest *> Gateway::openExchanges() const
+{
+    std::vector<ForwardedRequest *> open;
+    for (const auto &[id, exchange] : m_exchanges)
+        open.push_back(exchange.get());
+    return open;
+}
+
 CallerRequestEvents &Gateway::begin(ReceivedRequest request, CallerResponder &responder)
 {
     const ExchangeId id(++m_lastExchange);
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -51,6 +51,8 @@
     void refuseNewRequests() { m_context.refusesNewRequests = true; }
     /** Stops accepting connections and closes the idle ones. */
     void stopListening();
+    /** Answers all requests that have no response yet, as the process is about to end. */
+    void endUnansweredRequests();
     std::size_t openRequests() const { return m_exchanges.size(); }
     std::size_t callerConnections() const { return m_connections.size(); }
 
@@ -130,6 +132,8 @@
 
     void accept(int descriptor);
     void onTargetRestarted(const TargetInstance &current);
+    /** Requests that end are destroyed after the current event only. */
+    std::vector<ForwardedRequest *> openExchanges() const;
     void connectionClosed(CallerConnection &connection);
     void review();
     CallerBounds callerBounds() const;
--- a/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_caller_tests.cpp
@@ -344,3 +344,28 @@
     CHECK(statusOf(caller) == 503);
     CHECK(fixture.target(0).requests() == 0);
 }
+
+TEST_CASE("a daemon whose time is over answers all requests that have no response")
+{
+    // Their callers would only see a closed connection, and couldn't tell whether they ran.
+    GatewayFixture fixture;
+    RecordingConnection &stream = fixture.connect();
+    stream.socket.send(GatewayFixture::request("stream", "s"));
+    REQUIRE(fixture.waitForTarget(1));
+    fixture.target(0).connection(0).socket.send(streamHead("s") + eventChunk(1));
+    REQUIRE(fixture.runUntil([&] { return stream.has("id: 1"); }));
+    RecordingConnection &sent = fixture.connect();
+    sent.socket.send(GatewayFixture::request("once", "a"));
+    REQUIRE(fixture.waitForTarget(2));
+    RecordingConnection &waiting = fixture.connect();
+    waiting.socket.send(GatewayFixture::request("once", "b"));
+    REQUIRE(fixture.runUntil([&] { return fixture.gateway.openRequests() == 3; }));
+    fixture.gateway.startDraining();
+    fixture.gateway.endUnansweredRequests();
+    fixture.runPendingEvents();
+    CHECK(statusOf(waiting) == 503);
+    CHECK(statusOf(sent) == 502);
+    CHECK_FALSE(stream.end);
+    CHECK(fixture.gateway.openRequests() == 1);
+    CHECK(fixture.target(0).requests() == 2);
+}
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -230,7 +230,9 @@
     }
     m_log.write(
         LogEvent(FleetviewEvent::ProcessStopped).with("open_requests", m_gateway.openRequests()));
-    m_loop.stop();
+    m_gateway.endUnansweredRequests();
+    // The responses that the kernel didn't accept at once are sent meanwhile.
+    m_loop.after(PollInterval, [this] { m_loop.stop(); });
 }
 
 } // namespace Apricothook
