--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -118,6 +118,7 @@
 def ends_by_excuse(fleet) -> dict[str, list]:
     """Requests that ended early, each with the ends of its runs, by what explains it; those of the daemons have no excuse ("")."""
     ends, arrived = defaultdict(list), {arrival.request_id for arrival in fleet.arrivals}
+    executed = {run.request_id for run in fleet.runs}
     for end in fleet.ends:
         ends[end.request_id].append(end)
     found = defaultdict(list)
@@ -125,11 +126,11 @@
         is_error = record.status >= 500 and record.status not in NOT_EXECUTED
         if (record.is_broken or is_error) and not record.abandoned:
             runs = ends[record.request_id]
-            found[excuse(fleet, record, runs, record.request_id in arrived)].append((record, runs))
+            found[excuse(fleet, record, runs, record.request_id in arrived, record.request_id in executed)].append((record, runs))
     return found
 
 
-def excuse(fleet, record, runs, has_arrived: bool) -> str:
+def excuse(fleet, record, runs, has_arrived: bool, has_run: bool) -> str:
     lasted = record.ended - record.sent
     if lasted >= shortest_timeout(fleet, record.sent):
         return "time limit"
@@ -137,7 +138,7 @@
         return "target"
     if is_harmed(fleet, record):
         return "fault"
-    if not has_arrived and was_down(fleet, record):
+    if not has_run and was_down(fleet, record):
         return "target that was down"
     if not has_arrived and not record.status and lasted < CROSSING_SECONDS:
         return "crossed a close"
