Tell callers of the soak that leave at the end of a burst as gone

Trace: the daemon's RequestAnswered has event 30 and status 200; the emulated caller was one of a burst, whose task is cancelled in mid-request when the burst ends, which closes its connection. It was recorded as if the daemon had closed it. A request whose caller's task is cancelled counts as abandoned now, as one that its caller leaves by chance. A request that times out doesn't: that is told outside of its exchange.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -98,6 +98,10 @@
                 self.records.append(record)
                 try:
                     closes = await asyncio.wait_for(self.exchange(record, reader, writer), REQUEST_TIMEOUT_MS / 1000)
+                except asyncio.CancelledError:
+                    # The caller itself leaves, as a burst of callers does at its end.
+                    record.abandoned = True
+                    raise
                 except (http1.Broken, OSError):
                     record.ended = asyncio.get_running_loop().time()
                     await self.take_up(record)
