Tell the parts of prompts in the lines of failed attempts

The logs of the incident couldn't tell what the requests that crashed targets had in common: the list of their prompt's parts was forwarded unread. It is read now, all but the last part, and AttemptFailed names them.

No decision uses them yet.

--- a/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_wire_protocol.hpp
@@ -9,9 +9,15 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Apricothook {
 
+/** Parts of a prompt that are read of one request; further ones are ignored. */
+constexpr std::size_t MaximumPromptParts = 8;
+/** Longest name of a part of a prompt. */
+constexpr std::size_t MaximumPromptPartBytes = 64;
+
 /** The fields of a caller's request, independent of the header names. */
 struct RequestFields
 {
@@ -29,6 +35,11 @@
     std::uint64_t expectedOutputTokens = 0;
     /** Prompt and output tokens together, if stated. */
     std::optional<std::uint64_t> totalTokens;
+    /**
+     * The parts of the prompt that other requests may have in common with this one, in order: all
+     * but the last. At most MaximumPromptParts; empty if they aren't stated or the list is invalid.
+     */
+    std::vector<PromptPartId> promptParts;
     /** The last event of the stream that the caller has received. */
     std::optional<std::uint64_t> lastEventId;
     /** The caller's attempt that brought the first event of the stream; empty if not stated. */
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.cpp
@@ -10,6 +10,15 @@
     return relay ? relay->text() : std::string();
 }
 
+/** Comma-separated; for the log. */
+std::string namesOf(const std::vector<PromptPartId> &parts)
+{
+    std::string names;
+    for (const PromptPartId &part : parts)
+        names += (names.empty() ? "" : ",") + part.text();
+    return names;
+}
+
 void addTargetUnit(LogEvent &line, const LimitDecision &unit, const TargetLimit *limit, Instant now)
 {
     line.with("limit_per_s", limit ? limit->perSecond().value_or(0) : 0)
@@ -78,6 +87,7 @@
                             .with("backup", isBackup)
                             .with("may_have_run", m_state.mayHaveRun)
                             .with("suspect", std::to_string(suspectHash(m_state.fingerprint)))
+                            .with("prompt_parts", namesOf(m_state.request.fields.promptParts))
                             .with("trial", m_state.isTrial)
                             .with("took_ms", m_context.loop.now() - attempt.started));
 }
--- a/packages/gateway/tests/apricothook_test_protocol.cpp
+++ b/packages/gateway/tests/apricothook_test_protocol.cpp
@@ -1,5 +1,6 @@
 #include <apricothook_test_protocol.hpp>
 
+#include <sstream>
 #include <string>
 
 namespace Apricothook {
@@ -27,6 +28,9 @@
     if (const auto last = head.headers.find("Last"))
         request.lastEventId = std::stoul(std::string(*last));
     request.resumes = RequestKey(valueOf(head.headers, "Resumes"));
+    std::stringstream parts(valueOf(head.headers, "Parts"));
+    for (std::string part; std::getline(parts, part, ',');)
+        request.promptParts.emplace_back(part);
     return request;
 }
 
--- a/packages/model/apricothook/model/apricothook_identifiers.hpp
+++ b/packages/model/apricothook/model/apricothook_identifiers.hpp
@@ -57,6 +57,8 @@
 using Generation = Number<struct GenerationKind>;
 /** Hash of a prompt up to the end of a block; see docs/ENGINE-PROTOCOL.md. */
 using PrefixHash = Number<struct PrefixHashKind>;
+/** Part of a prompt that several requests may have in common, as named by callers. */
+using PromptPartId = Name<struct PromptPartIdKind>;
 /** Hash of customer, service, path and body; identifies resends of a request. */
 using Fingerprint = Number<struct FingerprintKind>;
 /** Number of an HTTP exchange with a caller; unique within the process of the entry daemon. */
