Show that requests with a part in common crash targets one after the other

The soak checks both rules: late sends with a part that crashes targets, and how often requests that share its key or first part begin at once. Its requests name parts of their prompts, and its resets are resets now: abort() of asyncio ends a connection in good order unless something is left to read, so what targets and links reset was never reset. The end of an emulated target's process still closes in order every other time.

--- a/packages/dispatch/tests/apricothook_emulated_suspects.cpp
+++ b/packages/dispatch/tests/apricothook_emulated_suspects.cpp
@@ -18,11 +18,6 @@
 constexpr std::chrono::milliseconds ReviewInterval {200};
 constexpr std::chrono::milliseconds ShortestRestart {30};
 
-std::uint64_t requestHash(std::uint64_t request)
-{
-    return hashOf("request", request);
-}
-
 /** The service of all targets. */
 const ServiceId &service()
 {
@@ -138,6 +133,34 @@
     return m_lastRequest;
 }
 
+std::uint64_t EmulatedSuspects::addFresh(double perSecond, const std::vector<std::uint64_t> &parts)
+{
+    const std::uint64_t request = addRequest(perSecond, false);
+    m_requests[request].isFresh = true;
+    m_requests[request].parts = parts;
+    return request;
+}
+
+void EmulatedSuspects::setCrashingPart(std::uint64_t part, bool crashes)
+{
+    if (crashes)
+        m_crashingParts.insert(part);
+    else
+        m_crashingParts.erase(part);
+}
+
+std::uint64_t EmulatedSuspects::contentOf(std::uint64_t number, const Request &request)
+{
+    return request.isFresh ? hashOf("arrival", ++m_lastArrival) : hashOf("request", number);
+}
+
+bool EmulatedSuspects::crashesTargets(const Request &request) const
+{
+    return request.isCrashing || std::ranges::any_of(request.parts, [&](std::uint64_t part) {
+               return m_crashingParts.contains(part);
+           });
+}
+
 void EmulatedSuspects::setCrashing(std::uint64_t request, bool crashes)
 {
     m_requests[request].isCrashing = crashes;
@@ -239,7 +262,7 @@
         for (request.due += request.perSecond / 1000; request.due >= 1; --request.due) {
             const std::size_t daemon = m_fleet.random.next() % m_daemons.size();
             if (m_daemons[daemon]->isAlive && !m_daemons[daemon]->isFrozen)
-                handle(daemon, {number, 0, {}});
+                handle(daemon, {number, contentOf(number, request), 0, {}});
         }
     }
 }
@@ -247,7 +270,7 @@
 void EmulatedSuspects::handle(std::size_t daemon, const Attempt &attempt)
 {
     Daemon &node = *m_daemons[daemon];
-    const std::uint64_t request = requestHash(attempt.request);
+    const std::uint64_t request = attempt.content;
     const TrialDecision suspicion = node.announcer.decide(request, now());
     switch (suspicion.verdict) {
     case TrialVerdict::Clear:
@@ -281,7 +304,7 @@
                                      const LimitDecision &decision)
 {
     Daemon &node = *m_daemons[daemon];
-    const std::uint64_t request = requestHash(attempt.request);
+    const std::uint64_t request = attempt.content;
     const TrialDecision suspicion = node.announcer.decide(request, now());
     if (decision.isAdmitted && suspicion.verdict != TrialVerdict::MayBeTried)
         m_fleet.limits(daemon).giveBack(request, 1, now());
@@ -301,7 +324,7 @@
     const ExchangeId exchange(m_fleet.random.next());
     node.awaitingPermit.emplace(exchange, attempt);
     const std::optional<PermitDecision> decision
-        = node.permits.acquire(exchange, requestHash(attempt.request), RunTime, now());
+        = node.permits.acquire(exchange, attempt.content, RunTime, now());
     if (!decision)
         return;
     node.awaitingPermit.erase(exchange);
@@ -312,7 +335,7 @@
                                        const PermitDecision &decision)
 {
     Daemon &node = *m_daemons[daemon];
-    TrialDecision suspicion = node.announcer.decide(requestHash(attempt.request), now());
+    TrialDecision suspicion = node.announcer.decide(attempt.content, now());
     const bool isClear = suspicion.verdict == TrialVerdict::Clear;
     if (decision.outcome == PermitOutcome::Granted && isClear) {
         send(daemon, attempt, {std::nullopt, decision.permit});
@@ -350,7 +373,7 @@
                                 const Permission &permission)
 {
     Daemon &node = *m_daemons[daemon];
-    const std::uint64_t request = requestHash(attempt.request);
+    const std::uint64_t request = attempt.content;
     if (permission.trial) {
         node.announcer.withdrawTrial(request, *permission.trial, now());
         m_fleet.limits(daemon).giveBack(request, 1, now());
@@ -379,9 +402,9 @@
         = !node.isCutOff && (!node.reunited || now() - *node.reunited > ReunionTime);
     if (isInTouch)
         request.arrived.push_back(now());
-    m_runs.push_back({now() + RunTime, attempt.request, daemon, m_daemons[daemon]->incarnation,
-                      target, m_targets[target].instance, now(), permission.trial,
-                      permission.permit, attempt.attempts + 1});
+    m_runs.push_back({now() + RunTime, attempt.request, attempt.content, daemon,
+                      m_daemons[daemon]->incarnation, target, m_targets[target].instance, now(),
+                      permission.trial, permission.permit, attempt.attempts + 1});
 }
 
 void EmulatedSuspects::endRuns()
@@ -398,7 +421,7 @@
         Request &request = m_requests[run.request];
         if (isLost)
             continue;
-        if (request.isCrashing) {
+        if (crashesTargets(request)) {
             request.crashed.push_back(now());
             m_runs.push_back(run);
             crash(run.target);
@@ -410,7 +433,7 @@
         request.answered.push_back(now());
         if (run.permit)
             node.permits.report(*run.permit, PermitUse::Sound, run.instance, now());
-        node.announcer.recordAnswer(requestHash(run.request), run.sent, now());
+        node.announcer.recordAnswer(run.content, run.sent, now());
     }
 }
 
@@ -439,7 +462,8 @@
             node.permits.report(*run.permit, PermitUse::Lost, run.instance, now());
         // The daemon sends it again before it knows why it was lost.
         if (!run.trial && run.attempts < MaximumAttempts)
-            m_held.push({now(), run.daemon, run.incarnation, {run.request, run.attempts, {}}});
+            m_held.push(
+                {now(), run.daemon, run.incarnation, {run.request, run.content, run.attempts, {}}});
     }
 }
 
@@ -462,7 +486,7 @@
             deferred.push_back(notice);
             continue;
         }
-        const std::uint64_t request = requestHash(notice.run.request);
+        const std::uint64_t request = notice.run.content;
         node.losses.recordLoss(service(), now());
         node.announcer.recordCrash(request, notice.run.instance, notice.crashed, now());
         node.permits.conclude(request, notice.run.instance, true, notice.crashed, now());
@@ -478,13 +502,24 @@
 
 std::size_t EmulatedSuspects::mostSendsAfterThirdCrash(std::uint64_t request, Duration spread) const
 {
-    constexpr std::size_t Third = 2;
+    constexpr std::size_t Third = 3;
+    return sendsAfterCrash(request, Third, spread);
+}
+
+Instant EmulatedSuspects::crashTime(std::uint64_t request, std::size_t crash) const
+{
+    return m_requests.at(request).crashed.at(crash - 1);
+}
+
+std::size_t EmulatedSuspects::sendsAfterCrash(std::uint64_t request, std::size_t crash,
+                                              Duration spread) const
+{
     const Request &one = m_requests.at(request);
-    if (one.crashed.size() <= Third)
+    if (one.crashed.size() < crash)
         return 0;
     std::vector<Instant> late;
     std::ranges::copy_if(one.arrived, std::back_inserter(late),
-                         [&](Instant at) { return at > one.crashed[Third] + spread; });
+                         [&](Instant at) { return at > one.crashed[crash - 1] + spread; });
     std::size_t most = 0;
     for (std::size_t first = 0, last = 0; last < late.size(); ++last) {
         while (late[last] - late[first] >= SuspectRequests::TrialWindow)
--- a/packages/dispatch/tests/apricothook_emulated_suspects.hpp
+++ b/packages/dispatch/tests/apricothook_emulated_suspects.hpp
@@ -40,6 +40,10 @@
     std::uint64_t addCrashing(double perSecond) { return addRequest(perSecond, true); }
     /** A new request that is answered, and is repeated by callers from now on. */
     std::uint64_t addHarmless(double perSecond) { return addRequest(perSecond, false); }
+    /** Requests that are all different and name the parts of their prompts, from now on. */
+    std::uint64_t addFresh(double perSecond, const std::vector<std::uint64_t> &parts);
+    /** From now on requests with the part crash their targets, or no longer do. */
+    void setCrashingPart(std::uint64_t part, bool crashes);
     /** From now on the request crashes its targets, or no longer does. */
     void setCrashing(std::uint64_t request, bool crashes);
     void stopCallers(std::uint64_t request) { m_requests[request].perSecond = 0; }
@@ -63,6 +67,10 @@
      * ReunionTime don't count.
      */
     std::size_t mostSendsAfterThirdCrash(std::uint64_t request, Duration spread) const;
+    /** The same for all sends more than `spread` after the crash of the given number, from one. */
+    std::size_t sendsAfterCrash(std::uint64_t request, std::size_t crash, Duration spread) const;
+    /** When the crash of the given number, from one, happened. */
+    Instant crashTime(std::uint64_t request, std::size_t crash) const;
     /** Sends of the request that reached a target since the given time. */
     std::size_t sendsSince(std::uint64_t request, Instant time) const;
     /** Outcomes of the request since the given time. */
@@ -79,6 +87,9 @@
     {
         double perSecond = 0;
         bool isCrashing = false;
+        /** Each arrival has content of its own. */
+        bool isFresh = false;
+        std::vector<std::uint64_t> parts;
         double due = 0;
         std::vector<Instant> crashed;
         std::vector<Instant> arrived;
@@ -96,6 +107,7 @@
     {
         Instant ends {};
         std::uint64_t request = 0;
+        std::uint64_t content = 0;
         std::size_t daemon = 0;
         std::uint64_t incarnation = 0;
         std::size_t target = 0;
@@ -117,6 +129,8 @@
     struct Attempt
     {
         std::uint64_t request = 0;
+        /** Hash of what is equal in all its repetitions. */
+        std::uint64_t content = 0;
         unsigned attempts = 0;
         Duration held {};
     };
@@ -154,6 +168,8 @@
     void crash(std::size_t target);
     void releaseHeld();
     void noticeCrashes();
+    std::uint64_t contentOf(std::uint64_t number, const Request &request);
+    bool crashesTargets(const Request &request) const;
     bool isActive(std::size_t daemon, std::uint64_t incarnation) const;
     double uniform();
 
@@ -169,6 +185,8 @@
     Duration m_longestRestart = std::chrono::seconds(3);
     std::uint64_t m_lastInstance = 0;
     std::uint64_t m_lastRequest = 0;
+    std::uint64_t m_lastArrival = 0;
+    std::set<std::uint64_t> m_crashingParts;
     Instant m_lastReview {};
 };
 
--- a/packages/gateway/tests/apricothook_gateway_crash_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_crash_tests.cpp
@@ -124,19 +124,27 @@
     explicit TrialFixture(std::size_t targets = 4) : GatewayFixture(targets) { }
 
     /** Sends the request and returns the target that receives it. */
-    ScriptedTarget &sendToTarget(const std::string &route, const std::string &id)
+    ScriptedTarget &sendToTarget(const std::string &route, const std::string &id,
+                                 const std::string &body = "poison", const std::string &parts = {})
     {
         std::vector<std::size_t> before;
         for (const std::unique_ptr<ScriptedTarget> &each : targets)
             before.push_back(each->requests());
         const std::size_t all = received();
-        connect().socket.send(request(route, id, "poison"));
+        connect().socket.send(requestWithParts(route, id, body, parts));
         REQUIRE(runUntil([&] { return received() > all; }));
         std::size_t index = 0;
         while (targets[index]->requests() == before[index])
             ++index;
         return *targets[index];
     }
+    /** `parts`: shared parts of the prompt, comma-separated. */
+    static std::string requestWithParts(const std::string &route, const std::string &id,
+                                        const std::string &body, const std::string &parts)
+    {
+        std::string text = request(route, id, body);
+        return parts.empty() ? text : text.insert(text.find("Id: "), "Parts: " + parts + "\r\n");
+    }
     std::size_t received() const
     {
         std::size_t sum = 0;
@@ -341,3 +349,61 @@
     CHECK(queued.has("HTTP/1.1 503 "));
     CHECK(fixture.target(0).requests() == Slots);
 }
+
+namespace {
+
+/** Requests with bodies of their own and shared parts of their prompts. */
+struct PartFixture : TrialFixture
+{
+    PartFixture() : TrialFixture(8) { }
+
+    ScriptedTarget &sendPart(const std::string &id, const std::string &parts)
+    {
+        return sendToTarget("once", id, "body " + id, parts);
+    }
+    /** Sends requests with the parts until two targets have crashed while running them. */
+    void makePartSuspect(const std::string &parts)
+    {
+        for (const std::string id : {"a", "b"})
+            crash(sendPart(id, parts));
+    }
+    RecordingConnection &sendRefused(const std::string &id, const std::string &parts)
+    {
+        RecordingConnection &caller = connect();
+        caller.socket.send(requestWithParts("once", id, "body " + id, parts));
+        runPendingEvents();
+        return caller;
+    }
+};
+
+} // namespace
+
+TEST_CASE("different requests that share a part of their prompts and crash targets are stopped")
+{
+    // Guards against a suspicion that knows whole requests only, while no two of them are alike.
+    PartFixture fixture;
+    fixture.makePartSuspect("common,bad");
+    for (const std::string id : {"c", "d"}) {
+        fixture.crash(fixture.sendPart(id, "common,bad"));
+        fixture.advance(std::chrono::seconds(5));
+    }
+    CHECK(fixture.log.count(GatewayEvent::TrialDecided) == 2);
+    const std::size_t received = fixture.received();
+    const RecordingConnection &refused = fixture.sendRefused("e", "common,bad");
+    CHECK(refused.has("HTTP/1.1 503 "));
+    CHECK(refused.has("Retry-After: "));
+    CHECK(fixture.received() == received);
+}
+
+TEST_CASE("a request that shares other parts with those that crash targets is served")
+{
+    // Guards against blame for what all requests have in common.
+    PartFixture fixture;
+    fixture.makePartSuspect("common,bad");
+    for (const std::string id : {"c", "d"}) {
+        ScriptedTarget &target = fixture.sendPart(id, "common,good");
+        target.connections.back()->socket.send(signedResponse(id, "fine"));
+        fixture.runPendingEvents();
+    }
+    CHECK(fixture.received() == 4);
+}
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -14,6 +14,8 @@
 REQUEST_TIMEOUT_MS = 5000
 KINDS = {"unsafe": "/u/p/", "safe": "/i/p/", "resumable": "/r/s/", "single": "/n/s/"}
 ABANDON_PROBABILITY = 0.04
+# Numbers of values of the parts of a prompt that requests have in common; a last part is the request's own.
+PART_VALUES = (3, 6, 12)
 # Attempts at one stream beyond the first, and the wait before one if the daemon named none.
 MOST_RESUMPTIONS, RESUMPTION_PAUSE = 3, 0.05
 
@@ -40,6 +42,8 @@
     resumes: str = ""
     last_event: int = 0
     retry_after: float = 0.0
+    # Ids of the parts of the prompt.
+    parts: tuple[str, ...] = ()
     # Whether the connection ended before the whole answer had come, and not by the caller.
     is_broken: bool = False
 
@@ -62,6 +66,8 @@
     random: random.Random
     records: list[RequestRecord] = field(default_factory=list)
     stopping: bool = False
+    # Draws the parts of prompts, so that a seed keeps its other draws.
+    part_random: random.Random = field(default_factory=lambda: random.Random(0))
     # Mean pause between requests on a connection that is used until it ends; None if callers close theirs after a few.
     reuse_pause: float | None = None
 
@@ -128,7 +134,7 @@
                 reader, writer = await asyncio.wait_for(asyncio.open_connection(*link), 1)
             except (http1.Broken, OSError, TimeoutError, IndexError):
                 continue
-            record = replace(self.new_record(daemon), kind=broken.kind, line=broken.line, key=broken.key, body=broken.body,
+            record = replace(self.new_record(daemon), kind=broken.kind, line=broken.line, key=broken.key, body=broken.body, parts=broken.parts,
                              resumes=broken.stream_id, last_event=broken.events())
             self.records.append(record)
             try:
@@ -160,13 +166,31 @@
             except (http1.Broken, OSError, TimeoutError, IndexError):
                 continue
 
+    async def send_with_part(self, part: str, place: int) -> None:
+        """Sends a new request whose prompt has the part at the place."""
+        try:
+            daemon, link = self.links[self.random.choice(await asyncio.wait_for(self.resolve(), 1))]
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(*link), 1)
+            record = self.new_record(daemon)
+            record.parts = (*record.parts[:place], part, *record.parts[place + 1:])
+            record.is_repeated = True
+            self.records.append(record)
+            try:
+                await asyncio.wait_for(self.exchange(record, reader, writer), REQUEST_TIMEOUT_MS / 1000)
+            finally:
+                record.ended = asyncio.get_running_loop().time()
+                writer.close()
+        except (http1.Broken, OSError, TimeoutError, IndexError):
+            pass
+
     def new_record(self, daemon: int) -> RequestRecord:
         kind = self.random.choice(list(KINDS))
         request_id = f"{self.random.getrandbits(64):016x}"
         body = self.random.randbytes(self.random.choice((0, 40, 3000)))
         line = f"POST {KINDS[kind]}{self.random.randint(1, 9)} HTTP/1.1"
         now = asyncio.get_running_loop().time()
-        return RequestRecord(request_id, kind, line, body, self.random.choice(self.keys), daemon, now)
+        parts = (*(f"{level:x}{self.part_random.randrange(values):x}" for level, values in enumerate(PART_VALUES, 10)), request_id)
+        return RequestRecord(request_id, kind, line, body, self.random.choice(self.keys), daemon, now, parts=parts)
 
     async def exchange(self, record: RequestRecord, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         try:
@@ -179,7 +203,8 @@
         taken_up = {"Resumes": record.resumes, "Last-Event-Id": str(record.last_event)} if record.resumes else {}
         writer.write(http1.message(record.line, {
             "Host": HOST, "Request-Id": record.request_id, "Request-Deadline": str(REQUEST_TIMEOUT_MS),
-            "Authorization": f"Bearer {record.key}", "Token-Counts": "100,150", **taken_up}, record.body))
+            "Authorization": f"Bearer {record.key}", "Token-Counts": "100,150",
+            "Prompt-Prefix": ",".join(f"{part}:25" for part in record.parts), **taken_up}, record.body))
         if self.random.random() < ABANDON_PROBABILITY:
             await asyncio.sleep(self.random.uniform(0, 0.3))
             record.abandoned = True
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -4,6 +4,7 @@
 import random
 import signal
 
+import callers
 import daemons
 import links
 import store
@@ -36,6 +37,12 @@
 BRITTLE_SECONDS = (8.0, 12.0)
 BURST_CALLERS, BURST_CALLER_PAUSE = 60, 0.1
 MOST_CRASHING_REQUESTS = 3
+# Requests per second with a part that crashes targets, and for how long they come.
+PART_RATES = (1, 5, 12, 20)
+PART_SECONDS = (16.0, 20.0)
+MOST_CRASHING_PARTS = 2
+# Requests before the first crash show how often they begin at once.
+CALM_SECONDS = 4.0
 
 
 class Faults:
@@ -55,7 +62,7 @@
                       self.mute_target, self.replace_target, self.change_configuration, self.revoke_key, self.evacuate,
                       self.fail_service, self.kill_in_series, self.freeze_others]
         # Only when named explicitly, so that a seed keeps its faults; the first one crashes most targets.
-        self.opt_in_kinds = [self.crashing_request, self.resize_configuration, self.silence_store, self.replace_key,
+        self.opt_in_kinds = [self.crashing_request, self.crashing_part, self.resize_configuration, self.silence_store, self.replace_key,
                              self.limit_target, self.cut_daemons, self.cut_zone, self.cut_all_but_one,
                              self.kill_most, self.reset_callers, self.release_target, self.crash_to_next_version,
                              self.cut_from_half, self.cut_in_series, self.cut_silently, self.silence_target, self.brittle_service,
@@ -258,17 +265,41 @@
         # It may have been answered before it begins to crash targets.
         await asyncio.sleep(self.random.choice((0, 1)))
         self.fleet.crashing.add(body)
-        restart_delay = self.random.choice(RESTART_DELAYS)
-        while loop.time() < until + 2 * restart_delay:
+        await self.restart_crashed(until, self.random.choice(RESTART_DELAYS))
+        await asyncio.gather(*sending)
+        self.crashing_requests -= 1
+
+    async def crashing_part(self) -> None:
+        """Requests that are all different share a part of their prompts that crashes targets; these are restarted."""
+        if len(self.fleet.crashing_parts) >= MOST_CRASHING_PARTS:
+            return
+        loop = asyncio.get_running_loop()
+        part, place = f"{self.random.getrandbits(32):08x}", self.random.randrange(len(callers.PART_VALUES))
+        rate, until = self.random.choice(PART_RATES), loop.time() + self.random.uniform(*PART_SECONDS)
+        self.fleet.crashing_parts[part] = self.random.random() < 0.3
+        await asyncio.sleep(max(0.0, self.fleet.started + CALM_SECONDS - loop.time()))
+        self.log.append(f"{loop.time() - self.fleet.started:.2f} part {part} at place {place}, {rate} a second, "
+                        f"after the head: {self.fleet.crashing_parts[part]}")
+        restarting = asyncio.create_task(self.restart_crashed(until, self.random.choice(RESTART_DELAYS)))
+        sending = set()
+        while loop.time() < until:
+            task = asyncio.create_task(self.fleet.callers.send_with_part(part, place))
+            sending.add(task)
+            task.add_done_callback(sending.discard)
+            await asyncio.sleep(self.random.uniform(0, 2 / rate))
+        await asyncio.gather(restarting, *sending)
+
+    async def restart_crashed(self, until: float, delay: float) -> None:
+        """Restarts targets so long after their crash, until a little after `until`."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until + 2 * delay:
             down = [target for target in self.fleet.targets if not target.is_up]
-            await asyncio.sleep(restart_delay)
+            await asyncio.sleep(delay)
             for target in down:
                 if not target.is_up:
                     await self.fleet.remove(target.id)
                     target.start()
                     await self.fleet.announce(target)
-        await asyncio.gather(*sending)
-        self.crashing_requests -= 1
 
     async def mute_target(self) -> None:
         target = self.random.choice(self.fleet.targets)
--- a/tools/soak/http1.py
+++ b/tools/soak/http1.py
@@ -1,6 +1,8 @@
 """Minimal HTTP/1.1 over asyncio streams for the emulated peers: heads, and bodies with a length or in chunks."""
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass, field
 
 
@@ -20,6 +22,14 @@
         return int(self.line.split(" ")[1])
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Resets the connection; a mere abort() ends it in good order unless there is something left to read."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def read_head(reader: asyncio.StreamReader) -> Head:
     try:
         raw = await reader.readuntil(b"\r\n\r\n")
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -6,6 +6,8 @@
 import socket
 import struct
 
+import http1
+
 OPEN, DELAYED, DROPPING, CUT_UPSTREAM, CUT_DOWNSTREAM = "open", "delayed", "silent", "cut there", "cut back"
 FAULT_STATES = (DELAYED, DROPPING, CUT_UPSTREAM, CUT_DOWNSTREAM)
 DELAY_SECONDS = (0.02, 0.3)
@@ -52,7 +54,7 @@
 
     def reset(self) -> None:
         for writer in list(self.writers):
-            writer.transport.abort()
+            http1.reset(writer)
 
     def cut(self, sources: list[str], how: str) -> None:
         """Cuts the sources off until mend() is called for them; see CUTS."""
@@ -69,7 +71,7 @@
     def reset_from(self, sources: list[str]) -> None:
         for writer, source in list(self.accepted.items()):
             if source in sources:
-                writer.transport.abort()
+                http1.reset(writer)
 
     def update_filters(self) -> None:
         hung = [source for source, how in self.cuts.items() if how == HANGS]
@@ -80,7 +82,7 @@
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         source = writer.get_extra_info("peername")[0]
         if source in self.cuts and self.cuts[source] not in SILENT_CUTS:
-            writer.transport.abort()
+            http1.reset(writer)
             return
         self.accepted[writer] = source
         try:
@@ -92,7 +94,7 @@
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(*self.to)
         except OSError:
-            writer.transport.abort()
+            http1.reset(writer)
             return
         self.writers |= {writer, upstream_writer}
         directions = [asyncio.create_task(self.copy(reader, upstream_writer, CUT_UPSTREAM, source)),
@@ -126,7 +128,7 @@
             writer.close()
         except (ConnectionError, OSError, RuntimeError):
             # A reset is forwarded as a reset.
-            writer.transport.abort()
+            http1.reset(writer)
 
     async def wait_while_hung(self, writer: asyncio.StreamWriter) -> None:
         """The filter drops what the source sends; what is sent to it must be held up too."""
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -54,7 +54,7 @@
         self.states[address] = state
         if state == REFUSES:
             for writer in list(self.connections[address]):
-                writer.transport.abort()
+                http1.reset(writer)
 
     def silence(self, address: str) -> None:
         """Silences the open connections of a daemon; new ones work."""
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -23,6 +23,8 @@
 CRASH_PREFIX = b"crash "
 CRASH_AFTER_HEAD_PREFIX = CRASH_PREFIX + b"after head "
 CRASH_DELAY_SECONDS = 0.09
+# Time from the beginning of a run until a part of its prompt crashes the target, and from the head of an answer if it sends one.
+PART_CRASH_SECONDS, PART_CRASH_AFTER_HEAD_SECONDS = (0.05, 0.15), 0.4
 # A brittle target reduces its queue this long after it has begun to say so.
 BRITTLE_NOTICE_SECONDS = 3.0
 
@@ -85,6 +87,15 @@
     at: float
 
 
+@dataclass(frozen=True)
+class PartCrash:
+    """A crash of a target that a part of a prompt caused."""
+
+    part: str
+    target: str
+    at: float
+
+
 @dataclass(frozen=True)
 class Arrival:
     """A request that a target received, whether or not it executed it."""
@@ -123,6 +134,9 @@
         self.crashing, self.crashes = crashing, crashes
         # Ends of runs, and the ids of requests that wait for a slot or run now.
         self.ends, self.held = ends, set()
+        # Parts of prompts that crash the target, and whether after the head of the answer; the crashes that they have caused.
+        self.crashing_parts: dict[str, bool] = {}
+        self.part_crashes: list[PartCrash] = []
         # A paused target reads and writes nothing.
         self.is_paused = False
         # Requests per second that it takes from all daemons together, as named in its answers.
@@ -202,12 +216,16 @@
         self.crashed_ids.add(self.id)
         for request_id in sorted(self.held):
             self.record_end(request_id, BROKEN_OFF)
+        # The end of a process closes its connections in order or resets them.
         for writer in list(self.writers):
-            writer.transport.abort()
+            if self.incarnation % 2:
+                http1.reset(writer)
+            else:
+                writer.transport.abort()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if not self.is_up:
-            writer.transport.abort()
+            http1.reset(writer)
             return
         incarnation = self.incarnation
         self.writers.add(writer)
@@ -240,7 +258,7 @@
         if failure == RESETS:
             self.record_run(head, body, request_id)
             self.record_end(request_id, BROKEN_OFF)
-            writer.transport.abort()
+            http1.reset(writer)
             return
         if failure == FAILS:
             self.record_run(head, body, request_id)
@@ -276,12 +294,32 @@
         while self.is_paused and self.is_up:
             await asyncio.sleep(0.02)
 
+    def write_head(self, writer: asyncio.StreamWriter, request_id: str) -> None:
+        headers = self.headers(request_id, Response_Signature=signature(request_id), Content_Type="text/event-stream",
+                               Transfer_Encoding="chunked")
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+
+    def crashing_part(self, head: http1.Head) -> str:
+        """The part of the request's prompt that crashes targets; empty if there is none."""
+        parts = [part.partition(":")[0] for part in head.headers.get("prompt-prefix", "").split(",")]
+        return next((part for part in parts if part in self.crashing_parts), "")
+
+    async def crash_on_part(self, part: str, writer: asyncio.StreamWriter, request_id: str) -> None:
+        incarnation = self.incarnation
+        if self.crashing_parts[part]:
+            self.write_head(writer, request_id)
+            await asyncio.sleep(PART_CRASH_AFTER_HEAD_SECONDS)
+        else:
+            await asyncio.sleep(self.random.uniform(*PART_CRASH_SECONDS))
+        if self.is_up and incarnation == self.incarnation:
+            self.part_crashes.append(PartCrash(part, self.id, asyncio.get_running_loop().time()))
+            self.crash()
+
     async def crash_during(self, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
         incarnation = self.incarnation
         if body.startswith(CRASH_AFTER_HEAD_PREFIX):
-            headers = self.headers(request_id, Response_Signature=signature(request_id), Transfer_Encoding="chunked")
-            lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-            writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+            self.write_head(writer, request_id)
         await asyncio.sleep(CRASH_DELAY_SECONDS)
         if self.is_up and incarnation == self.incarnation:
             self.crashes.append(Crash(body, self.id, asyncio.get_running_loop().time()))
@@ -300,6 +338,9 @@
         if body in self.crashing:
             await self.crash_during(body, writer, request_id)
             return
+        if part := self.crashing_part(head):
+            await self.crash_on_part(part, writer, request_id)
+            return
         while self.is_unresponsive and self.is_up:
             await asyncio.sleep(0.05)
         if "/s/" not in head.line:
@@ -309,10 +350,7 @@
                                        plain_body(request_id, body)))
             await writer.drain()
             return
-        headers = self.headers(request_id, Response_Signature=signature(request_id), Content_Type="text/event-stream",
-                               Transfer_Encoding="chunked")
-        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+        self.write_head(writer, request_id)
         stream_id, version = head.headers.get("resumes", request_id), self.version
         for number in range(int(head.headers.get("last-event-id", "0")) + 1, EVENTS + 1):
             await asyncio.sleep(GAP_SECONDS)
--- a/tools/soak/test_links.py
+++ b/tools/soak/test_links.py
@@ -30,6 +30,9 @@
     async def drain(self) -> None:
         pass
 
+    def get_extra_info(self, _: str) -> None:
+        return None
+
     def abort(self) -> None:
         self.aborted = True
 
@@ -72,6 +75,22 @@
             link.mend(["127.0.0.2"])
             self.assertTrue(await is_answered("127.0.0.2", port), how)
 
+    async def test_a_reset_of_a_link_is_a_reset_for_its_peers(self):
+        # A connection that merely ends may look like the end of a response without a length.
+        async def answer(reader, writer):
+            await reader.read(100)
+            writer.write(b"part")
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        link = links.Link(("127.0.0.1", 0), server.sockets[0].getsockname())
+        await link.start()
+        reader, writer = await asyncio.open_connection(*link.server.sockets[0].getsockname()[:2])
+        writer.write(b"a")
+        self.assertEqual(await reader.read(4), b"part")
+        link.reset()
+        with self.assertRaises(ConnectionResetError):
+            await reader.read(1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/test_verdict.py
+++ b/tools/soak/test_verdict.py
@@ -31,7 +31,7 @@
 
 
 def findings(records: list, runs: list, **changes) -> list[str]:
-    fleet = SimpleNamespace(callers=SimpleNamespace(records=records), runs=runs, revoked={}, left_at={}, stops=[], evacuations=[], arrivals=[], limits=[], crashes=[], ends=[], timeouts=[], harms=defaultdict(list), cuts=[], brittle_times=[], accusations=[], targets=[], started=0.0,
+    fleet = SimpleNamespace(callers=SimpleNamespace(records=records), runs=runs, revoked={}, left_at={}, stops=[], evacuations=[], arrivals=[], limits=[], crashes=[], ends=[], timeouts=[], harms=defaultdict(list), cuts=[], brittle_times=[], accusations=[], targets=[], crashing_parts={}, part_crashes=[], started=0.0,
                             fault_times=defaultdict(list), keys=["key-a"], recovered_at=0.0)
     vars(fleet).update(changes)
     return [line.split(" ")[0].rstrip(":") for line in verdict.findings(fleet)]
@@ -131,6 +131,30 @@
         fleet = SimpleNamespace(accusations=[(1, "t1"), (2, "t2")], targets=[target])
         self.assertEqual([line.split(",")[0] for line in verdict.check_accusations(fleet)], ["ACCUSED t2 by vm-2"])
 
+    def test_late_sends_with_a_part_that_crashes_targets_are_found(self):
+        def count(late: int, disturbed: bool = False) -> int:
+            records = [request("safe", request_id=f"r{number}", sent=20.0 + number, parts=("a0", "bad", "own")) for number in range(late)]
+            fleet = SimpleNamespace(
+                callers=SimpleNamespace(records=records), crashing_parts={"bad": False}, started=0.0, first_crash=lambda: 1.0,
+                part_crashes=[targets.PartCrash("bad", f"t{number}", 1.0 + number) for number in range(5)],
+                arrivals=[targets.Arrival(record.request_id, "plain", record.sent) for record in records],
+                fault_times=defaultdict(list, {1: [record.sent for record in records]} if disturbed else {}))
+            return len(verdict.check_crashing_parts(fleet))
+
+        self.assertEqual([count(3), count(4), count(4, disturbed=True)], [0, 1, 0])
+
+    def test_requests_that_are_refused_for_a_part_of_others_are_found(self):
+        def found(served_late: int, sent: float = 20.0) -> list[str]:
+            before = [request("safe", sent=-5.0, parts=("a0", "b0", "own")) for _ in range(20)]
+            after = [request("safe", sent=sent, status=200 if number < served_late else 503, parts=("a0", "b0", "own")) for number in range(20)]
+            bad = [request("safe", sent=sent, status=503, parts=("a0", "bad", "own")) for sent in (1.0, 30.0)]
+            fleet = SimpleNamespace(
+                callers=SimpleNamespace(records=before + after + bad), crashing_parts={"bad": False}, started=0.0, first_crash=lambda: 1.0,
+                part_crashes=[targets.PartCrash("bad", "t1", 1.0)], arrivals=[], fault_times=defaultdict(list))
+            return [line.split(":")[0] for line in verdict.check_crashing_parts(fleet)]
+
+        self.assertEqual([found(10), found(9), found(0, sent=3.0), found(0, sent=40.0)], [[], ["LOST"], [], []])
+
     def test_a_second_run_is_found_only_for_requests_that_must_run_once(self):
         for kind, expected in (("unsafe", ["TWICE"]), ("single", ["TWICE"]), ("safe", []), ("resumable", [])):
             record = request(kind)
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -17,6 +17,10 @@
 # Time within which all daemons know a limit that a target has begun to name or has lowered.
 LIMIT_SPREAD_SECONDS = 1.0
 SERVICES = {"/u/": "plain", "/i/": "plain", "/r/": "streams", "/n/": "streams"}
+# Bounds for a part of prompts that crashes targets: sends long after the fifth crash, and how often requests that share a key
+# or first part with it begin at once, against before; from this time after the fifth crash on, if there are so many.
+FIFTH, STABLE_SECONDS, MOST_LATE_SENDS = 4, 3.0, 3
+SHARERS_BOUND, SHARERS_FRACTION, FEWEST_SHARERS = 6.0, 0.5, 20
 NOT_EXECUTED = (408, 421, 429, 503)
 MIN_SERVED_AFTER_RECOVERY = 0.9
 # Crashes of a service's targets while they are brittle: so many, and this fraction of their number.
@@ -51,6 +55,7 @@
     found += check_limits(fleet, sent)
     found += check_retry_budget(fleet)
     found += check_crashing_requests(fleet)
+    found += check_crashing_parts(fleet)
     found += check_versions(fleet)
     found += check_cuts(fleet)
     found += check_falls(fleet)
@@ -285,6 +290,77 @@
             for body, count in late.items() if count > 3]
 
 
+def is_in_touch(fleet, record) -> bool:
+    return all(not record.sent - STABLE_SECONDS <= fault_time <= record.sent + 1 for fault_time in fleet.fault_times[record.daemon])
+
+
+def requests_of(fleet, part: str) -> dict[str, callers.RequestRecord]:
+    return {record.request_id: record for record in fleet.callers.records if part in record.parts}
+
+
+def crash_times(fleet, part: str) -> list[float]:
+    return sorted(crash.at for crash in fleet.part_crashes if crash.part == part)
+
+
+def late_sends(fleet, part: str) -> int:
+    """Arrivals at targets, from daemons in touch, of requests with the part long after its fifth crash."""
+    crashes, requests = crash_times(fleet, part), requests_of(fleet, part)
+    if len(crashes) <= FIFTH:
+        return 0
+    return sum(arrival.at > crashes[FIFTH] + STABLE_SECONDS and is_in_touch(fleet, requests[arrival.request_id])
+               for arrival in fleet.arrivals if arrival.request_id in requests)
+
+
+def begins_at_once(record) -> bool:
+    return record.status == 200 and (record.complete or record.events() > 0)
+
+
+def sharers(fleet, part: str) -> list[list[bool]]:
+    """Whether sound requests with the same key or first part as those with the part began at once: before, early and late."""
+    crashes, requests = crash_times(fleet, part), requests_of(fleet, part).values()
+    if not crashes or not requests:
+        return [[], [], []]
+    kinds, keys, firsts = ({value(record) for record in requests} for value in
+                           (lambda record: record.kind, lambda record: record.key, lambda record: record.parts[0]))
+    ends = max(record.sent for record in requests)
+    settled = crashes[:FIFTH + 1][-1] + SHARERS_BOUND
+    groups: list[list[bool]] = [[], [], []]
+    for record in fleet.callers.records:
+        is_sound = not set(record.parts) & set(fleet.crashing_parts) and not record.abandoned and not record.is_repeated and record.ended
+        shares = record.kind in kinds and (record.key in keys or record.parts[0] in firsts)
+        if not is_sound or not shares or record.resumes or not is_in_touch(fleet, record):
+            continue
+        if record.sent < min(fleet.first_crash(), crashes[0]) - 1:
+            groups[0].append(begins_at_once(record))
+        elif crashes[0] <= record.sent <= ends:
+            groups[1 if record.sent < settled else 2].append(begins_at_once(record))
+    return groups
+
+
+def share(group: list[bool]) -> float:
+    return sum(group) / len(group) if group else inf
+
+
+def part_summaries(fleet) -> list[str]:
+    return [f"part {part}: {len(crash_times(fleet, part))} crashes, {late_sends(fleet, part)} late of {len(requests_of(fleet, part))} requests; "
+            f"sharers begin at once: {', '.join(f'{share(group):.3f} of {len(group)}' for group in sharers(fleet, part))}"
+            for part in fleet.crashing_parts]
+
+
+def check_crashing_parts(fleet) -> list[str]:
+    """A part that crashes targets is stopped, and requests that share the other parts of its requests aren't."""
+    found = []
+    for part in fleet.crashing_parts:
+        late = late_sends(fleet, part)
+        if late > MOST_LATE_SENDS:
+            found.append(f"BUDGET: requests with part {part} reached {late} long after its fifth crash; {len(crash_times(fleet, part))} crashed in all")
+        before, _, after = sharers(fleet, part)
+        if min(len(before), len(after)) >= FEWEST_SHARERS and share(after) < SHARERS_FRACTION * share(before):
+            found.append(f"LOST: of the requests that share a key or first part with part {part} {share(after):.3f} begin at once, "
+                         f"{share(before):.3f} before")
+    return found
+
+
 def streams_of_several_versions(fleet) -> tuple[set[str], set[str]]:
     """Streams with events of targets of several versions: within one answer, and over a caller's attempts only."""
     versions, within = defaultdict(set), set()
