--- a/packages/dispatch/apricothook/dispatch/apricothook_fleet_rate_limiter.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_rate_limiter.hpp
@@ -58,7 +58,7 @@
 /** Units of a limit that a request needs. */
 struct LimitedUnits
 {
-    /** Identifies the limit: customerHash(), targetHash() or suspectHash(). */
+    /** Identifies the limit: customerHash(), targetHash() or traitNumber(). */
     std::uint64_t limit = 0;
     UnitBudget budget;
     UnitDemand demand;
--- a/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
@@ -31,7 +31,7 @@
     LimitPeer sender;
     /** Number of this message at the sender. */
     std::uint64_t requestId = 0;
-    /** Identifies the limit: customerHash(), targetHash() or suspectHash(). */
+    /** Identifies the limit: customerHash(), targetHash() or traitNumber(). */
     std::uint64_t limit = 0;
     /** Units for a request that is waiting for them. */
     std::uint64_t units = 0;
@@ -215,8 +215,7 @@
     auto operator<=>(const TargetFullNotice &) const = default;
 };
 
-/** A crash of a target while it ran a request, or a trial of a request that crashes made suspect.
- */
+/** A crash of a target while it ran requests with a trait, or a trial of the trait. */
 struct CrashNoticeEntry
 {
     /** targetHash() of the crashed instance, or the random number of the trial. */
@@ -226,21 +225,23 @@
     bool isCleared = false;
     /** Milliseconds since the crash, or since the start of the trial. */
     std::uint32_t ageMs = 0;
+    /** customerHash() of the only customer whose requests with the trait were there, or zero. */
+    std::uint64_t origin = 0;
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.id, self.isTrial, self.isCleared, self.ageMs);
+        archive(self.id, self.isTrial, self.isCleared, self.ageMs, self.origin);
     }
     auto operator<=>(const CrashNoticeEntry &) const = default;
 };
 
-/** What the sender knows of a request that was running when targets crashed. */
+/** What the sender knows of a trait whose requests were running when targets crashed. */
 struct CrashNotice
 {
     /** Address of the sender's datagrams, for the reply of a daemon that knows better. */
     Endpoint sender;
-    std::uint64_t request = 0; ///< suspectHash() of the request.
+    std::uint64_t trait = 0; ///< traitNumber() of the trait.
     /** Sent to all daemons. */
     bool isAnnouncement = false;
     std::vector<CrashNoticeEntry> entries;
@@ -248,12 +249,12 @@
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.sender, self.request, self.isAnnouncement, self.entries);
+        archive(self.sender, self.trait, self.isAnnouncement, self.entries);
     }
     auto operator<=>(const CrashNotice &) const = default;
 };
 
-/** Asks a daemon for what it knows of suspect requests; answered with notices and a SuspectReply.
+/** Asks a daemon for what it knows of suspect traits; answered with notices and a SuspectReply.
  */
 struct SuspectQuery
 {
@@ -284,21 +285,29 @@
     auto operator<=>(const SuspectReply &) const = default;
 };
 
-/** Asks for a permit to send a request to one target once; answered with a PermitReply. */
+/**
+ * Asks for a permit to send a request to one target once; answered with a PermitReply. For a trait
+ * that several requests may have, asks whether the receiver knows of more crashes.
+ */
 struct PermitRequest
 {
     /** Address of the sender's datagrams. */
     Endpoint sender;
     /** Identifies the permit across all daemons; a repeated message is granted once. */
     std::uint64_t permit = 0;
-    std::uint64_t request = 0; ///< suspectHash() of the request.
+    std::uint64_t request = 0; ///< contentTrait() of the request, or the shared trait.
     /** Milliseconds after which the sender has reported the use of the permit. */
     std::uint32_t lifetimeMs = 0;
+    /** The trait is that of several requests, whose sends don't exclude each other. */
+    bool isShared = false;
+    /** Crashes under the trait that the sender knows, cleared or not. */
+    std::uint32_t knownCrashes = 0;
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.sender, self.permit, self.request, self.lifetimeMs);
+        archive(self.sender, self.permit, self.request, self.lifetimeMs, self.isShared,
+                self.knownCrashes);
     }
     auto operator<=>(const PermitRequest &) const = default;
 };
@@ -364,7 +373,7 @@
 struct PermitReport
 {
     std::uint64_t permit = 0;
-    std::uint64_t request = 0; ///< suspectHash() of the request.
+    std::uint64_t request = 0; ///< contentTrait() of the request.
     PermitUse use = PermitUse::Unused;
     std::uint64_t instance = 0; ///< targetHash() of the crashed target.
     /** Milliseconds since the crash. */
--- a/packages/dispatch/apricothook/dispatch/apricothook_send_permits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_send_permits.cpp
@@ -67,8 +67,24 @@
 {
     Query query;
     query.exchange = exchange;
-    query.lifetime = lifetime + ReportTime;
-    query.message = {m_self.address, ++m_lastPermit, request, millisecondsOf(query.lifetime)};
+    query.message = {
+        m_self.address, ++m_lastPermit, request, millisecondsOf(lifetime + ReportTime), false, 0};
+    return begin(std::move(query), now);
+}
+
+std::optional<PermitDecision> SendPermits::inquire(ExchangeId exchange, std::uint64_t trait,
+                                                   Instant now)
+{
+    const std::size_t known = m_announcer.traits().knownCrashes(trait);
+    Query query;
+    query.exchange = exchange;
+    query.message
+        = {m_self.address, ++m_lastPermit, trait, 0, true, static_cast<std::uint32_t>(known)};
+    return begin(std::move(query), now);
+}
+
+std::optional<PermitDecision> SendPermits::begin(Query query, Instant now)
+{
     query.since = now;
     std::optional<PermitDecision> decision = proceed(query, now);
     if (!decision)
@@ -79,7 +95,7 @@
 void SendPermits::cancel(ExchangeId exchange)
 {
     for (const Query &query : m_queries) {
-        if (query.exchange != exchange)
+        if (query.exchange != exchange || query.message.isShared)
             continue;
         const PermitReport unused {query.message.permit, query.message.request, PermitUse::Unused,
                                    0, 0};
@@ -133,8 +149,8 @@
 PermitDecision SendPermits::decideHere(const Query &query, PermitSource source, Instant now)
 {
     PermitGrant decided;
-    const bool isDoubtful = source == PermitSource::Alone
-        && m_announcer.requests().crashes(query.message.request) > 0;
+    const bool isDoubtful = source == PermitSource::Alone && !query.message.isShared
+        && m_announcer.traits().crashes(query.message.request) > 0;
     if (isDoubtful)
         decided = {PermitOutcome::Busy, false, AlonePause};
     else
@@ -153,13 +169,20 @@
 {
     if (!m_announcer.isInformed())
         return {PermitOutcome::Busy, false, UninformedPause};
-    if (m_announcer.requests().isSuspect(request.request))
+    if (request.isShared) {
+        const bool knowsMore = m_announcer.traits().crashes(request.request) > request.knownCrashes;
+        return knowsMore ? PermitGrant {PermitOutcome::Suspect, false, UninformedPause}
+                         : PermitGrant {};
+    }
+    if (m_announcer.traits().isSuspect(request.request))
         return {PermitOutcome::Suspect, false, UninformedPause};
     return m_issuer.grant(request, now);
 }
 
 void SendPermits::hold(const Query &query, const std::optional<Endpoint> &issuer, Instant now)
 {
+    if (query.message.isShared)
+        return;
     m_held[query.message.permit] = {query.message.request, issuer, now, 0, {}};
 }
 
@@ -243,7 +266,7 @@
         return;
     const PermitReport unused {reply.permit, query.message.request, PermitUse::Unused, 0, 0};
     for (const LimitPeer &other : query.asked) {
-        if (other.member != reply.member)
+        if (other.member != reply.member && !query.message.isShared)
             m_messenger.send(other.address, unused);
     }
     if (reply.outcome == PermitOutcome::Granted)
--- a/packages/dispatch/apricothook/dispatch/apricothook_send_permits.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_send_permits.hpp
@@ -74,7 +74,7 @@
     SendPermits(LimitPeer self, LimitMessenger &messenger, RandomSource &random,
                 PermitListener &listener, SuspectAnnouncer &announcer);
 
-    /** Whether the request needs a permit in a service that last lost a target at `lastLoss`. */
+    /** Whether the content needs a permit in a service that last lost a target at `lastLoss`. */
     bool isNeeded(std::uint64_t request, Instant lastLoss) const;
     /**
      * Asks for a permit to send the request, which ends after `lifetime` at the latest. Returns the
@@ -82,6 +82,11 @@
      */
     std::optional<PermitDecision> acquire(ExchangeId exchange, std::uint64_t request,
                                           Duration lifetime, Instant now);
+    /**
+     * Asks the daemon that hears first of crashes under the trait, which several requests may have,
+     * whether it knows of more than this one. Such a permit is granted or refused, but not held.
+     */
+    std::optional<PermitDecision> inquire(ExchangeId exchange, std::uint64_t trait, Instant now);
     void cancel(ExchangeId exchange);
     /** Reports the use of a granted permit; `instance`: targetHash() of the target. */
     void report(std::uint64_t permit, PermitUse use, std::uint64_t instance, Instant now);
@@ -109,7 +114,6 @@
     {
         ExchangeId exchange;
         PermitRequest message;
-        Duration lifetime {};
         std::vector<LimitPeer> asked;
         Instant since {};
         Instant sent {};
@@ -126,6 +130,7 @@
         Instant lost {};
     };
 
+    std::optional<PermitDecision> begin(Query query, Instant now);
     bool isSilent(std::uint64_t member, Instant now) const;
     bool hearsNobody(Instant now) const;
     std::optional<LimitPeer> nextIssuer(const Query &query, Instant now) const;
--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.cpp
@@ -22,61 +22,61 @@
 {
 }
 
-void SuspectAnnouncer::recordCrash(std::uint64_t request, std::uint64_t instance, Instant crashed,
-                                   Instant now)
+void SuspectAnnouncer::recordCrash(std::uint64_t trait, std::uint64_t instance, Instant crashed,
+                                   Instant now, std::uint64_t origin)
 {
-    if (!m_requests.recordCrash(request, instance, crashed))
+    if (!m_traits.recordCrash(trait, instance, crashed, origin))
         return;
-    report(request, now, true);
-    spreadChange(request, m_requests.isSuspect(request), now);
+    report(trait, now, true);
+    spreadChange(trait, m_traits.isSuspect(trait), now);
 }
 
-std::uint64_t SuspectAnnouncer::startTrial(std::uint64_t request, Instant now)
+std::uint64_t SuspectAnnouncer::startTrial(std::uint64_t trait, Instant now)
 {
     const std::uint64_t trial = m_random.next();
-    m_requests.startTrial(request, trial, now);
-    report(request, now, true);
-    spread(request, m_requests.isSuspect(request), TrialRepetitions, now);
+    m_traits.startTrial(trait, trial, now);
+    report(trait, now, true);
+    spread(trait, m_traits.isSuspect(trait), TrialRepetitions, now);
     return trial;
 }
 
-void SuspectAnnouncer::withdrawTrial(std::uint64_t request, std::uint64_t trial, Instant now)
+void SuspectAnnouncer::withdrawTrial(std::uint64_t trait, std::uint64_t trial, Instant now)
 {
-    m_requests.withdrawTrial(request, trial, now);
-    report(request, now, true);
-    spreadChange(request, m_requests.isSuspect(request), now);
+    m_traits.withdrawTrial(trait, trial, now);
+    report(trait, now, true);
+    spreadChange(trait, m_traits.isSuspect(trait), now);
 }
 
-void SuspectAnnouncer::recordAnswer(std::uint64_t request, Instant sent, Instant now)
+void SuspectAnnouncer::recordAnswer(std::uint64_t trait, Instant began, Instant now)
 {
-    const bool wasSuspect = m_requests.isSuspect(request);
-    if (!m_requests.recordAnswer(request, sent, now))
+    const bool wasSuspect = m_traits.isSuspect(trait);
+    if (!m_traits.recordAnswer(trait, began, now))
         return;
-    report(request, now, true);
-    spreadChange(request, wasSuspect, now);
+    report(trait, now, true);
+    spreadChange(trait, wasSuspect, now);
 }
 
 void SuspectAnnouncer::take(const CrashNotice &notice, Instant now)
 {
-    const bool isChanged = m_requests.take(notice, now);
+    const bool isChanged = m_traits.take(notice, now);
     if (isChanged)
-        report(notice.request, now, false);
-    if (m_requests.contradicts(notice))
-        inform(notice.sender, notice.request, now);
+        report(notice.trait, now, false);
+    if (m_traits.contradicts(notice))
+        inform(notice.sender, notice.trait, now);
     // The sender may know of fewer crashes than this tracker.
-    if (isChanged && !notice.isAnnouncement && m_requests.isSuspect(notice.request))
-        spreadChange(notice.request, true, now);
+    if (isChanged && !notice.isAnnouncement && m_traits.isSuspect(notice.trait))
+        spreadChange(notice.trait, true, now);
 }
 
 void SuspectAnnouncer::take(const SuspectQuery &query, Instant now)
 {
     if (!isInformed())
         return;
-    const std::vector<std::uint64_t> suspects = m_requests.suspects();
-    for (const std::uint64_t request : suspects)
-        inform(query.sender, request, now);
+    const std::vector<std::uint64_t> suspects = m_traits.suspects();
+    for (const std::uint64_t trait : suspects)
+        inform(query.sender, trait, now);
     const auto remembered = std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::min<Duration>(now - m_remembersSince, SuspectRequests::CrashMemory));
+        std::min<Duration>(now - m_remembersSince, SuspectTraits::CrashMemory));
     m_messenger.send(query.sender,
                      SuspectReply {static_cast<std::uint32_t>(suspects.size()),
                                    static_cast<std::uint32_t>(remembered.count())});
@@ -84,7 +84,7 @@
 
 void SuspectAnnouncer::take(const SuspectReply &reply, Instant now)
 {
-    if (m_requests.suspects().size() < reply.suspects)
+    if (m_traits.suspects().size() < reply.suspects)
         return;
     m_joined.reset();
     m_remembersSince
@@ -98,40 +98,41 @@
     m_firstQuery.reset();
 }
 
-TrialDecision SuspectAnnouncer::decide(std::uint64_t request, Instant now) const
+TrialDecision SuspectAnnouncer::decide(const RequestTraits &request, Instant now) const
 {
     if (isInformed())
-        return m_requests.decide(request, now);
+        return m_traits.decide(request, now);
     TrialDecision decision;
+    decision.trait = request.content;
     decision.verdict = TrialVerdict::Unknown;
     decision.retryAfter = QueryInterval;
     return decision;
 }
 
-void SuspectAnnouncer::spread(std::uint64_t request, bool toAll, unsigned repetitions, Instant now)
+void SuspectAnnouncer::spread(std::uint64_t trait, bool toAll, unsigned repetitions, Instant now)
 {
-    send(request, toAll, now);
-    m_repetitions[request] = {toAll, repetitions, now + FirstRepetition};
+    send(trait, toAll, now);
+    m_repetitions[trait] = {toAll, repetitions, now + FirstRepetition};
 }
 
-void SuspectAnnouncer::spreadChange(std::uint64_t request, bool toAll, Instant now)
+void SuspectAnnouncer::spreadChange(std::uint64_t trait, bool toAll, Instant now)
 {
     // Many requests have a first crash at once if a data centre fails.
     constexpr unsigned RepetitionsToTrackers = 1;
-    spread(request, toAll, toAll ? Repetitions : RepetitionsToTrackers, now);
+    spread(trait, toAll, toAll ? Repetitions : RepetitionsToTrackers, now);
 }
 
-void SuspectAnnouncer::send(std::uint64_t request, bool toAll, Instant now)
+void SuspectAnnouncer::send(std::uint64_t trait, bool toAll, Instant now)
 {
     if (toAll)
-        sendToAll(request, now);
+        sendToAll(trait, now);
     else
-        sendToTrackers(request, now);
+        sendToTrackers(trait, now);
 }
 
-void SuspectAnnouncer::sendToAll(std::uint64_t request, Instant now)
+void SuspectAnnouncer::sendToAll(std::uint64_t trait, Instant now)
 {
-    std::optional<CrashNotice> notice = m_requests.notice(request, now);
+    std::optional<CrashNotice> notice = m_traits.notice(trait, now);
     if (!notice)
         return;
     notice->sender = m_self.address;
@@ -139,26 +140,26 @@
     m_messenger.broadcast(*notice);
 }
 
-void SuspectAnnouncer::sendToTrackers(std::uint64_t request, Instant now)
+void SuspectAnnouncer::sendToTrackers(std::uint64_t trait, Instant now)
 {
-    for (const LimitPeer &tracker : trackers(request)) {
+    for (const LimitPeer &tracker : trackers(trait)) {
         if (tracker.member != m_self.member)
-            inform(tracker.address, request, now);
+            inform(tracker.address, trait, now);
     }
 }
 
-void SuspectAnnouncer::inform(const Endpoint &daemon, std::uint64_t request, Instant now)
+void SuspectAnnouncer::inform(const Endpoint &daemon, std::uint64_t trait, Instant now)
 {
-    std::optional<CrashNotice> notice = m_requests.notice(request, now);
+    std::optional<CrashNotice> notice = m_traits.notice(trait, now);
     if (!notice)
         return;
     notice->sender = m_self.address;
     m_messenger.send(daemon, *notice);
 }
 
-std::vector<LimitPeer> SuspectAnnouncer::trackers(std::uint64_t request) const
+std::vector<LimitPeer> SuspectAnnouncer::trackers(std::uint64_t trait) const
 {
-    std::vector<LimitPeer> ranked = m_ranking.ranked(request);
+    std::vector<LimitPeer> ranked = m_ranking.ranked(trait);
     ranked.resize(std::min(ranked.size(), Trackers));
     return ranked;
 }
@@ -191,15 +192,15 @@
     if (now - m_lastCleanup < CleanupInterval)
         return;
     m_lastCleanup = now;
-    m_requests.review(now);
+    m_traits.review(now);
 }
 
 void SuspectAnnouncer::repeatAnnouncements(Instant now)
 {
-    for (auto &[request, repetition] : m_repetitions) {
+    for (auto &[trait, repetition] : m_repetitions) {
         if (repetition.due > now)
             continue;
-        send(request, repetition.toAll, now);
+        send(trait, repetition.toAll, now);
         --repetition.left;
         repetition.due = now + RepetitionInterval;
     }
@@ -225,23 +226,23 @@
     const std::vector<LimitPeer> added = newDaemons(live);
     if (added.empty())
         return;
-    for (const std::uint64_t request : m_requests.requests()) {
-        const bool isSuspect = m_requests.isSuspect(request);
-        const std::vector<LimitPeer> all = trackers(request);
+    for (const std::uint64_t trait : m_traits.traits()) {
+        const bool isSuspect = m_traits.isSuspect(trait);
+        const std::vector<LimitPeer> all = trackers(trait);
         const auto isTracker = [&all](const LimitPeer &daemon) {
             return std::ranges::find(all, daemon.member, &LimitPeer::member) != all.end();
         };
         for (const LimitPeer &daemon : added) {
             const bool mustKnow = isSuspect ? isTracker(m_self) : isTracker(daemon);
             if (daemon.member != m_self.member && mustKnow)
-                inform(daemon.address, request, now);
+                inform(daemon.address, trait, now);
         }
     }
 }
 
-void SuspectAnnouncer::report(std::uint64_t request, Instant now, bool isOwn)
+void SuspectAnnouncer::report(std::uint64_t trait, Instant now, bool isOwn)
 {
-    m_listener.onSuspectChanged(request, m_requests.decide(request, now), isOwn);
+    m_listener.onSuspectChanged(trait, m_traits.decide(trait, now), isOwn);
 }
 
 } // namespace Apricothook
--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.hpp
@@ -1,19 +1,19 @@
 #pragma once
 
 #include <apricothook/dispatch/apricothook_grantor_ranking.hpp>
-#include <apricothook/dispatch/apricothook_suspect_requests.hpp>
+#include <apricothook/dispatch/apricothook_suspect_traits.hpp>
 
 #include <map>
 
 namespace Apricothook {
 
-/** Notified when this daemon's knowledge of a suspect request has changed. */
+/** Notified when this daemon's knowledge of a suspect trait has changed. */
 class SuspectListener
 {
 public:
     virtual ~SuspectListener() = default;
     /** `isOwn`: learned by this daemon itself, not from another one. */
-    virtual void onSuspectChanged(std::uint64_t request, const TrialDecision &decision, bool isOwn)
+    virtual void onSuspectChanged(std::uint64_t trait, const TrialDecision &decision, bool isOwn)
         = 0;
 };
 
@@ -28,11 +28,11 @@
 };
 
 /**
- * Lets all daemons know the requests that crash their targets.
+ * Lets all daemons know the traits of requests that crash their targets.
  *
- * A crash takes many innocent requests along, so a request's first crash is told only to its
+ * A crash takes many innocent requests along, so the first one under a trait is told only to its
  * trackers: the daemons that rank first for the limit of its trials. A daemon that knows of a
- * second announces the request to all daemons, as well as each further crash, each trial before it
+ * second announces the trait to all daemons, as well as each further crash, each trial before it
  * begins, and the end of the suspicion. Announcements are repeated, as datagrams are lost.
  *
  * A daemon that has just started asks others for the suspects before it sends a request, and
@@ -41,7 +41,7 @@
 class SuspectAnnouncer
 {
 public:
-    /** Daemons that collect the crashes of a request; the first of them grants its trials. */
+    /** Daemons that collect the crashes under a trait; the first of them grants its trials. */
     static constexpr std::size_t Trackers = 3;
     /** Time until an announcement is repeated first, and from then on. */
     static constexpr std::chrono::milliseconds FirstRepetition {200};
@@ -64,16 +64,20 @@
     SuspectAnnouncer(LimitPeer self, const GrantorRanking &ranking, LimitMessenger &messenger,
                      RandomSource &random, SuspectListener &listener);
 
-    /** A target crashed at `crashed` while it was running the request. */
-    void recordCrash(std::uint64_t request, std::uint64_t instance, Instant crashed, Instant now);
+    /**
+     * A target crashed at `crashed` while it was running requests with the trait, of the customer
+     * `origin` or of several.
+     */
+    void recordCrash(std::uint64_t trait, std::uint64_t instance, Instant crashed, Instant now,
+                     std::uint64_t origin = SuspectTraits::SeveralCustomers);
     /** Announces a trial, which may begin at once, and returns its number. */
-    std::uint64_t startTrial(std::uint64_t request, Instant now);
-    void withdrawTrial(std::uint64_t request, std::uint64_t trial, Instant now);
-    /** A target completed the request, which was sent to it at `sent`. */
-    void recordAnswer(std::uint64_t request, Instant sent, Instant now);
+    std::uint64_t startTrial(std::uint64_t trait, Instant now);
+    void withdrawTrial(std::uint64_t trait, std::uint64_t trial, Instant now);
+    /** A target has answered a request with the trait, and began to at `began` or later. */
+    void recordAnswer(std::uint64_t trait, Instant began, Instant now);
     void take(const CrashNotice &notice, Instant now);
-    /** Tells the daemon what is known of the request; to be called before it is asked for units. */
-    void inform(const Endpoint &daemon, std::uint64_t request, Instant now);
+    /** Tells the daemon what is known of the trait; to be called before it is asked for units. */
+    void inform(const Endpoint &daemon, std::uint64_t trait, Instant now);
     void take(const SuspectQuery &query, Instant now);
     void take(const SuspectReply &reply, Instant now);
     /** This daemon has just started, and others may know suspects. */
@@ -84,9 +88,9 @@
      */
     void review(const std::vector<LiveDaemon> &live, bool knowsFleet, Instant now);
 
-    const SuspectRequests &requests() const { return m_requests; }
+    const SuspectTraits &traits() const { return m_traits; }
     /** Whether the request may be sent; Unknown until this daemon has been told the suspects. */
-    TrialDecision decide(std::uint64_t request, Instant now) const;
+    TrialDecision decide(const RequestTraits &request, Instant now) const;
     bool isInformed() const { return !m_joined; }
     /** Since when this daemon, or one that it asked after its start, has remembered suspects. */
     Instant remembersSince() const { return m_remembersSince; }
@@ -99,27 +103,27 @@
         Instant due {};
     };
 
-    /** Tells the trackers of the request, or all daemons, and repeats it. */
-    void spread(std::uint64_t request, bool toAll, unsigned repetitions, Instant now);
-    void spreadChange(std::uint64_t request, bool toAll, Instant now);
-    void send(std::uint64_t request, bool toAll, Instant now);
-    void sendToAll(std::uint64_t request, Instant now);
-    void sendToTrackers(std::uint64_t request, Instant now);
-    std::vector<LimitPeer> trackers(std::uint64_t request) const;
+    /** Tells the trackers of the trait, or all daemons, and repeats it. */
+    void spread(std::uint64_t trait, bool toAll, unsigned repetitions, Instant now);
+    void spreadChange(std::uint64_t trait, bool toAll, Instant now);
+    void send(std::uint64_t trait, bool toAll, Instant now);
+    void sendToAll(std::uint64_t trait, Instant now);
+    void sendToTrackers(std::uint64_t trait, Instant now);
+    std::vector<LimitPeer> trackers(std::uint64_t trait) const;
     void repeatAnnouncements(Instant now);
     /** Informs the daemons that are new among the live ones, and new trackers. */
     void informNewDaemons(const std::vector<LiveDaemon> &live, Instant now);
     std::vector<LimitPeer> newDaemons(const std::vector<LiveDaemon> &live);
     void askForSuspects(const std::vector<LiveDaemon> &live, bool knowsFleet, Instant now);
-    void report(std::uint64_t request, Instant now, bool isOwn);
+    void report(std::uint64_t trait, Instant now, bool isOwn);
 
     const LimitPeer m_self;
     const GrantorRanking &m_ranking;
     LimitMessenger &m_messenger;
     RandomSource &m_random;
     SuspectListener &m_listener;
-    SuspectRequests m_requests;
-    /** Announcements that are to be repeated, by request. */
+    SuspectTraits m_traits;
+    /** Announcements that are to be repeated, by trait. */
     std::map<std::uint64_t, Repetition> m_repetitions;
     /** Process that was last seen live, by member. */
     std::map<std::uint64_t, std::uint64_t> m_knownProcesses;
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -722,6 +722,16 @@
     return capacity;
 }
 
+TargetCounts TargetTable::counts(const ServiceId &service, Instant now) const
+{
+    TargetCounts counts;
+    for (const TrackedTarget *target : targetsOf(service).ofCell) {
+        ++counts.all;
+        counts.usable += target->avoidedUntil > now ? 0 : 1;
+    }
+    return counts;
+}
+
 Duration TargetTable::expectedDuration(const ServiceId &service, const RequestSize &size) const
 {
     const std::chrono::duration<double, std::milli> events(averageSpeed(service).eventGap
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -118,6 +118,16 @@
     TargetConstraint constraint;
 };
 
+/** Targets of a service that take new requests of this daemon's cell. */
+struct TargetCounts
+{
+    std::size_t all = 0;
+    /** Without those that are avoided after a loss. */
+    std::size_t usable = 0;
+
+    auto operator<=>(const TargetCounts &) const = default;
+};
+
 /** Totals over the targets of a service that take new requests of this daemon's cell. */
 struct ServiceCapacity
 {
@@ -231,6 +241,8 @@
     bool hasCapacity(const ServiceId &service, Instant now) const;
     /** Totals over the targets that aren't avoided. */
     ServiceCapacity capacity(const ServiceId &service, Instant now) const;
+    /** Targets of the service that requests may be sent to, and those that aren't avoided now. */
+    TargetCounts counts(const ServiceId &service, Instant now) const;
     /** Expected time to the complete answer at an idle, average target of the service. */
     Duration expectedDuration(const ServiceId &service, const RequestSize &size) const;
     /** Expected time to the first event at an idle, average target of the service. */
--- a/packages/dispatch/tests/apricothook_emulated_suspects.cpp
+++ b/packages/dispatch/tests/apricothook_emulated_suspects.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned MaximumAttempts = 3;
 /** How long a request runs, whether it ends with an answer or with a crash. */
 constexpr std::chrono::milliseconds RunTime {90};
+/** When a request that is answered begins to be. */
+constexpr std::chrono::milliseconds AnswerTime {60};
 constexpr std::chrono::milliseconds HoldInterval {25};
 constexpr std::chrono::milliseconds LongestHold {500};
 constexpr std::chrono::milliseconds ReviewInterval {200};
@@ -40,10 +42,9 @@
     {
     }
 
-    bool needsPermit(std::uint64_t request) const
+    PermitNeeds needs(const RequestTraits &request) const
     {
-        return losses.isUnsettled(service(), announcer.remembersSince(), fleet.now())
-            && permits.isNeeded(request, losses.lastLoss(service()));
+        return permits.needs(request, service(), losses, fleet.now());
     }
     void onPermitDecided(ExchangeId exchange, const PermitDecision &decision) override
     {
@@ -58,15 +59,15 @@
     void onSuspectChanged(std::uint64_t request, const TrialDecision &decision, bool) override
     {
         if (decision.crashes > 0)
-            permits.recordCrash(request);
+            permits.permits().recordCrash(request);
         fleet.m_fleet.limits(index).setBudget(
-            request, announcer.requests().budget(request, fleet.now()), fleet.now());
+            request, announcer.traits().budget(request, fleet.now()), fleet.now());
     }
 
     EmulatedSuspects &fleet;
     const std::size_t index;
     SuspectAnnouncer announcer;
-    SendPermits permits;
+    RequestPermits permits;
     ServiceLosses losses;
     std::uint64_t incarnation = 0;
     std::map<ExchangeId, Attempt> awaitingPermit;
@@ -98,7 +99,7 @@
           };
     m_fleet.onSuspectMessage = [this](std::size_t daemon, const LimitMessage &message) {
         SuspectAnnouncer &announcer = m_daemons[daemon]->announcer;
-        SendPermits &permits = m_daemons[daemon]->permits;
+        SendPermits &permits = m_daemons[daemon]->permits.permits();
         if (const auto *notice = std::get_if<CrashNotice>(&message))
             announcer.take(*notice, now());
         else if (const auto *query = std::get_if<SuspectQuery>(&message))
@@ -151,7 +152,18 @@
 
 std::uint64_t EmulatedSuspects::contentOf(std::uint64_t number, const Request &request)
 {
-    return request.isFresh ? hashOf("arrival", ++m_lastArrival) : hashOf("request", number);
+    return traitNumber(TraitKind::Content,
+                       request.isFresh ? hashOf("arrival", ++m_lastArrival)
+                                       : hashOf("request", number));
+}
+
+RequestTraits EmulatedSuspects::traitsOf(std::uint64_t number, std::uint64_t content) const
+{
+    const Request &request = m_requests.at(number);
+    RequestTraits traits {content, {}, request.customer};
+    for (const std::uint64_t part : request.parts)
+        traits.parts.push_back(traitNumber(TraitKind::PromptPart, hashOf("part", part)));
+    return traits;
 }
 
 bool EmulatedSuspects::crashesTargets(const Request &request) const
@@ -222,9 +234,9 @@
     }
     updateLists();
     for (const std::unique_ptr<Daemon> &daemon : m_daemons) {
-        const std::optional<Instant> next = daemon->permits.nextReview();
+        const std::optional<Instant> next = daemon->permits.permits().nextReview();
         if (daemon->isAlive && !daemon->isFrozen && next && *next <= now())
-            daemon->permits.reviewQueries(now());
+            daemon->permits.permits().reviewQueries(now());
     }
     endRuns();
     noticeCrashes();
@@ -241,7 +253,7 @@
         for (const std::size_t other : m_fleet.heardBy(daemon))
             live.push_back({EmulatedLimits::peerOf(other), m_daemons[other]->incarnation});
         node.announcer.review(live, m_fleet.knowsFleet(daemon), now());
-        node.permits.review(live, 2 * live.size() >= m_daemons.size(), now());
+        node.permits.permits().review(live, 2 * live.size() >= m_daemons.size(), now());
     }
 }
 
@@ -262,7 +274,7 @@
         for (request.due += request.perSecond / 1000; request.due >= 1; --request.due) {
             const std::size_t daemon = m_fleet.random.next() % m_daemons.size();
             if (m_daemons[daemon]->isAlive && !m_daemons[daemon]->isFrozen)
-                handle(daemon, {number, contentOf(number, request), 0, {}});
+                handle(daemon, {number, contentOf(number, request), 0, {}, 0});
         }
     }
 }
@@ -270,20 +282,27 @@
 void EmulatedSuspects::handle(std::size_t daemon, const Attempt &attempt)
 {
     Daemon &node = *m_daemons[daemon];
-    const std::uint64_t request = attempt.content;
-    const TrialDecision suspicion = node.announcer.decide(request, now());
+    const RequestTraits traits = traitsOf(attempt.request, attempt.content);
+    const TrialDecision suspicion = node.announcer.decide(traits, now());
     switch (suspicion.verdict) {
     case TrialVerdict::Clear:
-        if (node.needsPermit(request))
-            acquirePermit(daemon, attempt);
-        else
+        if (node.needs(traits).isEmpty())
             send(daemon, attempt, {});
+        else
+            acquirePermit(daemon, attempt);
         return;
     case TrialVerdict::MayBeTried: {
+        const auto up = std::ranges::count(m_targets, true, &Target::isUp);
+        if (!suspicion.mayRisk(static_cast<std::size_t>(up), m_targets.size())) {
+            m_requests[attempt.request].refused.push_back(now());
+            return;
+        }
         const std::uint64_t exchange = m_fleet.random.next();
-        node.awaitingUnit.emplace(exchange, attempt);
+        Attempt trial = attempt;
+        trial.trait = suspicion.trait;
+        node.awaitingUnit.emplace(exchange, trial);
         m_fleet.take(daemon, exchange,
-                     {.limit = request,
+                     {.limit = trial.trait,
                       .budget = trialBudget(),
                       .demand = {1, 0},
                       .longestWait = FleetRateLimiter::LongestWait});
@@ -304,14 +323,16 @@
                                      const LimitDecision &decision)
 {
     Daemon &node = *m_daemons[daemon];
-    const std::uint64_t request = attempt.content;
-    const TrialDecision suspicion = node.announcer.decide(request, now());
-    if (decision.isAdmitted && suspicion.verdict != TrialVerdict::MayBeTried)
-        m_fleet.limits(daemon).giveBack(request, 1, now());
-    if (suspicion.verdict == TrialVerdict::Clear)
+    const TrialDecision suspicion
+        = node.announcer.decide(traitsOf(attempt.request, attempt.content), now());
+    const bool isOther
+        = suspicion.verdict == TrialVerdict::MayBeTried && suspicion.trait != attempt.trait;
+    if (decision.isAdmitted && (isOther || suspicion.verdict != TrialVerdict::MayBeTried))
+        m_fleet.limits(daemon).giveBack(attempt.trait, 1, now());
+    if (suspicion.verdict == TrialVerdict::Clear || isOther)
         handle(daemon, attempt);
     else if (suspicion.verdict == TrialVerdict::MayBeTried && decision.isAdmitted)
-        send(daemon, attempt, {node.announcer.startTrial(request, now()), {}});
+        send(daemon, attempt, {node.announcer.startTrial(attempt.trait, now()), {}});
     else if (suspicion.verdict == TrialVerdict::TrialRunning)
         hold(daemon, attempt, suspicion);
     else
@@ -323,8 +344,8 @@
     Daemon &node = *m_daemons[daemon];
     const ExchangeId exchange(m_fleet.random.next());
     node.awaitingPermit.emplace(exchange, attempt);
-    const std::optional<PermitDecision> decision
-        = node.permits.acquire(exchange, attempt.content, RunTime, now());
+    const std::optional<PermitDecision> decision = node.permits.acquire(
+        exchange, node.needs(traitsOf(attempt.request, attempt.content)), RunTime, now());
     if (!decision)
         return;
     node.awaitingPermit.erase(exchange);
@@ -335,14 +356,14 @@
                                        const PermitDecision &decision)
 {
     Daemon &node = *m_daemons[daemon];
-    TrialDecision suspicion = node.announcer.decide(attempt.content, now());
+    TrialDecision suspicion
+        = node.announcer.decide(traitsOf(attempt.request, attempt.content), now());
     const bool isClear = suspicion.verdict == TrialVerdict::Clear;
     if (decision.outcome == PermitOutcome::Granted && isClear) {
         send(daemon, attempt, {std::nullopt, decision.permit});
         return;
     }
-    if (decision.outcome == PermitOutcome::Granted)
-        node.permits.report(decision.permit, PermitUse::Unused, 0, now());
+    node.permits.permits().report(decision.permit, PermitUse::Unused, 0, now());
     if (isClear)
         suspicion.retryAfter = decision.retryAfter;
     hold(daemon, attempt, suspicion);
@@ -373,13 +394,12 @@
                                 const Permission &permission)
 {
     Daemon &node = *m_daemons[daemon];
-    const std::uint64_t request = attempt.content;
     if (permission.trial) {
-        node.announcer.withdrawTrial(request, *permission.trial, now());
-        m_fleet.limits(daemon).giveBack(request, 1, now());
+        node.announcer.withdrawTrial(attempt.trait, *permission.trial, now());
+        m_fleet.limits(daemon).giveBack(attempt.trait, 1, now());
     }
     if (permission.permit)
-        node.permits.report(*permission.permit, PermitUse::Unused, 0, now());
+        node.permits.permits().report(*permission.permit, PermitUse::Unused, 0, now());
 }
 
 void EmulatedSuspects::send(std::size_t daemon, const Attempt &attempt,
@@ -402,7 +422,7 @@
         = !node.isCutOff && (!node.reunited || now() - *node.reunited > ReunionTime);
     if (isInTouch)
         request.arrived.push_back(now());
-    m_runs.push_back({now() + RunTime, attempt.request, attempt.content, daemon,
+    m_runs.push_back({now() + RunTime, attempt.request, attempt.content, attempt.trait, daemon,
                       m_daemons[daemon]->incarnation, target, m_targets[target].instance, now(),
                       permission.trial, permission.permit, attempt.attempts + 1});
 }
@@ -432,8 +452,11 @@
             continue;
         request.answered.push_back(now());
         if (run.permit)
-            node.permits.report(*run.permit, PermitUse::Sound, run.instance, now());
-        node.announcer.recordAnswer(run.content, run.sent, now());
+            node.permits.permits().report(*run.permit, PermitUse::Sound, run.instance, now());
+        const RequestTraits traits = traitsOf(run.request, run.content);
+        node.announcer.recordAnswer(traits.content, run.sent, now());
+        for (const std::uint64_t part : traits.parts)
+            node.announcer.recordAnswer(part, run.sent + AnswerTime, now());
     }
 }
 
@@ -459,11 +482,13 @@
         Daemon &node = *m_daemons[run.daemon];
         node.losses.recordDrop(service(), now());
         if (run.permit)
-            node.permits.report(*run.permit, PermitUse::Lost, run.instance, now());
+            node.permits.permits().report(*run.permit, PermitUse::Lost, run.instance, now());
         // The daemon sends it again before it knows why it was lost.
         if (!run.trial && run.attempts < MaximumAttempts)
-            m_held.push(
-                {now(), run.daemon, run.incarnation, {run.request, run.content, run.attempts, {}}});
+            m_held.push({now(),
+                         run.daemon,
+                         run.incarnation,
+                         {run.request, run.content, run.attempts, {}, 0}});
     }
 }
 
@@ -486,10 +511,14 @@
             deferred.push_back(notice);
             continue;
         }
-        const std::uint64_t request = notice.run.content;
+        const RequestTraits traits = traitsOf(notice.run.request, notice.run.content);
         node.losses.recordLoss(service(), now());
-        node.announcer.recordCrash(request, notice.run.instance, notice.crashed, now());
-        node.permits.conclude(request, notice.run.instance, true, notice.crashed, now());
+        node.announcer.recordCrash(traits.content, notice.run.instance, notice.crashed, now());
+        for (const std::uint64_t part : traits.parts)
+            node.announcer.recordCrash(part, notice.run.instance, notice.crashed, now(),
+                                       traits.customer);
+        node.permits.permits().conclude(traits.content, notice.run.instance, true, notice.crashed,
+                                        now());
     }
     for (const Notice &notice : deferred)
         m_notices.push(notice);
@@ -522,7 +551,7 @@
                          [&](Instant at) { return at > one.crashed[crash - 1] + spread; });
     std::size_t most = 0;
     for (std::size_t first = 0, last = 0; last < late.size(); ++last) {
-        while (late[last] - late[first] >= SuspectRequests::TrialWindow)
+        while (late[last] - late[first] >= SuspectTraits::TrialWindow)
             ++first;
         most = std::max(most, last - first + 1);
     }
--- a/packages/dispatch/tests/apricothook_emulated_suspects.hpp
+++ b/packages/dispatch/tests/apricothook_emulated_suspects.hpp
@@ -2,7 +2,7 @@
 
 #include <apricothook_emulated_limits.hpp>
 
-#include <apricothook/dispatch/apricothook_send_permits.hpp>
+#include <apricothook/dispatch/apricothook_request_permits.hpp>
 #include <apricothook/dispatch/apricothook_service_losses.hpp>
 
 #include <map>
@@ -42,6 +42,11 @@
     std::uint64_t addHarmless(double perSecond) { return addRequest(perSecond, false); }
     /** Requests that are all different and name the parts of their prompts, from now on. */
     std::uint64_t addFresh(double perSecond, const std::vector<std::uint64_t> &parts);
+    /** The customer of the requests, from now on; all have the same one at first. */
+    void setCustomer(std::uint64_t request, std::uint64_t customer)
+    {
+        m_requests[request].customer = customer;
+    }
     /** From now on requests with the part crash their targets, or no longer do. */
     void setCrashingPart(std::uint64_t part, bool crashes);
     /** From now on the request crashes its targets, or no longer does. */
@@ -90,6 +95,7 @@
         /** Each arrival has content of its own. */
         bool isFresh = false;
         std::vector<std::uint64_t> parts;
+        std::uint64_t customer = 1;
         double due = 0;
         std::vector<Instant> crashed;
         std::vector<Instant> arrived;
@@ -108,6 +114,8 @@
         Instant ends {};
         std::uint64_t request = 0;
         std::uint64_t content = 0;
+        /** The trait that it is tried for, if it is. */
+        std::uint64_t trait = 0;
         std::size_t daemon = 0;
         std::uint64_t incarnation = 0;
         std::size_t target = 0;
@@ -133,6 +141,8 @@
         std::uint64_t content = 0;
         unsigned attempts = 0;
         Duration held {};
+        /** The trait that it is to be tried for. */
+        std::uint64_t trait = 0;
     };
     /** What an attempt is sent with; neither while its service is settled. */
     struct Permission
@@ -168,6 +178,7 @@
     void crash(std::size_t target);
     void releaseHeld();
     void noticeCrashes();
+    RequestTraits traitsOf(std::uint64_t number, std::uint64_t content) const;
     std::uint64_t contentOf(std::uint64_t number, const Request &request);
     bool crashesTargets(const Request &request) const;
     bool isActive(std::size_t daemon, std::uint64_t incarnation) const;
--- a/packages/dispatch/tests/apricothook_send_permits_tests.cpp
+++ b/packages/dispatch/tests/apricothook_send_permits_tests.cpp
@@ -195,7 +195,7 @@
     for (const std::uint64_t instance : {1U, 2U})
         fleet.suspects(issuer).recordCrash(Request, instance, fleet.clock.now(), fleet.clock.now());
     CHECK(fleet.acquire(sender).outcome == PermitOutcome::Suspect);
-    CHECK(fleet.suspects(sender).requests().isSuspect(Request));
+    CHECK(fleet.suspects(sender).traits().isSuspect(Request));
 }
 
 TEST_CASE("a daemon that hears nobody sends a request that has crashed a target no more")
@@ -230,7 +230,7 @@
     fleet.clock.advance(Lifetime + SendPermits::ReportTime);
     fleet.review();
     CHECK(fleet.expired() == 1);
-    CHECK(fleet.suspects(issuer).requests().crashes(Request) == 1);
+    CHECK(fleet.suspects(issuer).traits().crashes(Request) == 1);
 }
 
 TEST_CASE("a request that ends while it waits for a permit leaves none open")
--- a/packages/dispatch/tests/apricothook_suspect_requests_tests.cpp
+++ b/packages/dispatch/tests/apricothook_suspect_traits_tests.cpp
@@ -1,4 +1,4 @@
-#include <apricothook/dispatch/apricothook_suspect_requests.hpp>
+#include <apricothook/dispatch/apricothook_suspect_traits.hpp>
 
 #include <apricothook/testsupport/apricothook_manual_clock.hpp>
 
@@ -41,7 +41,7 @@
     void pass(Duration time) { clock.advance(time); }
 
     ManualClock clock;
-    SuspectRequests requests;
+    SuspectTraits requests;
 };
 
 } // namespace
@@ -90,8 +90,8 @@
             fixture.pass(milliseconds(90));
         }
     }
-    REQUIRE(trials.size() == SuspectRequests::MaximumTrialsOfCulprit);
-    CHECK(trials[1] - trials[0] >= SuspectRequests::ShortestCulpritPause);
+    REQUIRE(trials.size() == SuspectTraits::MaximumTrialsOfCulprit);
+    CHECK(trials[1] - trials[0] >= SuspectTraits::ShortestCulpritPause);
     CHECK(fixture.verdict() == TrialVerdict::Quarantined);
     fixture.pass(seconds(30));
     CHECK(fixture.verdict() == TrialVerdict::MayBeTried);
@@ -150,12 +150,12 @@
     SuspectFixture fixture;
     fixture.crash(1);
     fixture.crash(2);
-    for (std::uint64_t request = 0; request < 2 * SuspectRequests::MaximumRequests; ++request) {
+    for (std::uint64_t request = 0; request < 2 * SuspectTraits::MaximumTraits; ++request) {
         fixture.pass(std::chrono::microseconds(10));
         fixture.crash(3, 100 + request);
     }
     CHECK(fixture.verdict() == TrialVerdict::MayBeTried);
-    CHECK(fixture.requests.requests().size() <= SuspectRequests::MaximumRequests);
+    CHECK(fixture.requests.traits().size() <= SuspectTraits::MaximumTraits);
 }
 
 TEST_CASE("crashes are forgotten after half an hour")
@@ -163,21 +163,21 @@
     SuspectFixture fixture;
     fixture.crash(1);
     fixture.crash(2);
-    fixture.pass(SuspectRequests::CrashMemory + seconds(1));
+    fixture.pass(SuspectTraits::CrashMemory + seconds(1));
     fixture.requests.review(fixture.clock.now());
     CHECK(fixture.verdict() == TrialVerdict::Clear);
-    CHECK(fixture.requests.requests().empty());
+    CHECK(fixture.requests.traits().empty());
 }
 
 TEST_CASE("the units of the trials in any window stay within the bound")
 {
     const UnitBudget budget = trialBudget();
-    const double window = std::chrono::duration<double>(SuspectRequests::TrialWindow).count();
+    const double window = std::chrono::duration<double>(SuspectTraits::TrialWindow).count();
     // One at a time, as daemons that ask at the same time don't know of each other's trials.
     CHECK(budget.bucket == 1);
     constexpr double Rounding = 1e-9;
     CHECK(budget.bucket + budget.perSecond * window
-          <= static_cast<double>(SuspectRequests::MaximumTrials) + Rounding);
+          <= static_cast<double>(SuspectTraits::MaximumTrials) + Rounding);
     CHECK(budget.credit == 0);
     CHECK(budget.needsWholeFleet);
 }
--- a/packages/gateway/apricothook/gateway/apricothook_crash_detector.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_crash_detector.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <apricothook/dispatch/apricothook_request_traits.hpp>
 #include <apricothook/dispatch/apricothook_serving_configuration.hpp>
 #include <apricothook/eventloop/apricothook_event_loop.hpp>
 #include <apricothook/model/apricothook_identifiers.hpp>
@@ -15,7 +16,7 @@
 /** A request whose connection to a target ended, or that the target left without a sign of life. */
 struct DroppedRequest
 {
-    Fingerprint request;
+    RequestTraits request;
     /** When it was sent to the target. */
     Instant sent {};
     /** The end of the connection was the end of a response without a length. */
--- a/packages/gateway/apricothook/gateway/apricothook_fleet_suspect_guard.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_fleet_suspect_guard.cpp
@@ -4,10 +4,20 @@
 #include <apricothook/gateway/apricothook_gateway_event.hpp>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace Apricothook {
 
+namespace {
+
+/** A target that goes on with an answer for so long after its first event lives through it. */
+constexpr std::chrono::seconds ProofTime {1};
+/** The same for what targets have lived through before. */
+constexpr std::chrono::milliseconds ProofTimeOfProven {200};
+
+} // namespace
+
 FleetSuspectGuard::FleetSuspectGuard(EventLoop &loop, const LimitPeer &self,
                                      const GrantorRanking &ranking, LimitMessenger &messenger,
                                      RandomSource &random, LogWriter &log, SuspectGuardCalls calls)
@@ -25,41 +35,61 @@
     m_loop.cancel(m_queryTimer);
 }
 
-TrialDecision FleetSuspectGuard::decide(Fingerprint request)
+TrialDecision FleetSuspectGuard::decide(const RequestTraits &request)
+{
+    return m_announcer.decide(request, m_loop.now());
+}
+
+std::uint64_t FleetSuspectGuard::startTrial(std::uint64_t trait)
 {
-    return m_announcer.decide(suspectHash(request), m_loop.now());
+    return m_announcer.startTrial(trait, m_loop.now());
 }
 
-std::uint64_t FleetSuspectGuard::startTrial(Fingerprint request)
+void FleetSuspectGuard::withdrawTrial(std::uint64_t trait, std::uint64_t trial)
 {
-    return m_announcer.startTrial(suspectHash(request), m_loop.now());
+    m_announcer.withdrawTrial(trait, trial, m_loop.now());
 }
 
-void FleetSuspectGuard::withdrawTrial(Fingerprint request, std::uint64_t trial)
+void FleetSuspectGuard::recordAnswer(const RequestTraits &request, const AnswerTimes &answer)
 {
-    m_announcer.withdrawTrial(suspectHash(request), trial, m_loop.now());
+    const Instant now = m_loop.now();
+    m_announcer.recordAnswer(request.content, answer.sent, now);
+    for (const std::uint64_t part : request.parts)
+        m_announcer.recordAnswer(part, answer.began, now);
 }
 
-void FleetSuspectGuard::recordAnswer(Fingerprint request, Instant sent)
+void FleetSuspectGuard::recordProgress(const RequestTraits &request, const AnswerTimes &answer)
 {
-    m_announcer.recordAnswer(suspectHash(request), sent, m_loop.now());
+    const Instant now = m_loop.now();
+    for (const std::uint64_t part : request.parts) {
+        const bool isProven = m_announcer.traits().sound().lastBegan(part).has_value();
+        if (now - answer.began >= (isProven ? ProofTimeOfProven : ProofTime))
+            m_announcer.recordAnswer(part, answer.began, now);
+    }
 }
 
 void FleetSuspectGuard::recordCrash(const TargetInstance &target,
-                                    const std::vector<Fingerprint> &requests, Instant crashed)
+                                    const std::vector<RequestTraits> &requests, Instant crashed)
 {
     const Instant now = m_loop.now();
-    for (const Fingerprint request : requests) {
-        const std::uint64_t number = suspectHash(request);
-        m_announcer.recordCrash(number, targetHash(target), crashed, now);
-        m_permits.conclude(number, targetHash(target), true, crashed, now);
+    std::map<std::uint64_t, std::uint64_t> originsOfParts;
+    for (const RequestTraits &request : requests) {
+        m_announcer.recordCrash(request.content, targetHash(target), crashed, now);
+        m_permits.permits().conclude(request.content, targetHash(target), true, crashed, now);
+        for (const std::uint64_t part : request.parts) {
+            const auto [known, isFirst] = originsOfParts.emplace(part, request.customer);
+            if (!isFirst && known->second != request.customer)
+                known->second = SuspectTraits::SeveralCustomers;
+        }
     }
+    for (const auto &[part, origin] : originsOfParts)
+        m_announcer.recordCrash(part, targetHash(target), crashed, now, origin);
 }
 
-void FleetSuspectGuard::recordSurvived(const TargetInstance &target, Fingerprint request)
+void FleetSuspectGuard::recordSurvived(const TargetInstance &target, const RequestTraits &request)
 {
     const Instant now = m_loop.now();
-    m_permits.conclude(suspectHash(request), targetHash(target), false, now, now);
+    m_permits.permits().conclude(request.content, targetHash(target), false, now, now);
 }
 
 void FleetSuspectGuard::recordDrop(const ServiceId &service)
@@ -67,18 +97,20 @@
     m_losses.recordDrop(service, m_loop.now());
 }
 
-bool FleetSuspectGuard::needsPermit(Fingerprint request, const ServiceId &service) const
+bool FleetSuspectGuard::needsPermit(const RequestTraits &request, const ServiceId &service) const
 {
-    const bool isUnsettled
-        = m_losses.isUnsettled(service, m_announcer.remembersSince(), m_loop.now());
-    return isUnsettled && m_permits.isNeeded(suspectHash(request), m_losses.lastLoss(service));
+    return !m_permits.needs(request, service, m_losses, m_loop.now()).isEmpty();
 }
 
-std::optional<PermitDecision>
-FleetSuspectGuard::acquirePermit(ExchangeId exchange, Fingerprint request, Duration lifetime)
+std::optional<PermitDecision> FleetSuspectGuard::acquirePermit(ExchangeId exchange,
+                                                               const RequestTraits &request,
+                                                               const ServiceId &service,
+                                                               Duration lifetime)
 {
+    const Instant now = m_loop.now();
+    const PermitNeeds needs = m_permits.needs(request, service, m_losses, now);
     const std::optional<PermitDecision> decision
-        = m_permits.acquire(exchange, suspectHash(request), lifetime, m_loop.now());
+        = m_permits.acquire(exchange, needs, lifetime, now);
     scheduleQueries();
     return decision;
 }
@@ -86,27 +118,27 @@
 void FleetSuspectGuard::reportPermit(std::uint64_t permit, PermitUse use,
                                      const TargetInstance &target)
 {
-    m_permits.report(permit, use, targetHash(target), m_loop.now());
+    m_permits.permits().report(permit, use, targetHash(target), m_loop.now());
 }
 
 void FleetSuspectGuard::review(const std::vector<LiveDaemon> &live, bool knowsFleet,
                                bool reachesFleet)
 {
     m_announcer.review(live, knowsFleet, m_loop.now());
-    m_permits.review(live, reachesFleet, m_loop.now());
+    m_permits.permits().review(live, reachesFleet, m_loop.now());
 }
 
 void FleetSuspectGuard::scheduleQueries()
 {
     m_loop.cancel(m_queryTimer);
     m_queryTimer = 0;
-    const std::optional<Instant> next = m_permits.nextReview();
+    const std::optional<Instant> next = m_permits.permits().nextReview();
     if (!next)
         return;
     const Duration wait = std::max<Duration>(*next - m_loop.now(), Duration::zero());
     m_queryTimer = m_loop.after(wait, [this] {
         m_queryTimer = 0;
-        m_permits.reviewQueries(m_loop.now());
+        m_permits.permits().reviewQueries(m_loop.now());
         scheduleQueries();
     });
 }
@@ -123,14 +155,15 @@
                     .with("age_ms", m_loop.now() - permit.granted));
 }
 
-void FleetSuspectGuard::onSuspectChanged(std::uint64_t request, const TrialDecision &decision,
+void FleetSuspectGuard::onSuspectChanged(std::uint64_t trait, const TrialDecision &decision,
                                          bool isOwn)
 {
     LogEvent line(GatewayEvent::SuspectChanged);
     // Thousands of requests have a first crash at once if a data centre fails.
     if (decision.verdict == TrialVerdict::Clear)
         line.markRoutine();
-    m_log.write(line.with("suspect", std::to_string(request))
+    m_log.write(line.with("suspect", std::to_string(trait))
+                    .with("kind", std::string(nameOf(traitKind(trait))))
                     .with("verdict", std::string(nameOf(decision.verdict)))
                     .with("crashes", decision.crashes)
                     .with("trials", decision.trials)
@@ -138,8 +171,8 @@
                     .with("next_trial_ms", decision.retryAfter)
                     .with("from", std::string(isOwn ? "self" : "daemon")));
     if (decision.crashes > 0)
-        m_permits.recordCrash(request);
-    m_calls.budgetChanged(request);
+        m_permits.permits().recordCrash(trait);
+    m_calls.budgetChanged(trait);
 }
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_fleet_suspect_guard.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_fleet_suspect_guard.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <apricothook/dispatch/apricothook_send_permits.hpp>
+#include <apricothook/dispatch/apricothook_request_permits.hpp>
 #include <apricothook/dispatch/apricothook_service_losses.hpp>
 #include <apricothook/eventloop/apricothook_event_loop.hpp>
 #include <apricothook/gateway/apricothook_suspect_guard.hpp>
@@ -13,12 +13,12 @@
 /** Called by a FleetSuspectGuard. */
 struct SuspectGuardCalls
 {
-    /** The budget of a request's trials may have changed. */
-    std::function<void(std::uint64_t request)> budgetChanged;
+    /** The budget of a trait's trials may have changed. */
+    std::function<void(std::uint64_t trait)> budgetChanged;
     std::function<void(ExchangeId exchange, const PermitDecision &decision)> permitDecided;
 };
 
-/** Shares what daemons know of suspect requests with the fleet, and logs each change. */
+/** Shares what daemons know of suspect traits with the fleet, and logs each change. */
 class FleetSuspectGuard : public SuspectGuard, private SuspectListener, private PermitListener
 {
 public:
@@ -29,18 +29,20 @@
     FleetSuspectGuard(const FleetSuspectGuard &) = delete;
     FleetSuspectGuard &operator=(const FleetSuspectGuard &) = delete;
 
-    TrialDecision decide(Fingerprint request) override;
-    std::uint64_t startTrial(Fingerprint request) override;
-    void withdrawTrial(Fingerprint request, std::uint64_t trial) override;
-    void recordAnswer(Fingerprint request, Instant sent) override;
-    void recordCrash(const TargetInstance &target, const std::vector<Fingerprint> &requests,
+    TrialDecision decide(const RequestTraits &request) override;
+    std::uint64_t startTrial(std::uint64_t trait) override;
+    void withdrawTrial(std::uint64_t trait, std::uint64_t trial) override;
+    void recordAnswer(const RequestTraits &request, const AnswerTimes &answer) override;
+    void recordProgress(const RequestTraits &request, const AnswerTimes &answer) override;
+    void recordCrash(const TargetInstance &target, const std::vector<RequestTraits> &requests,
                      Instant crashed) override;
-    void recordSurvived(const TargetInstance &target, Fingerprint request) override;
+    void recordSurvived(const TargetInstance &target, const RequestTraits &request) override;
     void recordDrop(const ServiceId &service) override;
-    bool needsPermit(Fingerprint request, const ServiceId &service) const override;
-    std::optional<PermitDecision> acquirePermit(ExchangeId exchange, Fingerprint request,
+    bool needsPermit(const RequestTraits &request, const ServiceId &service) const override;
+    std::optional<PermitDecision> acquirePermit(ExchangeId exchange, const RequestTraits &request,
+                                                const ServiceId &service,
                                                 Duration lifetime) override;
-    void cancelPermit(ExchangeId exchange) override { m_permits.cancel(exchange); }
+    void cancelPermit(ExchangeId exchange) override { m_permits.cancel(exchange, m_loop.now()); }
     void reportPermit(std::uint64_t permit, PermitUse use, const TargetInstance &target) override;
 
     /** A target of the service crashed, left without being drained, or started. */
@@ -51,10 +53,10 @@
     {
         m_announcer.take(message, m_loop.now());
     }
-    void take(const PermitRequest &request) { m_permits.take(request, m_loop.now()); }
-    void take(const PermitReply &reply) { m_permits.take(reply, m_loop.now()); }
-    void take(const PermitReport &report) { m_permits.take(report, m_loop.now()); }
-    /** Tells the daemon what is known of the request with this limit, if it is one. */
+    void take(const PermitRequest &request) { m_permits.permits().take(request, m_loop.now()); }
+    void take(const PermitReply &reply) { m_permits.permits().take(reply, m_loop.now()); }
+    void take(const PermitReport &report) { m_permits.permits().take(report, m_loop.now()); }
+    /** Tells the daemon what is known of the trait with this limit, if it is one. */
     void inform(const Endpoint &daemon, std::uint64_t limit)
     {
         m_announcer.inform(daemon, limit, m_loop.now());
@@ -67,15 +69,14 @@
      * `reachesFleet`: it hears nearly all of them.
      */
     void review(const std::vector<LiveDaemon> &live, bool knowsFleet, bool reachesFleet);
-    std::optional<UnitBudget> budget(std::uint64_t request) const
+    std::optional<UnitBudget> budget(std::uint64_t trait) const
     {
-        return m_announcer.requests().budget(request, m_loop.now());
+        return m_announcer.traits().budget(trait, m_loop.now());
     }
-    UnitBudgets budgets() const { return m_announcer.requests().budgets(m_loop.now()); }
+    UnitBudgets budgets() const { return m_announcer.traits().budgets(m_loop.now()); }
 
 private:
-    void onSuspectChanged(std::uint64_t request, const TrialDecision &decision,
-                          bool isOwn) override;
+    void onSuspectChanged(std::uint64_t trait, const TrialDecision &decision, bool isOwn) override;
     void onPermitDecided(ExchangeId exchange, const PermitDecision &decision) override;
     void onPermitExpired(const ExpiredPermit &permit) override;
     void scheduleQueries();
@@ -84,7 +85,7 @@
     LogWriter &m_log;
     const SuspectGuardCalls m_calls;
     SuspectAnnouncer m_announcer;
-    SendPermits m_permits;
+    RequestPermits m_permits;
     ServiceLosses m_losses;
     TimerId m_queryTimer = 0;
 };
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -150,6 +150,7 @@
     // A pause of the target tells nothing of its speed.
     const bool wasSilent = std::exchange(attempt.isSilent, false);
     if (!std::exchange(attempt.hasFirstEvent, true)) {
+        attempt.firstEvent = now;
         reportPermit(attempt, PermitUse::Sound);
         m_continuation.onFirstEvent(m_admitted, attempt.target);
         m_context.targets.firstEventReceived(target, m_admitted.size, now - attempt.started);
@@ -157,6 +158,7 @@
         tracked->speed.addGap((now - attempt.lastEvent) / static_cast<int>(events.count));
     }
     attempt.lastEvent = now;
+    m_context.suspectGuard->recordProgress(m_traits, answerTimes(attempt));
 }
 
 void ForwardedRequest::onResponseComplete(Attempt &attempt)
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -59,8 +59,8 @@
         sendLocalResponse(RequestOutcome::TimedOut, HttpStatus::Unavailable, Duration::zero());
         return;
     }
-    m_fingerprint = fingerprintOf(m_received, m_admitted);
-    const TrialDecision suspicion = m_context.suspectGuard->decide(m_fingerprint);
+    m_traits = traitsOf(m_received, m_admitted);
+    const TrialDecision suspicion = m_context.suspectGuard->decide(m_traits);
     if (suspicion.verdict == TrialVerdict::Quarantined) {
         refuseSuspect(suspicion);
         return;
@@ -146,7 +146,7 @@
     return {m_context,
             {.request = m_admitted,
              .arrived = m_arrived,
-             .fingerprint = m_fingerprint,
+             .suspect = m_traits.content,
              .rank = m_rank,
              .beganVersion = m_continuation.versionName(),
              .lastEvent = m_lastEvent,
@@ -295,7 +295,7 @@
     if (m_admitted.deadline - m_context.loop.now() <= MinTimeToRetry)
         return "deadline";
     const bool isQuarantined
-        = m_context.suspectGuard->decide(m_fingerprint).verdict == TrialVerdict::Quarantined;
+        = m_context.suspectGuard->decide(m_traits).verdict == TrialVerdict::Quarantined;
     return m_trial || isQuarantined ? "suspect" : std::string_view();
 }
 
@@ -505,7 +505,8 @@
         .timeToFirstByte = std::nullopt,
         .refusal = m_refusal,
         .limit = m_limitDecision,
-        .suspect = suspectHash(m_fingerprint),
+        .suspect = m_suspicion ? m_suspicion->trait : m_traits.content,
+        .promptParts = m_admitted.fields.promptParts,
         .suspicion = m_suspicion,
     };
     if (m_firstByteTime)
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -102,7 +102,7 @@
     /** Reports what became of the permitted attempt, unless that is known already. */
     void reportPermit(Attempt &attempt, PermitUse use);
     static PermitUse permitUseOf(const Attempt &attempt, TargetOutcome outcome);
-    void acquireTrialUnit(const TargetEntry &target);
+    void acquireTrialUnit(const TargetEntry &target, std::uint64_t trait);
     void onTrialUnitDecided(const LimitDecision &decision);
     void giveTrialUnitBack();
     /** The target didn't run the trial, or none was reached. */
@@ -115,6 +115,7 @@
     /** Records the outcome of the attempt for the suspicion of the request. */
     void recordCompleted(const Attempt &attempt);
     void recordDropped(const Attempt &attempt);
+    static AnswerTimes answerTimes(const Attempt &attempt);
     /** Finds out first which version the request is bound to if it goes on with a stream. */
     void findOrigin();
     /** The targets that may still get the request. */
@@ -171,7 +172,7 @@
     const Instant m_arrived;
     AdmittedRequest m_admitted;
     RequestRank m_rank;
-    Fingerprint m_fingerprint;
+    RequestTraits m_traits;
     TimerId m_deadlineTimer = 0;
     Progress m_progress = Progress::Nothing;
     bool m_waiting = false;
@@ -180,6 +181,8 @@
     std::optional<TargetEntry> m_limitedTarget;
     /** The target that the request is to be tried on; a unit of its trials has been asked for. */
     std::optional<TargetEntry> m_trialTarget;
+    /** The trait that the request is tried for, from the request for a unit on. */
+    std::uint64_t m_triedTrait = 0;
     /** The trial that the request is sent as. */
     std::optional<std::uint64_t> m_trial;
     /** The target that the request is to be sent to; a permit has been asked for. */
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_trial.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_trial.cpp
@@ -22,25 +22,32 @@
 /** A trial that takes longer is answered too late for the requests that wait for it. */
 constexpr std::chrono::milliseconds LongestHold {500};
 constexpr std::chrono::milliseconds ShortestSuspectRetryAfter {100};
+/** Retry-After for a trial that might crash the last target in use. */
+constexpr std::chrono::seconds RiskyTrialRetryAfter {1};
 
 } // namespace
 
 void ForwardedRequest::sendOrTry(const TargetEntry &target)
 {
-    const TrialDecision suspicion = m_context.suspectGuard->decide(m_fingerprint);
+    TrialDecision suspicion = m_context.suspectGuard->decide(m_traits);
     if (suspicion.verdict == TrialVerdict::Clear) {
-        if (m_context.suspectGuard->needsPermit(m_fingerprint, m_admitted.service))
+        if (m_context.suspectGuard->needsPermit(m_traits, m_admitted.service))
             acquirePermit(target);
         else
             send(target);
         return;
     }
     // A trial is the only attempt of its request.
-    if (suspicion.verdict == TrialVerdict::MayBeTried && !m_silence.isPlacing()) {
-        acquireTrialUnit(target);
+    const TargetCounts targets = m_context.targets.counts(m_admitted.service, m_context.loop.now());
+    const bool mayBeTried = suspicion.verdict == TrialVerdict::MayBeTried;
+    const bool isRisky = mayBeTried && !suspicion.mayRisk(targets.usable, targets.all);
+    if (mayBeTried && !isRisky && !m_silence.isPlacing()) {
+        acquireTrialUnit(target, suspicion.trait);
         return;
     }
     releaseSlot(target);
+    if (isRisky)
+        suspicion.retryAfter = RiskyTrialRetryAfter;
     holdOrRefuse(suspicion);
 }
 
@@ -49,7 +56,7 @@
     m_permitTarget = target;
     const Duration left = m_admitted.deadline - m_context.loop.now();
     if (const std::optional<PermitDecision> decision
-        = m_context.suspectGuard->acquirePermit(m_id, m_fingerprint, left))
+        = m_context.suspectGuard->acquirePermit(m_id, m_traits, m_admitted.service, left))
         onPermitDecided(*decision);
 }
 
@@ -60,16 +67,17 @@
         return;
     const TargetEntry target = *std::exchange(m_permitTarget, std::nullopt);
     logPermit(decision);
-    TrialDecision suspicion = m_context.suspectGuard->decide(m_fingerprint);
+    TrialDecision suspicion = m_context.suspectGuard->decide(m_traits);
     const bool isClear = suspicion.verdict == TrialVerdict::Clear;
-    if (decision.outcome == PermitOutcome::Granted) {
-        const TrackedTarget *tracked = m_context.targets.find(target.instance());
-        if (isClear && tracked && m_context.targets.acceptsRequests(*tracked)) {
-            m_permit = decision.permit;
-            send(target);
-            return;
-        }
-        m_context.suspectGuard->reportPermit(decision.permit, PermitUse::Unused, target.instance());
+    const bool isGranted = decision.outcome == PermitOutcome::Granted;
+    const TrackedTarget *tracked = m_context.targets.find(target.instance());
+    if (isGranted && isClear && tracked && m_context.targets.acceptsRequests(*tracked)) {
+        m_permit = decision.permit;
+        send(target);
+        return;
+    }
+    m_context.suspectGuard->reportPermit(decision.permit, PermitUse::Unused, target.instance());
+    if (isGranted) {
         releaseSlot(target);
         submit();
         return;
@@ -87,7 +95,7 @@
     m_context.log.write(LogEvent(GatewayEvent::PermitDecided)
                             .markRoutine()
                             .forRequest(m_admitted.fields.id)
-                            .with("suspect", std::to_string(suspectHash(m_fingerprint)))
+                            .with("suspect", std::to_string(m_traits.content))
                             .with("outcome", std::string(nameOf(decision.outcome)))
                             .with("from", std::string(nameOf(decision.source)))
                             .with("asks", decision.queries)
@@ -109,13 +117,14 @@
     return outcome == TargetOutcome::Served ? PermitUse::Sound : PermitUse::Lost;
 }
 
-void ForwardedRequest::acquireTrialUnit(const TargetEntry &target)
+void ForwardedRequest::acquireTrialUnit(const TargetEntry &target, std::uint64_t trait)
 {
     m_trialTarget = target;
+    m_triedTrait = trait;
     m_waitsForUnits = true;
     const std::optional<LimitDecision> decision
         = m_context.limits.take(m_id,
-                                {.limit = suspectHash(m_fingerprint),
+                                {.limit = trait,
                                  .budget = trialBudget(),
                                  .demand = {1, 0},
                                  .longestWait = FleetRateLimiter::LongestWait},
@@ -129,15 +138,17 @@
 void ForwardedRequest::onTrialUnitDecided(const LimitDecision &decision)
 {
     const TargetEntry target = *std::exchange(m_trialTarget, std::nullopt);
-    TrialDecision suspicion = m_context.suspectGuard->decide(m_fingerprint);
+    TrialDecision suspicion = m_context.suspectGuard->decide(m_traits);
     logTrial(suspicion, decision);
     const TrackedTarget *tracked = m_context.targets.find(target.instance());
     const bool mayReceive = tracked && m_context.targets.acceptsRequests(*tracked);
     const bool isClear = suspicion.verdict == TrialVerdict::Clear;
-    const bool isTrial = decision.isAdmitted && suspicion.verdict == TrialVerdict::MayBeTried;
+    const bool mayBeTried = suspicion.verdict == TrialVerdict::MayBeTried;
+    const bool isSameTrait = suspicion.trait == m_triedTrait;
+    const bool isTrial = decision.isAdmitted && mayBeTried && isSameTrait;
     if (mayReceive && (isClear || isTrial)) {
         if (isTrial)
-            m_trial = m_context.suspectGuard->startTrial(m_fingerprint);
+            m_trial = m_context.suspectGuard->startTrial(m_triedTrait);
         else if (decision.isAdmitted)
             giveTrialUnitBack();
         send(target);
@@ -146,7 +157,7 @@
     if (decision.isAdmitted)
         giveTrialUnitBack();
     releaseSlot(target);
-    if (isClear || isTrial) {
+    if (isClear || isTrial || (mayBeTried && !isSameTrait)) {
         submit();
         return;
     }
@@ -156,20 +167,21 @@
 
 void ForwardedRequest::giveTrialUnitBack()
 {
-    m_context.limits.giveBack(suspectHash(m_fingerprint), 1, m_context.loop.now());
+    m_context.limits.giveBack(m_triedTrait, 1, m_context.loop.now());
 }
 
 void ForwardedRequest::withdrawTrial()
 {
     if (const std::optional<std::uint64_t> trial = std::exchange(m_trial, std::nullopt))
-        m_context.suspectGuard->withdrawTrial(m_fingerprint, *trial);
+        m_context.suspectGuard->withdrawTrial(m_triedTrait, *trial);
 }
 
 void ForwardedRequest::logTrial(const TrialDecision &suspicion, const LimitDecision &unit)
 {
     m_context.log.write(LogEvent(GatewayEvent::TrialDecided)
                             .forRequest(m_admitted.fields.id)
-                            .with("suspect", std::to_string(suspectHash(m_fingerprint)))
+                            .with("suspect", std::to_string(m_triedTrait))
+                            .with("kind", std::string(nameOf(traitKind(m_triedTrait))))
                             .with("verdict", std::string(nameOf(suspicion.verdict)))
                             .with("crashes", suspicion.crashes)
                             .with("trials", suspicion.trials)
@@ -200,7 +212,8 @@
     m_context.log.write(LogEvent(GatewayEvent::SuspectHeld)
                             .markRoutine()
                             .forRequest(m_admitted.fields.id)
-                            .with("suspect", std::to_string(suspectHash(m_fingerprint)))
+                            .with("suspect", std::to_string(suspicion.trait))
+                            .with("kind", std::string(nameOf(traitKind(suspicion.trait))))
                             .with("verdict", std::string(nameOf(suspicion.verdict)))
                             .with("crashes", suspicion.crashes)
                             .with("trials", suspicion.trials)
@@ -245,17 +258,21 @@
     }
     // The connection of a target that crashes ends too.
     if (attempt.head.bodyEndsAtClose) {
-        m_context.crashDetector.recordDropped(attempt.target,
-                                              {m_fingerprint, attempt.started, true});
+        m_context.crashDetector.recordDropped(attempt.target, {m_traits, attempt.started, true});
         return;
     }
-    m_context.suspectGuard->recordAnswer(m_fingerprint, attempt.started);
+    m_context.suspectGuard->recordAnswer(m_traits, answerTimes(attempt));
+}
+
+AnswerTimes ForwardedRequest::answerTimes(const Attempt &attempt)
+{
+    return {attempt.started, attempt.hasFirstEvent ? attempt.firstEvent : attempt.started};
 }
 
 void ForwardedRequest::recordDropped(const Attempt &attempt)
 {
     m_context.suspectGuard->recordDrop(m_admitted.service);
-    m_context.crashDetector.recordDropped(attempt.target, {m_fingerprint, attempt.started, false});
+    m_context.crashDetector.recordDropped(attempt.target, {m_traits, attempt.started, false});
 }
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -382,7 +382,7 @@
                             .with("sign", std::string(nameOf(sign)))
                             .with("requests", requests.size())
                             .with("age_ms", m_loop.now() - crashed));
-    std::vector<Fingerprint> running(requests.size());
+    std::vector<RequestTraits> running(requests.size());
     std::ranges::transform(requests, running.begin(), &DroppedRequest::request);
     if (const TrackedTarget *known = m_targets.find(target))
         m_suspects.recordLoss(known->entry.service);
@@ -416,13 +416,13 @@
     for (const DroppedRequest &request : requests) {
         m_context.suspectGuard->recordSurvived(target, request.request);
         if (request.isAnswered)
-            m_context.suspectGuard->recordAnswer(request.request, request.sent);
+            m_context.suspectGuard->recordAnswer(request.request, {request.sent, request.sent});
     }
 }
 
-void Gateway::updateTrialBudget(std::uint64_t request)
+void Gateway::updateTrialBudget(std::uint64_t trait)
 {
-    m_limits.setBudget(request, m_suspects.budget(request), m_loop.now());
+    m_limits.setBudget(trait, m_suspects.budget(trait), m_loop.now());
     scheduleLimitReview();
 }
 
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -127,8 +127,8 @@
     TargetLimitAnnouncer &announcerOf(TargetLimitKind kind);
     /** A target has rejected a request of this daemon for lack of room. */
     void onTargetFull(const TargetInstance &target);
-    /** Sets the budget of the trials of one request. */
-    void updateTrialBudget(std::uint64_t request);
+    /** Sets the budget of the trials of one trait. */
+    void updateTrialBudget(std::uint64_t trait);
 
     void accept(int descriptor);
     void onTargetRestarted(const TargetInstance &current);
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt.hpp
@@ -46,6 +46,8 @@
     Instant lastEvent {};
     bool hasHead = false;
     bool hasFirstEvent = false;
+    /** Arrival of the first event; meaningful if there was one. */
+    Instant firstEvent {};
     /** The target was silent for too long and has sent no event since. */
     bool isSilent = false;
     /** Its silence was reported as a possible loss. */
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.cpp
@@ -86,7 +86,7 @@
                             .with("attempt", m_state.sends)
                             .with("backup", isBackup)
                             .with("may_have_run", m_state.mayHaveRun)
-                            .with("suspect", std::to_string(suspectHash(m_state.fingerprint)))
+                            .with("suspect", std::to_string(m_state.suspect))
                             .with("prompt_parts", namesOf(m_state.request.fields.promptParts))
                             .with("trial", m_state.isTrial)
                             .with("took_ms", m_context.loop.now() - attempt.started));
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.hpp
@@ -15,7 +15,8 @@
 {
     const AdmittedRequest &request;
     Instant arrived {};
-    Fingerprint fingerprint;
+    /** Number of the request's content as a suspect. */
+    std::uint64_t suspect = 0;
     RequestRank rank;
     TargetVersion beganVersion;
     std::optional<std::uint64_t> lastEvent;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
@@ -2,6 +2,8 @@
 
 #include <apricothook/gateway/apricothook_gateway_event.hpp>
 
+#include <algorithm>
+
 namespace Apricothook {
 
 namespace {
@@ -64,7 +66,11 @@
 
 void addSuspicion(LogEvent &line, const RequestRecord &record)
 {
+    // The part is named as callers name it, as a log of one daemon must tell what was refused.
+    const auto part = std::ranges::find(record.promptParts, record.suspect, partTrait);
     line.with("suspect", std::to_string(record.suspect))
+        .with("kind", std::string(nameOf(traitKind(record.suspect))))
+        .with("prompt_part", part == record.promptParts.end() ? std::string() : part->text())
         .with("verdict", std::string(nameOf(record.suspicion->verdict)))
         .with("crashes", record.suspicion->crashes)
         .with("trials", record.suspicion->trials)
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
@@ -2,13 +2,14 @@
 
 #include <apricothook/dispatch/apricothook_dispatcher.hpp>
 #include <apricothook/dispatch/apricothook_fleet_rate_limiter.hpp>
-#include <apricothook/dispatch/apricothook_suspect_requests.hpp>
+#include <apricothook/dispatch/apricothook_suspect_traits.hpp>
 #include <apricothook/gateway/apricothook_request_outcome.hpp>
 #include <apricothook/observe/apricothook_metrics.hpp>
 #include <apricothook/observe/apricothook_structured_log.hpp>
 
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace Apricothook {
 
@@ -43,8 +44,10 @@
     std::optional<RefusalDetails> refusal;
     /** The decision of the customer's rate limit; unset if none was needed. */
     std::optional<LimitDecision> limit;
-    /** suspectHash() of the request. */
+    /** The suspect trait, or that of the request's content. */
     std::uint64_t suspect = 0;
+    /** Parts of the prompt, in order, without the last. */
+    std::vector<PromptPartId> promptParts;
     /** Set if the request was refused as suspect. */
     std::optional<TrialDecision> suspicion;
 };
--- a/packages/gateway/tests/apricothook_gateway_crash_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_crash_tests.cpp
@@ -11,39 +11,45 @@
 class RecordingGuard : public SuspectGuard
 {
 public:
-    TrialDecision decide(Fingerprint request) override
+    TrialDecision decide(const RequestTraits &request) override
     {
-        asked.push_back(request);
+        asked.push_back(request.content);
         TrialDecision decision;
-        if (quarantined.contains(request)) {
+        if (quarantined.contains(request.content)) {
             decision.verdict = TrialVerdict::Quarantined;
             decision.retryAfter = std::chrono::seconds(600);
         }
         return decision;
     }
-    std::uint64_t startTrial(Fingerprint) override { return 1; }
-    void withdrawTrial(Fingerprint, std::uint64_t) override { }
-    void recordAnswer(Fingerprint request, Instant) override { answered.push_back(request); }
-    void recordCrash(const TargetInstance &target, const std::vector<Fingerprint> &requests,
+    std::uint64_t startTrial(std::uint64_t) override { return 1; }
+    void withdrawTrial(std::uint64_t, std::uint64_t) override { }
+    void recordAnswer(const RequestTraits &request, const AnswerTimes &) override
+    {
+        answered.push_back(request.content);
+    }
+    void recordProgress(const RequestTraits &, const AnswerTimes &) override { }
+    void recordCrash(const TargetInstance &target, const std::vector<RequestTraits> &requests,
                      Instant) override
     {
         crashes.emplace_back(target.id, requests);
     }
 
-    void recordSurvived(const TargetInstance &, Fingerprint) override { }
+    void recordSurvived(const TargetInstance &, const RequestTraits &) override { }
     void recordDrop(const ServiceId &) override { }
-    bool needsPermit(Fingerprint, const ServiceId &) const override { return false; }
-    std::optional<PermitDecision> acquirePermit(ExchangeId, Fingerprint, Duration) override
+    bool needsPermit(const RequestTraits &, const ServiceId &) const override { return false; }
+    std::optional<PermitDecision> acquirePermit(ExchangeId, const RequestTraits &,
+                                                const ServiceId &, Duration) override
     {
         return std::nullopt;
     }
     void cancelPermit(ExchangeId) override { }
     void reportPermit(std::uint64_t, PermitUse, const TargetInstance &) override { }
 
-    std::vector<Fingerprint> asked;
-    std::vector<Fingerprint> answered;
-    std::vector<std::pair<TargetId, std::vector<Fingerprint>>> crashes;
-    std::set<Fingerprint> quarantined;
+    /** Numbers of contents. */
+    std::vector<std::uint64_t> asked;
+    std::vector<std::uint64_t> answered;
+    std::set<std::uint64_t> quarantined;
+    std::vector<std::pair<TargetId, std::vector<RequestTraits>>> crashes;
 };
 
 struct CrashFixture : GatewayFixture
