--- a/packages/gateway/tests/apricothook_gateway_crash_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_crash_tests.cpp
@@ -308,6 +308,25 @@
     CHECK(fixture.guard.answered.empty());
 }
 
+TEST_CASE("a target whose stream without a length ends inside an event may have crashed")
+{
+    // Guards against crashes that look like the end of a response.
+    CrashFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    caller.socket.send(GatewayFixture::request("stream", "a"));
+    ScriptedTarget *target = fixture.waitForTarget();
+    REQUIRE(target);
+    RecordingConnection &connection = target->connection(0);
+    connection.socket.send("HTTP/1.1 200 OK\r\nId: a\r\nSigned: yes\r\n\r\nid: 1\nda");
+    fixture.runPendingEvents();
+    connection.socket.shutdownSend();
+    target->stopListening();
+    fixture.runPendingEvents();
+    fixture.clock.advance(ConnectionProbe::ProbeTime);
+    REQUIRE(fixture.runUntil([&] { return !fixture.guard.crashes.empty(); }));
+    CHECK(fixture.guard.crashes[0].second.size() == 1);
+}
+
 TEST_CASE("a request sent to a target that is already down isn't blamed for its crash")
 {
     // A proxy before the target accepts the connection and drops it.
--- a/packages/http1/tests/apricothook_message_reader_tests.cpp
+++ b/packages/http1/tests/apricothook_message_reader_tests.cpp
@@ -106,3 +106,45 @@
           == "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
     CHECK(writeChunk("abcdefghijklmnop") == "10\r\nabcdefghijklmnop\r\n");
 }
+
+namespace {
+
+/** Feeds pieces until the reader reports an error; returns the bytes that it took before. */
+template <typename Reader>
+std::size_t bytesUntilError(Reader &reader, const std::string &piece, std::size_t most)
+{
+    std::size_t taken = 0;
+    while (taken < most && reader.feed(piece))
+        taken += piece.size();
+    return taken;
+}
+
+constexpr std::size_t Endless = 8 << 20;
+constexpr std::size_t LargestUnreadable = 1 << 17;
+
+} // namespace
+
+TEST_CASE("what isn't a body and has no end is an error at a bound")
+{
+    // Guards against peers that fill the memory with bytes that can't be passed on.
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(4096, 'x');
+    for (const std::string &start :
+         {head + "5;", head + "0\r\nTrailer: ", std::string("HTTP/1.1 200 "),
+          std::string("HTTP/1.1 200 OK\r\nName: ")}) {
+        CAPTURE(start);
+        ResponseReader reader(false);
+        REQUIRE(reader.feed(start));
+        CHECK(bytesUntilError(reader, filler, Endless) <= LargestUnreadable);
+    }
+    RequestReader request({});
+    REQUIRE(request.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;"));
+    CHECK(bytesUntilError(request, filler, Endless) <= LargestUnreadable);
+}
+
+TEST_CASE("interim responses without end are an error")
+{
+    // Guards against a target that never answers and keeps its caller waiting with them.
+    ResponseReader reader(false);
+    CHECK(bytesUntilError(reader, "HTTP/1.1 100 Continue\r\n\r\n", Endless) <= LargestUnreadable);
+}
