Bound what frames a message and has no end

Symptom: a target or caller that sends a chunk's extensions or trailers without end fills the daemon's memory, and one that sends interim responses without end is read for ever (8 MiB and more). Cause: the parser's size limits hold for heads and bodies; what it couldn't use yet was kept whole. Change: what is left over is 64 KiB at most, and a response is preceded by 16 interim ones at most. Both tests failed before.

--- a/packages/http1/apricothook/http1/apricothook_message_reader.cpp
+++ b/packages/http1/apricothook/http1/apricothook_message_reader.cpp
@@ -12,6 +12,8 @@
 constexpr unsigned FirstFinalStatus = 200;
 /** Size limit of a response head; larger than for callers, as targets are trusted more. */
 constexpr std::uint32_t LargestResponseHead = 65536;
+/** Interim responses before one response. */
+constexpr unsigned MaximumInterim = 16;
 
 bool hasAmbiguousFraming(const HeaderList &headers)
 {
@@ -141,6 +143,8 @@
         used += taken.value();
         if (!m_parser->is_done() || m_parser->head.status >= FirstFinalStatus)
             return used;
+        if (++m_interim > MaximumInterim)
+            return MessageError::Malformed;
         m_parser = std::make_unique<ResponseParser>(m_isHeadResponse);
         if (used == bytes.size())
             return used;
--- a/packages/http1/apricothook/http1/apricothook_message_reader.hpp
+++ b/packages/http1/apricothook/http1/apricothook_message_reader.hpp
@@ -76,6 +76,7 @@
 
 private:
     bool m_isHeadResponse;
+    unsigned m_interim = 0;
     std::unique_ptr<ResponseParser> m_parser;
 };
 
--- a/packages/http1/apricothook/http1/internal/apricothook_message_parser.hpp
+++ b/packages/http1/apricothook/http1/internal/apricothook_message_parser.hpp
@@ -40,10 +40,18 @@
             m_unconsumed.clear();
             return used;
         }
+        // Beast takes body bytes as they come; only what frames them is left over.
+        if (input.size() > LargestFraming)
+            return MessageError::Malformed;
         m_unconsumed = std::string(input);
         return bytes.size();
     }
 
+    /**
+     * Size limit of a head, a chunk's size with its extensions, and the trailers, each as a whole.
+     */
+    static constexpr std::size_t LargestFraming = 65536;
+
     Head head;
     std::string body;
 
