Discard a response to another request up to a bound

Symptom: a target that answers another request without end held the caller until its deadline. Cause: such a response was discarded up to its end, whatever its length. Change: after 256 KiB the channel is closed and the attempt fails as malformed.

--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
@@ -32,6 +32,7 @@
     m_events = &events;
     m_isHeadResponse = isHeadResponse;
     m_unexpectedResponses = 0;
+    m_discarded = 0;
     resetResponse();
     m_connection->setReading(true);
     if (m_connected)
@@ -99,6 +100,12 @@
         const std::string body = m_reader.takeBody();
         if (!m_isUnexpected && !body.empty())
             m_events->onResponseBody(body);
+        m_discarded += m_isUnexpected ? body.size() : 0;
+        if (m_discarded > MaxDiscardedBytes) {
+            m_connection->abort();
+            fail(ChannelFailure::Malformed);
+            return;
+        }
         // The handler may have cancelled the request.
         if (!m_events || !m_reader.isComplete())
             return;
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
@@ -54,6 +54,8 @@
 public:
     /** Responses to other requests that are discarded before the channel is closed. */
     static constexpr unsigned MaxUnexpectedResponses = 2;
+    /** Bytes of their bodies after which the channel is closed. */
+    static constexpr std::size_t MaxDiscardedBytes = 1 << 18;
 
     /** `request`: the first request that the channel is to carry. */
     TargetChannel(EventLoop &loop, const WireProtocol &protocol, TargetChannelOwner &owner,
@@ -100,6 +102,7 @@
     bool m_headReported = false;
     bool m_isUnexpected = false;
     unsigned m_unexpectedResponses = 0;
+    std::size_t m_discarded = 0;
     ResponseReader m_reader {false};
     Instant m_idleSince {};
     std::optional<Duration> m_keepAliveTimeout;
