End responses without end, and take streams that end inside an event for broken off

Causes: the buffer of the scanner had no limit; a head that settles the matter was acted on at the body's end; the end of a connection counted as the end of a response, which a crash brings about as well. Change: an event has 256 KiB at most, and each byte is scanned once; the rest of such a refusal has 20 ms, in which sound targets send it, then its channel is closed; a stream without a length that ends inside an event or without any is broken: its target may have crashed, and the stream goes on elsewhere if the route allows it.

--- a/packages/gateway/apricothook/gateway/apricothook_event_stream_scanner.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_event_stream_scanner.cpp
@@ -1,22 +1,11 @@
 #include <apricothook/gateway/apricothook_event_stream_scanner.hpp>
 
-#include <algorithm>
 #include <charconv>
 
 namespace Apricothook {
 
 namespace {
 
-std::string_view takeLine(std::string_view &text)
-{
-    const std::size_t end = std::min(text.find('\n'), text.size());
-    std::string_view line = text.substr(0, end);
-    text.remove_prefix(std::min(end + 1, text.size()));
-    if (line.ends_with('\r'))
-        line.remove_suffix(1);
-    return line;
-}
-
 std::optional<std::uint64_t> idOf(std::string_view line)
 {
     constexpr std::string_view Field = "id:";
@@ -34,24 +23,28 @@
 
 CompleteEvents EventStreamScanner::feed(std::string_view bytes)
 {
+    std::size_t searched = m_buffer.size();
     m_buffer.append(bytes);
     CompleteEvents complete;
-    std::string_view left = m_buffer;
     std::size_t end = 0;
-    std::optional<std::uint64_t> id;
-    while (left.find('\n') != std::string_view::npos) {
-        const std::string_view line = takeLine(left);
+    for (std::size_t newline = m_buffer.find('\n', searched); newline != std::string::npos;
+         newline = m_buffer.find('\n', searched)) {
+        std::string_view line = std::string_view(m_buffer).substr(m_line, newline - m_line);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        m_line = searched = newline + 1;
         if (!line.empty()) {
             const std::optional<std::uint64_t> read = idOf(line);
-            id = read ? read : id;
+            m_id = read ? read : m_id;
             continue;
         }
-        end = m_buffer.size() - left.size();
+        end = m_line;
         ++complete.count;
-        complete.lastId = id ? id : complete.lastId;
+        complete.lastId = m_id ? m_id : complete.lastId;
     }
     complete.bytes = m_buffer.substr(0, end);
     m_buffer.erase(0, end);
+    m_line -= end;
     return complete;
 }
 
--- a/packages/gateway/apricothook/gateway/apricothook_event_stream_scanner.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_event_stream_scanner.hpp
@@ -24,14 +24,22 @@
 class EventStreamScanner
 {
 public:
+    /** Longest event; those of engines hold a few tokens, in hundreds of bytes. */
+    static constexpr std::size_t LargestEvent = 1 << 18;
+
     /** Appends bytes and returns the events that are now complete. */
     CompleteEvents feed(std::string_view bytes);
     /** The bytes of an incomplete event. */
     const std::string &incompleteEvent() const { return m_buffer; }
-    void clear() { m_buffer.clear(); }
+    /** The incomplete event is longer than events may be. */
+    bool isTooLarge() const { return m_buffer.size() > LargestEvent; }
 
 private:
     std::string m_buffer;
+    /** Start of the last line in the buffer; what follows has no line end yet. */
+    std::size_t m_line = 0;
+    /** The last id that was read. */
+    std::optional<std::uint64_t> m_id;
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -17,6 +17,8 @@
 
 /** Largest response body that is buffered completely, so that a failed attempt can be retried. */
 constexpr std::size_t MaxBufferedBody = 1 << 20;
+/** Time for the rest of a response whose head tells that the request wasn't run. */
+constexpr std::chrono::milliseconds LongestRefusal {20};
 /** Unsent bytes to a slow caller above which its target's connection is no longer read. */
 constexpr std::size_t MaxUnsentBytes = 1 << 18;
 /** Shortest gap between stream events after which another target resumes the stream. */
@@ -46,6 +48,11 @@
         m_context.targets.recordUnreachable(attempt.target.instance(), 1, m_context.loop.now());
     if (fields.isMisdirected || fields.isNotRun) {
         attempt.isNotRun = true;
+        if (m_notRunTimer == 0)
+            m_notRunTimer = m_context.loop.after(LongestRefusal, [this] {
+                m_notRunTimer = 0;
+                endRefusals();
+            });
         return;
     }
     // The caller would take the error's body and end for a part of the stream to be resumed.
@@ -63,6 +70,16 @@
     }
 }
 
+void ForwardedRequest::endRefusals()
+{
+    for (Attempt *attempt : {m_silence.backup(), m_attempt.get()}) {
+        if (!attempt || !attempt->isNotRun)
+            continue;
+        attempt->channel->cancel();
+        onAttemptFailed(*attempt, TargetOutcome::Full, "not-run");
+    }
+}
+
 void ForwardedRequest::reportTargetLimits(const Attempt &attempt,
                                           const TargetResponseFields &fields)
 {
@@ -129,6 +146,12 @@
 void ForwardedRequest::forwardEvents(Attempt &attempt, std::string_view bytes)
 {
     const CompleteEvents events = attempt.scanner.feed(bytes);
+    if (attempt.scanner.isTooLarge()) {
+        attempt.channel->cancel();
+        m_mayHaveRun = true;
+        onAttemptFailed(attempt, TargetOutcome::Failed, "event-too-large");
+        return;
+    }
     if (events.count == 0)
         return;
     select(attempt);
@@ -173,7 +196,14 @@
 
 void ForwardedRequest::completeStream(Attempt &attempt)
 {
-    if (!attempt.scanner.incompleteEvent().empty()) {
+    const bool isCut = !attempt.scanner.incompleteEvent().empty();
+    const bool hasAll = attempt.hasFirstEvent || m_lastEvent;
+    // The connection of a target that crashes ends too.
+    if (attempt.head.bodyEndsAtClose && (isCut || !hasAll)) {
+        onResponseFailed(attempt, ChannelFailure::Broken);
+        return;
+    }
+    if (isCut) {
         m_mayHaveRun = true;
         onAttemptFailed(attempt, TargetOutcome::Failed, "cut-event");
         return;
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -44,6 +44,7 @@
 {
     m_context.loop.cancel(m_deadlineTimer);
     m_context.loop.cancel(m_holdTimer);
+    m_context.loop.cancel(m_notRunTimer);
 }
 
 void ForwardedRequest::begin()
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -129,6 +129,8 @@
     /** Gives up the slot of a target that the request hasn't been sent to. */
     void releaseSlot(const TargetEntry &target);
     void reportTargetLimits(const Attempt &attempt, const TargetResponseFields &fields);
+    /** Ends the attempts whose targets didn't run the request, though their responses go on. */
+    void endRefusals();
     void start();
     void submit();
     /** Stops waiting for units or a target. */
@@ -190,6 +192,7 @@
     /** The permit that the next attempt is sent with. */
     std::optional<std::uint64_t> m_permit;
     TimerId m_holdTimer = 0;
+    TimerId m_notRunTimer = 0;
     Duration m_held {};
     /** The last decision of a target's limit. */
     std::optional<LimitDecision> m_targetUnit;
