--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -34,14 +34,15 @@
     TargetLimitReached = 814, ///< info: a request wasn't sent to a target, whose limit has no unit
                               ///< left or whose grantor didn't answer, and is placed anew; target,
                               ///< limit, age, share, time until the next unit. Operator: none.
-    SuspectChanged = 815,     ///< warning: a request was running when targets crashed, or is known
-                              ///< to be harmless; its number, verdict, crashes, trials, source.
+    SuspectChanged = 815,     ///< warning: requests with a trait (their content, or a part of their
+                              ///< prompts) were running when targets crashed, or it is known to be
+                              ///< harmless; its number, kind, verdict, crashes, trials, source.
                               ///< Operator: see docs/OPERATIONS.md if it is quarantined.
-    TrialDecided = 816,       ///< info: a suspect request was to be sent as a trial; its number,
-                              ///< crashes, trials, whether the fleet's limit of trials had a unit,
-                              ///< from whom. Operator: none.
-    SuspectHeld = 817,        ///< info: a suspect request waits for the outcome of a trial; its
-                              ///< number, crashes, trials. Operator: none.
+    TrialDecided = 816,       ///< info: a request with a suspect trait was to be sent as a trial;
+                              ///< the trait, crashes, trials, whether the fleet's limit of trials
+                              ///< had a unit, from whom. Operator: none.
+    SuspectHeld = 817,        ///< info: a request with a suspect trait waits for the outcome of a
+                              ///< trial; the trait, crashes, trials. Operator: none.
     TargetCrashed = 818,      ///< warning: a target dropped requests and doesn't accept
                               ///< connections, or was replaced at its address; target, sign, number
                               ///< of requests. Operator: check the target if it recurs.
