Tell other daemons that a part was answered before, and let blame without evidence go around

Cause: which trait a trial is for rests on when it was answered, as this daemon remembers. Daemons that hadn't met the rare part took it for as unproven as the culprit, and blamed it as the later one, twice. Change: a notice of crashes tells when targets last lived through the trait; who knows and reads that the sender doesn't, tells it. Of traits with the same evidence the one with fewer trials is tried first.

--- a/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
@@ -244,12 +244,16 @@
     std::uint64_t trait = 0; ///< traitNumber() of the trait.
     /** Sent to all daemons. */
     bool isAnnouncement = false;
+    /** Milliseconds since targets last began answers that they lived through, or Never. */
+    std::uint32_t soundAgeMs = Never;
     std::vector<CrashNoticeEntry> entries;
 
+    static constexpr std::uint32_t Never = 0xffffffff;
+
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
-        archive(self.sender, self.trait, self.isAnnouncement, self.entries);
+        archive(self.sender, self.trait, self.isAnnouncement, self.soundAgeMs, self.entries);
     }
     auto operator<=>(const CrashNotice &) const = default;
 };
--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.cpp
@@ -61,9 +61,9 @@
     const bool isChanged = m_traits.take(notice, now);
     if (isChanged)
         report(notice.trait, now, false);
-    if (m_traits.contradicts(notice))
+    if (m_traits.contradicts(notice) || m_traits.isProvenOnlyHere(notice))
         inform(notice.sender, notice.trait, now);
-    // The sender may know of fewer crashes than this tracker.
+    // The sender may know less than this daemon, and others no more than it did.
     if (isChanged && !notice.isAnnouncement && m_traits.isSuspect(notice.trait))
         spreadChange(notice.trait, true, now);
 }
--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.cpp
@@ -167,9 +167,25 @@
     return isChanged;
 }
 
+bool SuspectTraits::takeSound(const CrashNotice &notice, Instant now)
+{
+    if (notice.soundAgeMs == CrashNotice::Never)
+        return false;
+    const Instant told = now - std::chrono::milliseconds(notice.soundAgeMs);
+    const std::optional<Instant> known = m_sound.lastBegan(notice.trait);
+    if (!known || *known < told)
+        m_sound.record(notice.trait, told);
+    return !known;
+}
+
+bool SuspectTraits::isProvenOnlyHere(const CrashNotice &notice) const
+{
+    return notice.soundAgeMs == CrashNotice::Never && m_sound.lastBegan(notice.trait);
+}
+
 bool SuspectTraits::take(const CrashNotice &notice, Instant now)
 {
-    bool isChanged = false;
+    bool isChanged = takeSound(notice, now);
     Entries &entries = entriesOf(notice.trait);
     for (const CrashNoticeEntry &told : notice.entries) {
         const Instant at = now - std::chrono::milliseconds(told.ageMs);
@@ -304,7 +320,9 @@
     const auto evidence = [this](const TrialDecision &decision) {
         return m_sound.lastBegan(decision.trait).value_or(Instant::min());
     };
-    return std::pair(evidence(one), other.crashes) < std::pair(evidence(other), one.crashes);
+    // Without any difference the blame goes around.
+    return std::tuple(evidence(one), one.trials, other.crashes)
+        < std::tuple(evidence(other), other.trials, one.crashes);
 }
 
 TrialDecision SuspectTraits::decide(const RequestTraits &request, Instant now) const
@@ -381,6 +399,8 @@
         return std::nullopt;
     CrashNotice notice;
     notice.trait = trait;
+    if (const std::optional<Instant> sound = m_sound.lastBegan(trait))
+        notice.soundAgeMs = std::min(ageInMs(*sound, now), CrashNotice::Never - 1);
     for (const Entry &entry : known->second)
         notice.entries.push_back(
             {entry.id, entry.isTrial, entry.isCleared, ageInMs(entry.at, now), entry.origin});
--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.hpp
@@ -128,6 +128,8 @@
     bool take(const CrashNotice &notice, Instant now);
     /** Whether the sender of the notice doesn't know that something was cleared. */
     bool contradicts(const CrashNotice &notice) const;
+    /** Whether the sender doesn't know that targets have ever lived through the trait. */
+    bool isProvenOnlyHere(const CrashNotice &notice) const;
 
     /** Whether the request may be sent, as far as its content and its parts are concerned. */
     TrialDecision decide(const RequestTraits &request, Instant now) const;
@@ -169,6 +171,8 @@
     };
     using Entries = std::vector<Entry>;
 
+    /** Returns true if the trait wasn't known to have been answered. */
+    bool takeSound(const CrashNotice &notice, Instant now);
     static bool isActive(const Entry &entry, bool isTrial);
     static Entry *findEntry(Entries &entries, std::uint64_t id);
     static bool isExpired(const Entry &entry, Instant now);
--- a/packages/dispatch/tests/apricothook_suspect_traits_tests.cpp
+++ b/packages/dispatch/tests/apricothook_suspect_traits_tests.cpp
@@ -259,6 +259,37 @@
     CHECK(other.requests.contradicts(late));
 }
 
+TEST_CASE("that a part was answered before is told with its crashes")
+{
+    // Guards against daemons that blame a part because they haven't met it yet.
+    PartFixture fixture;
+    fixture.requests.recordAnswer(Everybodys, fixture.clock.now(), fixture.clock.now());
+    fixture.pass(seconds(1));
+    fixture.crashBoth(1);
+    fixture.crashBoth(2);
+    PartFixture other;
+    other.pass(seconds(1));
+    other.crashBoth(1);
+    const CrashNotice unproven = *other.requests.notice(Everybodys, other.clock.now());
+    CHECK(fixture.requests.isProvenOnlyHere(unproven));
+    CHECK(other.requests.take(*fixture.requests.notice(Everybodys, fixture.clock.now()),
+                              other.clock.now()));
+    other.requests.take(*fixture.requests.notice(Bad, fixture.clock.now()), other.clock.now());
+    CHECK(other.decide({Everybodys}).verdict == TrialVerdict::Clear);
+    CHECK(other.decide({Bad}).verdict == TrialVerdict::MayBeTried);
+}
+
+TEST_CASE("of parts that were never answered each is tried before one is tried again")
+{
+    PartFixture fixture;
+    fixture.crashBoth(1);
+    fixture.crashBoth(2);
+    const std::uint64_t first = fixture.decide({Everybodys, Bad}).trait;
+    fixture.failTrialOfBoth(1);
+    fixture.pass(seconds(5));
+    CHECK(fixture.decide({Everybodys, Bad}).trait != first);
+}
+
 TEST_CASE("a part that crashed targets for one customer is free for others until it does for them")
 {
     PartFixture fixture;
