Pause parts that fail their trials for each other together, and try them apart

Cause: each part had its own count of failed trials. Change: the parts of one request whose trials failed twice between them aren't tried together for the pause of a culprit; apart they may be, so a sound one is cleared. A trial and its crash may have the same time.

--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.cpp
@@ -243,20 +243,25 @@
     return m_sound.lastBegan(trait) ? CrashesOfProvenPart : CrashesOfSuspect;
 }
 
-bool SuspectTraits::isCulprit(std::uint64_t trait, Instant now) const
+std::size_t SuspectTraits::failedTrials(std::uint64_t trait, Instant now) const
 {
-    if (traitKind(trait) == TraitKind::Content)
-        return crashes(trait) >= CrashesOfCulprit;
-    // A part's first trial may have failed for another part of its request.
+    const Entries &entries = m_traits.at(trait);
     Instant lastCrash = Instant::min();
-    for (const Entry &entry : m_traits.at(trait)) {
+    for (const Entry &entry : entries) {
         if (isActive(entry, false))
             lastCrash = std::max(lastCrash, entry.at);
     }
-    const auto failed = std::ranges::count_if(m_traits.at(trait), [&](const Entry &entry) {
-        return isActive(entry, true) && now - entry.at < TrialWindow && entry.at < lastCrash;
-    });
-    return static_cast<std::size_t>(failed) >= TrialsOfCulprit;
+    return static_cast<std::size_t>(std::ranges::count_if(entries, [&](const Entry &entry) {
+        return isActive(entry, true) && now - entry.at < TrialWindow && entry.at <= lastCrash;
+    }));
+}
+
+bool SuspectTraits::isCulprit(std::uint64_t trait, Instant now) const
+{
+    if (traitKind(trait) == TraitKind::Content)
+        return crashes(trait) >= CrashesOfCulprit;
+    // A part's first trial may have failed for another part of its request.
+    return failedTrials(trait, now) >= TrialsOfCulprit;
 }
 
 bool SuspectTraits::concernsOthersOnly(std::uint64_t trait, std::uint64_t customer) const
@@ -325,11 +330,29 @@
         < std::tuple(evidence(other), other.trials, one.crashes);
 }
 
+Duration SuspectTraits::pauseOfParts(const std::vector<TrialDecision> &suspects, Instant now) const
+{
+    std::size_t failed = 0;
+    Duration pause {};
+    for (const TrialDecision &suspect : suspects) {
+        if (traitKind(suspect.trait) == TraitKind::Content)
+            continue;
+        failed += failedTrials(suspect.trait, now);
+        for (const Entry &entry : m_traits.at(suspect.trait)) {
+            const Instant until = entry.at + trialPause(suspect.trait, 1, true);
+            if (isActive(entry, true) && until > now)
+                pause = std::max(pause, until - now);
+        }
+    }
+    return failed >= TrialsOfCulprit ? pause : Duration::zero();
+}
+
 TrialDecision SuspectTraits::decide(const RequestTraits &request, Instant now) const
 {
     TrialDecision decided;
     decided.trait = request.content;
     decided.crashes = crashes(request.content);
+    std::vector<TrialDecision> suspects;
     const auto rank = [](TrialVerdict verdict) {
         return verdict == TrialVerdict::Quarantined ? 3
             : verdict == TrialVerdict::TrialRunning ? 2
@@ -340,6 +363,8 @@
         if (concernsOthersOnly(trait, request.customer))
             continue;
         const TrialDecision each = decide(trait, now);
+        if (each.verdict != TrialVerdict::Clear)
+            suspects.push_back(each);
         const bool isSame = each.verdict == decided.verdict;
         const bool blocksLonger = isSame && each.retryAfter > decided.retryAfter;
         // Of parts with the same evidence the later one is shared by fewer requests.
@@ -348,6 +373,12 @@
         if (rank(each.verdict) > rank(decided.verdict) || blocksLonger || isTried)
             decided = each;
     }
+    // Parts whose trials failed for each other are still tried apart.
+    if (const Duration pause = pauseOfParts(suspects, now);
+        decided.verdict == TrialVerdict::MayBeTried && pause > Duration::zero()) {
+        decided.verdict = TrialVerdict::Quarantined;
+        decided.retryAfter = pause;
+    }
     return decided;
 }
 
--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.hpp
@@ -181,6 +181,10 @@
     void evictOne();
     /** Crashes from which on the trait is suspect. */
     std::size_t crashesOfSuspect(std::uint64_t trait) const;
+    /** Trials of the trait, which is known, that are followed by a crash under it. */
+    std::size_t failedTrials(std::uint64_t trait, Instant now) const;
+    /** Time for which the parts of one request aren't tried together, after failed trials. */
+    Duration pauseOfParts(const std::vector<TrialDecision> &suspects, Instant now) const;
     /** Whether further trials of the trait, which is known, are worth little. */
     bool isCulprit(std::uint64_t trait, Instant now) const;
     /** Whether all crashes under the trait are those of another customer's requests. */
--- a/packages/dispatch/tests/apricothook_suspect_traits_tests.cpp
+++ b/packages/dispatch/tests/apricothook_suspect_traits_tests.cpp
@@ -288,6 +288,12 @@
     fixture.failTrialOfBoth(1);
     fixture.pass(seconds(5));
     CHECK(fixture.decide({Everybodys, Bad}).trait != first);
+    // Then they aren't tried together any more, but still apart.
+    fixture.failTrialOfBoth(2);
+    fixture.pass(seconds(5));
+    CHECK(fixture.decide({Everybodys, Bad}).verdict == TrialVerdict::Quarantined);
+    CHECK(fixture.decide({Everybodys}).verdict == TrialVerdict::MayBeTried);
+    CHECK(fixture.decide({Bad}).verdict == TrialVerdict::MayBeTried);
 }
 
 TEST_CASE("a part that crashed targets for one customer is free for others until it does for them")
