--- a/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
+++ b/packages/fleetview/tests/apricothook_peer_datagram_tests.cpp
@@ -45,7 +45,8 @@
     ReaderAnnouncement {memberInfo("a"), 78, {78, 10}},
     GrantorDenial {7, 5, 4},
     TargetLimitNotice {{"10.0.0.1", 1}, 5, true, 3600, 250, true},
-    CrashNotice {{"10.0.0.1", 1}, 6, true, 400, {{7, false, true, 300, 9}, {8, true, false, 20, 0}}},
+    CrashNotice {
+        {"10.0.0.1", 1}, 6, true, 400, {{7, false, true, 300, 9}, {8, true, false, 20, 0}}},
     UnitsReturn {9, 6, 1},
     SuspectQuery {{"10.0.0.1", 1}},
     SuspectReply {3, 4000},
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -296,10 +296,16 @@
             down = [target for target in self.fleet.targets if not target.is_up]
             await asyncio.sleep(delay)
             for target in down:
-                if not target.is_up:
-                    await self.fleet.remove(target.id)
-                    target.start()
-                    await self.fleet.announce(target)
+                await self.start_again(target)
+
+    async def start_again(self, target) -> None:
+        """Starts a crashed target, unless another fault has meanwhile."""
+        if target.is_up:
+            return
+        crashed_id = target.id
+        target.start()
+        await self.fleet.remove(crashed_id)
+        await self.fleet.announce(target)
 
     async def endless_answers(self) -> None:
         """A third of the targets answer a part of their requests without end."""
--- a/tools/soak/http1.py
+++ b/tools/soak/http1.py
@@ -22,11 +22,15 @@
         return int(self.line.split(" ")[1])
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Resets the connection; a mere abort() ends it in good order unless there is something left to read."""
+def reset_at_end(writer: asyncio.StreamWriter) -> None:
+    """From now on the end of the connection is a reset; otherwise it ends in good order unless there is something left to read."""
     connection = writer.get_extra_info("socket")
     if connection is not None and connection.fileno() >= 0:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    reset_at_end(writer)
     writer.transport.abort()
 
 
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -294,6 +294,8 @@
     async def answer_without_end(self, head: http1.Head, body: bytes, writer: asyncio.StreamWriter, request_id: str) -> None:
         """Sends bytes that never become an answer until the daemon closes the connection."""
         kind = self.random_endless.choice(ENDLESS)
+        # A response without a length that ends in good order would be complete.
+        http1.reset_at_end(writer)
         self.endless_ids.add(request_id)
         if kind != "refusal":
             self.record_run(head, body, request_id)
