--- a/packages/dispatch/tests/apricothook_prompt_part_fleet_tests.cpp
+++ b/packages/dispatch/tests/apricothook_prompt_part_fleet_tests.cpp
@@ -189,7 +189,7 @@
 
 TEST_CASE("sound requests are served as soon as targets that crashed at once are back")
 {
-    // Guards against parts that everybody uses and that nobody may send until they are tried.
+    // Guards against popular parts whose requests all wait for one trial.
     for (const std::size_t targets : {12, 600}) {
         CAPTURE(targets);
         PartFleet fleet(84, targets, 37);
