Show that responses are lost around the end of a connection or a process

The soak holds daemons, callers and readers of logs up, confines daemons to few processors, plays planned work in series, and finds requests that a stopping daemon begins and breaks off.

--- a/packages/observe/tests/apricothook_structured_log_tests.cpp
+++ b/packages/observe/tests/apricothook_structured_log_tests.cpp
@@ -10,6 +10,8 @@
 #include <unistd.h>
 
 #include <array>
+#include <future>
+#include <memory>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -128,3 +130,20 @@
     CHECK(log.dropped() == routineDropped);
     pipe.closeReader();
 }
+
+TEST_CASE("a log whose reader has stopped reading doesn't hold up the end of its process")
+{
+    // The process would wait for the reader until it is killed.
+    constexpr int MoreLinesThanThePipeHolds = 2000;
+    Pipe pipe;
+    ManualClock clock;
+    auto log = std::make_unique<StructuredLog>(clock, "vm", pipe.writer());
+    for (int i = 0; i < MoreLinesThanThePipeHolds; ++i) {
+        log->write(LogEvent(TestEvent::Known).with("padding", std::string(200, 'x')));
+        clock.advance(std::chrono::milliseconds(20));
+    }
+    const std::future<void> ended = std::async(std::launch::async, [&log] { log.reset(); });
+    CHECK(ended.wait_for(std::chrono::seconds(3)) == std::future_status::ready);
+    // Lets the log end in any case.
+    pipe.closeReader();
+}
--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -6,7 +6,7 @@
 import os
 import pathlib
 import signal
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import targets
 
@@ -63,6 +63,12 @@
     last_fault_at: float = 0.0
     is_stopping: bool = False
     started: float = 0.0
+    # Processors that the process may use; all if there are none.
+    processors: frozenset[int] = frozenset()
+    # Whether standard output is a pipe, and set while it is read.
+    has_log_pipe: bool = False
+    is_log_read: asyncio.Event = field(default_factory=asyncio.Event)
+    log_copying: asyncio.Task | None = None
 
     @property
     def address(self) -> str:
@@ -85,13 +91,34 @@
 
     async def start(self) -> None:
         self.started = asyncio.get_running_loop().time()
-        with open(self.folder / f"vm-{self.index}.log", "ab") as log:
+        with open(self.log_path, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                self.program, "--settings", self.write_settings(), stdout=log, stderr=log)
+                self.program, "--settings", self.write_settings(), stdout=asyncio.subprocess.PIPE if self.has_log_pipe else log, stderr=log)
+        if self.processors:
+            os.sched_setaffinity(self.process.pid, self.processors)
+        if self.has_log_pipe:
+            self.is_log_read.set()
+            self.log_copying = asyncio.create_task(self.copy_log(self.process.stdout))
+
+    @property
+    def log_path(self) -> pathlib.Path:
+        return self.folder / f"vm-{self.index}.log"
+
+    async def copy_log(self, pipe: asyncio.StreamReader) -> None:
+        while True:
+            await self.is_log_read.wait()
+            if not (lines := await pipe.read(65536)):
+                return
+            with open(self.log_path, "ab") as log:
+                log.write(lines)
+
+    def close_log(self) -> None:
+        """Closes the reading end of the process's standard output."""
+        self.process._transport.get_pipe_transport(1).close()
 
     def reported_crashes(self) -> list[str]:
         """Ids of the targets that the daemon's log reports as crashed."""
-        lines = map(json.loads, filter(lambda line: line.startswith("{"), (self.folder / f"vm-{self.index}.log").read_text().splitlines()))
+        lines = map(json.loads, filter(lambda line: line.startswith("{"), self.log_path.read_text().splitlines()))
         return [line["target"] for line in lines if line.get("event") == TARGET_CRASHED]
 
     def peak_memory(self) -> int:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -6,6 +6,7 @@
 
 import callers
 import daemons
+import holdups
 import links
 import store
 import targets
@@ -45,7 +46,7 @@
 CALM_SECONDS = 4.0
 
 
-class Faults:
+class Faults(holdups.HoldUps):
     """Injects faults into a fleet and marks the daemons that each fault affects."""
 
     def __init__(self, fleet, seed: int, chosen: str = "on") -> None:
@@ -66,7 +67,9 @@
                              self.limit_target, self.cut_daemons, self.cut_zone, self.cut_all_but_one,
                              self.kill_most, self.reset_callers, self.release_target, self.crash_to_next_version,
                              self.cut_from_half, self.cut_in_series, self.cut_silently, self.silence_target, self.brittle_service,
-                             self.pause_one, self.pause_half, self.pause_all, self.pause_in_series, self.change_limits]
+                             self.pause_one, self.pause_half, self.pause_all, self.pause_in_series, self.change_limits,
+                             self.hold_up_daemons, self.stop_held_up, self.planned_work, self.stall_log, self.close_log,
+                             self.stall_callers, self.crowd]
         if chosen != "on":
             known = {kind.__name__: kind for kind in self.kinds + self.opt_in_kinds}
             names = [] if chosen == "off" else chosen.split(",")
@@ -116,6 +119,7 @@
         if signal_number == signal.SIGTERM and asyncio.get_running_loop().time() < daemon.started + STARTUP_SECONDS:
             await self.mark_affected([daemon], STARTUP_SECONDS)
         loop = asyncio.get_running_loop()
+        signalled = loop.time()
         harmed_from = loop.time() + (daemons.GRACE_SECONDS * GRACE_FRACTION if signal_number == signal.SIGTERM else 0)
         stopping = asyncio.create_task(daemon.stop(signal_number))
         while not stopping.done():
@@ -123,6 +127,7 @@
         is_harmed = loop.time() > harmed_from
         if signal_number == signal.SIGTERM:
             self.fleet.stops.append((daemon.index, stopping.result()))
+            self.fleet.stop_times[daemon.index].append((signalled, loop.time()))
         await self.mark_affected([daemon], self.random.uniform(0.2, 1.5))
         await daemon.start()
         if is_harmed:
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -48,6 +48,9 @@
         self.cuts: dict[str, str] = {}
         self.accepted: dict[asyncio.StreamWriter, str] = {}
         self.server: asyncio.Server | None = None
+        # Cleared while the side that connects reads nothing.
+        self.is_read = asyncio.Event()
+        self.is_read.set()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.accept, *self.listen)
@@ -115,6 +118,8 @@
                 if self.state == DELAYED:
                     await asyncio.sleep(random.uniform(*DELAY_SECONDS))
                 await self.wait_while_hung(writer)
+                if cut == CUT_DOWNSTREAM:
+                    await self.is_read.wait()
                 while self.cuts.get(source) in (SILENT, SILENT_THERE if cut == CUT_UPSTREAM else SILENT_BACK):
                     # Connections that were given up would otherwise pile up here.
                     if reader.at_eof() or reader.exception() or writer.is_closing():
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -15,6 +15,11 @@
 COLD_BOUND = int(COLD_PER_SECOND * COLD_OVERSHOOT + COLD_SLACK)
 PLAIN_SECONDS, GAP_SECONDS = 0.03, 0.015
 EVENTS = 30
+# Streams last so many seconds at most, drawn by their id; if it is none, as long as their events take.
+LONGEST_STREAM: float | None = None
+SHORTEST_STREAM = 1.0
+# Bytes that are added to each event and each plain answer.
+PADDING = 0
 # Failure modes: rejects the request as not executed, answers with an error, or resets the connection.
 REJECTS, FAILS, RESETS = "rejects", "fails", "resets"
 # Answers without end: no head, header lines, an event, a chunk, a length that isn't reached, the body of a refusal.
@@ -33,7 +38,7 @@
 
 
 def plain_body(request_id: str, body: bytes) -> bytes:
-    return hashlib.sha256(request_id.encode() + body).hexdigest().encode()
+    return hashlib.sha256(request_id.encode() + body).hexdigest().encode() + b"." * PADDING
 
 
 def signature(request_id: str) -> str:
@@ -44,7 +49,14 @@
     """An event of the stream that the caller's request `stream_id` began; without a version, as the checks compare it."""
     text = hashlib.sha256(f"{stream_id} {number}".encode()).hexdigest()[:12]
     mark = f"@{version}" if version else ""
-    return f"id: {number}\ndata: {text}{mark}\n\n".encode()
+    return f"id: {number}\ndata: {text}{'.' * PADDING}{mark}\n\n".encode()
+
+
+def gap_of(stream_id: str) -> float:
+    """Seconds between the events of a stream."""
+    if LONGEST_STREAM is None:
+        return GAP_SECONDS
+    return random.Random(stream_id).uniform(SHORTEST_STREAM, LONGEST_STREAM) / EVENTS
 
 
 def without_versions(events: bytes) -> bytes:
@@ -384,7 +396,7 @@
         self.write_head(writer, request_id)
         stream_id, version = head.headers.get("resumes", request_id), self.version
         for number in range(int(head.headers.get("last-event-id", "0")) + 1, EVENTS + 1):
-            await asyncio.sleep(GAP_SECONDS)
+            await asyncio.sleep(gap_of(stream_id))
             await self.wait_while_paused()
             writer.write(http1.chunk(event(stream_id, number, version)))
             await writer.drain()
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -51,6 +51,7 @@
         found += check_answer(record, runs[record.request_id], record.request_id in fleet.endless_ids)
         found += check_revoked_key(record, fleet)
     found += check_ends(fleet)
+    found += check_begun_in_vain(fleet)
     found += check_drain(fleet, sent)
     found += check_evacuation(fleet, sent)
     found += check_cold_targets(fleet)
@@ -170,6 +171,17 @@
             for reason, early in ends_by_excuse(fleet).items() if reason for record, ends in early]
 
 
+def check_begun_in_vain(fleet) -> list[str]:
+    """A daemon that was asked to stop may not begin a request that it then breaks off."""
+    ends = {reason: {record.request_id for record, _ in early} for reason, early in ends_by_excuse(fleet).items()}
+    unexplained = ends.get("fault", set()) | ends.get("", set())
+    executed = {run.request_id for run in fleet.runs}
+    return [f"BEGUN {describe_end(fleet, record, [])}" for record in fleet.callers.records
+            if record.request_id in executed and record.request_id in unexplained
+            and any(signalled <= record.sent and signalled <= record.ended <= ended + CROSSING_SECONDS
+                    for signalled, ended in fleet.stop_times[record.daemon])]
+
+
 def check_revoked_key(record, fleet) -> list[str]:
     revoked = fleet.revoked.get(record.key)
     if record.status != 200 or revoked is None or record.sent < revoked + APPLY_BOUND:
