Let the soak's callers have small windows

Callers that read nothing for seconds hold up only what doesn't fit into the kernel's buffers, which are megabytes on a loopback device; with padded answers they take 16 KB unread. For the daemon that is a caller with a zero window.

--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -51,6 +51,8 @@
         # Cleared while the side that connects reads nothing.
         self.is_read = asyncio.Event()
         self.is_read.set()
+        # Bytes that the side that connects takes without reading; the system's default if it is none.
+        self.window: int | None = None
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.accept, *self.listen)
@@ -99,6 +101,8 @@
         except OSError:
             http1.reset(writer)
             return
+        if self.window is not None:
+            upstream_writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.window)
         self.writers |= {writer, upstream_writer}
         directions = [asyncio.create_task(self.copy(reader, upstream_writer, CUT_UPSTREAM, source)),
                 asyncio.create_task(self.copy(upstream_reader, writer, CUT_DOWNSTREAM, source))]
