--- a/packages/gateway/tests/apricothook_gateway_ending_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_ending_tests.cpp
@@ -8,14 +8,16 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <functional>
 #include <vector>
 
 using namespace Apricothook;
 
 namespace {
 
-/** Larger than what the kernel takes for a caller that reads nothing, and buffered as a whole. */
+/** Buffered as a whole; together more than the kernel takes for a caller that reads nothing. */
 constexpr std::size_t LargeBody = 1'000'000;
+constexpr std::size_t LargeBodies = 8;
 
 /** A caller's connection that the kernel has accepted and the daemon hasn't. */
 class WaitingConnection
@@ -47,15 +49,23 @@
     const int m_descriptor;
 };
 
-/** Answers the caller's request with a large body, of which the caller reads nothing. */
-RecordingConnection &answerUnread(GatewayFixture &fixture)
+/** Answers requests on one connection, whose caller reads nothing. `beforeLast` runs before the
+ * last response. */
+RecordingConnection &answerUnread(GatewayFixture &fixture, const std::function<void()> &beforeLast)
 {
     RecordingConnection &caller = fixture.connect();
-    caller.socket.send(GatewayFixture::request("once", "a"));
-    REQUIRE(fixture.waitForTarget());
+    fixture.runPendingEvents();
     caller.socket.setReading(false);
-    fixture.target(0).connection(0).socket.send(signedResponse("a", std::string(LargeBody, 'x')));
-    REQUIRE(fixture.runUntil([&] { return fixture.gateway.openRequests() == 0; }));
+    for (std::size_t i = 0; i < LargeBodies; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        caller.socket.send(GatewayFixture::request("once", id));
+        REQUIRE(fixture.waitForTarget(i + 1));
+        if (i + 1 == LargeBodies)
+            beforeLast();
+        fixture.target(0).connection(0).socket.send(
+            signedResponse(id, std::string(LargeBody, 'x')));
+        REQUIRE(fixture.runUntil([&] { return fixture.gateway.openRequests() == 0; }));
+    }
     return caller;
 }
 
@@ -68,9 +78,9 @@
     }
 }
 
-bool hasWholeBody(const RecordingConnection &caller)
+bool hasAllBodies(const RecordingConnection &caller)
 {
-    return caller.received.size() > LargeBody
+    return caller.received.size() > LargeBodies * LargeBody
         && caller.received.ends_with(std::string(LargeBody, 'x'));
 }
 
@@ -80,23 +90,35 @@
 {
     // The connection would be closed a second after the response was written, with its rest unsent.
     GatewayFixture fixture;
-    fixture.gateway.startDraining();
-    RecordingConnection &caller = answerUnread(fixture);
+    RecordingConnection &caller
+        = answerUnread(fixture, [&fixture] { fixture.gateway.startDraining(); });
     advanceInSteps(fixture, std::chrono::seconds(2));
     caller.socket.setReading(true);
-    fixture.runUntil([&] { return hasWholeBody(caller) || caller.end; });
-    CHECK(hasWholeBody(caller));
+    fixture.runUntil([&] { return hasAllBodies(caller) || caller.end; });
+    CHECK(hasAllBodies(caller));
 }
 
 TEST_CASE("a connection isn't idle while its response is still to be sent")
 {
     // The idle timeout would close it in the middle of the response.
     GatewayFixture fixture;
-    RecordingConnection &caller = answerUnread(fixture);
-    advanceInSteps(fixture, std::chrono::seconds(16));
+    RecordingConnection &caller = answerUnread(fixture, [] {});
+    advanceInSteps(fixture, std::chrono::seconds(14));
+    caller.socket.setReading(true);
+    fixture.loop.runOnce(std::chrono::milliseconds(1));
+    caller.socket.setReading(false);
+    advanceInSteps(fixture, std::chrono::seconds(4));
     caller.socket.setReading(true);
-    fixture.runUntil([&] { return hasWholeBody(caller) || caller.end; });
-    CHECK(hasWholeBody(caller));
+    fixture.runUntil([&] { return hasAllBodies(caller) || caller.end; });
+    CHECK(hasAllBodies(caller));
+}
+
+TEST_CASE("a connection whose caller reads nothing for the idle timeout is closed")
+{
+    GatewayFixture fixture;
+    answerUnread(fixture, [] {});
+    advanceInSteps(fixture, std::chrono::seconds(31));
+    CHECK(fixture.runUntil([&] { return fixture.gateway.callerConnections() == 0; }));
 }
 
 TEST_CASE("requests on connections that wait when a daemon stops listening are rejected as not run")
