Tell who ended each response that isn't whole, and when the loop was held up

The record couldn't tell who reset its callers. ResponseCut tells a connection that ended with a rest of a complete response unsent: by the daemon, the caller or the kernel, why, how much. CallerGone has the cause of the connection's end, and a response that the process's end breaks off is a RequestFailed line; before it left none. LoopHeldUp and a counter tell hold-ups of 0.1 s and more. left_ms is left out where no deadline is known, as it was the negative time since boot.

--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
@@ -128,6 +128,19 @@
     wait(static_cast<int>(longestWait.count()));
 }
 
+void EventLoop::setHoldUpListener(Duration shortest, std::function<void(Duration held)> listener)
+{
+    m_shortestHoldUp = shortest;
+    m_holdUpListener = std::move(listener);
+}
+
+void EventLoop::reportHoldUp(Instant expected)
+{
+    const Duration held = now() - expected;
+    if (m_holdUpListener && held >= m_shortestHoldUp)
+        m_holdUpListener(held);
+}
+
 void EventLoop::stop()
 {
     m_stopping = true;
@@ -212,6 +225,8 @@
 
 int EventLoop::poll(int milliseconds)
 {
+    // A timer that is due now would have run when it was due.
+    reportHoldUp(m_polled);
     const Instant latest
         = milliseconds < 0 ? Instant::max() : now() + std::chrono::milliseconds(milliseconds);
     std::array<epoll_event, MaxEventsPerWait> events;
--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
@@ -88,6 +88,7 @@
     void runDueTimers();
     void runDeferred();
     void runPosted();
+    void reportHoldUp(Instant expected);
     /** Whether a timer is due, but events that are older may not have been reported. */
     bool hasOutdatedTimer() const;
     void readLateEvents();
--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
@@ -62,7 +62,6 @@
 
 void Listener::onReadable()
 {
-    // One connection per loop iteration, so that a burst doesn't delay requests in progress.
     const int descriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor >= 0)
         m_acceptHandler(descriptor);
--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.cpp
@@ -49,6 +49,13 @@
         || errno == EINPROGRESS;
 }
 
+CloseReason reasonOf(int error)
+{
+    if (error == ECONNRESET || error == EPIPE)
+        return CloseReason::Reset;
+    return error == ETIMEDOUT ? CloseReason::TimedOut : CloseReason::Failed;
+}
+
 bool isTransient(int error)
 {
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -59,7 +66,7 @@
 StreamSocket::StreamSocket(EventLoop &loop, StreamSocketEvents &events, int descriptor)
     : m_loop(loop), m_events(events), m_descriptor(descriptor)
 {
-    setOptions(m_descriptor);
+    setOptions(m_descriptor, unread);
     m_loop.watch(m_descriptor, *this);
 }
 
@@ -180,7 +187,7 @@
         if (got < 0 && isTransient(errno))
             return;
         if (got <= 0) {
-            end(got == 0 ? CloseReason::PeerClosed : CloseReason::Failed);
+            end(got == 0 ? CloseReason::PeerClosed : reasonOf(errno));
             return;
         }
         more = static_cast<std::size_t>(got) == buffer.size();
--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
@@ -13,9 +13,13 @@
 /** Why a connection ended. */
 enum class CloseReason {
     PeerClosed, ///< The peer closed it in order and all of its data was read.
-    Failed,     ///< Reset, timed out or not established.
+    Reset,      ///< The peer reset it.
+    TimedOut,   ///< Nothing was acknowledged for too long.
+    Failed,     ///< Not established, or ended by another error.
 };
 
+std::string_view nameOf(CloseReason reason);
+
 /** Receives the events of a connection. Any of the calls may destroy the socket. */
 class StreamSocketEvents
 {
--- a/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -49,6 +49,9 @@
                    ///< to its cell if no ViewConfirmed follows within seconds.
     ViewConfirmed = 870, ///< info: this daemon's view is confirmed again; age, revision. Operator:
                          ///< none.
+    LoopHeldUp = 871,    ///< info: the event loop ran later than planned: an event took long, or
+                         ///< the process got no processor; for how long. Operator: check the load
+                         ///< of the VM if it recurs.
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -87,13 +87,21 @@
 void CallerConnection::closeAfterPoll()
 {
     // Closing with unread bytes resets the connection. The timer is replaced if a request arrives.
-    setTimer(Duration::zero(), &CallerConnection::close);
+    setTimer(Duration::zero(), &CallerConnection::closeIdle);
 }
 
-void CallerConnection::close()
+void CallerConnection::closeAtProcessEnd()
+{
+    close("process-ends");
+}
+
+void CallerConnection::close(std::string_view cause)
 {
     m_loop.cancel(m_timer);
-    m_socket.close();
+    if (m_socket.isOpen()) {
+        m_socket.close();
+        reportCut(true, cause);
+    }
     if (const CloseHandler closed = std::exchange(m_closeHandler, nullptr))
         closed(*this);
 }
@@ -157,6 +165,7 @@
     m_isHeadRequest = request.head.method == "HEAD";
     m_answering = true;
     m_request = &m_handler.begin(std::move(request), *this);
+    m_answeredRequest = m_request->key();
     if (!m_answering)
         endRequest();
 }
@@ -217,7 +226,7 @@
     endRequest();
     m_loop.cancel(m_timer);
     m_socket.abort();
-    close();
+    close("aborted");
 }
 
 void CallerConnection::refuse(MessageError error)
@@ -261,15 +270,28 @@
         m_request->onCallerDrained();
 }
 
-void CallerConnection::onEnd(CloseReason)
+void CallerConnection::onEnd(CloseReason reason)
 {
     if (m_request) {
         m_answering = false;
         CallerRequestEvents *request = std::exchange(m_request, nullptr);
-        request->onCallerGone();
+        request->onCallerGone(nameOf(reason));
         m_handler.release(*request);
+    } else {
+        reportCut(false, nameOf(reason));
     }
-    close();
+    close(nameOf(reason));
+}
+
+void CallerConnection::reportCut(bool isClosedHere, std::string_view cause)
+{
+    if (m_answering || m_socket.unsentBytes() == 0)
+        return;
+    m_handler.onResponseCut({.request = m_answeredRequest,
+                             .isClosedHere = isClosedHere,
+                             .cause = cause,
+                             .unsentBytes = m_socket.unsentBytes(),
+                             .age = m_loop.now() - m_answered});
 }
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
@@ -33,13 +33,18 @@
      */
     void closeIfIdle();
     bool isIdle() const;
+    /** The process ends: closes the connection, whatever is still to be sent. */
+    void closeAtProcessEnd();
 
 private:
     using TimeLimit = Duration (CallerRequestHandler::*)() const;
 
     /** Buffer limit for pipelined requests while one is being answered. */
     static constexpr std::size_t MaxPipelinedBytes = 65536;
-    /** How long input is still drained after the last response before the connection is closed. */
+    /**
+     * How long input is still drained after the last response before the connection is closed,
+     * and how often it is looked whether the caller reads on.
+     */
     static constexpr std::chrono::milliseconds LingerTime {1000};
 
     void onData(std::string_view bytes) override;
--- a/packages/gateway/apricothook/gateway/apricothook_caller_responder.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_responder.hpp
@@ -22,14 +22,29 @@
     virtual std::size_t unsentBytes() const = 0;
 };
 
+/** A response whose connection ended before the kernel had taken all of it. */
+struct CutResponse
+{
+    RequestKey request;
+    /** Whether this daemon closed the connection; else the caller or the kernel ended it. */
+    bool isClosedHere = false;
+    /** Why the connection ended. */
+    std::string_view cause;
+    std::size_t unsentBytes = 0;
+    /** Since the last byte of the response was written. */
+    Duration age {};
+};
+
 /** Receives the events of a caller's connection while its request is served. */
 class CallerRequestEvents
 {
 public:
     virtual ~CallerRequestEvents() = default;
-    virtual void onCallerGone() = 0;
+    /** `cause`: a name for the log. */
+    virtual void onCallerGone(std::string_view cause) = 0;
     /** All buffered response bytes were sent. */
     virtual void onCallerDrained() = 0;
+    virtual const RequestKey &key() const = 0;
 };
 
 /** A completely received request. */
@@ -54,6 +69,7 @@
     virtual Duration headTimeout() const = 0;
     virtual Duration idleTimeout() const = 0;
     virtual const WireProtocol &protocol() const = 0;
+    virtual void onResponseCut(const CutResponse &response) = 0;
     /** The process is shutting down: connections are closed after the current response. */
     virtual bool isDraining() const = 0;
 };
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -422,6 +422,7 @@
 {
     if (m_progress == Progress::Ended)
         return;
+    m_failureCause = cause;
     stopWaiting();
     cancelForLeftCaller(m_silence.takeBackup());
     cancelForLeftCaller(std::move(m_attempt));
@@ -502,7 +503,7 @@
         .mayHaveRun = m_mayHaveRun,
         .cause = m_failureCause,
         .duration = now - m_arrived,
-        .remaining = m_admitted.deadline - now,
+        .remaining = std::nullopt,
         .timeToFirstByte = std::nullopt,
         .refusal = m_refusal,
         .limit = m_limitDecision,
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -49,8 +49,11 @@
     void onTargetRestarted(const TargetInstance &current);
     /** Answers the caller if there is no response yet. */
     void onProcessEnds();
-    void onCallerGone() override;
+    /** Breaks off what is still open. */
+    void onProcessGone();
+    void onCallerGone(std::string_view cause) override;
     void onCallerDrained() override;
+    const RequestKey &key() const override { return m_admitted.fields.id; }
 
 private:
     /** The part of the response that was sent to the caller. */
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -189,19 +189,42 @@
 void Gateway::stopListening()
 {
     m_listener.reset();
-    std::vector<CallerConnection *> connections;
-    for (const std::unique_ptr<CallerConnection> &connection : m_connections)
-        connections.push_back(connection.get());
-    for (CallerConnection *connection : connections)
+    for (CallerConnection *connection : openConnections())
         connection->closeIfIdle();
 }
 
+std::vector<CallerConnection *> Gateway::openConnections() const
+{
+    std::vector<CallerConnection *> open;
+    for (const std::unique_ptr<CallerConnection> &connection : m_connections)
+        open.push_back(connection.get());
+    return open;
+}
+
 void Gateway::endUnansweredRequests()
 {
     for (ForwardedRequest *exchange : openExchanges())
         exchange->onProcessEnds();
 }
 
+void Gateway::closeConnections()
+{
+    for (ForwardedRequest *exchange : openExchanges())
+        exchange->onProcessGone();
+    for (CallerConnection *connection : openConnections())
+        connection->closeAtProcessEnd();
+}
+
+void Gateway::onResponseCut(const CutResponse &response)
+{
+    m_context.log.write(LogEvent(GatewayEvent::ResponseCut)
+                            .forRequest(response.request)
+                            .with("by", std::string(response.isClosedHere ? "daemon" : "caller"))
+                            .with("cause", std::string(response.cause))
+                            .with("unsent_bytes", response.unsentBytes)
+                            .with("written_ms", response.age));
+}
+
 std::vector<ForwardedRequest *> Gateway::openExchanges() const
 {
     std::vector<ForwardedRequest *> open;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -53,6 +53,8 @@
     void stopListening();
     /** Answers all requests that have no response yet, as the process is about to end. */
     void endUnansweredRequests();
+    /** Breaks off all responses that have begun, and closes all connections. */
+    void closeConnections();
     std::size_t openRequests() const { return m_exchanges.size(); }
     std::size_t callerConnections() const { return m_connections.size(); }
 
@@ -99,6 +101,7 @@
     MessageLimits messageLimits() const override;
     Duration headTimeout() const override { return callerBounds().headTimeout; }
     Duration idleTimeout() const override;
+    void onResponseCut(const CutResponse &response) override;
     const WireProtocol &protocol() const override { return m_context.protocol; }
     bool isDraining() const override { return m_draining; }
 
@@ -134,6 +137,7 @@
     void onTargetRestarted(const TargetInstance &current);
     /** Requests that end are destroyed after the current event only. */
     std::vector<ForwardedRequest *> openExchanges() const;
+    std::vector<CallerConnection *> openConnections() const;
     void connectionClosed(CallerConnection &connection);
     void review();
     CallerBounds callerBounds() const;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -3,6 +3,7 @@
 #include <apricothook/dispatch/apricothook_dispatcher.hpp>
 #include <apricothook/dispatch/apricothook_fleet_rate_limiter.hpp>
 #include <apricothook/dispatch/apricothook_limit_reserve.hpp>
+#include <apricothook/dispatch/apricothook_longest_response_times.hpp>
 #include <apricothook/dispatch/apricothook_policy_switches.hpp>
 #include <apricothook/dispatch/apricothook_retry_budget_share.hpp>
 #include <apricothook/dispatch/apricothook_route_table.hpp>
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -74,6 +74,9 @@
     BackupEnded = 828,   ///< info: one of a request's two targets has answered and the attempt at
                          ///< the other one was cancelled; which was kept, the last event.
                          ///< Operator: none.
+    ResponseCut = 829,   ///< warning: a connection ended before the rest of a whole response was
+                         ///< sent on it; who ended it, cause, bytes left, how long it was written.
+                         ///< Operator: see docs/OPERATIONS.md if this daemon ended it.
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
@@ -96,13 +96,15 @@
         .with("tier", record.tier.rank())
         .with("sends", record.sends)
         .with("took_ms", record.duration)
-        .with("left_ms", record.remaining)
         .with("generation", record.generation.value());
+    if (record.remaining)
+        line.with("left_ms", *record.remaining);
     addStream(line, record);
-    if (line.number() == static_cast<int>(GatewayEvent::RequestFailed)) {
+    const bool isFailed = line.number() == static_cast<int>(GatewayEvent::RequestFailed);
+    if (isFailed)
         metrics.responseIncomplete(record.cause);
+    if (isFailed || record.outcome == RequestOutcome::CallerGone)
         line.with("cause", std::string(record.cause));
-    }
     if (record.timeToFirstByte)
         line.with("first_ms", *record.timeToFirstByte);
     if (record.refusal)
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
@@ -36,8 +36,8 @@
     /** What ended a request without a complete response. */
     std::string_view cause;
     Duration duration {};
-    /** Time until the deadline; negative after it. */
-    Duration remaining {};
+    /** Time until the deadline; negative after it, unset if the deadline isn't known. */
+    std::optional<Duration> remaining;
     /** From arrival to the first byte of the response. */
     std::optional<Duration> timeToFirstByte;
     /** Set if the dispatcher refused the request. */
--- a/packages/gateway/tests/apricothook_gateway_ending_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_ending_tests.cpp
@@ -17,7 +17,7 @@
 
 /** Buffered as a whole; together more than the kernel takes for a caller that reads nothing. */
 constexpr std::size_t LargeBody = 1'000'000;
-constexpr std::size_t LargeBodies = 8;
+constexpr std::size_t LargeBodies = 16;
 
 /** A caller's connection that the kernel has accepted and the daemon hasn't. */
 class WaitingConnection
@@ -105,7 +105,7 @@
     RecordingConnection &caller = answerUnread(fixture, [] {});
     advanceInSteps(fixture, std::chrono::seconds(14));
     caller.socket.setReading(true);
-    fixture.loop.runOnce(std::chrono::milliseconds(1));
+    fixture.runUntil([&] { return caller.received.size() > LargeBodies / 2 * LargeBody; });
     caller.socket.setReading(false);
     advanceInSteps(fixture, std::chrono::seconds(4));
     caller.socket.setReading(true);
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -185,6 +185,12 @@
     m_tables->incompleteResponses.Add({{"cause", std::string(cause)}}).Increment();
 }
 
+void Metrics::loopHeldUp(Duration held)
+{
+    const std::lock_guard lock(m_tables->mutex);
+    m_tables->loopHeldUp.Add({}).Increment(secondsOf(held));
+}
+
 void Metrics::backupEnded(std::string_view outcome)
 {
     const std::lock_guard lock(m_tables->mutex);
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -79,6 +79,8 @@
     void targetUnitDecided(const ServiceId &service, bool isGranted);
     /** Counts a request that may have run and ended without a complete response, by its cause. */
     void responseIncomplete(std::string_view cause);
+    /** Counts the time for which the event loop was held up. */
+    void loopHeldUp(Duration held);
     /** Counts a second attempt beside that at a silent target, by its outcome. */
     void backupEnded(std::string_view outcome);
     /** Counts a request that was refused since it may crash its target, by what is suspect of it.
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
@@ -69,6 +69,8 @@
                              "Requests that go on with an earlier stream, by who knew its version"))
     , incompleteResponses(counter(registry, "apricothook_incomplete_responses_total",
                                   "Requests that may have run and got no complete response"))
+    , loopHeldUp(counter(registry, "apricothook_loop_held_up_seconds_total",
+                         "Time for which the event loop was held up, without times below 0.1 s"))
     , backups(counter(registry, "apricothook_backups_total",
                       "Second attempts beside those at silent targets"))
     , suspectsRefused(counter(registry, "apricothook_suspects_refused_total",
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
@@ -65,6 +65,7 @@
     CounterFamily &targetUnits;
     CounterFamily &streamsTakenUp;
     CounterFamily &incompleteResponses;
+    CounterFamily &loopHeldUp;
     CounterFamily &backups;
     CounterFamily &suspectsRefused;
     CounterFamily &customerRequests;
--- a/packages/paths/apricothook/paths/apricothook_relay_server.cpp
+++ b/packages/paths/apricothook/paths/apricothook_relay_server.cpp
@@ -168,7 +168,7 @@
             return;
         }
         // Without the last chunk the other daemon takes the target's bytes for incomplete.
-        if (end == CloseReason::Failed) {
+        if (end != CloseReason::PeerClosed) {
             close();
             return;
         }
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::seconds MetricsInterval {1};
 /** Interval of the checks whether a stopping process has completed its requests. */
 constexpr std::chrono::milliseconds PollInterval {50};
+/** Hold-ups of the loop that are told; callers notice them in the first event of a response. */
+constexpr std::chrono::milliseconds ShortestHoldUp {100};
 
 SimpleHttpResponse statusOnly(unsigned status)
 {
@@ -77,6 +79,10 @@
     m_gateway.setLoadListener([this] { m_peers.onLoadChanged(); });
     startItemWatcher();
     updateMetrics();
+    m_loop.setHoldUpListener(ShortestHoldUp, [this](Duration held) {
+        m_log.write(LogEvent(FleetviewEvent::LoopHeldUp).with("held_ms", held));
+        m_metrics.loopHeldUp(held);
+    });
     m_log.write(LogEvent(FleetviewEvent::ProcessStarted)
                     .with("callers", m_settings.callerAddress.text())
                     .with("beacons", m_settings.peerAddress.text())
@@ -201,7 +207,7 @@
                     .with("open_requests", m_gateway.openRequests())
                     .with("connections", m_gateway.callerConnections()));
     m_peers.startDraining();
-    m_gateway.startDraining();
+    m_gateway.startDraining(latest);
     m_relay.startDraining();
     // A call to the source that is still open at the end would keep the process alive beyond its
     // grace period; it would be killed before its last responses are sent.
@@ -232,7 +238,10 @@
         LogEvent(FleetviewEvent::ProcessStopped).with("open_requests", m_gateway.openRequests()));
     m_gateway.endUnansweredRequests();
     // The responses that the kernel didn't accept at once are sent meanwhile.
-    m_loop.after(PollInterval, [this] { m_loop.stop(); });
+    m_loop.after(PollInterval, [this] {
+        m_gateway.closeConnections();
+        m_loop.stop();
+    });
 }
 
 } // namespace Apricothook
