Keep connections to callers that read nothing for a while

Callers saw a reset in the middle of a response, several at once at one daemon, though their targets went on. The option isn't set on callers' connections any more: their requests have deadlines, and probes find peers that are gone while nothing is under way.

--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.cpp
@@ -25,11 +25,12 @@
     static_cast<void>(setsockopt(descriptor, level, option, &value, sizeof value));
 }
 
-void setOptions(int descriptor)
+void setOptions(int descriptor, UnreadBytes unread)
 {
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-              static_cast<int>(StreamSocket::DeadPeerTimeout.count()));
+    if (unread == UnreadBytes::EndConnection)
+        setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                  static_cast<int>(StreamSocket::DeadPeerTimeout.count()));
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
@@ -63,7 +64,23 @@
 
 } // namespace
 
-StreamSocket::StreamSocket(EventLoop &loop, StreamSocketEvents &events, int descriptor)
+std::string_view nameOf(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::PeerClosed:
+        return "closed";
+    case CloseReason::Reset:
+        return "reset";
+    case CloseReason::TimedOut:
+        return "timed-out";
+    case CloseReason::Failed:
+        break;
+    }
+    return "failed";
+}
+
+StreamSocket::StreamSocket(EventLoop &loop, StreamSocketEvents &events, int descriptor,
+                           UnreadBytes unread)
     : m_loop(loop), m_events(events), m_descriptor(descriptor)
 {
     setOptions(m_descriptor, unread);
@@ -78,7 +95,7 @@
     if (address)
         m_descriptor = socket(address->ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (m_descriptor >= 0) {
-        setOptions(m_descriptor);
+        setOptions(m_descriptor, UnreadBytes::EndConnection);
         if (startConnecting(m_descriptor, to, from)) {
             m_loop.watch(m_descriptor, *this);
             updateInterest();
--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
@@ -10,6 +10,12 @@
 
 namespace Apricothook {
 
+/** Whether a connection ends if its peer takes none of the bytes that are sent to it. */
+enum class UnreadBytes {
+    EndConnection, ///< After DeadPeerTimeout.
+    AreKept,
+};
+
 /** Why a connection ended. */
 enum class CloseReason {
     PeerClosed, ///< The peer closed it in order and all of its data was read.
@@ -39,7 +45,8 @@
  *
  * A connection can die without a reset, when the peer's VM loses power or a middlebox drops its
  * connection state. Unacknowledged data and unanswered keep-alive probes therefore close it after
- * DeadPeerTimeout.
+ * DeadPeerTimeout. The kernel takes a peer that reads nothing for one that acknowledges nothing, so
+ * a connection whose peer may read slowly has only the probes; its owner must bound the rest.
  */
 class StreamSocket : public StreamConnection, private DescriptorEvents
 {
@@ -48,7 +55,8 @@
     static constexpr std::chrono::milliseconds DeadPeerTimeout {2500};
 
     /** Takes ownership of an accepted descriptor. */
-    StreamSocket(EventLoop &loop, StreamSocketEvents &events, int descriptor);
+    StreamSocket(EventLoop &loop, StreamSocketEvents &events, int descriptor,
+                 UnreadBytes unread = UnreadBytes::EndConnection);
     /**
      * Starts connecting; onConnected() or onEnd() reports the result. `from` is the numeric address
      * of this VM to connect from; the system chooses one if it is empty.
--- /dev/null
+++ b/packages/eventloop/tests/apricothook_stream_socket_tests.cpp
@@ -0,0 +1,94 @@
+#include <apricothook/eventloop/apricothook_listener.hpp>
+#include <apricothook/eventloop/apricothook_stream_socket.hpp>
+
+#include <apricothook/testsupport/apricothook_manual_clock.hpp>
+
+#include <doctest/doctest.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <optional>
+#include <string>
+
+using namespace Apricothook;
+
+namespace {
+
+/** Records how its connection ended. */
+class RecordingEvents : public StreamSocketEvents
+{
+public:
+    void onData(std::string_view) override { }
+    void onEnd(CloseReason reason) override { end = reason; }
+
+    std::optional<CloseReason> end;
+};
+
+/** Two ends of a connection; `accepted` is the descriptor of one of them. */
+struct ConnectedPair
+{
+    ConnectedPair()
+    {
+        listener = Listener::open(loop, {"127.0.0.1", 0}, [this](int descriptor) {
+                       accepted = descriptor;
+                   }).value();
+        other.emplace(loop, otherEvents, Endpoint {"127.0.0.1", listener->port()});
+        for (int i = 0; i < 100 && accepted < 0; ++i)
+            loop.runOnce(std::chrono::milliseconds(1));
+        REQUIRE(accepted >= 0);
+    }
+    void runPendingEvents()
+    {
+        for (int i = 0; i < 20; ++i)
+            loop.runOnce(std::chrono::milliseconds(1));
+    }
+
+    ManualClock clock;
+    EventLoop loop {clock};
+    std::unique_ptr<Listener> listener;
+    RecordingEvents events;
+    RecordingEvents otherEvents;
+    std::optional<StreamSocket> other;
+    int accepted = -1;
+};
+
+int userTimeoutOf(int descriptor)
+{
+    int value = -1;
+    socklen_t size = sizeof value;
+    REQUIRE(getsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, &size) == 0);
+    return value;
+}
+
+} // namespace
+
+TEST_CASE("a connection whose peer may read slowly isn't ended for want of acknowledgements")
+{
+    // The kernel ends a connection with that timeout though its peer lives and only doesn't read.
+    ConnectedPair pair;
+    const StreamSocket socket(pair.loop, pair.events, pair.accepted, UnreadBytes::AreKept);
+    CHECK(userTimeoutOf(pair.accepted) == 0);
+}
+
+TEST_CASE("a connection ends if its peer acknowledges nothing for longer than a sound one")
+{
+    ConnectedPair pair;
+    const StreamSocket socket(pair.loop, pair.events, pair.accepted);
+    CHECK(userTimeoutOf(pair.accepted) == StreamSocket::DeadPeerTimeout.count());
+}
+
+TEST_CASE("a reset and an orderly end of a connection are told apart")
+{
+    ConnectedPair closed;
+    const StreamSocket first(closed.loop, closed.events, closed.accepted);
+    closed.other->close();
+    closed.runPendingEvents();
+    CHECK(closed.events.end == CloseReason::PeerClosed);
+    ConnectedPair reset;
+    const StreamSocket second(reset.loop, reset.events, reset.accepted);
+    reset.other->abort();
+    reset.runPendingEvents();
+    CHECK(reset.events.end == CloseReason::Reset);
+}
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -33,7 +33,7 @@
     , m_handler(handler)
     , m_closeHandler(std::move(closed))
     , m_reader(handler.messageLimits())
-    , m_socket(loop, *this, descriptor)
+    , m_socket(loop, *this, descriptor, UnreadBytes::AreKept)
 {
     limitTime(&CallerRequestHandler::idleTimeout, &CallerConnection::onIdleTimeout);
 }
