Close no connection while its caller is still reading a response

A response was cut if its caller hadn't taken all of it a second after it was written (on a connection that closes) or within the idle timeout (on one that is kept): the timers counted from the end of writing into the daemon's own buffer, and close dropped what was left. Both look now whether the caller has read anything since the last look; it loses the rest only after it has read nothing for the idle timeout.

--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -80,7 +80,7 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (isIdle())
+    if (isIdle() && m_socket.unsentBytes() == 0)
         closeAfterPoll();
 }
 
@@ -205,6 +205,8 @@
         m_socket.send(LastChunk);
     m_chunked = false;
     m_answering = false;
+    m_answered = m_readSince = m_loop.now();
+    m_unsentBefore = m_socket.unsentBytes();
     endRequest();
     if (!m_keepAlive) {
         respondAndLinger(0);
@@ -246,7 +248,7 @@
     m_input.clear();
     m_socket.shutdownSend();
     m_socket.setReading(true);
-    setTimer(LingerTime, &CallerConnection::close);
+    setTimer(LingerTime, &CallerConnection::onLingerTimeout);
 }
 
 void CallerConnection::onHeadTimeout()
@@ -259,15 +261,39 @@
     respondAndLinger(HttpStatus::RequestTimeout);
 }
 
+bool CallerConnection::isBeingRead()
+{
+    const std::size_t unsent = m_socket.unsentBytes();
+    if (std::exchange(m_unsentBefore, unsent) != unsent)
+        m_readSince = m_loop.now();
+    return unsent > 0 && m_loop.now() - m_readSince < m_handler.idleTimeout();
+}
+
 void CallerConnection::onIdleTimeout()
 {
-    closeAfterPoll();
+    // Closing now would cut the response; the caller reads it slowly, or stands still.
+    if (isBeingRead())
+        limitTime(&CallerRequestHandler::idleTimeout, &CallerConnection::onIdleTimeout);
+    else
+        closeAfterPoll();
+}
+
+void CallerConnection::onLingerTimeout()
+{
+    if (isBeingRead())
+        setTimer(LingerTime, &CallerConnection::onLingerTimeout);
+    else
+        closeLingering();
 }
 
 void CallerConnection::onDrained()
 {
     if (m_request)
         m_request->onCallerDrained();
+    else if (isIdle() && m_handler.isDraining())
+        closeAfterPoll();
+    else if (isIdle())
+        limitTime(&CallerRequestHandler::idleTimeout, &CallerConnection::onIdleTimeout);
 }
 
 void CallerConnection::onEnd(CloseReason reason)
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
@@ -74,9 +74,15 @@
     void onHeadTimeout();
     void onBodyTimeout();
     void onIdleTimeout();
+    void onLingerTimeout();
+    /** Whether there are bytes to be sent, and some were since the last call of this. */
+    bool isBeingRead();
     /** Closes the connection unless a request has arrived by the next poll of the descriptors. */
     void closeAfterPoll();
-    void close();
+    void close(std::string_view cause);
+    void closeIdle() { close("idle"); }
+    void closeLingering() { close("linger"); }
+    void reportCut(bool isClosedHere, std::string_view cause);
 
     EventLoop &m_loop;
     CallerRequestHandler &m_handler;
@@ -94,6 +100,13 @@
     bool m_lingering = false;
     bool m_inReadRequests = false;
     TimerId m_timer = 0;
+    /** The request that was answered last. */
+    RequestKey m_answeredRequest;
+    Instant m_answered {};
+    /** Bytes to be sent when it was last looked whether the caller reads. */
+    std::size_t m_unsentBefore = 0;
+    /** When some of them had last been sent. */
+    Instant m_readSince {};
     /** When the time began that is limited by the timer. */
     Instant m_limitedSince {};
     Duration m_longestTime {};
