Accept what waits before the listener is closed

Closing a listener resets the connections that the kernel has accepted and the daemon hasn't, with the requests on them: their callers heard nothing. They are accepted first now, and their requests are refused as not run.

--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
@@ -60,11 +60,23 @@
     return ntohs(bound.sin_port);
 }
 
-void Listener::onReadable()
+bool Listener::acceptOne()
 {
     const int descriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor >= 0)
         m_acceptHandler(descriptor);
+    return descriptor >= 0;
+}
+
+void Listener::acceptWaiting()
+{
+    while (acceptOne()) { }
+}
+
+void Listener::onReadable()
+{
+    // One connection per loop iteration, so that a burst doesn't delay requests in progress.
+    acceptOne();
 }
 
 } // namespace Apricothook
--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.hpp
@@ -27,12 +27,16 @@
     ~Listener() override;
     /** The bound port; chosen by the system if the address has port zero. */
     std::uint16_t port() const;
+    /** Accepts all connections that wait. */
+    void acceptWaiting();
     Listener(const Listener &) = delete;
     Listener &operator=(const Listener &) = delete;
 
 private:
     Listener(EventLoop &loop, int descriptor, AcceptHandler accepted);
     void onReadable() override;
+    /** Whether a connection waited. */
+    bool acceptOne();
     void onWritable() override { }
 
     EventLoop &m_loop;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -188,6 +188,9 @@
 
 void Gateway::stopListening()
 {
+    // Closing the listener resets the connections that wait there.
+    if (m_listener)
+        m_listener->acceptWaiting();
     m_listener.reset();
     for (CallerConnection *connection : openConnections())
         connection->closeIfIdle();
