End the process though nobody reads its log

A process whose standard output wasn't read waited in its log's destructor until it was killed, and a signal that interrupted a write dropped the rest of the buffer. The writer now waits for a ready descriptor and writes no more than a ready pipe takes without blocking, goes on after a signal, and gives up 0.3 s after the process's end has begun.

--- a/packages/observe/apricothook/observe/apricothook_structured_log.cpp
+++ b/packages/observe/apricothook/observe/apricothook_structured_log.cpp
@@ -5,8 +5,12 @@
 #include <json/value.h>
 #include <json/writer.h>
 
+#include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
+#include <climits>
 #include <memory>
 #include <sstream>
 
@@ -15,6 +19,8 @@
 namespace {
 
 constexpr double MicrosecondsPerMillisecond = 1000;
+/** A pipe that is ready takes so many bytes without blocking. */
+constexpr std::size_t ChunkBytes = PIPE_BUF;
 
 Json::Value jsonOf(const LogEvent::Value &value)
 {
@@ -159,6 +165,33 @@
     return m_dropped;
 }
 
+bool StructuredLog::awaitReader()
+{
+    const auto latest = std::chrono::steady_clock::now() + FlushAtEnd;
+    while (true) {
+        pollfd readiness {m_descriptor, POLLOUT, 0};
+        if (poll(&readiness, 1, static_cast<int>(FlushPause.count())) > 0)
+            return true;
+        const std::lock_guard lock(m_mutex);
+        if (m_closing && std::chrono::steady_clock::now() >= latest)
+            return false;
+    }
+}
+
+void StructuredLog::writeLines(std::string_view lines)
+{
+    while (!lines.empty() && awaitReader()) {
+        const ssize_t written
+            = ::write(m_descriptor, lines.data(), std::min(lines.size(), ChunkBytes));
+        if (written < 0 && errno == EINTR)
+            continue;
+        // The reader has closed the descriptor, so the error can't be reported anywhere.
+        if (written <= 0)
+            return;
+        lines.remove_prefix(static_cast<std::size_t>(written));
+    }
+}
+
 void StructuredLog::drainBuffer()
 {
     std::unique_lock lock(m_mutex);
@@ -169,13 +202,7 @@
         const std::string lines = std::exchange(m_buffer, {});
         const bool closing = m_closing;
         lock.unlock();
-        for (std::size_t done = 0; done < lines.size();) {
-            const ssize_t written = ::write(m_descriptor, lines.data() + done, lines.size() - done);
-            // The reader has closed the descriptor, so the error can't be reported anywhere.
-            if (written <= 0)
-                break;
-            done += static_cast<std::size_t>(written);
-        }
+        writeLines(lines);
         if (closing)
             return;
         lock.lock();
--- a/packages/observe/apricothook/observe/apricothook_structured_log.hpp
+++ b/packages/observe/apricothook/observe/apricothook_structured_log.hpp
@@ -92,6 +92,9 @@
     /** Time for which lines are collected before they are written with one call. */
     static constexpr std::chrono::milliseconds FlushPause {200};
 
+    /** A process that ends waits so long for a reader that has stopped reading. */
+    static constexpr std::chrono::milliseconds FlushAtEnd {300};
+
     StructuredLog(const Clock &clock, std::string vm, int descriptor);
     ~StructuredLog() override;
     StructuredLog(const StructuredLog &) = delete;
@@ -110,6 +113,9 @@
 
     bool hasRoom(const LogEvent &event, Budget &budget, Instant now) const;
     void drainBuffer();
+    void writeLines(std::string_view lines);
+    /** Waits until the descriptor takes bytes; false if the process ends meanwhile. */
+    bool awaitReader();
 
     const Clock &m_clock;
     const std::string m_vm;
