Begin no request that outlasts a process that was asked to stop

Callers of a daemon that was stopped lost streams that they had sent after the signal, several at once, and some of them with the kill at the end of the grace time. Cause: for three seconds after it had handled the signal, a daemon began requests of any length, and broke off what was left 7.4 s after it; a daemon that got no processor handled the signal late, so both times were late by as much, and the platform's kill came first.

Now a request that no target has yet is begun only if it is expected to be done before the end: by one and a half times the longest recent time of its route, or its deadline if there are few responses; else it is refused at once as not run, with the end of its connection. The time is counted from the last poll before the signal was handled, which came before the signal. So whatever is begun is done, if the route goes on as before, and the process ends before it is killed.

--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
@@ -50,6 +50,7 @@
     , m_epoll(throwOnError(epoll_create1(EPOLL_CLOEXEC), "epoll_create1"))
     , m_wakeupEvent(throwOnError(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd"))
     , m_polled(clock.now())
+    , m_polledBefore(m_polled)
 {
     epoll_event event = interest(EPOLLIN, watchOf(m_wakeupEvent, 0));
     throwOnError(epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wakeupEvent, &event), "epoll_ctl");
@@ -232,7 +233,8 @@
     std::array<epoll_event, MaxEventsPerWait> events;
     const int count = epoll_wait(m_epoll, events.data(), MaxEventsPerWait, milliseconds);
     // The process may have been frozen since the descriptors were polled.
-    m_polled = std::min(now(), latest);
+    m_polledBefore = std::exchange(m_polled, std::min(now(), latest));
+    reportHoldUp(m_polled);
     for (int i = 0; i < count; ++i) {
         const epoll_event event = events[static_cast<std::size_t>(i)];
         const std::uint64_t watch = event.data.u64;
--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
@@ -67,6 +67,13 @@
     void wake();
     void setWakeAction(std::function<void()> action) { m_wakeAction = std::move(action); }
     Instant now() const { return m_clock.now(); }
+    /**
+     * Called when the loop ran later than it would have by so much or more: another event took
+     * long, or the process didn't get a processor.
+     */
+    void setHoldUpListener(Duration shortest, std::function<void(Duration held)> listener);
+    /** The loop ran at this time; what woke it up for the current event came later. */
+    Instant polledBefore() const { return m_polledBefore; }
 
 private:
     /** Capacity of the post() queue; two threads post a few functions a second each. */
@@ -102,6 +109,10 @@
     const int m_wakeupEvent;
     /** The descriptors were polled at this time or later. */
     Instant m_polled;
+    /** The same of the poll before. */
+    Instant m_polledBefore;
+    Duration m_shortestHoldUp = Duration::max();
+    std::function<void(Duration held)> m_holdUpListener;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_hasPosted = false;
     TimerId m_lastTimer = 0;
--- a/packages/eventloop/tests/apricothook_event_loop_tests.cpp
+++ b/packages/eventloop/tests/apricothook_event_loop_tests.cpp
@@ -290,3 +290,35 @@
     close(ends[0]);
     close(ends[1]);
 }
+
+TEST_CASE("a hold-up of the loop is told with its length")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    std::vector<Duration> told;
+    loop.setHoldUpListener(std::chrono::milliseconds(100),
+                           [&told](Duration held) { told.push_back(held); });
+    loop.after(Duration::zero(), [&clock] { clock.advance(std::chrono::milliseconds(99)); });
+    loop.runOnce(std::chrono::milliseconds(0));
+    CHECK(told.empty());
+    loop.after(Duration::zero(), [&clock] { clock.advance(std::chrono::milliseconds(250)); });
+    loop.runOnce(std::chrono::milliseconds(0));
+    REQUIRE(told.size() == 1);
+    CHECK(told.front() == std::chrono::milliseconds(250));
+}
+
+TEST_CASE("what woke the loop up came after the poll before")
+{
+    // A process that is held up must know how late it may have been told to stop.
+    ManualClock clock;
+    EventLoop loop(clock);
+    const Instant before = clock.now();
+    Instant told;
+    loop.setWakeAction([&] { told = loop.polledBefore(); });
+    loop.runOnce(std::chrono::milliseconds(0));
+    loop.wake();
+    clock.advance(std::chrono::seconds(2));
+    loop.runOnce(std::chrono::milliseconds(0));
+    CHECK(told == before);
+    CHECK(clock.now() - told == std::chrono::seconds(2));
+}
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -53,6 +53,7 @@
     m_lastEvent = m_admitted.fields.lastEventId;
     if (!admitted) {
         const AdmissionRefusal &refusal = admitted.error();
+        m_shutdown = refusal.shutdown;
         sendLocalResponse(refusal.outcome, refusal.status, refusal.retryAfter);
         return;
     }
@@ -133,6 +134,11 @@
 void ForwardedRequest::onPlaced(const TargetEntry &target)
 {
     m_waiting = false;
+    if (outlastsProcess()) {
+        releaseSlot(target);
+        refuseAtShutdown();
+        return;
+    }
     const TrackedTarget *tracked = m_context.targets.find(target.id);
     if (const std::optional<LimitedUnits> units = unitsFor(tracked, m_context.bounds)) {
         acquireTargetUnit(target, *units);
@@ -396,29 +402,7 @@
                   hasFirstEvent ? TargetOutcome::Cancelled : TargetOutcome::Lost);
 }
 
-void ForwardedRequest::cancelWithProcess(std::unique_ptr<Attempt> attempt)
-{
-    if (!attempt)
-        return;
-    m_mayHaveRun |= attempt->isSent;
-    cancelAttempt(std::move(attempt), TargetOutcome::Cancelled);
-}
-
-void ForwardedRequest::onProcessEnds()
-{
-    if (m_progress != Progress::Nothing)
-        return;
-    m_failureCause = "process-ends";
-    stopWaiting();
-    cancelWithProcess(m_silence.takeBackup());
-    cancelWithProcess(std::move(m_attempt));
-    if (m_mayHaveRun || m_failedResponse)
-        failRequest();
-    else
-        sendLocalResponse(RequestOutcome::Leaving, HttpStatus::Unavailable, Duration::zero());
-}
-
-void ForwardedRequest::onCallerGone()
+void ForwardedRequest::onCallerGone(std::string_view cause)
 {
     if (m_progress == Progress::Ended)
         return;
@@ -510,10 +494,24 @@
         .suspect = m_suspicion ? m_suspicion->trait : m_traits.content,
         .promptParts = m_admitted.fields.promptParts,
         .suspicion = m_suspicion,
+        .shutdown = m_shutdown,
     };
+    if (m_admitted.route) {
+        record.remaining = m_admitted.deadline - now;
+        recordResponseTime(outcome, now - m_arrived);
+    }
     if (m_firstByteTime)
         record.timeToFirstByte = *m_firstByteTime - m_arrived;
     recordRequest(record, m_context.log, m_context.metrics);
 }
 
+void ForwardedRequest::recordResponseTime(RequestOutcome outcome, Duration taken)
+{
+    const ClassId &route = m_admitted.route->name;
+    if (outcome == RequestOutcome::Answered || outcome == RequestOutcome::TimedOut)
+        m_context.responseTimes.recordComplete(route, taken, m_context.loop.now());
+    else
+        m_context.responseTimes.recordIncomplete(route, taken, m_context.loop.now());
+}
+
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -3,6 +3,7 @@
 #include <apricothook/gateway/apricothook_caller_responder.hpp>
 #include <apricothook/gateway/apricothook_gateway_context.hpp>
 #include <apricothook/gateway/apricothook_request_outcome.hpp>
+#include <apricothook/gateway/apricothook_shutdown_forecast.hpp>
 #include <apricothook/gateway/internal/apricothook_attempt.hpp>
 #include <apricothook/gateway/internal/apricothook_request_admission.hpp>
 #include <apricothook/gateway/internal/apricothook_silence_retry.hpp>
@@ -47,6 +48,8 @@
     void onOriginDecided(const StreamOriginDecision &decision);
     /** Fails the attempt if it was sent to an earlier instance of the target. */
     void onTargetRestarted(const TargetInstance &current);
+    /** Refuses the request if no target has it yet and the process ends before it is done. */
+    void onProcessStops();
     /** Answers the caller if there is no response yet. */
     void onProcessEnds();
     /** Breaks off what is still open. */
@@ -91,6 +94,9 @@
     std::unique_ptr<Attempt> release(const Attempt &attempt);
     /** Cancels an attempt that its request no longer needs or waits for. */
     void cancelAttempt(std::unique_ptr<Attempt> attempt, TargetOutcome outcome);
+    /** Whether no target has the request yet and the process ends before it is done. */
+    bool outlastsProcess();
+    void refuseAtShutdown();
     void cancelWithProcess(std::unique_ptr<Attempt> attempt);
     void cancelAtDeadline(std::unique_ptr<Attempt> attempt);
     void cancelForLeftCaller(std::unique_ptr<Attempt> attempt);
@@ -169,6 +175,7 @@
     void abort(RequestOutcome outcome);
     void finish(RequestOutcome outcome);
     void record(RequestOutcome outcome);
+    void recordResponseTime(RequestOutcome outcome, Duration taken);
 
     GatewayContext &m_context;
     const ExchangeId m_id;
@@ -222,6 +229,8 @@
     std::optional<LimitDecision> m_limitDecision;
     /** Set if the request is refused as suspect. */
     std::optional<TrialDecision> m_suspicion;
+    /** The last forecast; set only while the process shuts down. */
+    std::optional<ShutdownForecast> m_shutdown;
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -62,10 +62,12 @@
                  .members = 1,
                  .fleetSize = std::nullopt,
                  .refusesNewRequests = false,
+                 .shutdownAt = std::nullopt,
                  .started = loop.now(),
                  .retryBudgets = {},
                  .urgency = {},
                  .sizes = {},
+                 .responseTimes = {},
                  .limitReserve = {},
                  .unitsRequested = [this] { scheduleLimitReview(); },
                  .deferLimitDecision =
@@ -186,6 +188,14 @@
     scheduleReview();
 }
 
+void Gateway::startDraining(std::optional<Instant> shutdownAt)
+{
+    m_draining = true;
+    m_context.shutdownAt = shutdownAt;
+    for (ForwardedRequest *exchange : openExchanges())
+        exchange->onProcessStops();
+}
+
 void Gateway::stopListening()
 {
     // Closing the listener resets the connections that wait there.
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -45,8 +45,11 @@
      */
     void setEvacuated(const DataCentreId &dataCentre, bool isEvacuated);
 
-    /** From now on each connection is closed after its response. */
-    void startDraining() { m_draining = true; }
+    /**
+     * From now on each connection is closed after its response, and a request that isn't expected
+     * to be complete at the given time is rejected as not run unless a target has it.
+     */
+    void startDraining(std::optional<Instant> shutdownAt = std::nullopt);
     /** New requests are rejected as not run, as they couldn't complete before the shutdown. */
     void refuseNewRequests() { m_context.refusesNewRequests = true; }
     /** Stops accepting connections and closes the idle ones. */
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -53,11 +53,14 @@
     std::optional<std::size_t> fleetSize;
     /** The process is shutting down. */
     bool refusesNewRequests = false;
+    /** When the process ends, whatever is still open; unset unless it is shutting down. */
+    std::optional<Instant> shutdownAt;
     /** When the gateway was created. */
     const Instant started {};
     std::map<ServiceId, RetryBudgetShare> retryBudgets;
     RouteUrgency urgency;
     SizeOrder sizes;
+    LongestResponseTimes responseTimes;
     LimitReserve limitReserve;
     /** Called when a request starts to wait for units. */
     std::function<void()> unitsRequested;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.cpp
@@ -2,6 +2,8 @@
 
 #include <apricothook/http1/apricothook_http_status.hpp>
 
+#include <apricothook/gateway/internal/apricothook_shutdown_forecast.hpp>
+
 #include <algorithm>
 #include <limits>
 
@@ -73,6 +75,11 @@
     request.routes = context.routes;
     BOOST_OUTCOME_TRY(findRoute(context, request));
     setSizeAndDeadline(received.receiveStarted, request);
+    const std::optional<ShutdownForecast> shutdown
+        = forecastAtShutdown(context, request, context.loop.now());
+    if (shutdown && !shutdown->isInTime())
+        return AdmissionRefusal {RequestOutcome::Leaving, HttpStatus::Unavailable, Duration::zero(),
+                                 shutdown};
     return Outcomes::success();
 }
 
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.hpp
@@ -3,6 +3,7 @@
 #include <apricothook/gateway/apricothook_caller_responder.hpp>
 #include <apricothook/gateway/apricothook_gateway_context.hpp>
 #include <apricothook/gateway/apricothook_request_outcome.hpp>
+#include <apricothook/gateway/apricothook_shutdown_forecast.hpp>
 #include <apricothook/model/apricothook_result.hpp>
 
 #include <memory>
@@ -35,6 +36,8 @@
     RequestOutcome outcome = RequestOutcome::BadRequest;
     unsigned status = 0;
     std::optional<Duration> retryAfter;
+    /** Set if the process ends too early for the request. */
+    std::optional<ShutdownForecast> shutdown {};
 };
 
 /** Fills `request`; if it isn't admitted, with the fields read so far, for the log. */
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
@@ -115,6 +115,9 @@
         metrics.suspectRefused(nameOf(traitKind(record.suspect)));
         addSuspicion(line, record);
     }
+    if (record.shutdown)
+        line.with("expected_ms", record.shutdown->expected)
+            .with("process_ends_ms", record.shutdown->left);
     if (record.outcome == RequestOutcome::Answered)
         line.markRoutine();
     log.write(line);
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
@@ -4,6 +4,7 @@
 #include <apricothook/dispatch/apricothook_fleet_rate_limiter.hpp>
 #include <apricothook/dispatch/apricothook_suspect_traits.hpp>
 #include <apricothook/gateway/apricothook_request_outcome.hpp>
+#include <apricothook/gateway/apricothook_shutdown_forecast.hpp>
 #include <apricothook/observe/apricothook_metrics.hpp>
 #include <apricothook/observe/apricothook_structured_log.hpp>
 
@@ -50,6 +51,8 @@
     std::vector<PromptPartId> promptParts;
     /** Set if the request was refused as suspect. */
     std::optional<TrialDecision> suspicion;
+    /** Set if the process was shutting down. */
+    std::optional<ShutdownForecast> shutdown;
 };
 
 /** Updates the metrics and writes the request's final log line. */
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -202,8 +202,13 @@
 {
     if (std::exchange(m_stopping, true))
         return;
-    const Instant now = m_loop.now();
+    // A process that got no processor handles the request late; the grace period had begun.
+    const Instant requested = m_loop.polledBefore();
+    const Duration late = m_loop.now() - requested;
+    const Instant latest = requested + m_settings.bounds.grace - ShutdownMargin;
     m_log.write(LogEvent(FleetviewEvent::ProcessStopping)
+                    .with("late_ms", late)
+                    .with("ends_ms", latest - m_loop.now())
                     .with("open_requests", m_gateway.openRequests())
                     .with("connections", m_gateway.callerConnections()));
     m_peers.startDraining();
@@ -211,10 +216,8 @@
     m_relay.startDraining();
     // A call to the source that is still open at the end would keep the process alive beyond its
     // grace period; it would be killed before its last responses are sent.
-    m_loop.after(m_settings.bounds.grace - ShutdownMargin - ItemWatcher::StopTime,
-                 [this] { m_watcher->stop(); });
-    const Instant latest = now + m_settings.bounds.grace - ShutdownMargin;
-    m_loop.after(TtlFactor * LookupTtl, [this, latest] {
+    m_loop.after(latest - ItemWatcher::StopTime - m_loop.now(), [this] { m_watcher->stop(); });
+    m_loop.after(TtlFactor * LookupTtl - late, [this, latest] {
         stopAccepting();
         stopWhenIdle(latest);
     });
