Pause accepting while the process has no descriptor

A daemon without a descriptor left was told of the same waiting connection again and again, and took a whole processor to accept it in vain; its open responses were late beside it, and callers on the waiting connections heard nothing, without a line in the log. Accepting now pauses for 0.1 s and ConnectionsWait tells it.

--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
@@ -18,10 +18,17 @@
  */
 constexpr int ListenBacklog = 1024;
 
+bool isExhausted(int error)
+{
+    return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
 } // namespace
 
-Result<std::unique_ptr<Listener>, ListenError>
-Listener::open(EventLoop &loop, const Endpoint &address, AcceptHandler accepted)
+Result<std::unique_ptr<Listener>, ListenError> Listener::open(EventLoop &loop,
+                                                              const Endpoint &address,
+                                                              AcceptHandler accepted,
+                                                              ExhaustionHandler exhausted)
 {
     const std::optional<sockaddr_storage> bound = socketAddressOf(address);
     if (!bound)
@@ -37,17 +44,23 @@
         ::close(descriptor);
         return error;
     }
-    return std::unique_ptr<Listener>(new Listener(loop, descriptor, std::move(accepted)));
+    return std::unique_ptr<Listener>(
+        new Listener(loop, descriptor, std::move(accepted), std::move(exhausted)));
 }
 
-Listener::Listener(EventLoop &loop, int descriptor, AcceptHandler accepted)
-    : m_loop(loop), m_descriptor(descriptor), m_acceptHandler(std::move(accepted))
+Listener::Listener(EventLoop &loop, int descriptor, AcceptHandler accepted,
+                   ExhaustionHandler exhausted)
+    : m_loop(loop)
+    , m_descriptor(descriptor)
+    , m_acceptHandler(std::move(accepted))
+    , m_exhaustionHandler(std::move(exhausted))
 {
     m_loop.watch(m_descriptor, *this);
 }
 
 Listener::~Listener()
 {
+    m_loop.cancel(m_pause);
     m_loop.unwatch(m_descriptor);
     ::close(m_descriptor);
 }
@@ -76,7 +89,20 @@
 void Listener::onReadable()
 {
     // One connection per loop iteration, so that a burst doesn't delay requests in progress.
-    acceptOne();
+    if (!acceptOne() && isExhausted(errno))
+        pause(errno);
+}
+
+void Listener::pause(int errorNumber)
+{
+    // A connection that waits is reported again at once, which would take the whole processor.
+    m_loop.setInterest(m_descriptor, false, false);
+    m_pause = m_loop.after(ExhaustionPause, [this] {
+        m_pause = 0;
+        m_loop.setInterest(m_descriptor, true, false);
+    });
+    if (m_exhaustionHandler)
+        m_exhaustionHandler(errorNumber);
 }
 
 } // namespace Apricothook
--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.hpp
@@ -21,9 +21,15 @@
 {
 public:
     using AcceptHandler = std::function<void(int descriptor)>;
-
-    static Result<std::unique_ptr<Listener>, ListenError>
-    open(EventLoop &loop, const Endpoint &address, AcceptHandler accepted);
+    /** Called with the errno value if the process has no room for the connections that wait. */
+    using ExhaustionHandler = std::function<void(int errorNumber)>;
+    /** Connections wait so long before they are accepted again after the process had no room. */
+    static constexpr std::chrono::milliseconds ExhaustionPause {100};
+
+    static Result<std::unique_ptr<Listener>, ListenError> open(EventLoop &loop,
+                                                               const Endpoint &address,
+                                                               AcceptHandler accepted,
+                                                               ExhaustionHandler exhausted = {});
     ~Listener() override;
     /** The bound port; chosen by the system if the address has port zero. */
     std::uint16_t port() const;
@@ -33,15 +39,18 @@
     Listener &operator=(const Listener &) = delete;
 
 private:
-    Listener(EventLoop &loop, int descriptor, AcceptHandler accepted);
+    Listener(EventLoop &loop, int descriptor, AcceptHandler accepted, ExhaustionHandler exhausted);
     void onReadable() override;
     /** Whether a connection waited. */
     bool acceptOne();
+    void pause(int errorNumber);
     void onWritable() override { }
 
     EventLoop &m_loop;
     const int m_descriptor;
     AcceptHandler m_acceptHandler;
+    ExhaustionHandler m_exhaustionHandler;
+    TimerId m_pause = 0;
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -102,8 +102,13 @@
 
 Result<void, ListenError> Gateway::listen(const Endpoint &address)
 {
-    Result<std::unique_ptr<Listener>, ListenError> opened
-        = Listener::open(m_loop, address, [this](int descriptor) { accept(descriptor); });
+    Result<std::unique_ptr<Listener>, ListenError> opened = Listener::open(
+        m_loop, address, [this](int descriptor) { accept(descriptor); },
+        [this](int errorNumber) {
+            m_context.log.write(LogEvent(GatewayEvent::ConnectionsWait)
+                                    .with("error", errorNumber)
+                                    .with("connections", m_connections.size()));
+        });
     if (!opened)
         return opened.error();
     m_listener = std::move(opened).value();
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -77,6 +77,9 @@
     ResponseCut = 829,   ///< warning: a connection ended before the rest of a whole response was
                          ///< sent on it; who ended it, cause, bytes left, how long it was written.
                          ///< Operator: see docs/OPERATIONS.md if this daemon ended it.
+    ConnectionsWait = 830, ///< warning: the process has no descriptor or memory for a caller's
+                           ///< connection, which waits; errno value, open connections. Operator:
+                           ///< raise the limit, or add VMs.
 };
 
 } // namespace Apricothook
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -120,6 +120,7 @@
     EventName {827, "BackupRefused", EventLevel::Info},
     EventName {828, "BackupEnded", EventLevel::Info},
     EventName {829, "ResponseCut", EventLevel::Warning},
+    EventName {830, "ConnectionsWait", EventLevel::Warning},
     EventName {851, "ProcessStarted", EventLevel::Info},
     EventName {852, "ProcessStopping", EventLevel::Info},
     EventName {853, "ProcessStopped", EventLevel::Info},
