Tell each hold-up once, and don't take an interrupted wait for a poll

A wait that a signal interrupts reports nothing, so it isn't a poll: a signal to stop could be taken to be younger than it is by up to a timer's interval, and timers could run before bytes that had arrived.

--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
@@ -51,6 +51,7 @@
     , m_wakeupEvent(throwOnError(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd"))
     , m_polled(clock.now())
     , m_polledBefore(m_polled)
+    , m_handlingSince(m_polled)
 {
     epoll_event event = interest(EPOLLIN, watchOf(m_wakeupEvent, 0));
     throwOnError(epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wakeupEvent, &event), "epoll_ctl");
@@ -226,15 +227,19 @@
 
 int EventLoop::poll(int milliseconds)
 {
-    // A timer that is due now would have run when it was due.
-    reportHoldUp(m_polled);
+    reportHoldUp(m_handlingSince);
     const Instant latest
         = milliseconds < 0 ? Instant::max() : now() + std::chrono::milliseconds(milliseconds);
     std::array<epoll_event, MaxEventsPerWait> events;
     const int count = epoll_wait(m_epoll, events.data(), MaxEventsPerWait, milliseconds);
     // The process may have been frozen since the descriptors were polled.
-    m_polledBefore = std::exchange(m_polled, std::min(now(), latest));
-    reportHoldUp(m_polled);
+    const Instant polled = std::min(now(), latest);
+    m_handlingSince = now();
+    reportHoldUp(polled);
+    // A signal interrupted the call, so nothing is known of the descriptors.
+    if (count < 0)
+        return 0;
+    m_polledBefore = std::exchange(m_polled, polled);
     for (int i = 0; i < count; ++i) {
         const epoll_event event = events[static_cast<std::size_t>(i)];
         const std::uint64_t watch = event.data.u64;
--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
@@ -111,6 +111,8 @@
     Instant m_polled;
     /** The same of the poll before. */
     Instant m_polledBefore;
+    /** Events and timers have been handled since then. */
+    Instant m_handlingSince;
     Duration m_shortestHoldUp = Duration::max();
     std::function<void(Duration held)> m_holdUpListener;
     std::atomic<bool> m_stopping = false;
--- a/packages/eventloop/tests/apricothook_event_loop_tests.cpp
+++ b/packages/eventloop/tests/apricothook_event_loop_tests.cpp
@@ -305,6 +305,13 @@
     loop.runOnce(std::chrono::milliseconds(0));
     REQUIRE(told.size() == 1);
     CHECK(told.front() == std::chrono::milliseconds(250));
+    // The process got no processor while the loop waited for the timer.
+    loop.after(std::chrono::milliseconds(1), [] {});
+    loop.setWakeAction([&clock] { clock.advance(std::chrono::milliseconds(150)); });
+    loop.wake();
+    loop.runOnce(std::chrono::milliseconds(0));
+    loop.runOnce(std::chrono::milliseconds(0));
+    CHECK(told.size() == 2);
 }
 
 TEST_CASE("what woke the loop up came after the poll before")
