--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -80,6 +80,7 @@
 
 void CallerConnection::closeIfIdle()
 {
+    m_closesWhenSent = true;
     if (isIdle() && m_socket.unsentBytes() == 0)
         closeAfterPoll();
 }
@@ -290,8 +291,8 @@
 {
     if (m_request)
         m_request->onCallerDrained();
-    else if (isIdle() && m_handler.isDraining())
-        closeAfterPoll();
+    else if (m_closesWhenSent)
+        closeIfIdle();
     else if (isIdle())
         limitTime(&CallerRequestHandler::idleTimeout, &CallerConnection::onIdleTimeout);
 }
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
@@ -28,8 +28,8 @@
     CallerConnection &operator=(const CallerConnection &) = delete;
 
     /**
-     * Closes the connection unless a request is being read or answered. Called from a timer, a
-     * request that has arrived meanwhile is read first.
+     * Closes the connection unless a request is being read or answered; a response that is written
+     * is sent first. Called from a timer, a request that has arrived meanwhile is read first.
      */
     void closeIfIdle();
     bool isIdle() const;
@@ -98,6 +98,7 @@
     bool m_keepAlive = true;
     bool m_answering = false;
     bool m_lingering = false;
+    bool m_closesWhenSent = false;
     bool m_inReadRequests = false;
     TimerId m_timer = 0;
     /** The request that was answered last. */
