Go on with open responses if the signal to stop may have come late

Requests that no target has are refused before the earliest end, as nobody could tell them afterwards. The soak counts a daemon that is killed at the end of its grace time as a finding unless it stood still at or after the signal; it can't know how long it has then, and completing what is open comes first.

--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -197,6 +197,11 @@
 {
     m_draining = true;
     m_context.shutdownAt = shutdownAt;
+    refuseWaitingRequests();
+}
+
+void Gateway::refuseWaitingRequests()
+{
     for (ForwardedRequest *exchange : openExchanges())
         exchange->onProcessStops();
 }
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -52,6 +52,8 @@
     void startDraining(std::optional<Instant> shutdownAt = std::nullopt);
     /** New requests are rejected as not run, as they couldn't complete before the shutdown. */
     void refuseNewRequests() { m_context.refusesNewRequests = true; }
+    /** Rejects the requests that no target has yet and that aren't expected to be complete. */
+    void refuseWaitingRequests();
     /** Stops accepting connections and closes the idle ones. */
     void stopListening();
     /** Answers all requests that have no response yet, as the process is about to end. */
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -202,21 +202,25 @@
 {
     if (std::exchange(m_stopping, true))
         return;
-    // A process that got no processor handles the request late; the grace period had begun.
-    const Instant requested = m_loop.polledBefore();
-    const Duration late = m_loop.now() - requested;
-    const Instant latest = requested + m_settings.bounds.grace - ShutdownMargin;
+    // A process that got no processor handles the request late, so the grace period may have begun
+    // at any time since the last poll. What begins must be complete in any case; what is open goes
+    // on.
+    const Instant now = m_loop.now();
+    const Duration late = now - m_loop.polledBefore();
+    const Instant latest = now + m_settings.bounds.grace - ShutdownMargin;
+    const Instant earliest = latest - late;
     m_log.write(LogEvent(FleetviewEvent::ProcessStopping)
                     .with("late_ms", late)
-                    .with("ends_ms", latest - m_loop.now())
+                    .with("ends_ms", latest - now)
                     .with("open_requests", m_gateway.openRequests())
                     .with("connections", m_gateway.callerConnections()));
     m_peers.startDraining();
-    m_gateway.startDraining(latest);
+    m_gateway.startDraining(earliest);
     m_relay.startDraining();
     // A call to the source that is still open at the end would keep the process alive beyond its
     // grace period; it would be killed before its last responses are sent.
-    m_loop.after(latest - ItemWatcher::StopTime - m_loop.now(), [this] { m_watcher->stop(); });
+    m_loop.after(earliest - ItemWatcher::StopTime - now, [this] { m_watcher->stop(); });
+    m_loop.after(earliest - now, [this] { m_gateway.refuseWaitingRequests(); });
     m_loop.after(TtlFactor * LookupTtl - late, [this, latest] {
         stopAccepting();
         stopWhenIdle(latest);
--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -63,6 +63,8 @@
     last_fault_at: float = 0.0
     is_stopping: bool = False
     started: float = 0.0
+    # When it last went on after it had stood still.
+    held_up_until: float = 0.0
     # Processors that the process may use; all if there are none.
     processors: frozenset[int] = frozenset()
     # Whether standard output is a pipe, and set while it is read.
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -126,7 +126,9 @@
             await self.mark_affected([daemon], 0.1)
         is_harmed = loop.time() > harmed_from
         if signal_number == signal.SIGTERM:
-            self.fleet.stops.append((daemon.index, stopping.result()))
+            # A daemon that has stood still since doesn't know when it is killed, and completes what it can.
+            if daemon.held_up_until < signalled:
+                self.fleet.stops.append((daemon.index, stopping.result()))
             self.fleet.stop_times[daemon.index].append((signalled, loop.time()))
         await self.mark_affected([daemon], self.random.uniform(0.2, 1.5))
         await daemon.start()
--- a/tools/soak/holdups.py
+++ b/tools/soak/holdups.py
@@ -30,6 +30,7 @@
             await self.mark_affected([daemon], self.random.uniform(*HOLD_UP_SECONDS))
             if daemon.process is process:
                 daemon.send_signal(signal.SIGCONT)
+                daemon.held_up_until = asyncio.get_running_loop().time()
             await asyncio.sleep(self.random.uniform(0.05, 0.6))
 
     async def stop_held_up(self) -> None:
@@ -41,6 +42,7 @@
         stopping = asyncio.create_task(self.restart(daemon, signal.SIGTERM))
         await asyncio.sleep(self.random.uniform(*HOLD_UP_SECONDS))
         daemon.send_signal(signal.SIGCONT)
+        daemon.held_up_until = asyncio.get_running_loop().time()
         await stopping
 
     async def planned_work(self) -> None:
