--- a/packages/gateway/tests/apricothook_gateway_ending_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_ending_tests.cpp
@@ -125,8 +125,10 @@
 {
     // Closing the listener resets what the kernel has accepted; the callers would hear nothing.
     GatewayFixture fixture;
+    constexpr std::size_t Count = 5;
     std::vector<std::unique_ptr<WaitingConnection>> waiting;
-    for (int i = 0; i < 5; ++i)
+    waiting.reserve(Count);
+    for (std::size_t i = 0; i < Count; ++i)
         waiting.push_back(std::make_unique<WaitingConnection>(
             fixture.gateway.port(), GatewayFixture::request("once", "w" + std::to_string(i))));
     fixture.gateway.startDraining();
