--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.cpp
@@ -51,6 +51,7 @@
     , m_wakeupEvent(throwOnError(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd"))
     , m_polled(clock.now())
     , m_polledBefore(m_polled)
+    , m_reportedAll(m_polled)
     , m_handlingSince(m_polled)
 {
     epoll_event event = interest(EPOLLIN, watchOf(m_wakeupEvent, 0));
@@ -239,7 +240,10 @@
     // A signal interrupted the call, so nothing is known of the descriptors.
     if (count < 0)
         return 0;
-    m_polledBefore = std::exchange(m_polled, polled);
+    m_polled = polled;
+    m_polledBefore = m_reportedAll;
+    if (count < MaxEventsPerWait)
+        m_reportedAll = polled;
     for (int i = 0; i < count; ++i) {
         const epoll_event event = events[static_cast<std::size_t>(i)];
         const std::uint64_t watch = event.data.u64;
--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
@@ -72,7 +72,10 @@
      * long, or the process didn't get a processor.
      */
     void setHoldUpListener(Duration shortest, std::function<void(Duration held)> listener);
-    /** The loop ran at this time; what woke it up for the current event came later. */
+    /**
+     * The loop had no event left to report at this time. So what is reported now came later, though
+     * the process may have got no processor meanwhile, and many events may have come before it.
+     */
     Instant polledBefore() const { return m_polledBefore; }
 
 private:
@@ -109,8 +112,9 @@
     const int m_wakeupEvent;
     /** The descriptors were polled at this time or later. */
     Instant m_polled;
-    /** The same of the poll before. */
     Instant m_polledBefore;
+    /** No event was left at this time. */
+    Instant m_reportedAll;
     /** Events and timers have been handled since then. */
     Instant m_handlingSince;
     Duration m_shortestHoldUp = Duration::max();
--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
@@ -83,7 +83,8 @@
 
 void Listener::acceptWaiting()
 {
-    while (acceptOne()) { }
+    // A connection that was aborted while it waited isn't the last one.
+    while (acceptOne() || errno == ECONNABORTED || errno == EINTR) { }
 }
 
 void Listener::onReadable()
--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.cpp
@@ -133,7 +133,8 @@
         const ssize_t sent = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (sent >= 0)
             bytes.remove_prefix(static_cast<std::size_t>(sent));
-        // An error is reported again by the next read, where the owner expects onEnd().
+        else
+            recordSendError(errno);
     }
     if (bytes.empty())
         return;
@@ -204,7 +205,7 @@
         if (got < 0 && isTransient(errno))
             return;
         if (got <= 0) {
-            end(got == 0 ? CloseReason::PeerClosed : reasonOf(errno));
+            end(endOf(got < 0 ? errno : 0));
             return;
         }
         more = static_cast<std::size_t>(got) == buffer.size();
@@ -243,19 +244,30 @@
     m_events.onConnected();
 }
 
+void StreamSocket::recordSendError(int error)
+{
+    if (!isTransient(error))
+        m_sendError = error;
+}
+
+CloseReason StreamSocket::endOf(int readError) const
+{
+    // The kernel tells an error once. After a failed send a read finds an orderly end.
+    const int error = m_sendError != 0 ? m_sendError : readError;
+    return error == 0 ? CloseReason::PeerClosed : reasonOf(error);
+}
+
 void StreamSocket::flush()
 {
     if (unsentBytes() == 0)
         return;
     const std::string_view rest = std::string_view(m_sendBuffer).substr(m_sendOffset);
     const ssize_t sent = ::send(m_descriptor, rest.data(), rest.size(), MSG_NOSIGNAL);
-    if (sent < 0 && !isTransient(errno)) {
-        // Nothing more can be sent; the next read reports the end of the connection.
-        m_sendBuffer.clear();
-        m_sendOffset = 0;
+    if (sent < 0) {
+        recordSendError(errno);
         return;
     }
-    m_sendOffset += sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    m_sendOffset += static_cast<std::size_t>(sent);
     if (unsentBytes() > 0)
         return;
     m_sendBuffer.clear();
--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
@@ -13,7 +13,7 @@
 /** Whether a connection ends if its peer takes none of the bytes that are sent to it. */
 enum class UnreadBytes {
     EndConnection, ///< After DeadPeerTimeout.
-    AreKept,
+    AreKept,       ///< Until the owner closes the connection: the kernel sets no limit.
 };
 
 /** Why a connection ended. */
@@ -85,6 +85,9 @@
     void finishConnect();
     void flush();
     void end(CloseReason how);
+    /** The next read, where the owner expects onEnd(), reports the error. */
+    void recordSendError(int error);
+    CloseReason endOf(int readError) const;
     void release();
     void updateInterest();
     void shutDownIfSent();
@@ -95,6 +98,7 @@
     bool m_connecting = false;
     bool m_reading = true;
     bool m_shutdownRequested = false;
+    int m_sendError = 0;
     std::string m_sendBuffer;
     std::size_t m_sendOffset = 0;
     /** Running callbacks hold a weak pointer to it to detect that the socket was destroyed. */
--- a/packages/eventloop/tests/apricothook_event_loop_tests.cpp
+++ b/packages/eventloop/tests/apricothook_event_loop_tests.cpp
@@ -329,3 +329,44 @@
     CHECK(told == before);
     CHECK(clock.now() - told == std::chrono::seconds(2));
 }
+
+TEST_CASE("what woke the loop up may wait behind many other events")
+{
+    // A loaded daemon would take a signal of its hold-up for a new one.
+    constexpr std::size_t ManyDescriptors = 150;
+    ManualClock clock;
+    EventLoop loop(clock);
+    struct Reader : DescriptorEvents
+    {
+        void onReadable() override
+        {
+            char byte = 0;
+            REQUIRE(read(descriptor, &byte, 1) == 1);
+        }
+        void onWritable() override { }
+        int descriptor = -1;
+    };
+    std::vector<std::array<int, 2>> pipes(ManyDescriptors);
+    std::vector<Reader> readers(ManyDescriptors);
+    for (std::size_t i = 0; i < ManyDescriptors; ++i) {
+        REQUIRE(pipe(pipes[i].data()) == 0);
+        readers[i].descriptor = pipes[i][0];
+        loop.watch(pipes[i][0], readers[i]);
+    }
+    const Instant before = clock.now();
+    Instant told;
+    loop.setWakeAction([&] { told = loop.polledBefore(); });
+    loop.runOnce(std::chrono::milliseconds(0));
+    for (const std::array<int, 2> &ends : pipes)
+        REQUIRE(write(ends[1], "x", 1) == 1);
+    loop.wake();
+    clock.advance(std::chrono::seconds(2));
+    for (int i = 0; i < 10 && told == Instant(); ++i)
+        loop.runOnce(std::chrono::milliseconds(0));
+    CHECK(told == before);
+    for (const std::array<int, 2> &ends : pipes) {
+        loop.unwatch(ends[0]);
+        close(ends[0]);
+        close(ends[1]);
+    }
+}
--- a/packages/eventloop/tests/apricothook_stream_socket_tests.cpp
+++ b/packages/eventloop/tests/apricothook_stream_socket_tests.cpp
@@ -92,3 +92,20 @@
     reset.runPendingEvents();
     CHECK(reset.events.end == CloseReason::Reset);
 }
+
+TEST_CASE("a connection that is reset with bytes unsent isn't taken for closed in order")
+{
+    // The kernel tells the error to a send only; a response without a length would look complete.
+    ConnectedPair pair;
+    StreamSocket socket(pair.loop, pair.events, pair.accepted);
+    pair.other->setReading(false);
+    const std::string bytes(1 << 20, 'x');
+    for (int i = 0; i < 16; ++i)
+        socket.send(bytes);
+    pair.runPendingEvents();
+    REQUIRE(socket.unsentBytes() > 0);
+    pair.other->abort();
+    pair.runPendingEvents();
+    CHECK(pair.events.end == CloseReason::Reset);
+    CHECK(socket.unsentBytes() > 0);
+}
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -221,6 +221,8 @@
     m_socket.setReading(true);
     limitTime(&CallerRequestHandler::idleTimeout, &CallerConnection::onIdleTimeout);
     readRequests();
+    if (m_closesWhenSent)
+        closeIfIdle();
 }
 
 void CallerConnection::abortResponse()
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
@@ -75,7 +75,10 @@
     void onBodyTimeout();
     void onIdleTimeout();
     void onLingerTimeout();
-    /** Whether there are bytes to be sent, and some were since the last call of this. */
+    /**
+     * Whether there are bytes to be sent, and the caller has taken some within the idle timeout.
+     * Compares with the last call, so it is called from the timers only.
+     */
     bool isBeingRead();
     /** Closes the connection unless a request has arrived by the next poll of the descriptors. */
     void closeAfterPoll();
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -53,7 +53,7 @@
     m_lastEvent = m_admitted.fields.lastEventId;
     if (!admitted) {
         const AdmissionRefusal &refusal = admitted.error();
-        m_shutdown = refusal.shutdown;
+        m_forecast = refusal.shutdown;
         sendLocalResponse(refusal.outcome, refusal.status, refusal.retryAfter);
         return;
     }
@@ -494,7 +494,7 @@
         .suspect = m_suspicion ? m_suspicion->trait : m_traits.content,
         .promptParts = m_admitted.fields.promptParts,
         .suspicion = m_suspicion,
-        .shutdown = m_shutdown,
+        .shutdown = m_forecast,
     };
     if (m_admitted.route) {
         record.remaining = m_admitted.deadline - now;
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -48,11 +48,14 @@
     void onOriginDecided(const StreamOriginDecision &decision);
     /** Fails the attempt if it was sent to an earlier instance of the target. */
     void onTargetRestarted(const TargetInstance &current);
-    /** Refuses the request if no target has it yet and the process ends before it is done. */
+    /**
+     * The process is asked to stop: refuses the request if no target has it and the process may end
+     * before it is done.
+     */
     void onProcessStops();
-    /** Answers the caller if there is no response yet. */
+    /** The time to stop is over: answers the caller if there is no response yet. */
     void onProcessEnds();
-    /** Breaks off what is still open. */
+    /** The process ends at once: breaks off what is still open. */
     void onProcessGone();
     void onCallerGone(std::string_view cause) override;
     void onCallerDrained() override;
@@ -230,7 +233,7 @@
     /** Set if the request is refused as suspect. */
     std::optional<TrialDecision> m_suspicion;
     /** The last forecast; set only while the process shuts down. */
-    std::optional<ShutdownForecast> m_shutdown;
+    std::optional<ShutdownForecast> m_forecast;
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_shutdown.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_shutdown.cpp
@@ -13,10 +13,12 @@
 
 bool ForwardedRequest::outlastsProcess()
 {
-    if (m_sends > 0 || !m_admitted.route)
+    const bool isAtTarget = m_attempt || m_silence.backup();
+    if (isAtTarget || m_mayHaveRun || m_failedResponse || m_progress != Progress::Nothing
+        || !m_admitted.route)
         return false;
-    m_shutdown = forecastAtShutdown(m_context, m_admitted, m_context.loop.now());
-    return m_shutdown && !m_shutdown->isInTime();
+    m_forecast = forecastAtShutdown(m_context, m_admitted, m_context.loop.now());
+    return m_forecast && !m_forecast->isInTime();
 }
 
 void ForwardedRequest::refuseAtShutdown()
@@ -27,7 +29,7 @@
 
 void ForwardedRequest::onProcessStops()
 {
-    if (m_progress == Progress::Nothing && outlastsProcess())
+    if (outlastsProcess())
         refuseAtShutdown();
 }
 
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -47,7 +47,8 @@
 
     /**
      * From now on each connection is closed after its response, and a request that isn't expected
-     * to be complete at the given time is rejected as not run unless a target has it.
+     * to be complete at the given time is rejected as not run unless a target has it; without a
+     * time, none is.
      */
     void startDraining(std::optional<Instant> shutdownAt = std::nullopt);
     /** New requests are rejected as not run, as they couldn't complete before the shutdown. */
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -53,7 +53,7 @@
     std::optional<std::size_t> fleetSize;
     /** The process is shutting down. */
     bool refusesNewRequests = false;
-    /** When the process ends, whatever is still open; unset unless it is shutting down. */
+    /** What begins must be complete by then; unset unless the process is shutting down. */
     std::optional<Instant> shutdownAt;
     /** When the gateway was created. */
     const Instant started {};
--- a/packages/gateway/tests/apricothook_gateway_shutdown_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_shutdown_tests.cpp
@@ -104,6 +104,20 @@
     CHECK(fixture.target(0).requests() == begun);
 }
 
+TEST_CASE("a stopping daemon doesn't send a request again that may outlast it")
+{
+    // No target has the request, as the first one has refused it.
+    GatewayFixture fixture(2);
+    RecordingConnection &caller = send(fixture, "once", "a");
+    ScriptedTarget *first = fixture.waitForTarget();
+    REQUIRE(first);
+    startDraining(fixture);
+    first->connection(0).socket.send("HTTP/1.1 503 Full\r\nId: a\r\nNot-Run: 1\r\n"
+                                     "Content-Length: 0\r\n\r\n");
+    CHECK(isRejected(fixture, caller));
+    CHECK(fixture.target(0).requests() + fixture.target(1).requests() == 1);
+}
+
 TEST_CASE("a request at a target when its daemon is stopped goes on")
 {
     GatewayFixture fixture;
--- a/packages/observe/apricothook/observe/apricothook_structured_log.cpp
+++ b/packages/observe/apricothook/observe/apricothook_structured_log.cpp
@@ -21,6 +21,8 @@
 constexpr double MicrosecondsPerMillisecond = 1000;
 /** A pipe that is ready takes so many bytes without blocking. */
 constexpr std::size_t ChunkBytes = PIPE_BUF;
+/** How often it is looked whether the process ends while the reader doesn't read. */
+constexpr std::chrono::milliseconds ReaderPollInterval {50};
 
 Json::Value jsonOf(const LogEvent::Value &value)
 {
@@ -126,6 +128,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_closing = true;
+        m_flushUntil = std::chrono::steady_clock::now() + FlushAtEnd;
     }
     m_dataAvailable.notify_one();
     m_writer.join();
@@ -165,25 +168,28 @@
     return m_dropped;
 }
 
-bool StructuredLog::awaitReader()
+bool StructuredLog::isOverdue() const
 {
-    const auto latest = std::chrono::steady_clock::now() + FlushAtEnd;
-    while (true) {
+    const std::lock_guard lock(m_mutex);
+    return m_closing && std::chrono::steady_clock::now() >= m_flushUntil;
+}
+
+bool StructuredLog::awaitReader() const
+{
+    while (!isOverdue()) {
         pollfd readiness {m_descriptor, POLLOUT, 0};
-        if (poll(&readiness, 1, static_cast<int>(FlushPause.count())) > 0)
+        if (poll(&readiness, 1, static_cast<int>(ReaderPollInterval.count())) > 0)
             return true;
-        const std::lock_guard lock(m_mutex);
-        if (m_closing && std::chrono::steady_clock::now() >= latest)
-            return false;
     }
+    return false;
 }
 
-void StructuredLog::writeLines(std::string_view lines)
+void StructuredLog::writeLines(std::string_view lines) const
 {
     while (!lines.empty() && awaitReader()) {
         const ssize_t written
             = ::write(m_descriptor, lines.data(), std::min(lines.size(), ChunkBytes));
-        if (written < 0 && errno == EINTR)
+        if (written < 0 && (errno == EINTR || errno == EAGAIN))
             continue;
         // The reader has closed the descriptor, so the error can't be reported anywhere.
         if (written <= 0)
--- a/packages/observe/apricothook/observe/apricothook_structured_log.hpp
+++ b/packages/observe/apricothook/observe/apricothook_structured_log.hpp
@@ -113,9 +113,11 @@
 
     bool hasRoom(const LogEvent &event, Budget &budget, Instant now) const;
     void drainBuffer();
-    void writeLines(std::string_view lines);
+    void writeLines(std::string_view lines) const;
     /** Waits until the descriptor takes bytes; false if the process ends meanwhile. */
-    bool awaitReader();
+    bool awaitReader() const;
+    /** Whether the process ends and the reader has had its time. */
+    bool isOverdue() const;
 
     const Clock &m_clock;
     const std::string m_vm;
@@ -126,6 +128,7 @@
     std::map<int, Budget> m_budgets;
     std::uint64_t m_dropped = 0;
     bool m_closing = false;
+    std::chrono::steady_clock::time_point m_flushUntil {};
     std::thread m_writer;
 };
 
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -207,23 +207,23 @@
     // on.
     const Instant now = m_loop.now();
     const Duration late = now - m_loop.polledBefore();
-    const Instant latest = now + m_settings.bounds.grace - ShutdownMargin;
-    const Instant earliest = latest - late;
+    const Instant latestEnd = now + m_settings.bounds.grace - ShutdownMargin;
+    const Instant earliestEnd = latestEnd - late;
     m_log.write(LogEvent(FleetviewEvent::ProcessStopping)
                     .with("late_ms", late)
-                    .with("ends_ms", latest - now)
+                    .with("ends_ms", latestEnd - now)
                     .with("open_requests", m_gateway.openRequests())
                     .with("connections", m_gateway.callerConnections()));
     m_peers.startDraining();
-    m_gateway.startDraining(earliest);
+    m_gateway.startDraining(earliestEnd);
     m_relay.startDraining();
     // A call to the source that is still open at the end would keep the process alive beyond its
     // grace period; it would be killed before its last responses are sent.
-    m_loop.after(earliest - ItemWatcher::StopTime - now, [this] { m_watcher->stop(); });
-    m_loop.after(earliest - now, [this] { m_gateway.refuseWaitingRequests(); });
-    m_loop.after(TtlFactor * LookupTtl - late, [this, latest] {
+    m_loop.after(earliestEnd - ItemWatcher::StopTime - now, [this] { m_watcher->stop(); });
+    m_loop.after(earliestEnd - now, [this] { m_gateway.refuseWaitingRequests(); });
+    m_loop.after(TtlFactor * LookupTtl, [this, latestEnd] {
         stopAccepting();
-        stopWhenIdle(latest);
+        stopWhenIdle(latestEnd);
     });
 }
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -134,6 +134,7 @@
         await daemon.start()
         if is_harmed:
             self.record_harm([daemon], harmed_from)
+            self.fleet.stop_harms.add(self.fleet.harms[daemon.index][-1])
         daemon.is_stopping = False
         await self.mark_affected([daemon], 0.3)
 
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -113,8 +113,12 @@
     return min([*older, *newer, callers.REQUEST_TIMEOUT_MS / 1000])
 
 
+def harms_of(fleet, record) -> list[tuple[float, float]]:
+    return [(began, ended) for began, ended in fleet.harms[record.daemon] if began <= record.ended and record.sent <= ended]
+
+
 def is_harmed(fleet, record) -> bool:
-    return any(began <= record.ended and record.sent <= ended for began, ended in fleet.harms[record.daemon])
+    return bool(harms_of(fleet, record))
 
 
 def was_down(fleet, record) -> bool:
@@ -178,6 +182,7 @@
     executed = {run.request_id for run in fleet.runs}
     return [f"BEGUN {describe_end(fleet, record, [])}" for record in fleet.callers.records
             if record.request_id in executed and record.request_id in unexplained
+            and not set(harms_of(fleet, record)) - fleet.stop_harms
             and any(signalled <= record.sent and signalled <= record.ended <= ended + CROSSING_SECONDS
                     for signalled, ended in fleet.stop_times[record.daemon])]
 
