--- a/packages/observe/apricothook/observe/apricothook_structured_log.cpp
+++ b/packages/observe/apricothook/observe/apricothook_structured_log.cpp
@@ -187,8 +187,11 @@
 void StructuredLog::writeLines(std::string_view lines) const
 {
     while (!lines.empty() && awaitReader()) {
-        const ssize_t written
-            = ::write(m_descriptor, lines.data(), std::min(lines.size(), ChunkBytes));
+        const std::string_view chunk = lines.substr(0, ChunkBytes);
+        // A process that is killed between two writes leaves whole lines.
+        const std::size_t newline = chunk.rfind('\n');
+        const std::size_t size = newline == std::string_view::npos ? chunk.size() : newline + 1;
+        const ssize_t written = ::write(m_descriptor, lines.data(), size);
         if (written < 0 && (errno == EINTR || errno == EAGAIN))
             continue;
         // The reader has closed the descriptor, so the error can't be reported anywhere.
