--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -159,6 +159,7 @@
     if (m_progress == Progress::Nothing)
         forwardHead(attempt.head, {BodyFraming::Kind::Chunked, 0});
     m_responder.sendBody(events.bytes);
+    recordPause();
     m_lastEvent = events.lastId ? events.lastId : m_lastEvent;
     if (m_admitted.route->isRetryable())
         m_silence.watch(std::max<Duration>(ShortestStallTimeout,
@@ -166,6 +167,16 @@
     limitUnsentBytes(attempt);
 }
 
+void ForwardedRequest::recordPause()
+{
+    const Instant now = m_context.loop.now();
+    if (m_lastEventForwarded) {
+        m_longestPause
+            = std::max(m_longestPause.value_or(Duration::zero()), now - *m_lastEventForwarded);
+    }
+    m_lastEventForwarded = now;
+}
+
 void ForwardedRequest::recordEvents(Attempt &attempt, const CompleteEvents &events)
 {
     const Instant now = m_context.loop.now();
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -489,6 +489,7 @@
         .duration = now - m_arrived,
         .remaining = std::nullopt,
         .timeToFirstByte = std::nullopt,
+        .longestPause = m_longestPause,
         .refusal = m_refusal,
         .limit = m_limitDecision,
         .suspect = m_suspicion ? m_suspicion->trait : m_traits.content,
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -155,6 +155,8 @@
     Duration firstEventTimeout() const;
     bool isStreaming(const Attempt &attempt) const;
     void forwardEvents(Attempt &attempt, std::string_view bytes);
+    /** Updates the longest pause between events as the caller sees it. */
+    void recordPause();
     void recordEvents(Attempt &attempt, const CompleteEvents &events);
     void forwardBufferedBody(Attempt &attempt);
     void forwardHead(const ResponseHead &head, BodyFraming framing);
@@ -227,6 +229,9 @@
     std::optional<std::uint64_t> m_lastEvent;
     StreamContinuation m_continuation;
     std::optional<Instant> m_firstByteTime;
+    std::optional<Instant> m_lastEventForwarded;
+    /** Longest time between two forwarded events, over all attempts; unset before the second. */
+    std::optional<Duration> m_longestPause;
     /** Set if the dispatcher refused the request. */
     std::optional<RefusalDetails> m_refusal;
     std::optional<LimitDecision> m_limitDecision;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
@@ -41,6 +41,8 @@
     std::optional<Duration> remaining;
     /** From arrival to the first byte of the response. */
     std::optional<Duration> timeToFirstByte;
+    /** Longest time between two events of the stream; unset if there were fewer. */
+    std::optional<Duration> longestPause;
     /** Set if the dispatcher refused the request. */
     std::optional<RefusalDetails> refusal;
     /** The decision of the customer's rate limit; unset if none was needed. */
