--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -490,6 +490,7 @@
         .remaining = std::nullopt,
         .timeToFirstByte = std::nullopt,
         .longestPause = m_longestPause,
+        .gapObjective = m_admitted.route ? m_admitted.route->gapObjective : Duration::zero(),
         .refusal = m_refusal,
         .limit = m_limitDecision,
         .suspect = m_suspicion ? m_suspicion->trait : m_traits.content,
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
@@ -107,8 +107,11 @@
         line.with("cause", std::string(record.cause));
     if (record.timeToFirstByte)
         line.with("first_ms", *record.timeToFirstByte);
-    if (record.longestPause)
+    if (record.longestPause) {
         line.with("longest_pause_ms", *record.longestPause);
+        if (record.gapObjective > Duration::zero() && *record.longestPause > record.gapObjective)
+            metrics.longPause(record.service);
+    }
     if (record.refusal)
         addRefusal(line, *record.refusal);
     if (record.limit)
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.hpp
@@ -43,6 +43,8 @@
     std::optional<Duration> timeToFirstByte;
     /** Longest time between two events of the stream; unset if there were fewer. */
     std::optional<Duration> longestPause;
+    /** Zero if the route states none. */
+    Duration gapObjective {};
     /** Set if the dispatcher refused the request. */
     std::optional<RefusalDetails> refusal;
     /** The decision of the customer's rate limit; unset if none was needed. */
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -209,6 +209,12 @@
     m_tables->streamsTakenUp.Add({{"origin", std::string(origin)}}).Increment();
 }
 
+void Metrics::longPause(const ServiceId &service)
+{
+    const std::lock_guard lock(m_tables->mutex);
+    m_tables->longPauses.Add({{"service", service.text()}}).Increment();
+}
+
 void Metrics::controlBytes(Direction direction, std::uint64_t bytes)
 {
     const std::string name = direction == Direction::Sent ? "sent" : "received";
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -88,6 +88,8 @@
     void suspectRefused(std::string_view kind);
     /** Counts a request that goes on with an earlier stream; `origin`: who knew its version. */
     void streamTakenUp(std::string_view origin);
+    /** A stream was answered in which two events were further apart than its gap objective. */
+    void longPause(const ServiceId &service);
     void controlBytes(Direction direction, std::uint64_t bytes);
     /**
      * Reassigns the per-customer series to the customers with the most traffic. To be called about
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
@@ -67,6 +67,8 @@
                           "Requests to targets that name a limit, by the limit's verdict"))
     , streamsTakenUp(counter(registry, "apricothook_streams_taken_up_total",
                              "Requests that go on with an earlier stream, by who knew its version"))
+    , longPauses(counter(registry, "apricothook_long_pauses_total",
+                         "Answered streams with a pause over their gap objective, by service"))
     , incompleteResponses(counter(registry, "apricothook_incomplete_responses_total",
                                   "Requests that may have run and got no complete response"))
     , loopHeldUp(counter(registry, "apricothook_loop_held_up_seconds_total",
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
@@ -64,6 +64,7 @@
     CounterFamily &repeats;
     CounterFamily &targetUnits;
     CounterFamily &streamsTakenUp;
+    CounterFamily &longPauses;
     CounterFamily &incompleteResponses;
     CounterFamily &loopHeldUp;
     CounterFamily &backups;
