Schedule the retries of callers over their customer's limit

Cause: while a customer was far over its limit, all its refused callers were told the time until the bucket has units for one request. They came back together, and callers retry only once.

Limits of targets and trials of suspects have no schedule. Nothing is reserved, so the bound of the limit doesn't depend on it. Switch: limit-returns.

--- a/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.cpp
@@ -25,6 +25,7 @@
     NamedSwitch {"repeats", &PolicySwitches::repeats},
     NamedSwitch {"stall-limit", &PolicySwitches::stallLimit},
     NamedSwitch {"limit-reserve", &PolicySwitches::limitReserve},
+    NamedSwitch {"limit-returns", &PolicySwitches::limitReturns},
 };
 
 } // namespace
--- a/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.hpp
@@ -28,6 +28,8 @@
     bool repeats = true;      ///< If off: a request is sent to one target only.
     bool stallLimit = true;   ///< If off: long prompts may stall the streams of any target.
     bool limitReserve = true; ///< If off: a customer's units are granted in order of arrival.
+    bool limitReturns = true; ///< If off: callers over their limit are told when it has units for
+                              ///< one request.
 
     auto operator<=>(const PolicySwitches &) const = default;
 };
--- a/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.cpp
@@ -43,6 +43,7 @@
         .grantLifetime = std::min<Duration>(lifetime, LongestGrantLifetime),
         .needsWholeFleet = false,
         .ungrantedUnits = std::nullopt,
+        .schedulesReturns = false,
     };
 }
 
@@ -79,12 +80,16 @@
     return budget;
 }
 
-UnitBudgets budgetsOf(const std::vector<CustomerRule> &customers, const FleetBounds &bounds)
+UnitBudgets budgetsOf(const std::vector<CustomerRule> &customers, const FleetBounds &bounds,
+                      bool schedulesReturns)
 {
     UnitBudgets budgets;
     for (const CustomerRule &customer : customers) {
-        if (customer.ratePerSecond > 0)
-            budgets.emplace(customerHash(customer.name), budgetOf(customer, bounds));
+        if (customer.ratePerSecond <= 0)
+            continue;
+        UnitBudget budget = budgetOf(customer, bounds);
+        budget.schedulesReturns = schedulesReturns;
+        budgets.emplace(customerHash(customer.name), budget);
     }
     return budgets;
 }
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
@@ -69,6 +69,7 @@
     CounterFamily &loopHeldUp;
     CounterFamily &backups;
     CounterFamily &suspectsRefused;
+    CounterFamily &limitReturns;
     CounterFamily &customerRequests;
     ClassHistograms requestSeconds;
     ClassHistograms firstTokenSeconds;
