--- a/packages/dispatch/apricothook/dispatch/apricothook_stall_forecast.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_stall_forecast.hpp
@@ -35,10 +35,12 @@
 {
 public:
     /**
-     * Fraction of the gap objective that a forecast may use; the learned speed is an average, and a
-     * target is slower at times.
+     * Fraction of the gap objective that a forecast may use. The learned speed is an average, and
+     * targets are up to 2.5 times slower for some hundred milliseconds. With a fraction of 0.8, 35
+     * in 100 streams at slow targets had a longer pause than the objective though the forecast was
+     * within it.
      */
-    static constexpr double PauseMargin = 0.8;
+    static constexpr double PauseMargin = 0.4;
     /**
      * A prompt that is too long for every target may go to those that need at most this multiple of
      * the fastest one's time.
--- a/packages/dispatch/tests/apricothook_stall_forecast_tests.cpp
+++ b/packages/dispatch/tests/apricothook_stall_forecast_tests.cpp
@@ -49,9 +49,9 @@
     StallForecast forecast(std::chrono::milliseconds(400), 5000);
     CHECK(forecast.pause({0.02, 30, 0}) == doctest::Approx(130));
     CHECK(forecast.pause({0.02, 30, 10000}) == doctest::Approx(330));
-    CHECK(forecast.limit() == doctest::Approx(320));
-    CHECK_FALSE(forecast.isExceeded({0.02, 30, 5000}));
-    CHECK(forecast.isExceeded({0.02, 30, 10000}));
+    CHECK(forecast.limit() == doctest::Approx(160));
+    CHECK_FALSE(forecast.isExceeded({0.02, 30, 1000}));
+    CHECK(forecast.isExceeded({0.02, 30, 5000}));
 }
 
 TEST_CASE("a prompt that is too long for every target may stall the fastest")
