Let daemons take turns at slots that another daemon reports as free

Cause: when one daemon reports a free slot, all daemons with waiting requests fill it before they receive each other's reports, and the surplus requests queue at the engine.

FreedSlots keeps which slots are reserved since an own request freed them, and since when the others are known to be free. TargetTable treats a slot that isn't open as taken, Dispatcher::nextReview() has the next turn, and CellExchange tells the table of each report. A request that is queued triggers a review and a report. RequestPlaced has turn_wait_ms; apricothook_slots_filled_total counts placements by cause. Switch: slot-turns.

--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <apricothook/model/apricothook_hashing.hpp>
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -80,18 +81,27 @@
 void Dispatcher::placeAll(Queue &queue, Instant now)
 {
     sortByPriority(queue);
+    std::optional<RequestRank> rank;
+    std::vector<std::uint64_t> others;
     // A request that waits for a fast target must not block others that a slow target can serve.
-    for (std::size_t next = 0;
-         next < queue.size() && m_targets.hasCapacity(queue[next].service, now);) {
+    for (std::size_t next = 0; next < queue.size();) {
         const QueuedRequest request = queue[next];
-        if (place(request, now))
+        if (rank != request.rank) {
+            rank = request.rank;
+            others = contenders(request.service, request.rank);
+        }
+        // Requests of lower rank have all of these contenders too.
+        if (!m_targets.hasCapacity(request.service, others, now))
+            break;
+        if (place(request, others, now))
             queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(next));
         else
             ++next;
     }
 }
 
-bool Dispatcher::place(const QueuedRequest &request, Instant now)
+bool Dispatcher::place(const QueuedRequest &request, const std::vector<std::uint64_t> &contenders,
+                       Instant now)
 {
     const std::uint32_t queuedAbove
         = m_policies.othersFirst ? queuedAtOthers(request.service, request.rank, false) : 0;
@@ -102,12 +112,14 @@
                             .size = request.size,
                             .timeToFirstEvent = request.arrived + request.objective - now,
                             .timeToEnd = request.deadline - now,
-                            .constraint = request.constraint},
+                            .constraint = request.constraint,
+                            .contenders = contenders},
                            now);
     if (!target)
         return false;
+    const SlotFill fill = m_targets.slotFill(*target, contenders, now);
     m_targets.requestStarted(target->entry.instance(), request.size, now);
-    m_listener.onPlaced(request.exchange, target->entry);
+    m_listener.onPlaced(request.exchange, target->entry, fill);
     return true;
 }
 
@@ -185,6 +197,23 @@
     return waiting;
 }
 
+std::vector<std::uint64_t> Dispatcher::contenders(const ServiceId &service,
+                                                  const RequestRank &rank) const
+{
+    std::vector<std::uint64_t> members;
+    if (!m_policies.slotTurns)
+        return members;
+    const std::uint64_t number = serviceHash(service);
+    for (const auto &[member, counts] : m_memberQueueLengths) {
+        const bool contends = std::ranges::any_of(counts, [&](const QueueLength &count) {
+            return count.service == number && count.waiting > 0 && !rank.isAbove(count.rank);
+        });
+        if (contends)
+            members.push_back(member);
+    }
+    return members;
+}
+
 std::uint32_t Dispatcher::queuedAhead(const QueuedRequest &request) const
 {
     std::uint32_t ahead = queuedAtOthers(request.service, request.rank, true);
@@ -243,8 +272,15 @@
         return std::nullopt;
     std::optional<Instant> next = m_targets.nextUnitTime(now);
     for (const auto &[service, queue] : m_queues) {
-        for (const QueuedRequest &request : queue)
+        std::set<RequestRank> ranks;
+        for (const QueuedRequest &request : queue) {
             next = std::min(next.value_or(Instant::max()), latestPlacement(request));
+            ranks.insert(request.rank);
+        }
+        for (const RequestRank &rank : ranks) {
+            if (const auto turn = m_targets.nextTurn(service, contenders(service, rank), now))
+                next = std::min(next.value_or(*turn), *turn);
+        }
     }
     return next;
 }
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -61,7 +61,7 @@
 {
 public:
     virtual ~DispatchListener() = default;
-    virtual void onPlaced(ExchangeId exchange, const TargetEntry &target) = 0;
+    virtual void onPlaced(ExchangeId exchange, const TargetEntry &target, const SlotFill &fill) = 0;
     /** No target will have a free slot in time. */
     virtual void onRefused(ExchangeId exchange, const RefusalDetails &details) = 0;
 };
@@ -123,8 +123,8 @@
     std::vector<QueueLength> ownQueueLengths() const;
     std::size_t waiting() const;
     /**
-     * Earliest time at which review() may have to refuse a request, or at which a target's limit
-     * has units for one; empty if none is queued.
+     * Earliest time at which review() may have to refuse a request, at which a target's limit has
+     * units for one, or at which a free slot opens to this daemon; empty if none is queued.
      */
     std::optional<Instant> nextReview(Instant now) const;
 
@@ -132,7 +132,8 @@
     using Queue = std::vector<QueuedRequest>;
 
     static void sortByPriority(Queue &queue);
-    bool place(const QueuedRequest &request, Instant now);
+    bool place(const QueuedRequest &request, const std::vector<std::uint64_t> &contenders,
+               Instant now);
     void placeAll(Queue &queue, Instant now);
     void refuseAll(Queue &queue, Instant now);
     void refuseOverdue(Queue &queue, Instant now);
@@ -154,6 +155,8 @@
     /** Requests queued at other daemons that rank above `rank`, or also equal to it. */
     std::uint32_t queuedAtOthers(const ServiceId &service, const RequestRank &rank,
                                  bool withEqual) const;
+    /** Other members that have requests queued for the service which don't rank below `rank`. */
+    std::vector<std::uint64_t> contenders(const ServiceId &service, const RequestRank &rank) const;
     std::uint32_t queuedAhead(const QueuedRequest &request) const;
     Duration expectedWait(const QueuedRequest &request, Instant now) const;
     Instant latestPlacement(const QueuedRequest &request) const;
--- a/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.cpp
@@ -24,6 +24,7 @@
     NamedSwitch {"avoidance", &PolicySwitches::avoidance},
     NamedSwitch {"repeats", &PolicySwitches::repeats},
     NamedSwitch {"stall-limit", &PolicySwitches::stallLimit},
+    NamedSwitch {"slot-turns", &PolicySwitches::slotTurns},
     NamedSwitch {"limit-reserve", &PolicySwitches::limitReserve},
     NamedSwitch {"limit-returns", &PolicySwitches::limitReturns},
 };
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.cpp
@@ -234,6 +234,68 @@
     return target.cellSlots - std::min(target.cellSlots, target.load());
 }
 
+std::optional<Instant> TargetTable::turnOf(const TrackedTarget &target,
+                                           const std::vector<std::uint64_t> &contenders,
+                                           Instant now) const
+{
+    // The slots of a brittle target and the sends to a cold one are divided among the daemons.
+    const bool isDivided
+        = target.hasOwnShare || target.sendsPerSecond != ColdTargetLimiter::Unlimited;
+    const std::optional<Instant> since = target.freed.firstSharedSince();
+    if (!m_policies.slotTurns || contenders.empty() || isDivided || target.freed.reserved() > 0
+        || !since)
+        return std::nullopt;
+    const std::vector<Instant> fills = target.freed.fillsAfter(now - SlotTurns::TurnLength);
+    const Instant turn
+        = m_turns.opensAt(targetHash(target.entry.instance()), target.freed.shared(), *since,
+                          contenders, static_cast<std::uint32_t>(fills.size()));
+    // After a turn, this daemon knows which slots the others have filled.
+    return turn > now && !fills.empty() ? std::min(turn, fills.front() + SlotTurns::TurnLength)
+                                        : turn;
+}
+
+bool TargetTable::hasOpenSlot(const TrackedTarget &target,
+                              const std::vector<std::uint64_t> &contenders, Instant now) const
+{
+    return freeSlots(target, now) > 0 && turnOf(target, contenders, now).value_or(now) <= now;
+}
+
+SlotFill TargetTable::slotFill(const TrackedTarget &target,
+                               const std::vector<std::uint64_t> &contenders, Instant now) const
+{
+    if (const std::optional<Instant> turn = turnOf(target, contenders, now)) {
+        const Instant since = target.freed.firstSharedSince().value_or(now);
+        return {*turn > since ? SlotFillCause::LaterTurn : SlotFillCause::FirstTurn, now - since};
+    }
+    const bool isOwn = !contenders.empty() && target.freed.reserved() > 0;
+    return {isOwn ? SlotFillCause::OwnSlot : SlotFillCause::Unrestricted, std::nullopt};
+}
+
+std::optional<Instant> TargetTable::nextTurn(const ServiceId &service,
+                                             const std::vector<std::uint64_t> &contenders,
+                                             Instant now) const
+{
+    std::optional<Instant> next;
+    for (const TrackedTarget *target : targetsOf(service).ofCell) {
+        const std::optional<Instant> turn
+            = freeSlots(*target, now) > 0 ? turnOf(*target, contenders, now) : std::nullopt;
+        if (turn && *turn > now)
+            next = std::min(next.value_or(*turn), *turn);
+    }
+    return next;
+}
+
+void TargetTable::updateFreed(TrackedTarget &target, SlotChange change, Instant now)
+{
+    target.freed.update(target.cellSlots - std::min(target.cellSlots, target.load()), change, now);
+}
+
+void TargetTable::recordReport(Instant now)
+{
+    for (auto &[id, target] : m_targets)
+        target.freed.recordReport(now);
+}
+
 std::uint32_t TargetTable::usableSlots(const TrackedTarget &target, double meanHoldTime) const
 {
     if (!target.limitPerSecond)
@@ -416,6 +478,10 @@
         if (target->cellSlots > 0)
             targets.ofCell.push_back(target);
     }
+    for (auto &[id, target] : m_targets) {
+        if (target.entry.service == service)
+            updateFreed(target, SlotChange::Assignment, {});
+    }
 }
 
 const TargetTable::ServiceTargets &TargetTable::targetsOf(const ServiceId &service) const
@@ -447,6 +513,7 @@
 {
     if (TrackedTarget *found = find(target)) {
         ++found->ownRequests;
+        updateFreed(*found, SlotChange::OwnRequest, now);
         // Recorded for warm targets too, because requests sent just before a target turned cold
         // count.
         if (m_coldLimiter.isLimited(found->entry.service))
@@ -472,6 +539,7 @@
     if (!found)
         return;
     found->ownRequests -= std::min(found->ownRequests, 1U);
+    updateFreed(*found, SlotChange::OwnRequest, now);
     if (!hadFirstEvent)
         found->pendingPromptTokens -= std::min(found->pendingPromptTokens, size.promptTokens);
     if (outcome == TargetOutcome::Cancelled)
@@ -535,7 +603,8 @@
     pause(target, Duration(avoidance), now);
 }
 
-void TargetTable::setMemberLoad(std::uint64_t member, const std::vector<TargetLoad> &loads)
+void TargetTable::setMemberLoad(std::uint64_t member, const std::vector<TargetLoad> &loads,
+                                Instant now)
 {
     const auto change = [this](const std::vector<TargetLoad> &of, bool add) {
         for (const TargetLoad &load : of) {
@@ -551,10 +620,15 @@
                                                : target->promptTokensOfOthers - former;
         }
     };
-    std::vector<TargetLoad> &stored = m_memberLoads[member];
-    change(stored, false);
-    stored = loads;
-    change(stored, true);
+    const std::vector<TargetLoad> before = std::exchange(m_memberLoads[member], loads);
+    change(before, false);
+    change(loads, true);
+    for (const std::vector<TargetLoad> *of : {&before, &loads}) {
+        for (const TargetLoad &load : *of) {
+            if (TrackedTarget *target = findByHash(load.target))
+                updateFreed(*target, SlotChange::MemberReport, now);
+        }
+    }
     if (loads.empty())
         m_memberLoads.erase(member);
 }
@@ -702,7 +776,7 @@
         const bool isForeign = ofOtherCells && target->cellSlots == 0;
         const bool hasFreeSlot = isForeign
             ? !target->awaitsUnit && target->load() < SlotsAtOtherCells
-            : freeSlots(*target, now) > 0;
+            : hasOpenSlot(*target, requirements.contenders, now);
         if (!hasFreeSlot) {
             fullTargetIsHealthy |= !rank.isAvoided;
             fullTargetMeetsDeadline |= !rank.isAvoided && !rank.missesDeadline;
@@ -743,7 +817,8 @@
     return someEvacuated;
 }
 
-bool TargetTable::hasCapacity(const ServiceId &service, Instant now) const
+bool TargetTable::hasCapacity(const ServiceId &service,
+                              const std::vector<std::uint64_t> &contenders, Instant now) const
 {
     const ServiceTargets &targets = targetsOf(service);
     const auto isHealthy = [now](const auto *target) {
@@ -751,8 +826,8 @@
     };
     const bool usesOtherCells = !targets.isBrittle && targets.ofCell.size() < targets.all.size()
         && std::ranges::none_of(targets.ofCell, isHealthy);
-    return usesOtherCells || std::ranges::any_of(targets.ofCell, [this, now](const auto *target) {
-               return freeSlots(*target, now) > 0;
+    return usesOtherCells || std::ranges::any_of(targets.ofCell, [&, this](const auto *target) {
+               return hasOpenSlot(*target, contenders, now);
            });
 }
 
--- a/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_target_table.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <apricothook/dispatch/apricothook_cold_target_limiter.hpp>
+#include <apricothook/dispatch/apricothook_freed_slots.hpp>
 #include <apricothook/dispatch/apricothook_policy_switches.hpp>
 #include <apricothook/dispatch/apricothook_recent_sends.hpp>
 #include <apricothook/dispatch/apricothook_serving_configuration.hpp>
+#include <apricothook/dispatch/apricothook_slot_fill.hpp>
 #include <apricothook/dispatch/apricothook_slot_partition.hpp>
 #include <apricothook/dispatch/apricothook_slot_shares.hpp>
+#include <apricothook/dispatch/apricothook_slot_turns.hpp>
 #include <apricothook/dispatch/apricothook_stall_forecast.hpp>
 #include <apricothook/dispatch/apricothook_target_constraint.hpp>
 #include <apricothook/dispatch/apricothook_target_speed.hpp>
@@ -71,6 +74,8 @@
     std::uint64_t pendingPromptTokens = 0;
     /** The same for the other daemons of the cell. */
     std::uint64_t promptTokensOfOthers = 0;
+    /** The slots that are free for this daemon's cell. */
+    FreedSlots freed;
     TargetSpeed speed;
     /** Until this time the target is chosen only if no other is left. */
     Instant avoidedUntil {};
@@ -121,6 +126,8 @@
     /** Time left until the complete answer is due. */
     Duration timeToEnd {};
     TargetConstraint constraint;
+    /** Other members that have requests waiting for the service which don't rank below this one. */
+    std::vector<std::uint64_t> contenders;
 };
 
 /** Targets of a service that take new requests of this daemon's cell. */
@@ -159,7 +166,11 @@
     explicit TargetTable(DataCentreId own, const PolicySwitches &policies = {},
                          const ColdTargetLimiter &cold = ColdTargetLimiter(),
                          std::uint64_t self = 0)
-        : m_ownDataCentre(std::move(own)), m_policies(policies), m_coldLimiter(cold), m_shares(self)
+        : m_ownDataCentre(std::move(own))
+        , m_policies(policies)
+        , m_coldLimiter(cold)
+        , m_shares(self)
+        , m_turns(self)
     {
     }
 
@@ -230,8 +241,10 @@
     void recordUnreachable(const TargetInstance &target, unsigned failures, Instant now);
     /** The target accepts connections, so nothing that was lost on the way speaks against it. */
     void recordReachable(const TargetInstance &target);
-    void setMemberLoad(std::uint64_t member, const std::vector<TargetLoad> &loads);
+    void setMemberLoad(std::uint64_t member, const std::vector<TargetLoad> &loads, Instant now);
     std::vector<TargetLoad> ownLoad() const;
+    /** ownLoad() is sent to the other members of the cell. */
+    void recordReport(Instant now);
 
     /**
      * Returns the best target with a free slot; null if there is none or if waiting for another is
@@ -244,8 +257,19 @@
     bool hasAlternative(const ServiceId &service, const TargetConstraint &constraint) const;
     /** Whether the service has targets, and all that could serve are in evacuated data centres. */
     bool isEvacuated(const ServiceId &service) const;
-    /** Whether some target can take a request now, even one that is avoided. */
-    bool hasCapacity(const ServiceId &service, Instant now) const;
+    /**
+     * Whether some target can take a request now, even one that is avoided; `contenders` as in
+     * TargetRequirements.
+     */
+    bool hasCapacity(const ServiceId &service, const std::vector<std::uint64_t> &contenders,
+                     Instant now) const;
+    /** Why this daemon may fill a slot of the target now. */
+    SlotFill slotFill(const TrackedTarget &target, const std::vector<std::uint64_t> &contenders,
+                      Instant now) const;
+    /** Earliest time at which a free slot opens to this daemon; empty if all are open to it. */
+    std::optional<Instant> nextTurn(const ServiceId &service,
+                                    const std::vector<std::uint64_t> &contenders,
+                                    Instant now) const;
     /** Totals over the targets that aren't avoided. */
     ServiceCapacity capacity(const ServiceId &service, Instant now) const;
     /** Targets of the service that requests may be sent to, and those that aren't avoided now. */
@@ -289,6 +313,12 @@
     void assignAllSlots();
     /** Free slots of the target that this daemon's cell may use now. */
     std::uint32_t freeSlots(const TrackedTarget &target, Instant now) const;
+    /** Time at which a free slot opens to this daemon; empty if no turns apply. */
+    std::optional<Instant> turnOf(const TrackedTarget &target,
+                                  const std::vector<std::uint64_t> &contenders, Instant now) const;
+    bool hasOpenSlot(const TrackedTarget &target, const std::vector<std::uint64_t> &contenders,
+                     Instant now) const;
+    static void updateFreed(TrackedTarget &target, SlotChange change, Instant now);
     /** Slots that requests of this cell may occupy at the target, with regard to its limit. */
     std::uint32_t usableSlots(const TrackedTarget &target, double meanHoldTime) const;
     void updateCold(TrackedTarget &target, Instant until, Instant now) const;
@@ -324,6 +354,7 @@
     const PolicySwitches m_policies;
     ColdTargetLimiter m_coldLimiter;
     SlotShares m_shares;
+    SlotTurns m_turns;
     std::set<DataCentreId> m_evacuated;
     /** Earliest time at which a cold target becomes warm; empty if none is cold. */
     std::optional<Instant> m_nextWarmTime;
--- a/packages/dispatch/tests/apricothook_allowance_tests.cpp
+++ b/packages/dispatch/tests/apricothook_allowance_tests.cpp
@@ -185,9 +185,10 @@
 TEST_CASE("policies are switched off by name, and an unknown name is reported")
 {
     CHECK(policiesWithout({}).value() == PolicySwitches());
-    const PolicySwitches some = policiesWithout({"waiting", "limit-reserve"}).value();
+    const PolicySwitches some = policiesWithout({"waiting", "limit-reserve", "slot-turns"}).value();
     CHECK_FALSE(some.waiting);
     CHECK_FALSE(some.limitReserve);
+    CHECK_FALSE(some.slotTurns);
     CHECK(some.forecast);
     CHECK(policiesWithout({"waiting", "wating"}).error().name == "wating");
 }
--- a/packages/dispatch/tests/apricothook_brittle_targets_tests.cpp
+++ b/packages/dispatch/tests/apricothook_brittle_targets_tests.cpp
@@ -112,7 +112,7 @@
         bench.offer(id);
     CHECK(bench.placements.placed.size() == 4);
     // The load that others report is in slots of their own.
-    bench.targets.setMemberLoad(7, {{bench.hash("a"), 8}});
+    bench.targets.setMemberLoad(7, {{bench.hash("a"), 8}}, bench.clock.now());
     bench.finish("a");
     bench.offer(21);
     CHECK(bench.placements.placed.size() == 5);
--- a/packages/dispatch/tests/apricothook_dispatch_bench.hpp
+++ b/packages/dispatch/tests/apricothook_dispatch_bench.hpp
@@ -15,8 +15,9 @@
 class RecordedDecisions : public DispatchListener
 {
 public:
-    void onPlaced(ExchangeId exchange, const TargetEntry &target) override
+    void onPlaced(ExchangeId exchange, const TargetEntry &target, const SlotFill &fill) override
     {
+        lastFill = fill;
         placed.push_back(exchange.value());
         targets.push_back(target.id.text());
     }
@@ -30,20 +31,24 @@
     std::vector<std::string> targets;
     std::vector<std::uint64_t> refused;
     RefusalDetails lastRefusal;
+    SlotFill lastFill;
 };
 
 /** Dispatching for one service at one daemon, without I/O. */
 struct DispatchBench
 {
-    explicit DispatchBench(const ColdTargetLimiter &cold = ColdTargetLimiter())
-        : targets(DataCentreId("here"), {}, cold)
+    /** `self`: memberHash() of the daemon. */
+    explicit DispatchBench(const ColdTargetLimiter &cold = ColdTargetLimiter(),
+                           std::uint64_t self = 0, const PolicySwitches &policies = {})
+        : targets(DataCentreId("here"), policies, cold, self)
+        , dispatcher(targets, placements, policies)
     {
     }
 
     ManualClock clock;
     TargetTable targets;
     RecordedDecisions placements;
-    Dispatcher dispatcher {targets, placements};
+    Dispatcher dispatcher;
 
     TargetEntry entryOf(const std::string &id, std::uint32_t slots,
                         const std::string &dataCentre = "here") const
--- a/packages/dispatch/tests/apricothook_dispatcher_tests.cpp
+++ b/packages/dispatch/tests/apricothook_dispatcher_tests.cpp
@@ -34,14 +34,14 @@
 {
     DispatchBench bench;
     bench.addTarget("t", 2);
-    bench.targets.setMemberLoad(7, {{targetHash({TargetId("t")}), 2}});
+    bench.targets.setMemberLoad(7, {{targetHash({TargetId("t")}), 2}}, bench.clock.now());
     bench.offer(1);
     CHECK(bench.placements.placed.empty());
-    bench.targets.setMemberLoad(7, {{targetHash({TargetId("t")}), 1}});
+    bench.targets.setMemberLoad(7, {{targetHash({TargetId("t")}), 1}}, bench.clock.now());
     bench.dispatcher.review(bench.clock.now());
     CHECK(bench.placements.placed.size() == 1);
     // The load of a member that fell silent is removed.
-    bench.targets.setMemberLoad(7, {});
+    bench.targets.setMemberLoad(7, {}, bench.clock.now());
     bench.offer(2);
     CHECK(bench.placements.placed.size() == 2);
 }
@@ -230,7 +230,7 @@
     for (int failure = 0; failure < 3; ++failure)
         bench.targets.requestEnded(previous, size, TargetOutcome::Unreachable, Duration(1000),
                                    false, bench.clock.now());
-    bench.targets.setMemberLoad(7, {{targetHash(previous), 1}});
+    bench.targets.setMemberLoad(7, {{targetHash(previous), 1}}, bench.clock.now());
     bench.offer(2);
     REQUIRE(bench.placements.refused == std::vector<std::uint64_t> {2});
 
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -108,6 +108,8 @@
     const bool isFirst = m_sends == 0;
     const Instant now = m_context.loop.now();
     m_rank = rankOf(m_context, m_admitted);
+    // A refusal may end this exchange, so only the context is used afterwards.
+    GatewayContext &context = m_context;
     m_context.dispatcher.submit({.exchange = m_id,
                                  .service = m_admitted.service,
                                  .rank = m_rank,
@@ -117,6 +119,9 @@
                                  .deadline = m_admitted.deadline,
                                  .constraint = constraint()},
                                 now);
+    // Sets the timer for the turn of a queued request, and tells the other members that it waits.
+    if (context.policies.slotTurns && context.dispatcher.waiting() > 0)
+        context.capacityFreed();
 }
 
 void ForwardedRequest::onRefused(const RefusalDetails &facts)
@@ -131,9 +136,10 @@
         sendLocalResponse(RequestOutcome::NoRoom, HttpStatus::Unavailable, facts.retryAfter);
 }
 
-void ForwardedRequest::onPlaced(const TargetEntry &target)
+void ForwardedRequest::onPlaced(const TargetEntry &target, const SlotFill &fill)
 {
     m_waiting = false;
+    m_slotFill = fill;
     if (outlastsProcess()) {
         releaseSlot(target);
         refuseAtShutdown();
@@ -158,6 +164,7 @@
              .beganVersion = m_continuation.versionName(),
              .lastEvent = m_lastEvent,
              .targetUnit = m_targetUnit,
+             .turnWait = m_slotFill.turnWait,
              .sends = m_sends,
              .runs = m_runs,
              .mayHaveRun = m_mayHaveRun,
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -38,7 +38,7 @@
 
     ExchangeId id() const { return m_id; }
     void begin();
-    void onPlaced(const TargetEntry &target);
+    void onPlaced(const TargetEntry &target, const SlotFill &fill);
     void onRefused(const RefusalDetails &facts);
     /** The limit of the customer, or of the target, granted or refused the request its units. */
     void onLimitDecided(const LimitDecision &decision);
@@ -213,6 +213,8 @@
     Duration m_held {};
     /** The last decision of a target's limit. */
     std::optional<LimitDecision> m_targetUnit;
+    /** How the slot of the last placement was filled. */
+    SlotFill m_slotFill;
     /** A target may have run the request. */
     bool m_mayHaveRun = false;
     unsigned m_runs = 0;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -293,11 +293,12 @@
                                                     : current;
 }
 
-void Gateway::onPlaced(ExchangeId exchange, const TargetEntry &target)
+void Gateway::onPlaced(ExchangeId exchange, const TargetEntry &target, const SlotFill &fill)
 {
+    m_context.metrics.slotFilled(nameOf(fill.cause));
     const auto found = m_exchanges.find(exchange.value());
     if (found != m_exchanges.end())
-        found->second->onPlaced(target);
+        found->second->onPlaced(target, fill);
     if (m_loadListener)
         m_loadListener();
 }
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -111,7 +111,7 @@
     const WireProtocol &protocol() const override { return m_context.protocol; }
     bool isDraining() const override { return m_draining; }
 
-    void onPlaced(ExchangeId exchange, const TargetEntry &target) override;
+    void onPlaced(ExchangeId exchange, const TargetEntry &target, const SlotFill &fill) override;
     void onRefused(ExchangeId exchange, const RefusalDetails &facts) override;
 
     void onLimitDecided(ExchangeId exchange, const LimitDecision &decision) override;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.cpp
@@ -57,6 +57,8 @@
         if (const std::optional<double> pause = m_context.targets.expectedPause(*believed))
             line.with("expected_pause_ms", *pause);
     }
+    if (m_state.turnWait)
+        line.with("turn_wait_ms", *m_state.turnWait);
     m_context.log.write(line.markRoutine()
                             .with("version", attempt.target.version.text())
                             .with("stream", m_state.request.fields.resumes.text())
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.hpp
@@ -22,6 +22,8 @@
     std::optional<std::uint64_t> lastEvent;
     /** The decision of the target's limit; unset if it has none. */
     std::optional<LimitDecision> targetUnit;
+    /** SlotFill::turnWait of the last placement. */
+    std::optional<Duration> turnWait;
     unsigned sends = 0;
     unsigned runs = 0;
     bool mayHaveRun = false;
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -221,6 +221,12 @@
     m_tables->longPauses.Add({{"service", service.text()}}).Increment();
 }
 
+void Metrics::slotFilled(std::string_view cause)
+{
+    const std::lock_guard lock(m_tables->mutex);
+    m_tables->slotsFilled.Add({{"cause", std::string(cause)}}).Increment();
+}
+
 void Metrics::controlBytes(Direction direction, std::uint64_t bytes)
 {
     const std::string name = direction == Direction::Sent ? "sent" : "received";
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -92,6 +92,9 @@
     void streamTakenUp(std::string_view origin);
     /** A stream was answered in which two events were further apart than its gap objective. */
     void longPause(const ServiceId &service);
+    /** Counts a request that was placed at a target; `cause`: why this daemon could fill the slot.
+     */
+    void slotFilled(std::string_view cause);
     void controlBytes(Direction direction, std::uint64_t bytes);
     /**
      * Reassigns the per-customer series to the customers with the most traffic. To be called about
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
@@ -69,6 +69,8 @@
                              "Requests that go on with an earlier stream, by who knew its version"))
     , longPauses(counter(registry, "apricothook_long_pauses_total",
                          "Answered streams with a pause over their gap objective, by service"))
+    , slotsFilled(counter(registry, "apricothook_slots_filled_total",
+                          "Requests placed at targets, by why this daemon could fill the slot"))
     , incompleteResponses(counter(registry, "apricothook_incomplete_responses_total",
                                   "Requests that may have run and got no complete response"))
     , loopHeldUp(counter(registry, "apricothook_loop_held_up_seconds_total",
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
@@ -65,6 +65,7 @@
     CounterFamily &targetUnits;
     CounterFamily &streamsTakenUp;
     CounterFamily &longPauses;
+    CounterFamily &slotsFilled;
     CounterFamily &incompleteResponses;
     CounterFamily &loopHeldUp;
     CounterFamily &backups;
--- a/packages/serving/apricothook/serving/apricothook_cell_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_cell_exchange.cpp
@@ -95,6 +95,7 @@
     for (const QueueLength &length : m_gateway.dispatcher().ownQueueLengths())
         report.waiting.push_back(
             {length.service, length.rank.customer, length.rank.route, length.waiting});
+    m_gateway.targets().recordReport(m_loop.now());
     return report;
 }
 
@@ -119,7 +120,7 @@
     const CellPeer *peer = change.isNewer ? m_peers.find(member) : nullptr;
     if (!peer)
         return;
-    m_gateway.targets().setMemberLoad(member, loadsOf(peer->report));
+    m_gateway.targets().setMemberLoad(member, loadsOf(peer->report), m_loop.now());
     m_gateway.dispatcher().setMemberQueueLengths(member, queueLengthsOf(peer->report));
     if (m_gateway.dispatcher().waiting() > 0)
         m_gateway.scheduleReview();
@@ -131,7 +132,7 @@
     m_log.write(LogEvent(FleetviewEvent::MemberSilent)
                     .with("member", member.text())
                     .with("leaving", peer && peer->info.isLeaving));
-    m_gateway.targets().setMemberLoad(memberHash(member), {});
+    m_gateway.targets().setMemberLoad(memberHash(member), {}, m_loop.now());
     m_gateway.dispatcher().setMemberQueueLengths(memberHash(member), {});
 }
 
--- a/packages/serving/tests/apricothook_emulated_cold_fleet.cpp
+++ b/packages/serving/tests/apricothook_emulated_cold_fleet.cpp
@@ -107,7 +107,7 @@
         m_exchange.take(std::get<CellSummary>(datagram));
 }
 
-void EmulatedColdDaemon::onPlaced(ExchangeId, const TargetEntry &target)
+void EmulatedColdDaemon::onPlaced(ExchangeId, const TargetEntry &target, const SlotFill &)
 {
     m_running.push_back({target.instance(), m_loop.now() + ServiceTime});
     m_fleet.recordRequest(target);
--- a/packages/serving/tests/apricothook_emulated_cold_fleet.hpp
+++ b/packages/serving/tests/apricothook_emulated_cold_fleet.hpp
@@ -39,7 +39,7 @@
         Instant ends {};
     };
 
-    void onPlaced(ExchangeId exchange, const TargetEntry &target) override;
+    void onPlaced(ExchangeId exchange, const TargetEntry &target, const SlotFill &fill) override;
     void onRefused(ExchangeId, const RefusalDetails &) override { }
     void tick();
 
