Take back the schedule of retries over a customer's limit

Change taken back: the grantor spread the retries of a customer's refused callers over the time in which its bucket gains units.

--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.cpp
@@ -164,17 +164,12 @@
     m_listener.onRefused(request.exchange, details);
 }
 
-Duration Dispatcher::latestRetry(Duration remaining)
-{
-    const Duration left = std::max(remaining, Duration::zero());
-    return std::min<Duration>(std::chrono::duration_cast<Duration>(left * LatestRetryFraction),
-                              LongestRetryAfter);
-}
-
 Duration Dispatcher::retryAfter(const QueuedRequest &request, const RefusalDetails &details,
                                 Instant now) const
 {
-    const Duration latest = latestRetry(request.deadline - now);
+    const Duration remaining = std::max(request.deadline - now, Duration::zero());
+    const auto latest = std::min<Duration>(
+        std::chrono::duration_cast<Duration>(remaining * LatestRetryFraction), LongestRetryAfter);
     // If no target is healthy, load isn't the cause, and the cause may disappear at any moment.
     const bool isLoad = details.capacity.slots > 0 && m_policies.lateReturn;
     const bool isLong = isLoad || m_targets.isEvacuated(request.service);
--- a/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_dispatcher.hpp
@@ -102,9 +102,6 @@
      */
     static constexpr std::chrono::seconds LongestRetryAfter {5};
 
-    /** Latest time after which a refused caller with so much time left is asked to retry. */
-    static Duration latestRetry(Duration remaining);
-
     Dispatcher(TargetTable &targets, DispatchListener &listener,
                const PolicySwitches &policies = {})
         : m_targets(targets), m_listener(listener), m_policies(policies)
--- a/packages/dispatch/apricothook/dispatch/apricothook_fleet_rate_limiter.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_rate_limiter.cpp
@@ -125,7 +125,6 @@
     decided.bucket = static_cast<double>(reply.bucket);
     decided.perSecond = static_cast<double>(reply.perSecond);
     decided.retryAfter = std::chrono::milliseconds(reply.waitMs);
-    decided.promisedUnits = static_cast<double>(reply.promisedUnits);
     return decided;
 }
 
--- a/packages/dispatch/apricothook/dispatch/apricothook_fleet_rate_limiter.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_fleet_rate_limiter.hpp
@@ -43,8 +43,6 @@
     unsigned queries = 0;
     /** Time after which a refused caller may get its units. */
     Duration retryAfter {};
-    /** Units of refused requests whose retries the grantor expects before this one's. */
-    double promisedUnits = 0;
 
     auto operator<=>(const LimitDecision &) const = default;
 };
--- a/packages/dispatch/apricothook/dispatch/apricothook_grantor_role.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_grantor_role.cpp
@@ -206,7 +206,6 @@
     role.state = State::Grantor;
     role.stateSince = now;
     role.bucket = UnitBucket(role.budget, now);
-    role.returns = {};
     role.bucket.setLimitFraction(m_limitFraction, now);
     const double accrued = vacancy.count() * role.bucket.perSecond();
     role.bucket.add(level + accrued + std::exchange(role.retainedUnits, 0), now);
@@ -269,22 +268,13 @@
         reply.units = request.units
             + wholeUnits(bucket.takePrefetch(static_cast<double>(request.prefetch), now));
     else
-        refuse(reply, demand, role, now);
+        reply.waitMs = millisecondsOf(bucket.timeUntilAvailable(demand, now));
     reply.level = wholeUnits(bucket.level());
     reply.bucket = wholeUnits(bucket.size());
     reply.perSecond = wholeUnits(bucket.perSecond());
     return reply;
 }
 
-void GrantorRole::refuse(UnitsReply &reply, const UnitDemand &demand, Role &role, Instant now)
-{
-    ScheduledReturn retry {role.bucket.timeUntilAvailable(demand, now), 0};
-    if (role.budget.schedulesReturns)
-        retry = role.returns.schedule(demand.units, retry.wait, role.bucket.perSecond(), now);
-    reply.waitMs = millisecondsOf(retry.wait);
-    reply.promisedUnits = wholeUnits(retry.promisedUnits);
-}
-
 void GrantorRole::take(const GrantorClaim &claim, Instant now)
 {
     handleStall(now);
--- a/packages/dispatch/apricothook/dispatch/apricothook_grantor_role.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_grantor_role.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <apricothook/dispatch/apricothook_grantor_ranking.hpp>
-#include <apricothook/dispatch/apricothook_return_schedule.hpp>
 #include <apricothook/dispatch/apricothook_unit_bucket.hpp>
 
 #include <deque>
@@ -108,8 +107,6 @@
         State state = State::NotGrantor;
         UnitBudget budget;
         UnitBucket bucket;
-        /** Retries of the requests that this daemon refused as grantor. */
-        ReturnSchedule returns;
         /** Own units that are retained while another grantor is searched for. */
         double retainedUnits = 0;
         /** When the current state began. */
@@ -152,8 +149,6 @@
     void becomeGrantor(std::uint64_t limit, Role &role, double level, GrantorChange change,
                        Instant now);
     void handOver(const GrantorClaim &claim, Role &role, Instant now);
-    /** Tells in the reply when the refused request may be sent again. */
-    static void refuse(UnitsReply &reply, const UnitDemand &demand, Role &role, Instant now);
     /** Leaves the limit to the sender, which ranks before this daemon. */
     void yield(const GrantorClaim &claim, Role &role, Instant now);
     /**
--- a/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_limit_messages.hpp
@@ -82,20 +82,16 @@
     std::uint64_t level = 0;
     std::uint64_t bucket = 0;
     std::uint64_t perSecond = 0;
-    /**
-     * Milliseconds until the bucket holds the refused units and, before them, the promised ones.
-     */
+    /** Milliseconds until the bucket holds the refused units. */
     std::uint32_t waitMs = 0;
     /** The grantor as known to the answering daemon; without an address if it grants itself. */
     LimitPeer grantor;
-    /** Units of refused requests whose retries precede this one; zero in older versions. */
-    std::uint64_t promisedUnits = 0;
 
     template <typename Archive, typename Self>
     static void fields(Archive &archive, Self &self)
     {
         archive(self.member, self.requestId, self.outcome, self.units, self.level, self.bucket,
-                self.perSecond, self.waitMs, self.grantor, self.promisedUnits);
+                self.perSecond, self.waitMs, self.grantor);
     }
     auto operator<=>(const UnitsReply &) const = default;
 };
--- a/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.cpp
@@ -26,7 +26,6 @@
     NamedSwitch {"stall-limit", &PolicySwitches::stallLimit},
     NamedSwitch {"slot-turns", &PolicySwitches::slotTurns},
     NamedSwitch {"limit-reserve", &PolicySwitches::limitReserve},
-    NamedSwitch {"limit-returns", &PolicySwitches::limitReturns},
 };
 
 } // namespace
--- a/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_policy_switches.hpp
@@ -29,8 +29,6 @@
     bool stallLimit = true;   ///< If off: long prompts may stall the streams of any target.
     bool slotTurns = true;    ///< If off: any daemon may fill a free slot at once.
     bool limitReserve = true; ///< If off: a customer's units are granted in order of arrival.
-    bool limitReturns = true; ///< If off: callers over their limit are told when it has units for
-                              ///< one request.
 
     auto operator<=>(const PolicySwitches &) const = default;
 };
--- a/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.cpp
@@ -43,7 +43,6 @@
         .grantLifetime = std::min<Duration>(lifetime, LongestGrantLifetime),
         .needsWholeFleet = false,
         .ungrantedUnits = std::nullopt,
-        .schedulesReturns = false,
     };
 }
 
@@ -80,16 +79,12 @@
     return budget;
 }
 
-UnitBudgets budgetsOf(const std::vector<CustomerRule> &customers, const FleetBounds &bounds,
-                      bool schedulesReturns)
+UnitBudgets budgetsOf(const std::vector<CustomerRule> &customers, const FleetBounds &bounds)
 {
     UnitBudgets budgets;
     for (const CustomerRule &customer : customers) {
-        if (customer.ratePerSecond <= 0)
-            continue;
-        UnitBudget budget = budgetOf(customer, bounds);
-        budget.schedulesReturns = schedulesReturns;
-        budgets.emplace(customerHash(customer.name), budget);
+        if (customer.ratePerSecond > 0)
+            budgets.emplace(customerHash(customer.name), budgetOf(customer, bounds));
     }
     return budgets;
 }
--- a/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_unit_budget.hpp
@@ -43,11 +43,6 @@
      * if no other grantor hands the limit over. Empty if nothing is known of them.
      */
     std::optional<double> ungrantedUnits;
-    /**
-     * The grantor spreads the retries of refused requests (ReturnSchedule). Only customers' callers
-     * retry after a time that they were told; requests held by other limits wait in the daemon.
-     */
-    bool schedulesReturns = false;
 
     auto operator<=>(const UnitBudget &) const = default;
 };
@@ -74,12 +69,8 @@
 /** The budgets of limits, by the limit's hash. */
 using UnitBudgets = std::map<std::uint64_t, UnitBudget>;
 
-/**
- * The budgets of all customers with a limit, by customerHash(); `schedulesReturns` as in
- * UnitBudget.
- */
-UnitBudgets budgetsOf(const std::vector<CustomerRule> &customers, const FleetBounds &bounds,
-                      bool schedulesReturns = true);
+/** The budgets of all customers with a limit, by customerHash(). */
+UnitBudgets budgetsOf(const std::vector<CustomerRule> &customers, const FleetBounds &bounds);
 
 /** What a request needs of its customer's limit. */
 struct UnitDemand
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -134,8 +134,6 @@
     TargetConstraint constraint() const;
     void acquireUnits();
     void onCustomerUnitsDecided(const LimitDecision &decision);
-    /** Time after which the caller of a request over its customer's limit is told to retry. */
-    Duration limitRetryAfter(const LimitDecision &decision) const;
     /** Sends the request as soon as the target's limit allows it. */
     void acquireTargetUnit(const TargetEntry &target, const LimitedUnits &units);
     void onTargetUnitDecided(const LimitDecision &decision);
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_units.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_units.cpp
@@ -15,17 +15,11 @@
 
 namespace {
 
+/** Smallest Retry-After for a customer that is over its limit. */
+constexpr std::chrono::milliseconds ShortestLimitRetryAfter {100};
 /** A grantor that reaches more of the fleet, or a raised limit, has units earlier than was told. */
 constexpr std::chrono::seconds LongestTargetHold {1};
 
-/** What determined the time after which a caller over its limit retries. */
-std::string_view returnCause(const LimitDecision &decision, bool isCapped)
-{
-    if (isCapped)
-        return "caller";
-    return decision.promisedUnits > 0 ? "schedule" : "bucket";
-}
-
 Duration holdTime(const LimitDecision &decision)
 {
     if (decision.source != LimitSource::Grantor)
@@ -75,8 +69,7 @@
         start();
         return;
     }
-    const Duration retryAfter = limitRetryAfter(decision);
-    m_limitDecision->retryAfter = retryAfter;
+    const Duration retryAfter = std::max<Duration>(decision.retryAfter, ShortestLimitRetryAfter);
     // Without a grantor it is unknown whether the customer is over its limit, so no 429.
     if (decision.source == LimitSource::Nobody)
         sendLocalResponse(RequestOutcome::NoGrantor, HttpStatus::Unavailable, retryAfter);
@@ -84,17 +77,6 @@
         sendLocalResponse(RequestOutcome::OverLimit, HttpStatus::TooManyRequests, retryAfter);
 }
 
-Duration ForwardedRequest::limitRetryAfter(const LimitDecision &decision) const
-{
-    constexpr Duration Shortest = ReturnSchedule::ShortestReturn;
-    if (decision.source != LimitSource::Grantor)
-        return std::max(decision.retryAfter, Shortest);
-    const Duration latest = Dispatcher::latestRetry(m_admitted.deadline - m_context.loop.now());
-    const bool isCapped = m_context.policies.limitReturns && decision.retryAfter > latest;
-    m_context.metrics.limitReturnTold(returnCause(decision, isCapped));
-    return std::max(isCapped ? latest : decision.retryAfter, Shortest);
-}
-
 void ForwardedRequest::acquireTargetUnit(const TargetEntry &target, const LimitedUnits &units)
 {
     m_limitedTarget = target;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -480,8 +480,7 @@
     budgets.merge(m_targetRejections.limits().rejectionBudgets());
     budgets.merge(m_suspects.budgets());
     if (m_context.routes)
-        budgets.merge(budgetsOf(m_context.routes->configuration().customers, m_bounds,
-                                m_context.policies.limitReturns));
+        budgets.merge(budgetsOf(m_context.routes->configuration().customers, m_bounds));
     m_limits.setBudgets(budgets, m_loop.now());
     scheduleLimitReview();
 }
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_record.cpp
@@ -52,7 +52,6 @@
         .with("level", limit.level)
         .with("bucket", limit.bucket)
         .with("units_per_s", limit.perSecond)
-        .with("promised_units", limit.promisedUnits)
         .with("retry_after_ms", limit.retryAfter);
 }
 
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -203,12 +203,6 @@
     m_tables->suspectsRefused.Add({{"kind", std::string(kind)}}).Increment();
 }
 
-void Metrics::limitReturnTold(std::string_view cause)
-{
-    const std::lock_guard lock(m_tables->mutex);
-    m_tables->limitReturns.Add({{"cause", std::string(cause)}}).Increment();
-}
-
 void Metrics::streamTakenUp(std::string_view origin)
 {
     const std::lock_guard lock(m_tables->mutex);
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -86,8 +86,6 @@
     /** Counts a request that was refused since it may crash its target, by what is suspect of it.
      */
     void suspectRefused(std::string_view kind);
-    /** Counts a caller over its limit by what determined the time after which it retries. */
-    void limitReturnTold(std::string_view cause);
     /** Counts a request that goes on with an earlier stream; `origin`: who knew its version. */
     void streamTakenUp(std::string_view origin);
     /** A stream was answered in which two events were further apart than its gap objective. */
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
@@ -80,9 +80,6 @@
     , suspectsRefused(counter(registry, "apricothook_suspects_refused_total",
                               "Requests refused since they may crash their target, by what is "
                               "suspect of them"))
-    , limitReturns(counter(registry, "apricothook_limit_returns_total",
-                           "Callers over their limit, by what determined the time after which they "
-                           "were told to retry"))
     , customerRequests(counter(registry, "apricothook_customer_requests_total",
                                "Requests that ended, by customer and result"))
     , requestSeconds(histogram(registry, "apricothook_request_seconds",
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
@@ -70,7 +70,6 @@
     CounterFamily &loopHeldUp;
     CounterFamily &backups;
     CounterFamily &suspectsRefused;
-    CounterFamily &limitReturns;
     CounterFamily &customerRequests;
     ClassHistograms requestSeconds;
     ClassHistograms firstTokenSeconds;
