--- a/packages/dispatch/tests/apricothook_slot_turns_fleet_tests.cpp
+++ b/packages/dispatch/tests/apricothook_slot_turns_fleet_tests.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-TEST_CASE("one of ten daemons with waiting requests fills a slot that was reported free")
+TEST_CASE("at most two of ten daemons with waiting requests fill a slot that was reported free")
 {
     // Without turns all ten would fill it before they receive each other's reports, and nine
     // requests would queue at the engine.
