--- a/packages/dispatch/apricothook/dispatch/apricothook_stall_forecast.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_stall_forecast.hpp
@@ -28,8 +28,8 @@
  * all of these streams late.
  *
  * Load pattern: prompts whose lengths differ a hundredfold, at targets of unlike speed. On a
- * benchmark day of 35 daemons 36 to 61 in 100 streams at the slow third of the targets had such a
- * pause, and 63 in 100 of those that ran while a prompt of over 40,000 tokens was read.
+ * benchmark day of 35 daemons 45 in 100 streams at the slow third of the targets had such a pause,
+ * and 63 in 100 of those that ran while a prompt of over 40,000 tokens was read.
  */
 class StallForecast
 {
--- a/packages/dispatch/tests/apricothook_slot_turns_fleet_tests.cpp
+++ b/packages/dispatch/tests/apricothook_slot_turns_fleet_tests.cpp
@@ -106,7 +106,7 @@
 
 TEST_CASE("a lone daemon and one whose peers have nothing waiting fill all slots at once")
 {
-    // Turns that nobody else takes would leave the slots idle.
+    // Turns that no other daemon takes would leave the slots idle.
     for (const std::size_t daemons : {std::size_t(1), Contenders}) {
         EmulatedTurnFleet fleet(daemons, Slots);
         for (std::uint32_t slot = 0; slot < Slots; ++slot)
