--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import json
 import os
 import pathlib
 import resource
@@ -88,6 +89,11 @@
     raise OSError("no free ports")
 
 
+def addresses_of(lookup: bytes) -> list[str]:
+    """Addresses of the answer to a lookup."""
+    return json.loads(lookup)["Addresses"]
+
+
 def run_command() -> list[str]:
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
     return deploy["roles"]["entry"]["run"].split()
