--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -99,6 +100,22 @@
     return deploy["roles"]["entry"]["run"].split()
 
 
+started: list[asyncio.subprocess.Process] = []
+
+
+def end_all() -> None:
+    """Ends what a case that failed has left running."""
+    for process in started:
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGKILL)
+
+
+def end_on_signal() -> None:
+    """Makes a case that is asked to stop end its processes first."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+
 class Daemon:
     """One machine's process. The platform restarts a process that has ended, shortly after."""
 
@@ -123,6 +140,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 *run_command(), cwd=ROOT, env={"PATH": os.environ["PATH"], "APRICOTHOOK_BOOT": str(self.settings)},
                 stdout=output, stderr=output, preexec_fn=self.limit_descriptors)
+        started.append(self.process)
         self.log("daemon", edge=self.index, event="started", pid=self.process.pid)
 
     def limit_descriptors(self) -> None:
