Keep of a connection's bytes only those that aren't sent

A caller that reads steadily but slowly made the daemon keep all that it had ever sent on the connection: the send buffer was emptied only when the kernel had taken everything, so a stream that always has some bytes left grew without bound. The sent part is now removed when it is half of the buffer, and an empty buffer gives its memory back. The test sends 20 MB with two pieces unsent at most and allows 2 MB to be held.

Bytes can be sent from shared memory, so that a large request needs no copy, and one event reads 64 KiB of a connection at most, as a peer that sends without pause held up all others.

--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_connection.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_connection.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
+#include <string>
 #include <string_view>
 
 namespace Apricothook {
@@ -12,6 +14,8 @@
     virtual ~StreamConnection() = default;
 
     virtual void send(std::string_view bytes) = 0;
+    /** Sends bytes that are shared until the kernel has taken them, instead of a copy of them. */
+    virtual void send(std::shared_ptr<const std::string> bytes) = 0;
     /** While reading is off, flow control stops the peer once the receive window is full. */
     virtual void setReading(bool reading) = 0;
     /** Buffered bytes that haven't been handed to the network yet. */
--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.cpp
@@ -129,19 +129,63 @@
 {
     if (m_descriptor < 0)
         return;
-    if (unsentBytes() == 0 && !m_connecting) {
-        const ssize_t sent = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (sent >= 0)
-            bytes.remove_prefix(static_cast<std::size_t>(sent));
-        else
-            recordSendError(errno);
-    }
+    if (unsentBytes() == 0 && !m_connecting)
+        bytes.remove_prefix(sendNow(bytes));
     if (bytes.empty())
         return;
+    if (m_shared) {
+        m_sendBuffer.append(std::string_view(*m_shared).substr(m_sharedOffset));
+        m_shared.reset();
+    }
+    trimBuffer();
     m_sendBuffer.append(bytes);
     updateInterest();
 }
 
+void StreamSocket::send(std::shared_ptr<const std::string> bytes)
+{
+    if (m_shared) {
+        send(std::string_view(*bytes));
+        return;
+    }
+    if (m_descriptor < 0)
+        return;
+    m_sharedOffset = unsentBytes() == 0 && !m_connecting ? sendNow(*bytes) : 0;
+    if (m_sharedOffset == bytes->size())
+        return;
+    m_shared = std::move(bytes);
+    updateInterest();
+}
+
+std::size_t StreamSocket::unsentBytes() const
+{
+    return m_sendBuffer.size() - m_sendOffset + (m_shared ? m_shared->size() - m_sharedOffset : 0);
+}
+
+std::size_t StreamSocket::sendNow(std::string_view bytes)
+{
+    if (bytes.empty())
+        return 0;
+    const ssize_t sent = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent >= 0)
+        return static_cast<std::size_t>(sent);
+    recordSendError(errno);
+    return 0;
+}
+
+void StreamSocket::trimBuffer()
+{
+    // A peer that reads slowly but steadily may never let the buffer become empty.
+    if (m_sendOffset < m_sendBuffer.size() / 2 + 1)
+        return;
+    std::string rest = m_sendBuffer.substr(m_sendOffset);
+    if (m_sendBuffer.capacity() > MaxSpareBuffer)
+        m_sendBuffer = std::move(rest);
+    else
+        m_sendBuffer.assign(rest);
+    m_sendOffset = 0;
+}
+
 void StreamSocket::setReading(bool reading)
 {
     if (m_reading == reading)
@@ -200,7 +244,8 @@
     const std::weak_ptr alive(m_alive);
     std::array<char, ReadBufferBytes> buffer;
     // A full buffer means that more data may be queued; reading on saves an epoll_wait().
-    for (bool more = true; more;) {
+    unsigned reads = 0;
+    for (bool more = true; more; more = more && ++reads < MaxReadsPerEvent) {
         const ssize_t got = recv(m_descriptor, buffer.data(), buffer.size(), 0);
         if (got < 0 && isTransient(errno))
             return;
@@ -261,17 +306,16 @@
 {
     if (unsentBytes() == 0)
         return;
-    const std::string_view rest = std::string_view(m_sendBuffer).substr(m_sendOffset);
-    const ssize_t sent = ::send(m_descriptor, rest.data(), rest.size(), MSG_NOSIGNAL);
-    if (sent < 0) {
-        recordSendError(errno);
-        return;
+    const std::size_t before = unsentBytes();
+    m_sendOffset += sendNow(std::string_view(m_sendBuffer).substr(m_sendOffset));
+    trimBuffer();
+    if (m_sendBuffer.empty() && m_shared) {
+        m_sharedOffset += sendNow(std::string_view(*m_shared).substr(m_sharedOffset));
+        if (m_sharedOffset == m_shared->size())
+            m_shared.reset();
     }
-    m_sendOffset += static_cast<std::size_t>(sent);
-    if (unsentBytes() > 0)
-        return;
-    m_sendBuffer.clear();
-    m_sendOffset = 0;
+    if (unsentBytes() < before)
+        m_events.onSent(before - unsentBytes());
 }
 
 } // namespace Apricothook
--- a/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_stream_socket.hpp
@@ -37,6 +37,8 @@
     virtual void onEnd(CloseReason end) = 0;
     /** The send buffer is empty: the kernel has taken all bytes. */
     virtual void onDrained() { }
+    /** The kernel has taken some of the bytes that it didn't take at once. */
+    virtual void onSent(std::size_t) { }
 };
 
 /**
@@ -68,8 +70,12 @@
     StreamSocket &operator=(const StreamSocket &) = delete;
 
     void send(std::string_view bytes) override;
+    void send(std::shared_ptr<const std::string> bytes) override;
     void setReading(bool reading) override;
-    std::size_t unsentBytes() const override { return m_sendBuffer.size() - m_sendOffset; }
+    bool isReading() const { return m_reading; }
+    std::size_t unsentBytes() const override;
+    /** Memory of its own that the unsent bytes take up. */
+    std::size_t heldBytes() const { return m_sendBuffer.capacity(); }
     bool isOpen() const override { return m_descriptor >= 0; }
     /** Half-closes the connection after all buffered bytes are sent; reading continues. */
     void shutdownSend();
@@ -79,11 +85,19 @@
 
 private:
     static constexpr std::size_t ReadBufferBytes = 16384;
+    /** Reads of one event, so that a peer that sends without pause doesn't hold up the others. */
+    static constexpr unsigned MaxReadsPerEvent = 4;
+    /** Capacity of an empty send buffer above which it is released. */
+    static constexpr std::size_t MaxSpareBuffer = 4096;
 
     void onReadable() override;
     void onWritable() override;
     void finishConnect();
     void flush();
+    /** Hands as many bytes to the kernel as it takes; returns their number. */
+    std::size_t sendNow(std::string_view bytes);
+    /** Removes from the send buffer what was sent. */
+    void trimBuffer();
     void end(CloseReason how);
     /** The next read, where the owner expects onEnd(), reports the error. */
     void recordSendError(int error);
@@ -101,6 +115,9 @@
     int m_sendError = 0;
     std::string m_sendBuffer;
     std::size_t m_sendOffset = 0;
+    /** Sent after the send buffer; null if there is none. */
+    std::shared_ptr<const std::string> m_shared;
+    std::size_t m_sharedOffset = 0;
     /** Running callbacks hold a weak pointer to it to detect that the socket was destroyed. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/packages/eventloop/tests/apricothook_stream_socket_tests.cpp
+++ b/packages/eventloop/tests/apricothook_stream_socket_tests.cpp
@@ -20,9 +20,10 @@
 class RecordingEvents : public StreamSocketEvents
 {
 public:
-    void onData(std::string_view) override { }
+    void onData(std::string_view bytes) override { received.append(bytes); }
     void onEnd(CloseReason reason) override { end = reason; }
 
+    std::string received;
     std::optional<CloseReason> end;
 };
 
@@ -109,3 +110,39 @@
     CHECK(pair.events.end == CloseReason::Reset);
     CHECK(socket.unsentBytes() > 0);
 }
+
+TEST_CASE("the buffer for a peer that reads steadily but slowly doesn't grow with what was sent")
+{
+    // Guards against streams whose sent bytes are kept as long as there are always some to send.
+    ConnectedPair pair;
+    StreamSocket socket(pair.loop, pair.events, pair.accepted, UnreadBytes::AreKept);
+    pair.other->setReading(false);
+    const std::string piece(65536, 'x');
+    while (socket.unsentBytes() == 0)
+        socket.send(piece);
+    for (int i = 0; i < 300; ++i) {
+        pair.other->setReading(true);
+        while (socket.unsentBytes() > 2 * piece.size())
+            pair.loop.runOnce(std::chrono::milliseconds(1));
+        pair.other->setReading(false);
+        socket.send(piece);
+    }
+    CHECK(socket.heldBytes() < 32 * piece.size());
+}
+
+TEST_CASE("shared bytes are sent after those before and ahead of those after them")
+{
+    // Guards against the parts of a request that overtake each other on a slow connection.
+    ConnectedPair pair;
+    StreamSocket socket(pair.loop, pair.events, pair.accepted);
+    const auto shared = std::make_shared<const std::string>(8'000'000, 's');
+    socket.send("before");
+    socket.send(shared);
+    socket.send("after");
+    REQUIRE(socket.unsentBytes() > 0);
+    for (int i = 0; i < 5000 && pair.otherEvents.received.size() < shared->size() + 11; ++i)
+        pair.loop.runOnce(std::chrono::milliseconds(1));
+    const bool isInOrder = pair.otherEvents.received == "before" + *shared + "after";
+    CHECK(isInOrder);
+    CHECK(shared.use_count() == 1);
+}
--- a/packages/paths/apricothook/paths/apricothook_path_monitor.cpp
+++ b/packages/paths/apricothook/paths/apricothook_path_monitor.cpp
@@ -25,6 +25,7 @@
     }
 
     void send(std::string_view) override { }
+    void send(std::shared_ptr<const std::string>) override { }
     void setReading(bool) override { }
     std::size_t unsentBytes() const override { return 0; }
     bool isOpen() const override { return *m_alive; }
--- a/packages/paths/apricothook/paths/apricothook_relayed_connection.hpp
+++ b/packages/paths/apricothook/paths/apricothook_relayed_connection.hpp
@@ -24,6 +24,10 @@
                       std::function<void(RelayOutcome)> opened);
 
     void send(std::string_view bytes) override { m_socket.send(bytes); }
+    void send(std::shared_ptr<const std::string> bytes) override
+    {
+        m_socket.send(std::move(bytes));
+    }
     void setReading(bool reading) override { m_socket.setReading(reading); }
     std::size_t unsentBytes() const override { return m_socket.unsentBytes(); }
     bool isOpen() const override { return m_socket.isOpen(); }
