Answer lookups only as fast as their callers read

A caller at the lookup port that sent requests and read nothing made the daemon keep every answer (88 MB of 64 in tools/soak/crowds). A connection now reads its next request when the answer before it is sent; what waits stays with the caller, in a receive buffer of 16 KiB.

--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.cpp
@@ -23,12 +23,18 @@
     return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
 }
 
+void setBufferSize(int descriptor, int option, std::uint32_t bytes)
+{
+    const int size = static_cast<int>(bytes);
+    if (size > 0)
+        static_cast<void>(setsockopt(descriptor, SOL_SOCKET, option, &size, sizeof size));
+}
+
 } // namespace
 
-Result<std::unique_ptr<Listener>, ListenError> Listener::open(EventLoop &loop,
-                                                              const Endpoint &address,
-                                                              AcceptHandler accepted,
-                                                              ExhaustionHandler exhausted)
+Result<std::unique_ptr<Listener>, ListenError>
+Listener::open(EventLoop &loop, const Endpoint &address, AcceptHandler accepted,
+               ExhaustionHandler exhausted, const BufferSizes &buffers)
 {
     const std::optional<sockaddr_storage> bound = socketAddressOf(address);
     if (!bound)
@@ -38,6 +44,9 @@
         return ListenError {address, errno};
     const int reuse = 1;
     static_cast<void>(setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse));
+    // Accepted connections inherit the sizes; they must be set before the handshake.
+    setBufferSize(descriptor, SO_RCVBUF, buffers.receive);
+    setBufferSize(descriptor, SO_SNDBUF, buffers.send);
     if (bind(descriptor, reinterpret_cast<const sockaddr *>(&*bound), sizeof(sockaddr_in)) < 0
         || listen(descriptor, ListenBacklog) < 0) {
         const ListenError error {address, errno};
--- a/packages/eventloop/apricothook/eventloop/apricothook_listener.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_listener.hpp
@@ -9,6 +9,17 @@
 
 namespace Apricothook {
 
+/** Sizes of the kernel's buffers of a connection in bytes; zero: as the system likes. */
+struct BufferSizes
+{
+    /** For bytes that are received and not yet read. */
+    std::uint32_t receive = 0;
+    /** For bytes that are sent and not yet acknowledged. */
+    std::uint32_t send = 0;
+
+    auto operator<=>(const BufferSizes &) const = default;
+};
+
 /** The errno value from opening a listening address. */
 struct ListenError
 {
@@ -26,10 +37,9 @@
     /** Connections wait so long before they are accepted again after the process had no room. */
     static constexpr std::chrono::milliseconds ExhaustionPause {100};
 
-    static Result<std::unique_ptr<Listener>, ListenError> open(EventLoop &loop,
-                                                               const Endpoint &address,
-                                                               AcceptHandler accepted,
-                                                               ExhaustionHandler exhausted = {});
+    static Result<std::unique_ptr<Listener>, ListenError>
+    open(EventLoop &loop, const Endpoint &address, AcceptHandler accepted,
+         ExhaustionHandler exhausted = {}, const BufferSizes &buffers = {});
     ~Listener() override;
     /** The bound port; chosen by the system if the address has port zero. */
     std::uint16_t port() const;
--- a/packages/serving/apricothook/serving/apricothook_simple_http_server.cpp
+++ b/packages/serving/apricothook/serving/apricothook_simple_http_server.cpp
@@ -12,8 +12,7 @@
 /** The requests carry no body or a small one. */
 constexpr MessageLimits RequestLimits {8192, 4096};
 constexpr std::chrono::seconds IdleTimeout {30};
-/** Limit of open connections; above it the oldest one is closed. */
-constexpr std::size_t MaximumConnections = 256;
+constexpr BufferSizes Buffers {.receive = 16384, .send = 131072};
 
 } // namespace
 
@@ -37,13 +36,30 @@
 private:
     void onData(std::string_view bytes) override
     {
-        while (!bytes.empty() && m_socket.isOpen()) {
-            const Result<std::size_t, MessageError> taken = m_reader.feed(bytes);
+        m_input.append(bytes);
+        readRequests();
+    }
+
+    void onDrained() override
+    {
+        m_socket.setReading(true);
+        readRequests();
+    }
+
+    void readRequests()
+    {
+        while (!m_input.empty() && m_socket.isOpen()) {
+            // Responses would pile up if the caller sent requests and read nothing.
+            if (m_socket.unsentBytes() > 0) {
+                m_socket.setReading(false);
+                return;
+            }
+            const Result<std::size_t, MessageError> taken = m_reader.feed(m_input);
             if (!taken) {
                 close();
                 return;
             }
-            bytes.remove_prefix(taken.value());
+            m_input.erase(0, taken.value());
             if (m_reader.isComplete())
                 respond();
         }
@@ -79,23 +95,27 @@
     SimpleHttpServer &m_server;
     EventLoop &m_loop;
     RequestReader m_reader {RequestLimits};
+    std::string m_input;
     TimerId m_idle = 0;
     StreamSocket m_socket;
 };
 
-SimpleHttpServer::SimpleHttpServer(EventLoop &loop, Handler handler)
-    : m_loop(loop), m_handler(std::move(handler))
+SimpleHttpServer::SimpleHttpServer(EventLoop &loop, Handler handler, std::size_t connections)
+    : m_loop(loop), m_handler(std::move(handler)), m_mostConnections(connections)
 {
 }
 
 SimpleHttpServer::~SimpleHttpServer() = default;
 
 Result<std::unique_ptr<SimpleHttpServer>, ListenError>
-SimpleHttpServer::open(EventLoop &loop, const Endpoint &address, Handler handler)
+SimpleHttpServer::open(EventLoop &loop, const Endpoint &address, Handler handler,
+                       std::size_t connections)
 {
-    std::unique_ptr<SimpleHttpServer> server(new SimpleHttpServer(loop, std::move(handler)));
+    std::unique_ptr<SimpleHttpServer> server(
+        new SimpleHttpServer(loop, std::move(handler), connections));
     Result<std::unique_ptr<Listener>, ListenError> listener = Listener::open(
-        loop, address, [raw = server.get()](int descriptor) { raw->accept(descriptor); });
+        loop, address, [raw = server.get()](int descriptor) { raw->accept(descriptor); }, {},
+        Buffers);
     if (!listener)
         return listener.error();
     server->m_listener = std::move(listener).value();
@@ -105,7 +125,7 @@
 void SimpleHttpServer::accept(int descriptor)
 {
     m_connections.push_back(std::make_unique<Connection>(*this, descriptor));
-    if (m_connections.size() > MaximumConnections)
+    if (m_connections.size() > m_mostConnections)
         m_connections.front()->close();
 }
 
--- a/packages/serving/apricothook/serving/apricothook_simple_http_server.hpp
+++ b/packages/serving/apricothook/serving/apricothook_simple_http_server.hpp
@@ -26,10 +26,14 @@
 class SimpleHttpServer
 {
 public:
+    static constexpr std::size_t DefaultConnections = 256;
+
     using Handler = std::function<SimpleHttpResponse(const RequestHead &)>;
 
+    /** `connections`: most that are open at the same time; above, the oldest one is closed. */
     static Result<std::unique_ptr<SimpleHttpServer>, ListenError>
-    open(EventLoop &loop, const Endpoint &address, Handler handler);
+    open(EventLoop &loop, const Endpoint &address, Handler handler,
+         std::size_t connections = DefaultConnections);
     ~SimpleHttpServer();
     SimpleHttpServer(const SimpleHttpServer &) = delete;
     SimpleHttpServer &operator=(const SimpleHttpServer &) = delete;
@@ -39,12 +43,13 @@
 private:
     class Connection;
 
-    SimpleHttpServer(EventLoop &loop, Handler handler);
+    SimpleHttpServer(EventLoop &loop, Handler handler, std::size_t connections);
     void accept(int descriptor);
     void onClosed(Connection &connection);
 
     EventLoop &m_loop;
     const Handler m_handler;
+    const std::size_t m_mostConnections;
     std::unique_ptr<Listener> m_listener;
     std::list<std::unique_ptr<Connection>> m_connections;
 };
