Bound what a daemon holds for all its callers together

Callers' view: many unfinished or large bodies, or responses that nobody read, let a daemon grow until its platform ended it; requests that ran were never answered.

Cause: CallerConnection read every body and every request, and kept every unread response, whatever the process held already; nothing counted bytes over all connections, and the memory in the settings was read by nobody. A body was held up to four times: its string doubled as it grew, the request was copied to be written and again into the socket's buffer. Objects of requests that end at once were freed only after up to 64 events, each with hundreds of pipelined requests.

CallerMemory owns the bytes. Each connection has a share, in which it enters what it holds in every state; the limit follows from the memory and the descriptors in the settings. Without room, a caller that makes no progress for a second goes first, then an unfinished body of the customer that holds most, then the newcomer is refused with 503, as no target had a byte of it. Large bodies can't take the last quarter. Requests that no body could help are answered by their heads. The next request on a connection waits while over 64 KiB are unread, and eight are begun in a row at most. Large bodies are sent from where they were received.

Three tests of responses that are left unread fill the connection by requests that are served though nothing is read. That is the fault; they set the limit of unread responses out of their way now and check all that they checked.

--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -33,14 +33,18 @@
     , m_handler(handler)
     , m_closeHandler(std::move(closed))
     , m_reader(handler.messageLimits())
+    , m_share(std::in_place, handler.memory(), static_cast<MemoryShareOwner &>(*this))
     , m_socket(loop, *this, descriptor, UnreadBytes::AreKept)
 {
+    m_answered = m_loop.now();
+    m_share->record(HeldFor::Connection, ConnectionBytes);
     limitTime(&CallerRequestHandler::idleTimeout, &CallerConnection::onIdleTimeout);
 }
 
 CallerConnection::~CallerConnection()
 {
     m_loop.cancel(m_timer);
+    m_loop.cancel(m_turnTimer);
 }
 
 void CallerConnection::setTimer(Duration delay, void (CallerConnection::*onTime)())
@@ -99,23 +103,41 @@
 void CallerConnection::close(std::string_view cause)
 {
     m_loop.cancel(m_timer);
+    m_loop.cancel(m_turnTimer);
     if (m_socket.isOpen()) {
         m_socket.close();
         reportCut(true, cause);
     }
+    // The memory may be gone before this object is.
+    m_share.reset();
     if (const CloseHandler closed = std::exchange(m_closeHandler, nullptr))
         closed(*this);
 }
 
 void CallerConnection::onData(std::string_view bytes)
 {
-    if (m_lingering)
+    if (m_lingering) {
+        m_drained += bytes.size();
+        if (m_drained > m_handler.messageLimits().bodyBytes + DrainedSlack) {
+            m_socket.setReading(false);
+            setTimer(Duration::zero(), &CallerConnection::closeLingering);
+        }
         return;
+    }
+    if (m_discardsInput)
+        return;
+    m_share->recordProgress(bytes.size());
     m_input.append(bytes);
-    if (!m_answering)
+    if (mayReadRequest())
         readRequests();
-    else if (m_input.size() > MaxPipelinedBytes)
-        m_socket.setReading(false);
+    updateReading();
+    updateShare();
+}
+
+void CallerConnection::updateReading()
+{
+    const bool hasRoom = !m_awaitsDrain && m_input.size() <= MaxPipelinedBytes;
+    m_socket.setReading(hasRoom || m_lingering || m_discardsInput);
 }
 
 void CallerConnection::readRequests()
@@ -123,13 +145,28 @@
     // finishResponse() calls this again if begin() answers the request synchronously.
     if (std::exchange(m_inReadRequests, true))
         return;
-    while (!m_answering && !m_lingering && m_socket.isOpen() && !m_input.empty()) {
-        if (!readRequest())
+    for (unsigned requests = 0;
+         mayReadRequest() && !m_lingering && m_socket.isOpen() && !m_input.empty(); ++requests) {
+        if (requests == MaxRequestsInRow)
+            yieldTurn();
+        else if (!readRequest())
             break;
     }
     m_inReadRequests = false;
 }
 
+void CallerConnection::yieldTurn()
+{
+    m_awaitsTurn = true;
+    m_turnTimer = m_loop.after(Duration::zero(), [this] {
+        m_turnTimer = 0;
+        m_awaitsTurn = false;
+        readRequests();
+        updateReading();
+        updateShare();
+    });
+}
+
 bool CallerConnection::readRequest()
 {
     if (!m_reader.hasStarted()) {
@@ -143,6 +180,11 @@
         return false;
     }
     m_input.erase(0, taken.value());
+    if (m_input.empty() && m_input.capacity() > MaxSpareInput)
+        m_input = std::string();
+    const bool hadHead = m_headComplete;
+    if (m_reader.hasHead() && !m_reader.isComplete() && needsAcceptance(hadHead) && !acceptUpload())
+        return false;
     if (m_reader.hasHead() && !std::exchange(m_headComplete, true)) {
         const std::optional<std::string_view> expect = m_reader.head().headers.find("Expect");
         if (expect && equalsIgnoringCase(*expect, "100-continue") && !m_reader.isComplete())
@@ -156,12 +198,20 @@
     return true;
 }
 
-void CallerConnection::beginRequest()
+void CallerConnection::beginRequest(bool lacksBody)
 {
     m_loop.cancel(m_timer);
-    ReceivedRequest request {m_reader.head(), m_reader.takeBody(), m_receiveStarted};
+    const std::size_t bytes = m_reader.headBytes() + m_reader.bodyBytes();
+    ReceivedRequest request {m_reader.head(), m_reader.takeBody(), m_receiveStarted, lacksBody};
     m_reader = RequestReader(m_handler.messageLimits());
+    if (lacksBody) {
+        request.body = std::string();
+        request.head.isKeepAlive = false;
+    }
+    m_share->record(HeldFor::Body, 0);
+    m_share->record(HeldFor::Request, lacksBody ? 0 : bytes);
     m_headComplete = false;
+    m_uploadAccepted = false;
     m_keepAlive = request.head.isKeepAlive;
     m_isHeadRequest = request.head.method == "HEAD";
     m_answering = true;
@@ -175,6 +225,9 @@
 {
     if (CallerRequestEvents *request = std::exchange(m_request, nullptr))
         m_handler.release(*request);
+    m_bufferedResponse = 0;
+    if (m_share)
+        m_share->record(HeldFor::Request, 0);
 }
 
 void CallerConnection::sendHead(const ResponseHead &head, BodyFraming body)
@@ -198,6 +251,7 @@
         m_socket.send(writeChunk(bytes));
     else
         m_socket.send(bytes);
+    updateShare();
 }
 
 void CallerConnection::finishResponse()
@@ -218,11 +272,14 @@
 
 void CallerConnection::awaitNextRequest()
 {
-    m_socket.setReading(true);
+    // Responses would pile up if their caller sent requests and read nothing.
+    m_awaitsDrain = m_socket.unsentBytes() > m_handler.memory().limits().unsentBytes;
     limitTime(&CallerRequestHandler::idleTimeout, &CallerConnection::onIdleTimeout);
     readRequests();
+    updateReading();
     if (m_closesWhenSent)
         closeIfIdle();
+    updateShare();
 }
 
 void CallerConnection::abortResponse()
@@ -239,19 +296,23 @@
     respondAndLinger(statusOf(error));
 }
 
-void CallerConnection::respondAndLinger(unsigned status)
+void CallerConnection::respondAndLinger(unsigned status, std::optional<Duration> retryAfter)
 {
     if (status != 0) {
-        ResponseHead head = m_handler.protocol().localResponse(status, RequestKey(), std::nullopt);
+        ResponseHead head = m_handler.protocol().localResponse(status, RequestKey(), retryAfter);
         head.headers.set("Connection", "close");
         m_socket.send(writeResponseHead(head, {BodyFraming::Kind::Sized, 0}));
     }
     // Closing with unread bytes resets the connection, and the caller could lose the response.
     m_lingering = true;
-    m_input.clear();
+    m_lingerStarted = m_loop.now();
+    m_input = std::string();
+    m_reader = RequestReader(m_handler.messageLimits());
+    m_headComplete = false;
     m_socket.shutdownSend();
     m_socket.setReading(true);
     setTimer(LingerTime, &CallerConnection::onLingerTimeout);
+    updateShare();
 }
 
 void CallerConnection::onHeadTimeout()
@@ -283,7 +344,7 @@
 
 void CallerConnection::onLingerTimeout()
 {
-    if (isBeingRead())
+    if (isBeingRead() || isBeingDrained())
         setTimer(LingerTime, &CallerConnection::onLingerTimeout);
     else
         closeLingering();
@@ -293,10 +354,13 @@
 {
     if (m_request)
         m_request->onCallerDrained();
+    else if (std::exchange(m_awaitsDrain, false))
+        awaitNextRequest();
     else if (m_closesWhenSent)
         closeIfIdle();
     else if (isIdle())
         limitTime(&CallerRequestHandler::idleTimeout, &CallerConnection::onIdleTimeout);
+    updateShare();
 }
 
 void CallerConnection::onEnd(CloseReason reason)
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
@@ -15,7 +15,9 @@
  * previous one is complete, so responses can't be mixed up. While a request is in progress the
  * socket is still read, as this is the only way to detect that the caller has disconnected.
  */
-class CallerConnection : private StreamSocketEvents, private CallerResponder
+class CallerConnection : private StreamSocketEvents,
+                         private CallerResponder,
+                         private MemoryShareOwner
 {
 public:
     using CloseHandler = std::function<void(CallerConnection &)>;
@@ -33,6 +35,10 @@
      */
     void closeIfIdle();
     bool isIdle() const;
+    /** When the last response was complete, or the connection was accepted. */
+    Instant idleSince() const { return m_answered; }
+    /** Whether the connection is about to be closed. */
+    bool isClosing() const { return m_closesWhenSent || m_lingering; }
     /** The process ends: closes the connection, whatever is still to be sent. */
     void closeAtProcessEnd();
 
@@ -40,7 +46,16 @@
     using TimeLimit = Duration (CallerRequestHandler::*)() const;
 
     /** Buffer limit for pipelined requests while one is being answered. */
-    static constexpr std::size_t MaxPipelinedBytes = 65536;
+    static constexpr std::size_t MaxPipelinedBytes = 16384;
+    /** Requests that are begun in a row; the objects of those that end are freed only afterwards.
+     */
+    static constexpr unsigned MaxRequestsInRow = 8;
+    /** Memory of a connection without what it buffers. */
+    static constexpr std::size_t ConnectionBytes = 2048;
+    /** Capacity of an empty input buffer above which it is released. */
+    static constexpr std::size_t MaxSpareInput = 4096;
+    /** Bytes drained after the last response, beyond the longest body, before it is closed. */
+    static constexpr std::size_t DrainedSlack = 65536;
     /**
      * How long input is still drained after the last response before the connection is closed,
      * and how often it is looked whether the caller reads on.
@@ -50,19 +65,41 @@
     void onData(std::string_view bytes) override;
     void onEnd(CloseReason end) override;
     void onDrained() override;
+    void onSent(std::size_t bytes) override;
 
     void sendHead(const ResponseHead &head, BodyFraming body) override;
     void sendBody(std::string_view bytes) override;
     void finishResponse() override;
     void abortResponse() override;
     std::size_t unsentBytes() const override { return m_socket.unsentBytes(); }
+    void holdResponse(std::size_t bytes) override;
+    void onEvicted(EvictionCause cause) override;
 
     void readRequests();
+    /** Reads the next requests after other events. */
+    void yieldTurn();
+    /** Reads the socket unless there is enough input that can't be processed yet. */
+    void updateReading();
+    /** Whether the next request may be read. */
+    bool mayReadRequest() const { return !m_answering && !m_awaitsDrain && !m_awaitsTurn; }
     bool readRequest();
-    void beginRequest();
+    /** `lacksBody`: the request is refused, as there is no room for its body. */
+    void beginRequest(bool lacksBody = false);
+    /** Whether it's time to look at a head whose body follows; most bodies come at once with it. */
+    bool needsAcceptance(bool hadHead) const;
+    /** Looks at a head whose body follows; false if the request was refused. */
+    bool acceptUpload();
+    void refuseUpload(std::string_view cause);
+    /** Enters what the connection holds; false if there is no room and a refusal was sent. */
+    bool updateShare();
+    void dropPipelinedInput();
+    void reportLimit(CallerLimit limit, std::string_view cause);
+    std::string_view stateName() const;
     void endRequest();
     void refuse(MessageError error);
-    void respondAndLinger(unsigned status);
+    void respondAndLinger(unsigned status, std::optional<Duration> retryAfter = std::nullopt);
+    /** Whether the caller still sends what is drained. */
+    bool isBeingDrained();
     void awaitNextRequest();
     void setTimer(Duration delay, void (CallerConnection::*onTime)());
     /**
@@ -96,6 +133,7 @@
     /** When the first byte of the current request was read. */
     Instant m_receiveStarted {};
     bool m_headComplete = false;
+    bool m_uploadAccepted = false;
     bool m_isHeadRequest = false;
     bool m_chunked = false;
     bool m_keepAlive = true;
@@ -103,7 +141,21 @@
     bool m_lingering = false;
     bool m_closesWhenSent = false;
     bool m_inReadRequests = false;
+    /** The next request is read when the response before it is sent. */
+    bool m_awaitsDrain = false;
+    bool m_awaitsTurn = false;
+    /** There was no room for pipelined requests, so no more are read. */
+    bool m_discardsInput = false;
     TimerId m_timer = 0;
+    TimerId m_turnTimer = 0;
+    /** Empty when the connection is closed. */
+    std::optional<MemoryShare> m_share;
+    /** What the request buffers of its response. */
+    std::size_t m_bufferedResponse = 0;
+    /** Bytes that were drained after the last response, and when that began. */
+    std::size_t m_drained = 0;
+    std::size_t m_drainedBefore = 0;
+    Instant m_lingerStarted {};
     /** The request that was answered last. */
     RequestKey m_answeredRequest;
     Instant m_answered {};
--- a/packages/gateway/apricothook/gateway/apricothook_caller_responder.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_responder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <apricothook/gateway/apricothook_caller_memory.hpp>
 #include <apricothook/gateway/apricothook_wire_protocol.hpp>
 #include <apricothook/http1/apricothook_message_reader.hpp>
 #include <apricothook/model/apricothook_time.hpp>
@@ -20,6 +21,8 @@
     virtual void abortResponse() = 0;
     /** Buffered response bytes that the kernel hasn't accepted yet. */
     virtual std::size_t unsentBytes() const = 0;
+    /** Enters what is buffered of the response before it is sent. */
+    virtual void holdResponse(std::size_t bytes) = 0;
 };
 
 /** A response whose connection ended before the kernel had taken all of it. */
@@ -47,16 +50,49 @@
     virtual const RequestKey &key() const = 0;
 };
 
-/** A completely received request. */
+/** A received request. */
 struct ReceivedRequest
 {
     RequestHead head;
     std::string body;
     /** When the first byte was read. */
     Instant receiveStarted {};
+    /** There is no room for its body, so the request must be refused. */
+    bool lacksBody = false;
 };
 
-/** Handles complete requests; shared by all caller connections. */
+/** What is known of a request by its head, while its body is being received. */
+struct UploadTerms
+{
+    /** The request would be refused whatever its body is. */
+    bool isRefused = false;
+    /** The customer that the body is held for; zero if there is none. */
+    std::uint64_t customer = 0;
+    /** If the body isn't complete by then, the request can't be served. */
+    Instant deadline {};
+};
+
+/** Which of the limits on all callers together a caller has met. */
+enum class CallerLimit {
+    Memory,      ///< CallerResources::heldBytes or largeBytes.
+    Connections, ///< CallerResources::connections.
+    UploadTime,  ///< The time limit of its own request.
+};
+
+std::string_view nameOf(CallerLimit limit);
+
+/** A connection that was closed, or whose request was refused, because of a limit. */
+struct LimitedCaller
+{
+    CallerLimit limit = CallerLimit::Memory;
+    /** Why it was this connection. */
+    std::string_view cause;
+    /** What the connection held, and what it waited for. */
+    std::size_t bytes = 0;
+    std::string_view state;
+};
+
+/** Handles requests; shared by all caller connections. */
 class CallerRequestHandler
 {
 public:
@@ -70,6 +106,12 @@
     virtual Duration idleTimeout() const = 0;
     virtual const WireProtocol &protocol() const = 0;
     virtual void onResponseCut(const CutResponse &response) = 0;
+    virtual UploadTerms uploadTerms(const RequestHead &head, Instant receiveStarted) = 0;
+    /** The memory of all callers together. */
+    virtual CallerMemory &memory() = 0;
+    /** When callers that find no room may come back. */
+    virtual Duration retryAfterNoRoom() = 0;
+    virtual void onCallerLimited(const LimitedCaller &caller) = 0;
     /** The process is shutting down: connections are closed after the current response. */
     virtual bool isDraining() const = 0;
 };
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_answer.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds LongestRefusal {20};
 /** Unsent bytes to a slow caller above which its target's connection is no longer read. */
 constexpr std::size_t MaxUnsentBytes = 1 << 18;
+/** The same while memory is short. */
+constexpr std::size_t MaxUnsentBytesIfShort = 1 << 14;
 /** Shortest gap between stream events after which another target resumes the stream. */
 constexpr std::chrono::milliseconds ShortestStallTimeout {1000};
 /** The same gap as a multiple of the route's objective for event gaps. */
@@ -116,6 +118,16 @@
     attempt.body.append(bytes);
     if (attempt.body.size() > MaxBufferedBody)
         forwardBufferedBody(attempt);
+    else
+        holdBufferedResponses();
+}
+
+void ForwardedRequest::holdBufferedResponses()
+{
+    std::size_t bytes = 0;
+    for (const Attempt *attempt : {m_silence.backup(), m_attempt.get()})
+        bytes += attempt ? attempt->body.capacity() : 0;
+    m_responder.holdResponse(bytes);
 }
 
 void ForwardedRequest::forwardBufferedBody(Attempt &attempt)
@@ -124,12 +136,14 @@
     if (m_progress == Progress::Nothing)
         forwardHead(attempt.head, {BodyFraming::Kind::Chunked, 0});
     m_responder.sendBody(std::exchange(attempt.body, {}));
+    holdBufferedResponses();
     limitUnsentBytes(attempt);
 }
 
 void ForwardedRequest::limitUnsentBytes(Attempt &attempt)
 {
-    if (m_responder.unsentBytes() <= MaxUnsentBytes)
+    const std::size_t most = m_context.memory.isShort() ? MaxUnsentBytesIfShort : MaxUnsentBytes;
+    if (m_responder.unsentBytes() <= most)
         return;
     attempt.channel->setReading(false);
     m_silence.pause();
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds MinTimeToRetry {100};
 /** Retry-After if every target refused the request for lack of free slots. */
 constexpr std::chrono::milliseconds DefaultRetryAfter {500};
+/** A body up to this size is sent together with its head. */
+constexpr std::size_t LargestCopiedBody = 16384;
 
 } // namespace
 
@@ -32,7 +34,8 @@
                                    CallerResponder &responder)
     : m_context(context)
     , m_id(id)
-    , m_received(std::move(request))
+    , m_shared(std::make_shared<const ReceivedRequest>(std::move(request)))
+    , m_received(*m_shared)
     , m_responder(responder)
     , m_arrived(context.loop.now())
     , m_silence(context.loop, *this)
@@ -145,6 +148,13 @@
         refuseAtShutdown();
         return;
     }
+    // Responses to requests that waited may have taken up the room for this one's.
+    if (m_context.memory.isFull() && m_sends == 0) {
+        releaseSlot(target);
+        sendLocalResponse(RequestOutcome::NoMemory, HttpStatus::Unavailable,
+                          retryAfterNoRoom(m_context.random));
+        return;
+    }
     const TrackedTarget *tracked = m_context.targets.find(target.id);
     if (const std::optional<LimitedUnits> units = unitsFor(tracked, m_context.bounds)) {
         acquireTargetUnit(target, *units);
@@ -222,7 +232,7 @@
     attempt.start(m_admitted.fields.id, m_received.head.method == "HEAD");
 }
 
-std::string ForwardedRequest::writeRequest(Attempt &attempt)
+WrittenRequest ForwardedRequest::writeRequest(Attempt &attempt)
 {
     const Instant now = m_context.loop.now();
     // A backup takes its retry once it has a connection; one that finds none costs nothing.
@@ -246,7 +256,10 @@
         = {hasBody ? BodyFraming::Kind::Sized : BodyFraming::Kind::None, m_received.body.size()};
     if (m_admitted.route->isRetryable() && !isBackup(attempt))
         m_silence.watch(firstEventTimeout());
-    return writeRequestHead(head, framing) + m_received.body;
+    std::string written = writeRequestHead(head, framing);
+    if (m_received.body.size() > LargestCopiedBody)
+        return {std::move(written), std::shared_ptr<const std::string>(m_shared, &m_received.body)};
+    return {written + m_received.body, nullptr};
 }
 
 void ForwardedRequest::onAttemptFailed(Attempt &attempt, TargetOutcome outcome,
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -71,7 +71,7 @@
         std::string body;
     };
 
-    std::string writeRequest(Attempt &attempt) override;
+    WrittenRequest writeRequest(Attempt &attempt) override;
     void onResponseHead(Attempt &attempt, const ResponseHead &head,
                         const TargetResponseFields &fields) override;
     void onResponseBody(Attempt &attempt, std::string_view bytes) override;
@@ -162,6 +162,8 @@
     void forwardHead(const ResponseHead &head, BodyFraming framing);
     /** Stops reading the target while the caller is slow. */
     void limitUnsentBytes(Attempt &attempt);
+    /** Enters what the attempts buffer of their responses. */
+    void holdBufferedResponses();
     void completeStream(Attempt &attempt);
     void completeNonStream(Attempt &attempt);
     void onAttemptFailed(Attempt &attempt, TargetOutcome outcome, std::string_view cause);
@@ -184,7 +186,9 @@
 
     GatewayContext &m_context;
     const ExchangeId m_id;
-    const ReceivedRequest m_received;
+    /** Shared with connections that send its body. */
+    const std::shared_ptr<const ReceivedRequest> m_shared;
+    const ReceivedRequest &m_received;
     CallerResponder &m_responder;
     const Instant m_arrived;
     AdmittedRequest m_admitted;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -16,9 +16,10 @@
 Gateway::Gateway(EventLoop &loop, const WireProtocol &protocol, RandomSource &random,
                  LogWriter &log, Metrics &metrics, const FleetBounds &bounds,
                  const DataCentreId &dataCentre, const PolicySwitches &policies,
-                 const LimitPeer &self)
+                 const LimitPeer &self, const CallerResources &callers)
     : m_loop(loop)
     , m_bounds(bounds)
+    , m_memory(loop, callers)
     , m_targets(dataCentre, policies, ColdTargetLimiter(self.member, bounds), self.member)
     , m_limits(self, *this, *this, *this, random)
     , m_targetLimits(TargetLimitKind::Requests, self.address, *this, *this)
@@ -46,6 +47,7 @@
                  .random = random,
                  .log = log,
                  .metrics = metrics,
+                 .memory = m_memory,
                  .bounds = m_bounds,
                  .policies = policies,
                  .targets = m_targets,
@@ -108,21 +110,14 @@
             m_context.log.write(LogEvent(GatewayEvent::ConnectionsWait)
                                     .with("error", errorNumber)
                                     .with("connections", m_connections.size()));
-        });
+        },
+        m_memory.limits().buffers);
     if (!opened)
         return opened.error();
     m_listener = std::move(opened).value();
     return Outcomes::success();
 }
 
-void Gateway::accept(int descriptor)
-{
-    CallerRequestHandler &handler = *this;
-    m_connections.push_back(std::make_unique<CallerConnection>(
-        m_loop, handler, descriptor,
-        [this](CallerConnection &connection) { connectionClosed(connection); }));
-}
-
 void Gateway::connectionClosed(CallerConnection &connection)
 {
     const auto found
@@ -143,6 +138,7 @@
     if (callerBounds().idleTimeout < replaced)
         m_formerIdleTimeout = {longest, now + m_bounds.applyTimeout};
     updateBudgets();
+    checkBodyLimit();
     m_unnamedStreams.setConfiguration(m_context.routes->configuration());
     m_targets.setServices(m_context.routes->configuration().services, now);
     m_targets.setGapObjectives(gapObjectivesOf(m_context.routes->configuration()));
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -25,7 +25,8 @@
 public:
     Gateway(EventLoop &loop, const WireProtocol &protocol, RandomSource &random, LogWriter &log,
             Metrics &metrics, const FleetBounds &bounds, const DataCentreId &dataCentre,
-            const PolicySwitches &policies = {}, const LimitPeer &self = {});
+            const PolicySwitches &policies = {}, const LimitPeer &self = {},
+            const CallerResources &callers = callerResources({}));
     ~Gateway() override;
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
@@ -63,6 +64,7 @@
     void closeConnections();
     std::size_t openRequests() const { return m_exchanges.size(); }
     std::size_t callerConnections() const { return m_connections.size(); }
+    const CallerMemory &callerMemory() const { return m_memory; }
 
     TargetTable &targets() { return m_targets; }
     Dispatcher &dispatcher() { return m_dispatcher; }
@@ -108,6 +110,10 @@
     Duration headTimeout() const override { return callerBounds().headTimeout; }
     Duration idleTimeout() const override;
     void onResponseCut(const CutResponse &response) override;
+    UploadTerms uploadTerms(const RequestHead &head, Instant receiveStarted) override;
+    CallerMemory &memory() override { return m_memory; }
+    Duration retryAfterNoRoom() override { return Apricothook::retryAfterNoRoom(m_context.random); }
+    void onCallerLimited(const LimitedCaller &caller) override;
     const WireProtocol &protocol() const override { return m_context.protocol; }
     bool isDraining() const override { return m_draining; }
 
@@ -140,6 +146,8 @@
     void updateTrialBudget(std::uint64_t trait);
 
     void accept(int descriptor);
+    /** Warns of a configuration that allows bodies larger than this daemon can hold. */
+    void checkBodyLimit();
     void onTargetRestarted(const TargetInstance &current);
     /** Requests that end are destroyed after the current event only. */
     std::vector<ForwardedRequest *> openExchanges() const;
@@ -150,6 +158,7 @@
 
     EventLoop &m_loop;
     const FleetBounds m_bounds;
+    CallerMemory m_memory;
     TargetTable m_targets;
     LimitMessenger *m_limitMessenger = nullptr;
     FleetRateLimiter m_limits;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_context.hpp
@@ -10,6 +10,7 @@
 #include <apricothook/dispatch/apricothook_route_urgency.hpp>
 #include <apricothook/dispatch/apricothook_size_order.hpp>
 #include <apricothook/dispatch/apricothook_target_limit_announcer.hpp>
+#include <apricothook/gateway/apricothook_caller_memory.hpp>
 #include <apricothook/gateway/apricothook_channel_pool.hpp>
 #include <apricothook/gateway/apricothook_crash_detector.hpp>
 #include <apricothook/gateway/apricothook_fleet_stream_origins.hpp>
@@ -33,6 +34,7 @@
     RandomSource &random;
     LogWriter &log;
     Metrics &metrics;
+    const CallerMemory &memory;
     const FleetBounds &bounds;
     const PolicySwitches policies;
     TargetTable &targets;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -80,6 +80,13 @@
     ConnectionsWait = 830, ///< warning: the process has no descriptor or memory for a caller's
                            ///< connection, which waits; errno value, open connections. Operator:
                            ///< raise the limit, or add VMs.
+    CallerLimited = 831,   ///< info: a caller's connection was closed, or its request refused, as
+                         ///< the limits on all callers together left no room for it; limit, cause,
+                         ///< state, bytes of the connection, bytes held. Operator: see
+                         ///< docs/OPERATIONS.md if it recurs.
+    BodyLimitTooLarge = 832, ///< warning: the configuration allows longer bodies than this daemon
+                             ///< has memory for, which are refused; both lengths. Operator: lower
+                             ///< the limit of the configuration, or give the VMs more memory.
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/apricothook_request_outcome.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_request_outcome.cpp
@@ -23,6 +23,8 @@
         return "no-grantor";
     case RequestOutcome::NoRoom:
         return "no-room";
+    case RequestOutcome::NoMemory:
+        return "no-memory";
     case RequestOutcome::TargetsRefused:
         return "targets-refused";
     case RequestOutcome::Quarantined:
--- a/packages/gateway/apricothook/gateway/apricothook_request_outcome.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_request_outcome.hpp
@@ -15,6 +15,7 @@
     OverLimit,
     NoGrantor,
     NoRoom,
+    NoMemory,
     TargetsRefused,
     Quarantined,
     Uninformed,
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.cpp
@@ -41,7 +41,10 @@
 
 void TargetChannel::sendRequest()
 {
-    m_connection->send(m_events->writeRequest());
+    const WrittenRequest request = m_events->writeRequest();
+    m_connection->send(request.head);
+    if (request.body)
+        m_connection->send(request.body);
 }
 
 void TargetChannel::resetResponse()
--- a/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_target_channel.hpp
@@ -5,6 +5,7 @@
 #include <apricothook/http1/apricothook_message_reader.hpp>
 #include <apricothook/paths/apricothook_target_connector.hpp>
 
+#include <memory>
 #include <string>
 
 namespace Apricothook {
@@ -16,13 +17,21 @@
     Malformed,    ///< The bytes aren't a valid response.
 };
 
+/** A request as it is sent: the head, with a small body, and a large body. */
+struct WrittenRequest
+{
+    std::string head;
+    /** Null if there is none. */
+    std::shared_ptr<const std::string> body;
+};
+
 /** Provides one request and receives the response to it. */
 class TargetResponseEvents
 {
 public:
     virtual ~TargetResponseEvents() = default;
     /** The request; called once, when the channel is connected and sends it. */
-    virtual std::string writeRequest() = 0;
+    virtual WrittenRequest writeRequest() = 0;
     virtual void onResponseHead(const ResponseHead &head, const TargetResponseFields &fields) = 0;
     virtual void onResponseBody(std::string_view bytes) = 0;
     virtual void onResponseComplete() = 0;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt.cpp
@@ -20,7 +20,7 @@
     return hasHead ? AttemptLoss::CutShort : AttemptLoss::Unanswered;
 }
 
-std::string Attempt::writeRequest()
+WrittenRequest Attempt::writeRequest()
 {
     return m_events.writeRequest(*this);
 }
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt.hpp
@@ -17,7 +17,7 @@
 {
 public:
     virtual ~AttemptEvents() = default;
-    virtual std::string writeRequest(Attempt &attempt) = 0;
+    virtual WrittenRequest writeRequest(Attempt &attempt) = 0;
     virtual void onResponseHead(Attempt &attempt, const ResponseHead &head,
                                 const TargetResponseFields &fields)
         = 0;
@@ -63,7 +63,7 @@
     std::optional<std::uint64_t> permit;
 
 private:
-    std::string writeRequest() override;
+    WrittenRequest writeRequest() override;
     void onResponseHead(const ResponseHead &head, const TargetResponseFields &fields) override;
     void onResponseBody(std::string_view bytes) override;
     void onResponseComplete() override;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.cpp
@@ -13,6 +13,9 @@
 
 /** Used if nothing is known about when the request could be served. */
 constexpr std::chrono::milliseconds DefaultRetryAfter {500};
+/** Bounds of the time after which a request that finds no room may come back. */
+constexpr std::chrono::milliseconds ShortestNoRoom {500};
+constexpr std::chrono::milliseconds LongestNoRoom {1500};
 
 Result<void, AdmissionRefusal> findRoute(GatewayContext &context, AdmittedRequest &request)
 {
@@ -57,6 +60,13 @@
     return routes ? routes->configuration().generation : Generation();
 }
 
+Duration retryAfterNoRoom(RandomSource &random)
+{
+    constexpr std::chrono::milliseconds Spread = LongestNoRoom - ShortestNoRoom;
+    return ShortestNoRoom
+        + std::chrono::milliseconds(random.next() % static_cast<std::uint64_t>(Spread.count()));
+}
+
 Result<void, AdmissionRefusal> admit(const ReceivedRequest &received, GatewayContext &context,
                                      AdmittedRequest &request)
 {
@@ -80,6 +90,9 @@
     if (shutdown && !shutdown->isInTime())
         return AdmissionRefusal {RequestOutcome::Leaving, HttpStatus::Unavailable, Duration::zero(),
                                  shutdown};
+    if (received.lacksBody || context.memory.isFull())
+        return AdmissionRefusal {RequestOutcome::NoMemory, HttpStatus::Unavailable,
+                                 retryAfterNoRoom(context.random)};
     return Outcomes::success();
 }
 
--- a/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_request_admission.hpp
@@ -40,6 +40,9 @@
     std::optional<ShutdownForecast> shutdown {};
 };
 
+/** When a request that finds no room may come back; spread, so that not all come at once. */
+Duration retryAfterNoRoom(RandomSource &random);
+
 /** Fills `request`; if it isn't admitted, with the fields read so far, for the log. */
 Result<void, AdmissionRefusal> admit(const ReceivedRequest &received, GatewayContext &context,
                                      AdmittedRequest &request);
--- a/packages/gateway/tests/apricothook_gateway_ending_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_ending_tests.cpp
@@ -49,6 +49,14 @@
     const int m_descriptor;
 };
 
+/** Serves requests on a connection whatever is left unread of the responses before them. */
+CallerResources unlimitedResponses()
+{
+    CallerResources limits = callerResources({});
+    limits.unsentBytes = 2 * LargeBodies * LargeBody;
+    return limits;
+}
+
 /** Answers requests on one connection, whose caller reads nothing. `beforeLast` runs before the
  * last response. */
 RecordingConnection &answerUnread(GatewayFixture &fixture, const std::function<void()> &beforeLast)
@@ -89,7 +97,7 @@
 TEST_CASE("a caller that stops reading gets the rest of its last response")
 {
     // The connection would be closed a second after the response was written, with its rest unsent.
-    GatewayFixture fixture;
+    GatewayFixture fixture(1, unlimitedResponses());
     RecordingConnection &caller
         = answerUnread(fixture, [&fixture] { fixture.gateway.startDraining(); });
     advanceInSteps(fixture, std::chrono::seconds(2));
@@ -101,7 +109,7 @@
 TEST_CASE("a connection isn't idle while its response is still to be sent")
 {
     // The idle timeout would close it in the middle of the response.
-    GatewayFixture fixture;
+    GatewayFixture fixture(1, unlimitedResponses());
     RecordingConnection &caller = answerUnread(fixture, [] {});
     advanceInSteps(fixture, std::chrono::seconds(14));
     caller.socket.setReading(true);
@@ -115,7 +123,7 @@
 
 TEST_CASE("a connection whose caller reads nothing for the idle timeout is closed")
 {
-    GatewayFixture fixture;
+    GatewayFixture fixture(1, unlimitedResponses());
     answerUnread(fixture, [] {});
     advanceInSteps(fixture, std::chrono::seconds(31));
     CHECK(fixture.runUntil([&] { return fixture.gateway.callerConnections() == 0; }));
--- a/packages/gateway/tests/apricothook_gateway_fixture.cpp
+++ b/packages/gateway/tests/apricothook_gateway_fixture.cpp
@@ -37,9 +37,9 @@
     return static_cast<std::size_t>(std::ranges::count(numbers, static_cast<int>(event)));
 }
 
-GatewayFixture::GatewayFixture(std::size_t count)
+GatewayFixture::GatewayFixture(std::size_t count, const CallerResources &callers)
     : bounds(testBounds())
-    , gateway(loop, protocol, random, log, metrics, bounds, DataCentreId("here"))
+    , gateway(loop, protocol, random, log, metrics, bounds, DataCentreId("here"), {}, {}, callers)
 {
     // The gateway's share of the retry budget grows to its full size over one window.
     clock.advance(bounds.retryWindow);
--- a/packages/gateway/tests/apricothook_gateway_fixture.hpp
+++ b/packages/gateway/tests/apricothook_gateway_fixture.hpp
@@ -39,7 +39,8 @@
 {
 public:
     /** Registers `targets` targets for the service "s". */
-    explicit GatewayFixture(std::size_t targets = 1);
+    explicit GatewayFixture(std::size_t targets = 1,
+                            const CallerResources &callers = callerResources({}));
 
     /** One route per kind; the name of a route is its prefix without the slashes. */
     static ServingConfiguration configuration();
--- a/packages/http1/apricothook/http1/apricothook_message_reader.cpp
+++ b/packages/http1/apricothook/http1/apricothook_message_reader.cpp
@@ -124,6 +124,27 @@
     return std::exchange(m_parser->body, {});
 }
 
+std::optional<std::uint64_t> RequestReader::announcedBody() const
+{
+    const boost::optional<std::uint64_t> length = m_parser->content_length();
+    return length ? std::optional(*length) : std::nullopt;
+}
+
+void RequestReader::reserveBody(std::size_t bytes)
+{
+    m_parser->reserveBody(bytes);
+}
+
+std::size_t RequestReader::headBytes() const
+{
+    return m_parser->headBytes();
+}
+
+std::size_t RequestReader::bodyBytes() const
+{
+    return m_parser->bodyBytes();
+}
+
 ResponseReader::ResponseReader(bool isHeadResponse)
     : m_isHeadResponse(isHeadResponse), m_parser(std::make_unique<ResponseParser>(isHeadResponse))
 {
--- a/packages/http1/apricothook/http1/apricothook_message_reader.hpp
+++ b/packages/http1/apricothook/http1/apricothook_message_reader.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -50,6 +51,14 @@
     bool isComplete() const;
     const RequestHead &head() const;
     std::string takeBody();
+    /** The length of the body as announced; none if it comes in chunks. */
+    std::optional<std::uint64_t> announcedBody() const;
+    /** Reserves memory for a body of so many bytes, which then doesn't grow step by step. */
+    void reserveBody(std::size_t bytes);
+    /** Memory that the head and what can't be parsed yet take up. */
+    std::size_t headBytes() const;
+    /** Memory that the body received so far takes up. */
+    std::size_t bodyBytes() const;
 
 private:
     std::unique_ptr<RequestParser> m_parser;
--- a/packages/http1/apricothook/http1/internal/apricothook_message_parser.hpp
+++ b/packages/http1/apricothook/http1/internal/apricothook_message_parser.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <algorithm>
 #include <string>
 
 namespace Apricothook {
@@ -47,6 +48,20 @@
         return bytes.size();
     }
 
+    /** Memory that the head and the bytes that aren't parsed yet take up. */
+    std::size_t headBytes() const { return m_fieldBytes + m_unconsumed.capacity(); }
+    /** Memory that the body takes up. */
+    std::size_t bodyBytes() const { return body.capacity() > ShortString ? body.capacity() : 0; }
+    /** Reserves exactly so many bytes for the body. */
+    void reserveBody(std::size_t bytes)
+    {
+        // std::string::reserve() takes twice the capacity at least.
+        std::string reserved;
+        reserved.reserve(bytes);
+        reserved.append(body);
+        body = std::move(reserved);
+    }
+
     /**
      * Size limit of a head, a chunk's size with its extensions, and the trailers, each as a whole.
      */
@@ -71,23 +86,40 @@
 
     void on_field_impl(Http::field, Text name, Text value, Code &) override
     {
+        // The list of fields grows to twice its size.
+        m_fieldBytes += 2 * sizeof(HeaderLine) + name.size() + value.size();
         head.headers.add({name.data(), name.size()}, {value.data(), value.size()});
     }
     void on_body_init_impl(const boost::optional<std::uint64_t> &, Code &) override { }
     std::size_t on_body_impl(Text bytes, Code &) override
     {
-        body.append(bytes.data(), bytes.size());
+        appendToBody(bytes);
         return bytes.size();
     }
     void on_chunk_header_impl(std::uint64_t, Text, Code &) override { }
     std::size_t on_chunk_body_impl(std::uint64_t, Text bytes, Code &) override
     {
-        body.append(bytes.data(), bytes.size());
+        appendToBody(bytes);
         return bytes.size();
     }
     void on_finish_impl(Code &) override { }
 
+    void appendToBody(Text bytes)
+    {
+        const std::size_t needed = body.size() + bytes.size();
+        if (needed > body.capacity() && needed > LargeBody)
+            reserveBody(needed + needed / GrowthDivisor);
+        body.append(bytes.data(), bytes.size());
+    }
+
+    /** Strings of this size have no memory of their own. */
+    static constexpr std::size_t ShortString = 15;
+    /** A body of this size grows by less than its own size. */
+    static constexpr std::size_t LargeBody = 65536;
+    static constexpr std::size_t GrowthDivisor = 4;
+
     std::string m_unconsumed;
+    std::size_t m_fieldBytes = 0;
 };
 
 } // namespace Apricothook
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -121,6 +121,8 @@
     EventName {828, "BackupEnded", EventLevel::Info},
     EventName {829, "ResponseCut", EventLevel::Warning},
     EventName {830, "ConnectionsWait", EventLevel::Warning},
+    EventName {831, "CallerLimited", EventLevel::Info},
+    EventName {832, "BodyLimitTooLarge", EventLevel::Warning},
     EventName {851, "ProcessStarted", EventLevel::Info},
     EventName {852, "ProcessStopping", EventLevel::Info},
     EventName {853, "ProcessStopped", EventLevel::Info},
--- a/packages/observe/apricothook/observe/apricothook_metrics.cpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.cpp
@@ -69,6 +69,8 @@
         return "apricothook_lost_paths";
     case MetricGauge::RelaySessions:
         return "apricothook_relay_sessions";
+    case MetricGauge::HeldForCallersLimit:
+        return "apricothook_held_for_callers_limit_bytes";
     }
     return "apricothook_unnamed";
 }
@@ -215,6 +217,20 @@
     m_tables->longPauses.Add({{"service", service.text()}}).Increment();
 }
 
+void Metrics::callerLimited(std::string_view limit, std::string_view cause)
+{
+    const std::lock_guard lock(m_tables->mutex);
+    m_tables->callersLimited.Add({{"limit", std::string(limit)}, {"cause", std::string(cause)}})
+        .Increment();
+}
+
+void Metrics::setHeldForCallers(std::string_view purpose, std::uint64_t bytes)
+{
+    const std::lock_guard lock(m_tables->mutex);
+    m_tables->heldForCallers.Add({{"purpose", std::string(purpose)}})
+        .Set(static_cast<double>(bytes));
+}
+
 void Metrics::slotFilled(std::string_view cause)
 {
     const std::lock_guard lock(m_tables->mutex);
--- a/packages/observe/apricothook/observe/apricothook_metrics.hpp
+++ b/packages/observe/apricothook/observe/apricothook_metrics.hpp
@@ -30,6 +30,7 @@
     LimitedTargets,
     LostPaths,
     RelaySessions,
+    HeldForCallersLimit,
 };
 
 /** How an engine processed the prompt tokens sent to it. */
@@ -93,6 +94,12 @@
     /** Counts a request that was placed at a target; `cause`: why this daemon could fill the slot.
      */
     void slotFilled(std::string_view cause);
+    /** Counts a connection that was closed, or whose request was refused, because of a limit on all
+     *  callers together.
+     */
+    void callerLimited(std::string_view limit, std::string_view cause);
+    /** Bytes held for callers, by purpose. */
+    void setHeldForCallers(std::string_view purpose, std::uint64_t bytes);
     void controlBytes(Direction direction, std::uint64_t bytes);
     /**
      * Reassigns the per-customer series to the customers with the most traffic. To be called about
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.cpp
@@ -80,6 +80,9 @@
     , suspectsRefused(counter(registry, "apricothook_suspects_refused_total",
                               "Requests refused since they may crash their target, by what is "
                               "suspect of them"))
+    , callersLimited(counter(registry, "apricothook_callers_limited_total",
+                             "Connections closed and requests refused because of a limit on all "
+                             "callers together"))
     , customerRequests(counter(registry, "apricothook_customer_requests_total",
                                "Requests that ended, by customer and result"))
     , requestSeconds(histogram(registry, "apricothook_request_seconds",
@@ -98,6 +101,8 @@
                                 "From arrival to the end of the answer, by customer"))
     , ringItems(gauge(registry, "apricothook_ring_items", "Items in a ring between threads"))
     , floors(gauge(registry, "apricothook_floor_tier", "Lowest tier that a service admits"))
+    , heldForCallers(gauge(registry, "apricothook_held_for_callers_bytes",
+                           "Bytes held for all callers together, by purpose"))
     , classes(maximumLabelValues)
     , services(maximumLabelValues)
     , customers(maximumCustomers)
--- a/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
+++ b/packages/observe/apricothook/observe/internal/apricothook_metrics_tables.hpp
@@ -70,6 +70,7 @@
     CounterFamily &loopHeldUp;
     CounterFamily &backups;
     CounterFamily &suspectsRefused;
+    CounterFamily &callersLimited;
     CounterFamily &customerRequests;
     ClassHistograms requestSeconds;
     ClassHistograms firstTokenSeconds;
@@ -78,6 +79,7 @@
     HistogramFamily &customerSeconds;
     GaugeFamily &ringItems;
     GaugeFamily &floors;
+    GaugeFamily &heldForCallers;
     BoundedLabels classes;
     BoundedLabels services;
     TopCustomers customers;
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -36,7 +36,8 @@
     , m_log(log)
     , m_loop(clock)
     , m_gateway(m_loop, adapters.wire, random, log, m_metrics, settings.bounds, settings.dataCentre,
-                settings.policies, {memberHash(settings.member), settings.peerAddress})
+                settings.policies, {memberHash(settings.member), settings.peerAddress},
+                callerResources(settings.process))
     , m_published(m_loop, m_gateway, adapters.decoder, log)
     , m_peers(m_loop, m_settings, m_incarnation, m_gateway, m_published, random, m_metrics, log)
     , m_relay({m_loop, m_relayPeers, m_gateway.targets(), m_gateway.paths(), log,
@@ -143,6 +144,12 @@
     }
     m_metrics.set(MetricGauge::Generation,
                   static_cast<double>(m_published.generation().value_or(Generation()).value()));
+    const CallerMemory &held = m_gateway.callerMemory();
+    for (std::size_t purpose = 0; purpose < HeldForCount; ++purpose)
+        m_metrics.setHeldForCallers(nameOf(static_cast<HeldFor>(purpose)),
+                                    held.held(static_cast<HeldFor>(purpose)));
+    m_metrics.set(MetricGauge::HeldForCallersLimit, static_cast<double>(held.limits().heldBytes));
+    m_heapTrimmer.review(held.held());
     const TargetTable &targets = m_gateway.targets();
     m_metrics.set(MetricGauge::EvacuatedTargets, static_cast<double>(targets.evacuatedCount()));
     m_metrics.set(MetricGauge::ColdTargets, static_cast<double>(targets.coldCount()));
--- a/packages/serving/apricothook/serving/apricothook_serving_process.hpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.hpp
@@ -4,6 +4,7 @@
 #include <apricothook/gateway/apricothook_gateway.hpp>
 #include <apricothook/paths/apricothook_relay_server.hpp>
 #include <apricothook/serving/apricothook_fleet_relay_peers.hpp>
+#include <apricothook/serving/apricothook_heap_trimmer.hpp>
 #include <apricothook/serving/apricothook_lookup_policy.hpp>
 #include <apricothook/serving/apricothook_lookup_protocol.hpp>
 #include <apricothook/serving/apricothook_peer_exchange.hpp>
@@ -71,6 +72,7 @@
     LogWriter &m_log;
     EventLoop m_loop;
     Metrics m_metrics;
+    HeapTrimmer m_heapTrimmer;
     Gateway m_gateway;
     PublishedState m_published;
     PeerItemResponses m_itemResponses {m_published.replica()};
--- a/packages/serving/apricothook/serving/apricothook_serving_settings.hpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <apricothook/dispatch/apricothook_policy_switches.hpp>
 #include <apricothook/dispatch/apricothook_serving_configuration.hpp>
+#include <apricothook/gateway/apricothook_caller_resources.hpp>
 #include <apricothook/model/apricothook_endpoint.hpp>
 #include <apricothook/model/apricothook_identifiers.hpp>
 
@@ -30,6 +31,7 @@
     std::vector<Endpoint> seeds;
     /** Service at which the configuration and the targets are published. */
     Endpoint itemSource;
+    ProcessLimits process;
     FleetBounds bounds;
     PolicySwitches policies;
 
