Take new connections though callers keep as many as there are descriptors

A daemon whose callers kept all descriptors said that it was ready and took no new connection for seconds, and had none left for targets, other daemons and the configuration service. Nothing limited connections but the kernel.

At the limit a new one closes the connection that has been idle longest, else one whose caller makes no progress; only if all are being served it is refused, with 503. The ports for lookups, readiness and control have limits of their own from the same settings.

--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -146,6 +146,10 @@
     void updateTrialBudget(std::uint64_t trait);
 
     void accept(int descriptor);
+    /** Makes room for another connection; false if there is none to close. */
+    bool makeRoomForConnection();
+    /** Answers a connection that there is no room for, and closes it. */
+    void refuseConnection(int descriptor);
     /** Warns of a configuration that allows bodies larger than this daemon can hold. */
     void checkBodyLimit();
     void onTargetRestarted(const TargetInstance &current);
--- a/packages/gateway/tests/apricothook_gateway_caller_limits_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_caller_limits_tests.cpp
@@ -97,6 +97,40 @@
     CHECK(caller.has("HTTP/1.1 404"));
 }
 
+TEST_CASE("with all connections in use the longest idle one makes room for a new one")
+{
+    // Guards against callers that keep connections and leave no descriptor for others.
+    GatewayFixture fixture(1, roomFor(200'000, 3));
+    RecordingConnection &idle = fixture.connect();
+    fixture.runPendingEvents();
+    fixture.clock.advance(std::chrono::milliseconds(100));
+    RecordingConnection &busy = fixture.connect();
+    busy.socket.send(GatewayFixture::request("once", "busy"));
+    REQUIRE(fixture.waitForTarget());
+    RecordingConnection &later = fixture.connect();
+    fixture.runPendingEvents();
+    RecordingConnection &added = fixture.connect();
+    CHECK(fixture.runUntil([&] { return idle.end.has_value(); }));
+    fixture.runPendingEvents();
+    CHECK_FALSE(busy.end);
+    CHECK_FALSE(later.end);
+    CHECK_FALSE(added.end);
+    CHECK(fixture.gateway.callerConnections() == 3);
+}
+
+TEST_CASE("a new connection is refused as not run while all others are being served")
+{
+    // Guards against connections that wait unseen until their callers give up.
+    GatewayFixture fixture(1, roomFor(200'000, 2));
+    for (const char *route : {"once", "idempotent"})
+        fixture.connect().socket.send(GatewayFixture::request(route, route));
+    REQUIRE(fixture.waitForTarget(2));
+    RecordingConnection &added = fixture.connect();
+    CHECK(fixture.runUntil([&] { return added.has("\r\n\r\n"); }));
+    CHECK(added.has("HTTP/1.1 503"));
+    CHECK(fixture.gateway.callerConnections() == 2);
+}
+
 TEST_CASE("a long body reaches its target unchanged though the target reads slowly")
 {
     // Guards against bytes that are lost or doubled where a body is sent without a copy.
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -59,10 +59,10 @@
         = [this](std::unique_ptr<SimpleHttpServer> &server, const Endpoint &address,
                  SimpleHttpResponse (ServingProcess::*response)(
                      const RequestHead &)) -> Result<void, ListenError> {
-        Result<std::unique_ptr<SimpleHttpServer>, ListenError> opened
-            = SimpleHttpServer::open(m_loop, address, [this, response](const RequestHead &request) {
-                  return (this->*response)(request);
-              });
+        Result<std::unique_ptr<SimpleHttpServer>, ListenError> opened = SimpleHttpServer::open(
+            m_loop, address,
+            [this, response](const RequestHead &request) { return (this->*response)(request); },
+            m_gateway.callerMemory().limits().otherConnections);
         if (!opened)
             return opened.error();
         server = std::move(opened).value();
