Receive a body no longer than its request may take

A caller that sent a byte every few seconds kept its body's memory for ever, as the time limit of a body began anew with each byte. A request's own time limit counts from its first byte; a body that isn't complete by then can't be served, so it is answered with 408, which says that it hasn't run. No caller that waits for its answer meets this limit. The test sends a byte a second to a route of ten seconds.

--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.cpp
@@ -44,6 +44,7 @@
 CallerConnection::~CallerConnection()
 {
     m_loop.cancel(m_timer);
+    m_loop.cancel(m_uploadTimer);
     m_loop.cancel(m_turnTimer);
 }
 
@@ -103,6 +104,7 @@
 void CallerConnection::close(std::string_view cause)
 {
     m_loop.cancel(m_timer);
+    m_loop.cancel(m_uploadTimer);
     m_loop.cancel(m_turnTimer);
     if (m_socket.isOpen()) {
         m_socket.close();
@@ -201,6 +203,7 @@
 void CallerConnection::beginRequest(bool lacksBody)
 {
     m_loop.cancel(m_timer);
+    m_loop.cancel(m_uploadTimer);
     const std::size_t bytes = m_reader.headBytes() + m_reader.bodyBytes();
     ReceivedRequest request {m_reader.head(), m_reader.takeBody(), m_receiveStarted, lacksBody};
     m_reader = RequestReader(m_handler.messageLimits());
@@ -306,6 +309,7 @@
     // Closing with unread bytes resets the connection, and the caller could lose the response.
     m_lingering = true;
     m_lingerStarted = m_loop.now();
+    m_loop.cancel(m_uploadTimer);
     m_input = std::string();
     m_reader = RequestReader(m_handler.messageLimits());
     m_headComplete = false;
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection.hpp
@@ -90,6 +90,7 @@
     /** Looks at a head whose body follows; false if the request was refused. */
     bool acceptUpload();
     void refuseUpload(std::string_view cause);
+    void onUploadDeadline();
     /** Enters what the connection holds; false if there is no room and a refusal was sent. */
     bool updateShare();
     void dropPipelinedInput();
@@ -147,6 +148,7 @@
     /** There was no room for pipelined requests, so no more are read. */
     bool m_discardsInput = false;
     TimerId m_timer = 0;
+    TimerId m_uploadTimer = 0;
     TimerId m_turnTimer = 0;
     /** Empty when the connection is closed. */
     std::optional<MemoryShare> m_share;
--- a/packages/gateway/apricothook/gateway/apricothook_caller_connection_limits.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_connection_limits.cpp
@@ -46,6 +46,11 @@
         }
         m_reader.reserveBody(*announced);
     }
+    const Duration left = std::max<Duration>(terms.deadline - m_loop.now(), Duration::zero());
+    m_uploadTimer = m_loop.after(left, [this] {
+        m_uploadTimer = 0;
+        onUploadDeadline();
+    });
     return true;
 }
 
@@ -55,6 +60,12 @@
     beginRequest(true);
 }
 
+void CallerConnection::onUploadDeadline()
+{
+    reportLimit(CallerLimit::UploadTime, "deadline");
+    respondAndLinger(HttpStatus::RequestTimeout);
+}
+
 bool CallerConnection::updateShare()
 {
     if (!m_share)
--- a/packages/gateway/tests/apricothook_gateway_caller_limits_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_caller_limits_tests.cpp
@@ -64,6 +64,21 @@
     CHECK_FALSE(other.has("503"));
 }
 
+TEST_CASE("a body isn't received for longer than its request may take")
+{
+    // Guards against callers that send a byte now and then and are never done.
+    GatewayFixture fixture;
+    RecordingConnection &caller = fixture.connect();
+    caller.socket.send(uploadHead("a", 1000));
+    for (int second = 0; second < 11 && !caller.has("\r\n\r\n"); ++second) {
+        fixture.clock.advance(std::chrono::seconds(1));
+        caller.socket.send("x");
+        fixture.runPendingEvents();
+    }
+    CHECK(caller.has("HTTP/1.1 408"));
+    CHECK(fixture.target(0).requests() == 0);
+}
+
 TEST_CASE("a request that no body could help is answered before its body is kept")
 {
     // Guards against memory for callers that aren't known or that name no route.
