--- a/packages/gateway/apricothook/gateway/apricothook_caller_resources.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_caller_resources.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Descriptors that the platform reserves for files. */
-constexpr std::size_t FileDescriptors = 200;
+/** Descriptors that are kept for files. */
+constexpr std::size_t ReservedDescriptors = 200;
 constexpr std::size_t LeastConnections = 16;
 constexpr std::size_t MostOtherConnections = 256;
 constexpr BufferSizes Buffers {.receive = 16384, .send = 131072};
@@ -22,7 +22,7 @@
 {
     CallerResources limits;
     const std::size_t sockets
-        = process.descriptors > FileDescriptors ? process.descriptors - FileDescriptors : 0;
+        = process.descriptors > ReservedDescriptors ? process.descriptors - ReservedDescriptors : 0;
     // A quarter is kept for targets, other daemons, the source of items and lookups.
     limits.connections = std::max(sockets / 4 * 3, LeastConnections);
     limits.otherConnections = std::clamp(sockets / 16, LeastConnections / 2, MostOtherConnections);
