--- a/review/parts-2/deployment.py
+++ b/review/parts-2/deployment.py
@@ -92,11 +92,11 @@
 
 
 class Record:
-    """Writes lines with the time since the start to record.txt."""
+    """Writes lines with the time since the start to the case's record."""
 
-    def __init__(self, folder: str) -> None:
+    def __init__(self, path: pathlib.Path) -> None:
         self.started = time.monotonic()
-        self.file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def line(self, text: str) -> None:
         self.file.write(f"{time.monotonic() - self.started:8.3f} {text}\n")
@@ -172,8 +172,8 @@
 class Site:
     """Daemons, the platform's store, and where they listen."""
 
-    def __init__(self, folder: str, daemons: int, seeds: list[int] | None = None) -> None:
-        self.record = Record(folder)
+    def __init__(self, record: pathlib.Path, daemons: int, seeds: list[int] | None = None) -> None:
+        self.record = Record(record)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.seeds, self.is_over = seeds or [1, 2, 3][:daemons], False
         self.net, self.base = self.choose_addresses()
