Order the instances of a target by their starts, not by revisions

Callers saw streams break off in the middle, at all daemons at once, though the process that ran them was sound; 0.8 s later it happened again. The target had crashed and was back under its id for four seconds.

Cause: PublishedState::applyTarget() took every entry with another start for a restart and ended all requests there. A write of the crashed process that takes effect late has the higher revision and the earlier start; the next heartbeat of the present process looked like one more restart.

Daemon 1 logs TargetChanged with the earlier start at 12.56 s and AttemptFailed with cause "restarted" for each stream, and both again at 13.36 s, with the heartbeat; the target's record shows no further start.

Why this works: InstanceHistory holds an entry with an earlier start back. A live process overwrites it with its next heartbeat, and peers get both. It is believed only after five heartbeat intervals in which the view was confirmed, the service wasn't in an outage and the later process wrote nothing, which a live target can't do; that is a clock that was set back before a restart. The latest start outlives the target's removal by a minute. The drain state of the present process is kept by the same rule.

--- a/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
+++ b/packages/fleetview/apricothook/fleetview/apricothook_fleetview_event.hpp
@@ -52,6 +52,14 @@
     LoopHeldUp = 871,    ///< info: the event loop ran later than planned: an event took long, or
                          ///< the process got no processor; for how long. Operator: check the load
                          ///< of the VM if it recurs.
+    FormerInstanceHeld = 872, ///< info: an entry with an earlier start than the target's latest one
+                              ///< is held back, as a write of a process that has ended may take
+                              ///< effect late; target, both starts, state, sequence, revision.
+                              ///< Operator: none.
+    FormerInstanceBelieved = 873, ///< warning: an entry with an earlier start is in force, as the
+                                  ///< later process has written nothing for some time; target,
+                                  ///< start, sequence. Operator: check the clock of the target's
+                                  ///< VM.
 };
 
 } // namespace Apricothook
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -144,6 +144,8 @@
     EventName {869, "ViewOld", EventLevel::Warning},
     EventName {870, "ViewConfirmed", EventLevel::Info},
     EventName {871, "LoopHeldUp", EventLevel::Info},
+    EventName {872, "FormerInstanceHeld", EventLevel::Info},
+    EventName {873, "FormerInstanceBelieved", EventLevel::Warning},
     EventName {881, "ReachConcluded", EventLevel::Info},
     EventName {882, "PathLost", EventLevel::Warning},
     EventName {883, "PathRestored", EventLevel::Info},
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -153,8 +153,11 @@
 
 void PeerExchange::passViewOn()
 {
-    if (const std::optional<Duration> age = viewAge())
-        m_gateway.confirmView(m_loop.now() - *age);
+    const std::optional<Duration> age = viewAge();
+    if (!age)
+        return;
+    m_gateway.confirmView(m_loop.now() - *age);
+    m_published.confirmView(m_loop.now() - *age);
 }
 
 void PeerExchange::onSourceConfirmed(Instant time)
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.hpp
@@ -83,7 +83,7 @@
     void updateSourceReachability();
     void reviewReading();
     void confirmView(const ViewReport &report);
-    /** Tells the gateway until when it knows all that was published. */
+    /** Tells the gateway and the published state until when all that was published is known. */
     void passViewOn();
     /** Checks and logs whether this daemon's view is confirmed recently enough. */
     void reviewViewAge();
--- a/packages/serving/apricothook/serving/apricothook_published_state.cpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.cpp
@@ -5,12 +5,13 @@
 namespace Apricothook {
 
 PublishedState::PublishedState(EventLoop &loop, Gateway &gateway, const ItemDecoder &decoder,
-                               LogWriter &log)
+                               LogWriter &log, Duration entryInterval)
     : m_loop(loop)
     , m_gateway(gateway)
     , m_decoder(decoder)
     , m_log(log)
     , m_replica([this](const ItemChange &change) { return onChange(change); })
+    , m_instances(entryInterval)
 {
 }
 
@@ -89,12 +90,18 @@
     }
     const TargetEntry &target = read.value();
     TrackedTarget *known = m_gateway.targets().find(target.id);
+    const std::uint64_t latestStart
+        = m_instances.latestStart(target.id, known ? &known->entry : nullptr);
     // A target that states its start time always does. This entry would look like a restart and
     // end all requests that run at the target.
-    if (known && known->entry.startedAt != 0 && target.startedAt == 0) {
+    if (latestStart != 0 && target.startedAt == 0) {
         rejectTarget(change, {"start"});
         return true;
     }
+    if (target.startedAt < latestStart)
+        return holdFormerInstance(target, latestStart, change.revision);
+    // Peers that hold the entry of a former instance need the renewal that overwrites it.
+    const bool wasContested = m_instances.discard(target.id);
     // A delayed write takes effect with a later revision than a newer write of the target. If the
     // revision decided, requests would go to a target that is about to end, so the sequence
     // number decides.
@@ -106,12 +113,20 @@
                         .with("revision", change.revision));
         return true;
     }
-    recordDraining(target);
-    cancelDelayedRemoval(target.id);
     if (known && isRenewal(known->entry, target)) {
+        recordDraining(target);
+        cancelDelayedRemoval(target.id);
         known->entry = target;
-        return false;
+        return wasContested;
     }
+    putTarget(target, change.revision);
+    return true;
+}
+
+void PublishedState::putTarget(const TargetEntry &target, Revision revision)
+{
+    recordDraining(target);
+    cancelDelayedRemoval(target.id);
     m_log.write(LogEvent(FleetviewEvent::TargetChanged)
                     .with("target", target.id.text())
                     .with("service", target.service.text())
@@ -121,18 +136,38 @@
                     .with("started_at", target.startedAt)
                     .with("cold_ms", target.remainingColdTime)
                     .with("sequence", target.sequence)
-                    .with("revision", change.revision));
+                    .with("revision", revision));
     m_gateway.putTarget(target);
-    return true;
 }
 
-bool PublishedState::isRenewal(const TargetEntry &before, TargetEntry now)
+bool PublishedState::holdFormerInstance(const TargetEntry &target, std::uint64_t latestStart,
+                                        Revision revision)
+{
+    const bool isNews = m_instances.hold(target, m_loop.now());
+    LogEvent line(FleetviewEvent::FormerInstanceHeld);
+    if (!isNews)
+        line.markRoutine();
+    m_log.write(line.with("target", target.id.text())
+                    .with("started_at", target.startedAt)
+                    .with("latest_start", latestStart)
+                    .with("state", std::string(target.isDraining ? "draining" : "ready"))
+                    .with("sequence", target.sequence)
+                    .with("revision", revision));
+    return isNews;
+}
+
+void PublishedState::confirmView(Instant time)
 {
-    if (now.remainingColdTime > before.remainingColdTime)
-        return false;
-    now.sequence = before.sequence;
-    now.remainingColdTime = before.remainingColdTime;
-    return now == before;
+    // After an outage, live targets need some time to write their entries again.
+    if (m_outage.mayHaveExpired(m_loop.now()))
+        return;
+    for (const TargetEntry &target : m_instances.takeUncontested(time)) {
+        m_log.write(LogEvent(FleetviewEvent::FormerInstanceBelieved)
+                        .with("target", target.id.text())
+                        .with("started_at", target.startedAt)
+                        .with("sequence", target.sequence));
+        putTarget(target, m_replica.revision());
+    }
 }
 
 void PublishedState::applyEvacuation(const ItemChange &change)
@@ -169,6 +204,7 @@
 void PublishedState::removeTarget(const TargetId &target, Revision revision)
 {
     const Instant now = m_loop.now();
+    m_instances.discard(target);
     const TrackedTarget *known = m_gateway.targets().find(target);
     // The removal of a draining target is expected and needs no delay.
     const bool isDelayed = known && !known->entry.isDraining && m_outage.mayHaveExpired(now);
@@ -177,21 +213,29 @@
                     .with("state", std::string("removed"))
                     .with("revision", revision));
     if (!isDelayed) {
-        m_gateway.removeTarget(target);
+        forgetTarget(target);
         return;
     }
     m_delayedRemovals[target]
         = m_loop.after(m_outage.removalsUncertainUntil(now) - now, [this, target] {
               m_delayedRemovals.erase(target);
-              m_gateway.removeTarget(target);
+              forgetTarget(target);
           });
 }
 
+void PublishedState::forgetTarget(const TargetId &target)
+{
+    if (const TrackedTarget *known = m_gateway.targets().find(target))
+        m_instances.recordRemoved(known->entry, m_loop.now());
+    m_gateway.removeTarget(target);
+}
+
 void PublishedState::rejectTarget(const ItemChange &change, const ItemError &error)
 {
     reject(change, error);
     const TargetId target = m_decoder.targetOfKey(change.key);
     cancelDelayedRemoval(target);
+    m_instances.discard(target);
     if (!m_gateway.targets().find(target))
         return;
     // No valid entry confirms the address any more; another target may use it by now.
@@ -199,7 +243,7 @@
                     .with("target", target.text())
                     .with("state", std::string("unreadable"))
                     .with("revision", change.revision));
-    m_gateway.removeTarget(target);
+    forgetTarget(target);
 }
 
 void PublishedState::cancelDelayedRemoval(const TargetId &target)
--- a/packages/serving/apricothook/serving/apricothook_published_state.hpp
+++ b/packages/serving/apricothook/serving/apricothook_published_state.hpp
@@ -4,6 +4,7 @@
 #include <apricothook/fleetview/apricothook_item_watcher.hpp>
 #include <apricothook/fleetview/apricothook_source_outage.hpp>
 #include <apricothook/gateway/apricothook_gateway.hpp>
+#include <apricothook/serving/apricothook_instance_history.hpp>
 #include <apricothook/serving/apricothook_item_decoder.hpp>
 
 #include <map>
@@ -31,12 +32,16 @@
      */
     static constexpr std::chrono::seconds DrainRecordLifetime {60};
 
-    PublishedState(EventLoop &loop, Gateway &gateway, const ItemDecoder &decoder, LogWriter &log);
+    /** `entryInterval`: interval at which targets write their entries. */
+    PublishedState(EventLoop &loop, Gateway &gateway, const ItemDecoder &decoder, LogWriter &log,
+                   Duration entryInterval = FleetBounds().entryInterval);
     ~PublishedState();
     PublishedState(const PublishedState &) = delete;
     PublishedState &operator=(const PublishedState &) = delete;
 
     void apply(const ItemUpdate &update);
+    /** All that was published until `time` is known. */
+    void confirmView(Instant time);
     /** Sets the state of the source as found by a call of this daemon's own, which ended so. */
     void setSourceState(SourceState state, const TransferRecord &record = {});
     /** Discards the state, which is outdated once this daemon no longer reads at the source. */
@@ -58,14 +63,19 @@
     void applyConfiguration(const ItemChange &change);
     bool applyTarget(const ItemChange &change);
     void applyEvacuation(const ItemChange &change);
+    /** Puts the entry into force, whatever instance it is of. */
+    void putTarget(const TargetEntry &target, Revision revision);
+    /** Holds back an entry of an instance before the latest; true if peers need it. */
+    bool holdFormerInstance(const TargetEntry &target, std::uint64_t latestStart,
+                            Revision revision);
     void removeTarget(const TargetId &target, Revision revision);
+    /** Removes the target from the gateway, and remembers its start. */
+    void forgetTarget(const TargetId &target);
     void reject(const ItemChange &change, const ItemError &error);
     void rejectTarget(const ItemChange &change, const ItemError &error);
     /** True if the target wrote this entry before it announced that it is draining. */
     bool isOlderThanDraining(const TargetEntry &target) const;
     void recordDraining(const TargetEntry &target);
-    /** True if the entry only renews the previous one; a shorter cold time needs no message. */
-    static bool isRenewal(const TargetEntry &before, TargetEntry now);
     void cancelDelayedRemoval(const TargetId &target);
 
     EventLoop &m_loop;
@@ -76,6 +86,7 @@
     std::optional<Generation> m_generation;
     std::optional<SourceState> m_sourceState;
     SourceOutage m_outage;
+    InstanceHistory m_instances;
     /** Timers of delayed removals, by target. */
     std::map<TargetId, TimerId> m_delayedRemovals;
     struct DrainRecord
--- a/packages/serving/apricothook/serving/apricothook_serving_process.cpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_process.cpp
@@ -38,7 +38,7 @@
     , m_gateway(m_loop, adapters.wire, random, log, m_metrics, settings.bounds, settings.dataCentre,
                 settings.policies, {memberHash(settings.member), settings.peerAddress},
                 callerResources(settings.process))
-    , m_published(m_loop, m_gateway, adapters.decoder, log)
+    , m_published(m_loop, m_gateway, adapters.decoder, log, settings.bounds.entryInterval)
     , m_peers(m_loop, m_settings, m_incarnation, m_gateway, m_published, random, m_metrics, log)
     , m_relay({m_loop, m_relayPeers, m_gateway.targets(), m_gateway.paths(), log,
                settings.peerAddress.address},
--- a/packages/serving/tests/apricothook_published_state_fixture.hpp
+++ b/packages/serving/tests/apricothook_published_state_fixture.hpp
@@ -11,8 +11,8 @@
 
 /**
  * Decodes items in a format for tests. Item "c" holds a generation; items "t/ID" hold a state,
- * optionally followed by "@" and a start time or by "#" and a sequence number; items "e/DATACENTRE"
- * evacuate the data centre.
+ * optionally followed by "@" and a start time, and by "#" and a sequence number; items
+ * "e/DATACENTRE" evacuate the data centre.
  */
 class TestDecoder : public ItemDecoder
 {
@@ -123,6 +123,14 @@
         const TrackedTarget *known = gateway.targets().find(TargetId(target));
         return known && !known->entry.isDraining;
     }
+    /** Start of the target's instance that is in force; zero if there is none. */
+    std::uint64_t startOf(const std::string &target)
+    {
+        const TrackedTarget *known = gateway.targets().find(TargetId(target));
+        return known ? known->entry.startedAt : 0;
+    }
+    /** Whether peers get the latest change. */
+    bool isNews() const { return state.replica().relevantRevision() == revision; }
     /** True if the own cell has slots at the target. */
     bool hasSlots(const std::string &target)
     {
