Keep requests that were sent after their target's start when it becomes known

Callers saw streams break off at a sound target: those of a daemon that had started between a late write of the target's former process and the next heartbeat of the present one.

Cause: such a daemon knows only the late write, so the heartbeat looks like a restart to it, and Gateway::onTargetRestarted() ended all requests that were placed by the earlier start. They run at the present process, since its address is the same and it was up before they were sent.

No run of whole daemons has shown this path.

Why this works: the entry states the start by the clock of the target's VM. A request that was sent later, to the same address, can't be at the process before.

--- a/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
+++ b/packages/eventloop/apricothook/eventloop/apricothook_event_loop.hpp
@@ -67,6 +67,8 @@
     void wake();
     void setWakeAction(std::function<void()> action) { m_wakeAction = std::move(action); }
     Instant now() const { return m_clock.now(); }
+    /** Milliseconds since the Unix epoch by the clock of this VM. */
+    std::uint64_t wallMilliseconds() const { return m_clock.wallMilliseconds(); }
     /**
      * Called when the loop ran later than it would have by so much or more: another event took
      * long, or the process didn't get a processor.
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.cpp
@@ -182,28 +182,6 @@
              .isTrial = m_trial.has_value()}};
 }
 
-void ForwardedRequest::onTargetRestarted(const TargetInstance &current)
-{
-    for (Attempt *attempt : {m_silence.backup(), m_attempt.get()}) {
-        if (attempt && attempt->target.id == current.id && attempt->target.instance() != current)
-            failRestarted(*attempt);
-    }
-}
-
-void ForwardedRequest::failRestarted(Attempt &attempt)
-{
-    // The connection to the earlier instance may stay open without traffic; the caller would then
-    // wait until the deadline for a response that is never sent.
-    attempt.channel->cancel();
-    if (!attempt.isSent) {
-        onAttemptFailed(attempt, TargetOutcome::Cancelled, AttemptFailure::NotConnected);
-        return;
-    }
-    m_mayHaveRun = true;
-    recordDropped(attempt);
-    onAttemptFailed(attempt, TargetOutcome::Lost, "restarted");
-}
-
 void ForwardedRequest::send(const TargetEntry &target)
 {
     if (m_silence.isPlacing()) {
--- a/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_forwarded_request.hpp
@@ -47,7 +47,8 @@
      */
     void onOriginDecided(const StreamOriginDecision &decision);
     /** Fails the attempt if it was sent to an earlier instance of the target. */
-    void onTargetRestarted(const TargetInstance &current);
+    /** `started`: start of the target's current instance, by the clocks of both VMs. */
+    void onTargetRestarted(const TargetEntry &current, Instant started);
     /**
      * The process is asked to stop: refuses the request if no target has it and the process may end
      * before it is done.
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -161,15 +161,17 @@
         m_channels.closeIdle(target.id);
     if (isRestarted) {
         m_paths.forget(previous);
-        onTargetRestarted(target.instance());
+        onTargetRestarted(target);
     }
     scheduleReview();
 }
 
-void Gateway::onTargetRestarted(const TargetInstance &current)
+void Gateway::onTargetRestarted(const TargetEntry &current)
 {
+    const std::uint64_t wall = m_loop.wallMilliseconds();
+    const std::chrono::milliseconds age(wall - std::min(wall, current.startedAt));
     for (ForwardedRequest *exchange : openExchanges())
-        exchange->onTargetRestarted(current);
+        exchange->onTargetRestarted(current, m_loop.now() - age);
 }
 
 void Gateway::removeTarget(const TargetId &target)
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -152,7 +152,7 @@
     void refuseConnection(int descriptor);
     /** Warns of a configuration that allows bodies larger than this daemon can hold. */
     void checkBodyLimit();
-    void onTargetRestarted(const TargetInstance &current);
+    void onTargetRestarted(const TargetEntry &current);
     /** Requests that end are destroyed after the current event only. */
     std::vector<ForwardedRequest *> openExchanges() const;
     std::vector<CallerConnection *> openConnections() const;
--- a/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway_event.hpp
@@ -87,6 +87,9 @@
     BodyLimitTooLarge = 832, ///< warning: the configuration allows longer bodies than this daemon
                              ///< has memory for, which are refused; both lengths. Operator: lower
                              ///< the limit of the configuration, or give the VMs more memory.
+    AttemptKeptAtRestart = 833, ///< info: a target's start became known, and a request that was
+                                ///< sent after it goes on; target, start, the start that it was
+                                ///< placed by. Operator: none.
 };
 
 } // namespace Apricothook
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.cpp
@@ -98,6 +98,15 @@
                             .with("took_ms", m_context.loop.now() - attempt.started));
 }
 
+void AttemptLog::keptAtRestart(const Attempt &attempt, const TargetEntry &current)
+{
+    m_context.log.write(line(GatewayEvent::AttemptKeptAtRestart, attempt)
+                            .markRoutine()
+                            .with("started_at", current.startedAt)
+                            .with("placed_by_start", attempt.target.startedAt)
+                            .with("sent_before_ms", m_context.loop.now() - attempt.started));
+}
+
 void AttemptLog::silent(const Attempt &attempt, Duration silence, Duration limit,
                         std::string_view decision)
 {
--- a/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.hpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_attempt_log.hpp
@@ -42,6 +42,8 @@
 
     void placed(const Attempt &attempt, bool isBackup);
     void failed(const Attempt &attempt, std::string_view cause, bool isBackup);
+    /** The target's latest start is known now, and the attempt was sent after it. */
+    void keptAtRestart(const Attempt &attempt, const TargetEntry &current);
     /** `decision`: what is done, or why nothing is. */
     void silent(const Attempt &attempt, Duration silence, Duration limit,
                 std::string_view decision);
--- a/packages/observe/apricothook/observe/apricothook_event_names.cpp
+++ b/packages/observe/apricothook/observe/apricothook_event_names.cpp
@@ -123,6 +123,7 @@
     EventName {830, "ConnectionsWait", EventLevel::Warning},
     EventName {831, "CallerLimited", EventLevel::Info},
     EventName {832, "BodyLimitTooLarge", EventLevel::Warning},
+    EventName {833, "AttemptKeptAtRestart", EventLevel::Info},
     EventName {851, "ProcessStarted", EventLevel::Info},
     EventName {852, "ProcessStopping", EventLevel::Info},
     EventName {853, "ProcessStopped", EventLevel::Info},
