Presume forgotten crashes while the fleet remembers nothing

Callers saw one request crash three targets, and the requests of others with them, again after each kill of all daemons, though it had been refused before.

Cause: what is known of such requests lives in the processes. After a start of all of them two permits and a trial were given out anew. Nothing that is published, that targets answer or that callers bring tells how many targets a request has crashed before.

Why this works: for 30 s after a start of all daemons the first crash under a content that no target has answered since counts as a culprit's failed trial, and a lost send isn't repeated before it is known why. So a start costs one send, and a trial after 1 to 2 minutes. Who pays: sound requests at the crashed target whose content wasn't answered since the start; they are refused for that time. The very first start of a fleet, which the settings name, is exempt; a daemon that starts alone takes over how long the others remember.

The soak's stand-in of the platform writes the field Bootstrap as the platform does: true at a VM's first start only. PermitIssuer::grant() takes one argument more in its test, and the emulated fleet says which start is the first; no check changed.

--- a/packages/dispatch/apricothook/dispatch/apricothook_permit_issuer.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_permit_issuer.cpp
@@ -4,7 +4,7 @@
 
 namespace Apricothook {
 
-Instant PermitIssuer::freeFrom(const Request &request, Instant now)
+Instant PermitIssuer::freeFrom(const Request &request, bool isCautious, Instant now)
 {
     if (request.isSound)
         return now;
@@ -19,10 +19,12 @@
             answered = std::max(answered, permit.lost + LongestQuestion);
         }
     }
-    return losses >= MaximumLosses ? std::max(free, answered) : free;
+    const std::size_t most
+        = isCautious && !request.wasSound ? MaximumLossesIfCautious : MaximumLosses;
+    return losses >= most ? std::max(free, answered) : free;
 }
 
-PermitGrant PermitIssuer::grant(const PermitRequest &request, Instant now)
+PermitGrant PermitIssuer::grant(const PermitRequest &request, bool isCautious, Instant now)
 {
     if (!m_requests.contains(request.request) && m_requests.size() >= MaximumRequests)
         forgetOne();
@@ -32,7 +34,7 @@
         = std::ranges::find(known.open, request.permit, &Permit::id) != known.open.end();
     if (isRepeated)
         return {PermitOutcome::Granted, known.isSound, {}};
-    if (const Instant free = freeFrom(known, now); free > now)
+    if (const Instant free = freeFrom(known, isCautious, now); free > now)
         return {PermitOutcome::Busy, false, free - now};
     const Instant expires = now + std::chrono::milliseconds(request.lifetimeMs);
     known.open.push_back({request.permit, now, expires, {}});
@@ -57,6 +59,7 @@
     request.open.erase(permit);
     if (report.use == PermitUse::Sound) {
         request.isSound = true;
+        request.wasSound = true;
         request.hasCrashed = false;
     } else if (report.use == PermitUse::Crashed) {
         recordCrash(report.request);
--- a/packages/dispatch/apricothook/dispatch/apricothook_permit_issuer.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_permit_issuer.hpp
@@ -44,13 +44,16 @@
     static constexpr std::chrono::milliseconds ExclusiveTime {500};
     /** Crashes, and sends that were lost for unknown reasons, that exclude further sends. */
     static constexpr std::size_t MaximumLosses = 2;
+    /** The same while the fleet may have forgotten crashes, until a target has answered. */
+    static constexpr std::size_t MaximumLossesIfCautious = 1;
     /** Time after which the cause of a lost send is no longer awaited. */
     static constexpr std::chrono::seconds LongestQuestion {4};
     /** Time for which a request is remembered after its last permit. */
     static constexpr std::chrono::seconds Memory {60};
     static constexpr std::size_t MaximumRequests = 8192;
 
-    PermitGrant grant(const PermitRequest &request, Instant now);
+    /** `isCautious`: the fleet may have forgotten crashes of the request. */
+    PermitGrant grant(const PermitRequest &request, bool isCautious, Instant now);
     void take(const PermitReport &report, Instant now);
     /** Later sends exclude each other again. */
     void recordCrash(std::uint64_t request);
@@ -72,12 +75,13 @@
     {
         std::vector<Permit> open;
         bool isSound = false;
+        bool wasSound = false;
         bool hasCrashed = false;
         Instant lastUse {};
     };
 
     /** When the next send may begin, if nothing is reported until then. */
-    static Instant freeFrom(const Request &request, Instant now);
+    static Instant freeFrom(const Request &request, bool isCautious, Instant now);
     void forgetOne();
 
     std::map<std::uint64_t, Request> m_requests;
--- a/packages/dispatch/apricothook/dispatch/apricothook_send_permits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_send_permits.cpp
@@ -176,7 +176,7 @@
     }
     if (m_announcer.traits().isSuspect(request.request))
         return {PermitOutcome::Suspect, false, UninformedPause};
-    return m_issuer.grant(request, now);
+    return m_issuer.grant(request, m_announcer.isCautious(now), now);
 }
 
 void SendPermits::hold(const Query &query, const std::optional<Endpoint> &issuer, Instant now)
--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.cpp
@@ -58,13 +58,14 @@
 
 void SuspectAnnouncer::take(const CrashNotice &notice, Instant now)
 {
+    const bool wasSuspect = m_traits.isSuspect(notice.trait);
     const bool isChanged = m_traits.take(notice, now);
     if (isChanged)
         report(notice.trait, now, false);
     if (m_traits.contradicts(notice) || m_traits.isProvenOnlyHere(notice))
         inform(notice.sender, notice.trait, now);
     // The sender may know less than this daemon, and others no more than it did.
-    if (isChanged && !notice.isAnnouncement && m_traits.isSuspect(notice.trait))
+    if (isChanged && !notice.isAnnouncement && (wasSuspect || m_traits.isSuspect(notice.trait)))
         spreadChange(notice.trait, true, now);
 }
 
@@ -75,8 +76,8 @@
     const std::vector<std::uint64_t> suspects = m_traits.suspects();
     for (const std::uint64_t trait : suspects)
         inform(query.sender, trait, now);
-    const auto remembered = std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::min<Duration>(now - m_remembersSince, SuspectTraits::CrashMemory));
+    const auto remembered
+        = std::chrono::duration_cast<std::chrono::milliseconds>(rememberedFor(now));
     m_messenger.send(query.sender,
                      SuspectReply {static_cast<std::uint32_t>(suspects.size()),
                                    static_cast<std::uint32_t>(remembered.count())});
@@ -87,17 +88,33 @@
     if (m_traits.suspects().size() < reply.suspects)
         return;
     m_joined.reset();
-    m_remembersSince
-        = std::min(m_remembersSince, now - std::chrono::milliseconds(reply.rememberedMs));
+    if (!m_isFirstStart)
+        setRemembersSince(
+            std::min(m_remembersSince, now - std::chrono::milliseconds(reply.rememberedMs)));
 }
 
-void SuspectAnnouncer::joinFleet(Instant now)
+void SuspectAnnouncer::joinFleet(Instant now, bool isFirstStart)
 {
     m_joined = now;
-    m_remembersSince = now;
+    m_isFirstStart = isFirstStart;
+    setRemembersSince(now);
     m_firstQuery.reset();
 }
 
+void SuspectAnnouncer::setRemembersSince(Instant time)
+{
+    m_remembersSince = time;
+    if (!m_isFirstStart)
+        m_traits.setCautiousUntil(time + SuspectTraits::CautionTime);
+}
+
+Duration SuspectAnnouncer::rememberedFor(Instant now) const
+{
+    // There was nothing to remember before the first start.
+    return m_isFirstStart ? SuspectTraits::CrashMemory
+                          : std::min<Duration>(now - m_remembersSince, SuspectTraits::CrashMemory);
+}
+
 TrialDecision SuspectAnnouncer::decide(const RequestTraits &request, Instant now) const
 {
     if (isInformed())
--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_announcer.hpp
@@ -80,8 +80,11 @@
     void inform(const Endpoint &daemon, std::uint64_t trait, Instant now);
     void take(const SuspectQuery &query, Instant now);
     void take(const SuspectReply &reply, Instant now);
-    /** This daemon has just started, and others may know suspects. */
-    void joinFleet(Instant now);
+    /**
+     * This daemon has just started, and others may know suspects. `isFirstStart`: the whole fleet
+     * starts for the first time, so nothing can have been forgotten.
+     */
+    void joinFleet(Instant now, bool isFirstStart);
     /**
      * Repeats announcements, and informs new daemons; to be called several times a second.
      * `knowsFleet`: this daemon has heard from the others.
@@ -92,6 +95,8 @@
     /** Whether the request may be sent; Unknown until this daemon has been told the suspects. */
     TrialDecision decide(const RequestTraits &request, Instant now) const;
     bool isInformed() const { return !m_joined; }
+    /** Whether the fleet's memory is so short that it may have forgotten crashes. */
+    bool isCautious(Instant now) const { return m_traits.isCautious(now); }
     /** Since when this daemon, or one that it asked after its start, has remembered suspects. */
     Instant remembersSince() const { return m_remembersSince; }
 
@@ -116,6 +121,9 @@
     std::vector<LimitPeer> newDaemons(const std::vector<LiveDaemon> &live);
     void askForSuspects(const std::vector<LiveDaemon> &live, bool knowsFleet, Instant now);
     void report(std::uint64_t trait, Instant now, bool isOwn);
+    void setRemembersSince(Instant time);
+    /** Time for which suspects have been remembered, as other daemons are told. */
+    Duration rememberedFor(Instant now) const;
 
     const LimitPeer m_self;
     const GrantorRanking &m_ranking;
@@ -131,6 +139,8 @@
     /** When this daemon started; empty once it has been told the suspects. */
     std::optional<Instant> m_joined;
     Instant m_remembersSince {};
+    /** Nothing happened before m_remembersSince. */
+    bool m_isFirstStart = true;
     std::optional<Instant> m_firstQuery;
     Instant m_lastQuery {};
 };
--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.cpp
@@ -16,23 +16,25 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-/** Pause after the given number of trials, at least one; the same at all daemons. */
+/** A time between the shortest pause and twice as long; the same at all daemons. */
+Duration spread(std::uint64_t trait, Duration shortest)
+{
+    constexpr std::int64_t Steps = 1000;
+    return shortest + shortest * static_cast<std::int64_t>(trait % Steps) / Steps;
+}
+
+/** Pause after the given number of trials, at least one. */
 Duration trialPause(std::uint64_t trait, std::size_t trials, bool isCulprit)
 {
-    constexpr std::uint64_t Steps = 1000;
-    Duration shortest = SuspectTraits::ShortestFirstPause;
     if (isCulprit)
-        shortest = SuspectTraits::ShortestCulpritPause;
-    else if (trials > 1)
-        shortest = SuspectTraits::ShortestLaterPause;
-    return shortest
-        + shortest * static_cast<std::int64_t>(trait % Steps) / static_cast<std::int64_t>(Steps);
+        return spread(trait, SuspectTraits::ShortestCulpritPause);
+    return spread(
+        trait, trials > 1 ? SuspectTraits::ShortestLaterPause : SuspectTraits::ShortestFirstPause);
 }
 
-std::size_t mostTrials(std::uint64_t trait, std::size_t crashes)
+std::size_t mostTrials(std::uint64_t trait, bool isCulprit)
 {
-    const bool isKnownCulprit
-        = traitKind(trait) == TraitKind::Content && crashes >= SuspectTraits::CrashesOfCulprit;
+    const bool isKnownCulprit = traitKind(trait) == TraitKind::Content && isCulprit;
     return isKnownCulprit ? SuspectTraits::MaximumTrialsOfCulprit : SuspectTraits::MaximumTrials;
 }
 
@@ -152,6 +154,8 @@
 {
     if (traitKind(trait) == TraitKind::PromptPart)
         m_sound.record(trait, began);
+    else if (isCautious(now))
+        m_soundContents.record(trait, began);
     const auto known = m_traits.find(trait);
     if (known == m_traits.end())
         return false;
@@ -172,15 +176,22 @@
     if (notice.soundAgeMs == CrashNotice::Never)
         return false;
     const Instant told = now - std::chrono::milliseconds(notice.soundAgeMs);
-    const std::optional<Instant> known = m_sound.lastBegan(notice.trait);
+    SoundTraits &sound
+        = traitKind(notice.trait) == TraitKind::PromptPart ? m_sound : m_soundContents;
+    const std::optional<Instant> known = sound.lastBegan(notice.trait);
     if (!known || *known < told)
-        m_sound.record(notice.trait, told);
+        sound.record(notice.trait, told);
     return !known;
 }
 
+const SoundTraits &SuspectTraits::soundOf(std::uint64_t trait) const
+{
+    return traitKind(trait) == TraitKind::PromptPart ? m_sound : m_soundContents;
+}
+
 bool SuspectTraits::isProvenOnlyHere(const CrashNotice &notice) const
 {
-    return notice.soundAgeMs == CrashNotice::Never && m_sound.lastBegan(notice.trait);
+    return notice.soundAgeMs == CrashNotice::Never && soundOf(notice.trait).lastBegan(notice.trait);
 }
 
 bool SuspectTraits::take(const CrashNotice &notice, Instant now)
@@ -256,10 +267,25 @@
     }));
 }
 
+bool SuspectTraits::isPresumption(const Entry &entry) const
+{
+    return isActive(entry, false) && entry.at < m_cautiousUntil;
+}
+
+bool SuspectTraits::isPresumedCulprit(std::uint64_t trait) const
+{
+    const auto known = m_traits.find(trait);
+    if (traitKind(trait) != TraitKind::Content || known == m_traits.end()
+        || m_soundContents.lastBegan(trait))
+        return false;
+    return std::ranges::any_of(known->second,
+                               [this](const Entry &entry) { return isPresumption(entry); });
+}
+
 bool SuspectTraits::isCulprit(std::uint64_t trait, Instant now) const
 {
     if (traitKind(trait) == TraitKind::Content)
-        return crashes(trait) >= CrashesOfCulprit;
+        return crashes(trait) >= CrashesOfCulprit || isPresumedCulprit(trait);
     // A part's first trial may have failed for another part of its request.
     return failedTrials(trait, now) >= TrialsOfCulprit;
 }
@@ -389,20 +415,23 @@
     decision.crashes = crashes(trait);
     decision.isUnprovenPart
         = traitKind(trait) == TraitKind::PromptPart && !m_sound.lastBegan(trait);
-    if (decision.crashes < crashesOfSuspect(trait))
+    const bool isPresumed = isPresumedCulprit(trait);
+    if (!isPresumed && decision.crashes < crashesOfSuspect(trait))
         return decision;
     const Entries &entries = m_traits.at(trait);
+    // Trials, and the crashes that are taken for failed ones.
     std::vector<Instant> trials;
     Instant latest {};
     for (const Entry &entry : entries) {
         if (entry.isCleared)
             continue;
         latest = std::max(latest, entry.at);
-        if (entry.isTrial && now - entry.at < TrialWindow)
+        const bool isRecent = now - entry.at < TrialWindow;
+        decision.trials += entry.isTrial && isRecent ? 1 : 0;
+        if (isRecent && (entry.isTrial || (isPresumed && isPresumption(entry))))
             trials.push_back(entry.at);
     }
     std::ranges::sort(trials);
-    decision.trials = trials.size();
     decision.age = now - latest;
     const auto wait = [&](TrialVerdict verdict, Instant until) {
         decision.verdict = verdict;
@@ -411,13 +440,15 @@
     std::optional<Instant> running = runningTrial(entries, now);
     if (!running)
         running = runningTrialOfRival(trait, entries, now);
-    const std::size_t most = mostTrials(trait, decision.crashes);
+    const std::size_t most = mostTrials(trait, isCulprit(trait, now));
     decision.verdict = TrialVerdict::MayBeTried;
     if (running)
         wait(TrialVerdict::TrialRunning, *running + TrialTime);
     else if (trials.size() >= most)
         wait(TrialVerdict::Quarantined, trials[trials.size() - most] + TrialWindow);
-    else if (const Duration pause = trialPause(trait, trials.size(), isCulprit(trait, now));
+    else if (const Duration pause = isPresumed && decision.trials == 0
+                 ? spread(trait, ShortestPresumedPause)
+                 : trialPause(trait, trials.size(), isCulprit(trait, now));
              !trials.empty() && trials.back() + pause > now)
         wait(TrialVerdict::Quarantined, trials.back() + pause);
     return decision;
@@ -430,7 +461,7 @@
         return std::nullopt;
     CrashNotice notice;
     notice.trait = trait;
-    if (const std::optional<Instant> sound = m_sound.lastBegan(trait))
+    if (const std::optional<Instant> sound = soundOf(trait).lastBegan(trait))
         notice.soundAgeMs = std::min(ageInMs(*sound, now), CrashNotice::Never - 1);
     for (const Entry &entry : known->second)
         notice.entries.push_back(
@@ -465,7 +496,7 @@
     // The trial that makes a culprit is the last one at this rate that fails.
     if (!isCulprit(trait, now))
         budget.perSecond = 1 / secondsOf(ShortestFirstPause);
-    budget.ungrantedUnits = trials < mostTrials(trait, crashes(trait)) ? budget.bucket : 0;
+    budget.ungrantedUnits = trials < mostTrials(trait, isCulprit(trait, now)) ? budget.bucket : 0;
     return budget;
 }
 
--- a/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_suspect_traits.hpp
@@ -69,6 +69,10 @@
  * that of one trait, the one with the least evidence for it: that was answered least recently, or
  * never. So the part that a whole route's prompts begin with doesn't pay for a rare one after it.
  *
+ * A fleet whose daemons have all just started can't know how many targets a content has crashed
+ * before. For a while it takes the first crash under a content that no target has answered since
+ * for the last one of a culprit, whose trial has failed.
+ *
  * Daemons exchange what they know. Each crash and each trial has an id, so the same news counts
  * once, whatever way it takes, and a cleared crash isn't revived by a late message.
  */
@@ -100,10 +104,14 @@
      */
     static constexpr std::chrono::seconds ShortestFirstPause {2};
     static constexpr std::chrono::seconds ShortestLaterPause {10};
+    /** The same after a crash that is taken for a failed trial. */
+    static constexpr std::chrono::seconds ShortestPresumedPause {60};
     /** The same after any trial of a request that was at CrashesOfCulprit crashes. */
     static constexpr std::chrono::minutes ShortestCulpritPause {2};
     /** Time for which a crash is remembered. */
     static constexpr std::chrono::minutes CrashMemory {30};
+    /** Time for which a fleet that remembers nothing presumes that it has forgotten crashes. */
+    static constexpr std::chrono::seconds CautionTime {30};
     /** Longer than any message about a cleared crash is in transit. */
     static constexpr std::chrono::seconds ClearedMemory {60};
     static constexpr std::size_t MaximumTraits = 4096;
@@ -131,11 +139,20 @@
     /** Whether the sender doesn't know that targets have ever lived through the trait. */
     bool isProvenOnlyHere(const CrashNotice &notice) const;
 
+    /** The fleet may have forgotten crashes, which is presumed of all contents that crash until
+     * then.
+     */
+    void setCautiousUntil(Instant time) { m_cautiousUntil = time; }
+    bool isCautious(Instant now) const { return now < m_cautiousUntil; }
+
     /** Whether the request may be sent, as far as its content and its parts are concerned. */
     TrialDecision decide(const RequestTraits &request, Instant now) const;
     /** Whether any customer's requests with the trait may be sent. */
     TrialDecision decide(std::uint64_t trait, Instant now) const;
-    bool isSuspect(std::uint64_t trait) const { return crashes(trait) >= CrashesOfSuspect; }
+    bool isSuspect(std::uint64_t trait) const
+    {
+        return crashes(trait) >= CrashesOfSuspect || isPresumedCulprit(trait);
+    }
     /** Crashes that aren't cleared. */
     std::size_t crashes(std::uint64_t trait) const;
     /** Crashes, cleared or not. */
@@ -171,6 +188,11 @@
     };
     using Entries = std::vector<Entry>;
 
+    /** Whether the fleet may have forgotten earlier crashes under the trait. */
+    bool isPresumedCulprit(std::uint64_t trait) const;
+    /** Whether the entry is a crash at which earlier ones are presumed. */
+    bool isPresumption(const Entry &entry) const;
+    const SoundTraits &soundOf(std::uint64_t trait) const;
     /** Returns true if the trait wasn't known to have been answered. */
     bool takeSound(const CrashNotice &notice, Instant now);
     static bool isActive(const Entry &entry, bool isTrial);
@@ -202,6 +224,9 @@
     /** Traits that may have a running trial. */
     std::set<std::uint64_t> m_tried;
     SoundTraits m_sound;
+    /** Contents that were answered while the fleet was cautious. */
+    SoundTraits m_soundContents;
+    Instant m_cautiousUntil {};
 };
 
 } // namespace Apricothook
--- a/packages/dispatch/tests/apricothook_emulated_suspects.cpp
+++ b/packages/dispatch/tests/apricothook_emulated_suspects.cpp
@@ -86,7 +86,7 @@
         target.instance = ++m_lastInstance;
     m_daemons.resize(daemons);
     for (std::size_t daemon = 0; daemon < daemons; ++daemon)
-        startDaemon(daemon);
+        startDaemon(daemon, true);
     m_fleet.onExchangeDecided
         = [this](std::size_t daemon, std::uint64_t exchange, const LimitDecision &decision) {
               Daemon &node = *m_daemons[daemon];
@@ -178,18 +178,18 @@
     m_requests[request].isCrashing = crashes;
 }
 
-void EmulatedSuspects::startDaemon(std::size_t daemon)
+void EmulatedSuspects::startDaemon(std::size_t daemon, bool isFirstStart)
 {
     const std::uint64_t incarnation = m_daemons[daemon] ? m_daemons[daemon]->incarnation + 1 : 1;
     m_daemons[daemon] = std::make_unique<Daemon>(*this, daemon);
     m_daemons[daemon]->incarnation = incarnation;
-    m_daemons[daemon]->announcer.joinFleet(now());
+    m_daemons[daemon]->announcer.joinFleet(now(), isFirstStart);
 }
 
 void EmulatedSuspects::restartDaemon(std::size_t daemon)
 {
     m_fleet.start(daemon);
-    startDaemon(daemon);
+    startDaemon(daemon, false);
 }
 
 void EmulatedSuspects::killDaemon(std::size_t daemon)
--- a/packages/dispatch/tests/apricothook_emulated_suspects.hpp
+++ b/packages/dispatch/tests/apricothook_emulated_suspects.hpp
@@ -161,7 +161,7 @@
 
     std::uint64_t addRequest(double perSecond, bool crashes);
     void step();
-    void startDaemon(std::size_t daemon);
+    void startDaemon(std::size_t daemon, bool isFirstStart);
     void arriveFromCallers();
     void handle(std::size_t daemon, const Attempt &attempt);
     void onUnitDecided(std::size_t daemon, const Attempt &attempt, const LimitDecision &decision);
--- a/packages/dispatch/tests/apricothook_permit_issuer_tests.cpp
+++ b/packages/dispatch/tests/apricothook_permit_issuer_tests.cpp
@@ -17,7 +17,8 @@
 {
     PermitGrant ask(std::uint64_t permit, std::uint64_t request = Request)
     {
-        return issuer.grant({{"10.0.0.1", 1}, permit, request, LifetimeMs}, clock.now());
+        return issuer.grant({{"10.0.0.1", 1}, permit, request, LifetimeMs}, isCautious,
+                            clock.now());
     }
     bool isGranted(std::uint64_t permit, std::uint64_t request = Request)
     {
@@ -30,6 +31,7 @@
 
     ManualClock clock;
     PermitIssuer issuer;
+    bool isCautious = false;
 };
 
 } // namespace
@@ -84,6 +86,31 @@
     }
 }
 
+TEST_CASE("a lost request isn't retried before it is known why if crashes may be forgotten")
+{
+    // Guards against a second crash by a request that crashed targets before all daemons started.
+    IssuerFixture fixture;
+    fixture.isCautious = true;
+    CHECK(fixture.isGranted(1));
+    fixture.report(1, PermitUse::Lost);
+    CHECK_FALSE(fixture.isGranted(2));
+    SUBCASE("a target survived")
+    {
+        fixture.report(1, PermitUse::Unused);
+        CHECK(fixture.isGranted(2));
+        fixture.report(2, PermitUse::Sound);
+        // Once it has been answered, its retry waits no longer.
+        CHECK(fixture.isGranted(3));
+        fixture.report(3, PermitUse::Lost);
+        CHECK(fixture.isGranted(4));
+    }
+    SUBCASE("nothing is found out")
+    {
+        fixture.clock.advance(PermitIssuer::LongestQuestion);
+        CHECK(fixture.isGranted(2));
+    }
+}
+
 TEST_CASE("a request that was answered is sent one at a time again after a crash")
 {
     IssuerFixture fixture;
--- a/packages/gateway/apricothook/gateway/apricothook_fleet_suspect_guard.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_fleet_suspect_guard.hpp
@@ -61,8 +61,11 @@
     {
         m_announcer.inform(daemon, limit, m_loop.now());
     }
-    /** Other daemons may know suspects; until they tell, all requests are held. */
-    void joinFleet() { m_announcer.joinFleet(m_loop.now()); }
+    /**
+     * Other daemons may know suspects; until they tell, all requests are held. `isFirstStart`: the
+     * whole fleet starts for the first time.
+     */
+    void joinFleet(bool isFirstStart) { m_announcer.joinFleet(m_loop.now(), isFirstStart); }
     bool isInformed() const { return m_announcer.isInformed(); }
     /**
      * To be called several times a second. `knowsFleet`: this daemon has heard from the others;
--- a/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
@@ -15,7 +15,8 @@
 
 LimitExchange::LimitExchange(EventLoop &loop, const FleetDirectory &directory,
                              const FleetSize &size, PeerSender &sender, Gateway &gateway,
-                             RandomSource &random, const std::vector<Endpoint> &seeds)
+                             RandomSource &random, const std::vector<Endpoint> &seeds,
+                             bool isFirstStart)
     : m_loop(loop)
     , m_directory(directory)
     , m_fleetSize(size)
@@ -26,7 +27,7 @@
     , m_started(loop.now())
 {
     m_gateway.setLimitMessenger(*this);
-    m_gateway.suspects().joinFleet();
+    m_gateway.suspects().joinFleet(isFirstStart);
     m_gateway.streams().joinFleet();
 }
 
--- a/packages/serving/apricothook/serving/apricothook_limit_exchange.hpp
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.hpp
@@ -23,7 +23,7 @@
 
     LimitExchange(EventLoop &loop, const FleetDirectory &directory, const FleetSize &size,
                   PeerSender &sender, Gateway &gateway, RandomSource &random,
-                  const std::vector<Endpoint> &seeds);
+                  const std::vector<Endpoint> &seeds, bool isFirstStart);
 
     /** To be called several times a second. */
     void tick();
--- a/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_peer_exchange.cpp
@@ -23,7 +23,8 @@
                         settings.bounds.entryInterval)
     , m_cell(loop, m_directory, *this, gateway, log)
     , m_fleet(loop, m_directory, *this, random, settings.seeds)
-    , m_limits(loop, m_directory, m_fleetSize, *this, gateway, random, settings.seeds)
+    , m_limits(loop, m_directory, m_fleetSize, *this, gateway, random, settings.seeds,
+               settings.isFirstStart)
     , m_revisions(loop, published, log)
 {
 }
--- a/packages/serving/apricothook/serving/apricothook_serving_settings.hpp
+++ b/packages/serving/apricothook/serving/apricothook_serving_settings.hpp
@@ -27,6 +27,8 @@
     /** Serves published items to peers, and the metrics. */
     Endpoint controlAddress;
     Endpoint peerAddress;
+    /** The whole fleet starts for the first time; it can have forgotten nothing. */
+    bool isFirstStart = false;
     /** Heartbeat addresses of some daemons, possibly outdated. */
     std::vector<Endpoint> seeds;
     /** Service at which the configuration and the targets are published. */
--- a/packages/serving/tests/apricothook_limit_exchange_tests.cpp
+++ b/packages/serving/tests/apricothook_limit_exchange_tests.cpp
@@ -120,7 +120,7 @@
     , m_directory(EmulatedFleet::memberOf(number))
     , m_exchange(loop, m_directory, *this, fleet.random, fleet.seeds())
     , m_fleetSize(m_directory, fleet.seeds(), EmulatedFleet::addressOf(number))
-    , m_limits(loop, m_directory, m_fleetSize, *this, m_gateway, fleet.random, fleet.seeds())
+    , m_limits(loop, m_directory, m_fleetSize, *this, m_gateway, fleet.random, fleet.seeds(), true)
 {
     m_gateway.limits().setBudgets(budgetsOf({limitedCustomer()}, limitBounds()), loop.now());
     m_exchange.start();
--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -19,6 +19,7 @@
 IpAddress = "127.0.1.{index}"
 InternalPortRange = [{internal}, {internal}]
 SeedNodes = [{seeds}]
+Bootstrap = {bootstrap}
 [Zones]
 z0 = "r"
 z1 = "r"
@@ -64,6 +65,8 @@
     # Time of the last fault of the daemon, its links or its store; time bounds are not checked around it.
     last_fault_at: float = 0.0
     is_stopping: bool = False
+    # Whether the process that is started next is the first one, as the settings tell it.
+    is_first_start: bool = True
     started: float = 0.0
     # When it last went on after it had stood still.
     held_up_until: float = 0.0
@@ -88,7 +91,7 @@
     def write_settings(self) -> pathlib.Path:
         path = self.folder / f"vm-{self.index}.toml"
         path.write_text(SETTINGS.format(
-            index=self.index, zone=self.index % targets.ZONES, base=self.base, ready=self.base + 1, control=self.base + 2,
+            index=self.index, bootstrap=str(self.is_first_start).lower(), zone=self.index % targets.ZONES, base=self.base, ready=self.base + 1, control=self.base + 2,
             directory=self.base + 3, internal=self.base + 4, grace=GRACE_SECONDS,
             retry_ratio=RETRY_RATIO, retry_window=RETRY_WINDOW, retry_slack=RETRY_SLACK,
             overshoot=targets.COLD_OVERSHOOT, slack=targets.COLD_SLACK,
@@ -101,6 +104,7 @@
         with open(self.log_path, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 self.program, "--settings", self.write_settings(), stdout=asyncio.subprocess.PIPE if self.has_log_pipe else log, stderr=log)
+        self.is_first_start = False
         if self.processors:
             os.sched_setaffinity(self.process.pid, self.processors)
         if self.has_log_pipe:
