Count unnamed streams as older than their route's timeout

Callers that took a stream up without naming it got its rest from a target of the next version, some seconds after all daemons had been killed beside a release.

Cause: UnnamedStreams::find() took the route's timeout for the greatest age of a stream, counted from the request that takes it up. The timeout bounds one request; a caller that was refused meanwhile brings an older stream.

Why this works: nothing bounds the age of such a stream but the first start of the whole fleet. A daemon that has run since then knows the whole history; for others it must be unbroken for five minutes, or four timeouts of the route. Without that the stream is refused, which is what already happened where anything else was unknown. A route that is added or moved cuts only its own history now, so configurations don't extend the refusals to others.

The new gateway tests fail before: the history that they give is longer than the timeout and shorter than the stream's life. The test of the sole version builds a longer history first; what it checks is the same.

--- a/packages/dispatch/apricothook/dispatch/apricothook_service_versions.cpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_service_versions.cpp
@@ -22,7 +22,9 @@
 
 void ServiceVersions::confirm(Instant time)
 {
-    if (!m_unbrokenSince || time - m_confirmed > LongestGap)
+    if (!m_unbrokenSince)
+        m_unbrokenSince = m_isFirstStart ? Instant::min() : time;
+    else if (time - m_confirmed > LongestGap)
         m_unbrokenSince = time;
     m_confirmed = std::max(m_confirmed, time);
 }
@@ -31,7 +33,8 @@
                                                           Instant until) const
 {
     const auto versions = m_versions.find(service);
-    if (!remembers(from) || m_confirmed < until || versions == m_versions.end())
+    if (!remembers(from) || m_confirmed < until || m_confirmed - from > Memory
+        || versions == m_versions.end())
         return std::nullopt;
     std::optional<TargetVersion> sole;
     for (const auto &[version, seen] : versions->second) {
--- a/packages/dispatch/apricothook/dispatch/apricothook_service_versions.hpp
+++ b/packages/dispatch/apricothook/dispatch/apricothook_service_versions.hpp
@@ -19,8 +19,13 @@
     /** Longest gap between confirmations; no target's entry is published for a shorter time. */
     static constexpr std::chrono::seconds LongestGap {2};
     /** Time for which a version is remembered after its last target. */
-    static constexpr std::chrono::minutes Memory {5};
+    static constexpr std::chrono::minutes Memory {60};
 
+    /**
+     * The whole fleet has just started for the first time: no target was used before the first
+     * confirmation.
+     */
+    void beginAtFirstStart() { m_isFirstStart = true; }
     void put(const TargetEntry &entry);
     void remove(const TargetEntry &entry, Instant now);
     /** All that was published until `time` is known. */
@@ -43,6 +48,7 @@
     };
 
     std::map<ServiceId, std::map<TargetVersion, Seen>> m_versions;
+    bool m_isFirstStart = false;
     std::optional<Instant> m_unbrokenSince;
     Instant m_confirmed {};
 };
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.cpp
@@ -102,6 +102,14 @@
     m_targets.setShareMembers({}, Duration::zero(), m_loop.now());
 }
 
+void Gateway::joinFleet(bool isFirstStart)
+{
+    m_suspects.joinFleet(isFirstStart);
+    m_streams.joinFleet();
+    if (isFirstStart)
+        m_unnamedStreams.beginAtFirstStart();
+}
+
 Result<void, ListenError> Gateway::listen(const Endpoint &address)
 {
     Result<std::unique_ptr<Listener>, ListenError> opened = Listener::open(
--- a/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
+++ b/packages/gateway/apricothook/gateway/apricothook_gateway.hpp
@@ -81,6 +81,11 @@
     FleetSuspectGuard &suspects() { return m_suspects; }
     /** Replaces the guard that shares its knowledge with the fleet. */
     void setSuspectGuard(SuspectGuard &guard) { m_context.suspectGuard = &guard; }
+    /**
+     * Other daemons may know what this one doesn't. `isFirstStart`: the whole fleet starts for the
+     * first time, so nothing happened before.
+     */
+    void joinFleet(bool isFirstStart);
     /** What the fleet remembers of streams that callers may take up. */
     FleetStreamOrigins &streams() { return m_streams; }
     /** All that was published until `time` is known. */
--- a/packages/gateway/apricothook/gateway/apricothook_unnamed_streams.cpp
+++ b/packages/gateway/apricothook/gateway/apricothook_unnamed_streams.cpp
@@ -24,15 +24,31 @@
     m_versions.remove(entry, m_loop.now());
 }
 
+void UnnamedStreams::beginAtFirstStart()
+{
+    m_isFirstStart = true;
+    m_versions.beginAtFirstStart();
+}
+
 void UnnamedStreams::setConfiguration(const ServingConfiguration &configuration)
 {
-    std::map<RoutePath, std::vector<WeightedService>> services;
-    for (const RouteRule &route : configuration.routes)
-        services[{route.host, route.prefix}] = route.services;
-    if (services == m_services)
-        return;
-    m_services = std::move(services);
-    m_routesMoved = m_loop.now();
+    // A route that is new may have taken the paths of a shorter prefix.
+    const bool isFirst = !std::exchange(m_hasRoutes, true);
+    const Instant since = isFirst && m_isFirstStart ? Instant::min() : m_loop.now();
+    std::map<RoutePath, RouteHistory> routes;
+    for (const RouteRule &route : configuration.routes) {
+        const RoutePath path {route.host, route.prefix};
+        const auto known = m_routes.find(path);
+        const bool isSame = known != m_routes.end() && known->second.services == route.services;
+        routes[path] = isSame ? known->second : RouteHistory {route.services, since};
+    }
+    m_routes = std::move(routes);
+}
+
+bool UnnamedStreams::wasMoved(const RoutePath &route, Instant from) const
+{
+    const auto known = m_routes.find(route);
+    return known == m_routes.end() || known->second.since > from;
 }
 
 void UnnamedStreams::confirmView(Instant time)
@@ -41,14 +57,20 @@
     decideUntil(time);
 }
 
+Duration UnnamedStreams::longestAge(const RouteRule &route)
+{
+    return std::max<Duration>(LongestAge, RequestsPerStream * route.timeout);
+}
+
 std::optional<StreamOriginDecision> UnnamedStreams::find(ExchangeId exchange,
-                                                         const RouteRule &route, Duration age)
+                                                         const RouteRule &route)
 {
-    const Instant from = m_loop.now() - age;
+    const Instant from = m_loop.now() - longestAge(route);
+    const RoutePath path {route.host, route.prefix};
     // A route with several services doesn't tell which of them began the stream.
-    if (route.services.size() != 1 || m_routesMoved > from || !m_versions.remembers(from))
+    if (route.services.size() != 1 || wasMoved(path, from) || !m_versions.remembers(from))
         return StreamOriginDecision {};
-    m_pending.push_back({exchange, route.services.front().service, m_loop.now(), age});
+    m_pending.push_back({exchange, path, route.services.front().service, m_loop.now(), from});
     scheduleRefusal();
     return std::nullopt;
 }
@@ -61,12 +83,11 @@
 
 StreamOriginDecision UnnamedStreams::decide(const Pending &pending) const
 {
-    const Instant from = pending.arrived - pending.age;
     StreamOriginDecision decision;
     decision.waited = m_loop.now() - pending.arrived;
     const std::optional<TargetVersion> version
-        = m_versions.soleVersion(pending.service, from, pending.arrived);
-    if (!version || m_routesMoved > from)
+        = m_versions.soleVersion(pending.service, pending.from, pending.arrived);
+    if (!version || wasMoved(pending.route, pending.from))
         return decision;
     decision.origin = {serviceHash(pending.service), *version};
     decision.source = StreamOriginSource::SoleVersion;
--- a/packages/gateway/apricothook/gateway/internal/apricothook_stream_continuation.cpp
+++ b/packages/gateway/apricothook/gateway/internal/apricothook_stream_continuation.cpp
@@ -46,7 +46,7 @@
 {
     const RequestKey &stream = request.fields.resumes;
     std::optional<StreamOriginDecision> decision = stream.isEmpty()
-        ? m_context.unnamedStreams.find(m_exchange, *request.route, request.route->timeout)
+        ? m_context.unnamedStreams.find(m_exchange, *request.route)
         : m_context.streams.find(m_exchange, stream);
     m_isWaiting = !decision;
     return decision;
--- a/packages/gateway/tests/apricothook_gateway_version_tests.cpp
+++ b/packages/gateway/tests/apricothook_gateway_version_tests.cpp
@@ -89,19 +89,61 @@
     CHECK(fixture.target(0).requests() + fixture.target(1).requests() == 0);
 }
 
+namespace {
+
+/** A request that goes on with a stream after its first event, and doesn't name it. */
+std::string unnamed(const std::string &id)
+{
+    std::string request = GatewayFixture::request("resumable", id);
+    return request.insert(request.size() - 2, "Last: 1\r\n");
+}
+
+/** Passes time in which the view is confirmed. */
+void passConfirmed(GatewayFixture &fixture, std::chrono::seconds time)
+{
+    for (std::chrono::seconds passed {}; passed < time; passed += std::chrono::seconds(1)) {
+        fixture.gateway.confirmView(fixture.clock.now());
+        fixture.clock.advance(std::chrono::seconds(1));
+    }
+}
+
+void knowsHistory(GatewayFixture &fixture)
+{
+    passConfirmed(fixture, UnnamedStreams::LongestAge + std::chrono::seconds(1));
+}
+
+/** Whether a stream that isn't named is sent to a target; otherwise it is refused. */
+bool goesOn(GatewayFixture &fixture)
+{
+    RecordingConnection &caller = fixture.connect();
+    caller.socket.send(unnamed("b"));
+    fixture.runPendingEvents();
+    fixture.gateway.confirmView(fixture.clock.now());
+    if (fixture.waitForTarget())
+        return true;
+    CHECK(fixture.runUntil([&] { return caller.has("HTTP/1.1 503"); }));
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("a stream that isn't named is refused if another version was there within its life")
+{
+    // Guards against streams of two versions whose callers come again for longer than a timeout.
+    GatewayFixture fixture(2);
+    knowsHistory(fixture);
+    setVersion(fixture, 0, "v2");
+    setVersion(fixture, 1, "v2");
+    // The route's timeout is 10 s.
+    passConfirmed(fixture, std::chrono::seconds(40));
+    CHECK_FALSE(goesOn(fixture));
+    passConfirmed(fixture, UnnamedStreams::LongestAge);
+    CHECK(goesOn(fixture));
+}
+
 TEST_CASE("a stream that isn't named goes on only at the sole version of a service")
 {
     // Guards against a guess where callers don't name the request that began the stream.
-    const auto unnamed = [](const std::string &id) {
-        std::string request = GatewayFixture::request("resumable", id);
-        return request.insert(request.size() - 2, "Last: 1\r\n");
-    };
-    const auto knowsHistory = [](GatewayFixture &fixture) {
-        for (int second = 0; second < 30; ++second) {
-            fixture.gateway.confirmView(fixture.clock.now());
-            fixture.clock.advance(std::chrono::seconds(1));
-        }
-    };
     SUBCASE("one version, and the view is confirmed after the request")
     {
         GatewayFixture fixture(2);
--- a/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
+++ b/packages/serving/apricothook/serving/apricothook_limit_exchange.cpp
@@ -27,8 +27,7 @@
     , m_started(loop.now())
 {
     m_gateway.setLimitMessenger(*this);
-    m_gateway.suspects().joinFleet(isFirstStart);
-    m_gateway.streams().joinFleet();
+    m_gateway.joinFleet(isFirstStart);
 }
 
 void LimitExchange::tick()
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -18,6 +18,8 @@
 PART_VALUES = (3, 6, 12)
 # Attempts at one stream beyond the first, and the wait before one if the daemon named none.
 MOST_RESUMPTIONS, RESUMPTION_PAUSE = 3, 0.05
+# The stream of a request that takes one up without naming it, for the emulated targets only.
+UNNAMED_STREAM = "Emulated-Stream"
 
 
 @dataclass
@@ -70,6 +72,9 @@
     part_random: random.Random = field(default_factory=lambda: random.Random(0))
     # Mean pause between requests on a connection that is used until it ends; None if callers close theirs after a few.
     reuse_pause: float | None = None
+    # Whether callers that take a stream up name the request that began it, and for how long after that they come again.
+    names_streams: bool = True
+    resumption_seconds: float | None = None
 
     async def run(self, mean_pause: float) -> None:
         while not self.stopping:
@@ -121,13 +126,13 @@
 
     async def take_up(self, broken: RequestRecord) -> None:
         """Goes on with a resumable stream that broke after its first event, at any daemon and on new connections."""
-        until = broken.sent + REQUEST_TIMEOUT_MS / 1000
-        for _ in range(MOST_RESUMPTIONS):
+        until = broken.sent + (self.resumption_seconds or REQUEST_TIMEOUT_MS / 1000)
+        for _ in range(MOST_RESUMPTIONS) if self.resumption_seconds is None else itertools.count():
             if broken.kind != "resumable" or broken.events() == 0 or broken.complete and broken.status == 200:
                 return
             await asyncio.sleep(broken.retry_after or RESUMPTION_PAUSE)
             left = until - asyncio.get_running_loop().time()
-            if left <= 0:
+            if left <= 0 or self.stopping:
                 return
             try:
                 daemon, link = self.links[self.random.choice(await asyncio.wait_for(self.resolve(), 1))]
@@ -138,7 +143,7 @@
                              resumes=broken.stream_id, last_event=broken.events())
             self.records.append(record)
             try:
-                await asyncio.wait_for(self.exchange(record, reader, writer), left)
+                await asyncio.wait_for(self.exchange(record, reader, writer), min(left, REQUEST_TIMEOUT_MS / 1000))
             except (http1.Broken, OSError, TimeoutError):
                 pass
             finally:
@@ -200,7 +205,8 @@
             raise
 
     async def send_and_receive(self, record: RequestRecord, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-        taken_up = {"Resumes": record.resumes, "Last-Event-Id": str(record.last_event)} if record.resumes else {}
+        name = "Resumes" if self.names_streams else UNNAMED_STREAM
+        taken_up = {name: record.resumes, "Last-Event-Id": str(record.last_event)} if record.resumes else {}
         writer.write(http1.message(record.line, {
             "Host": HOST, "Request-Id": record.request_id, "Request-Deadline": str(REQUEST_TIMEOUT_MS),
             "Authorization": f"Bearer {record.key}", "Token-Counts": "100,150",
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -57,6 +57,7 @@
         self.evacuated: set[str] = set()
         self.cut_off: frozenset[int] = frozenset()
         self.crashing_requests = 0
+        self.is_releasing_all = False
         self.configuring = asyncio.Lock()
         self.kinds = [self.kill, self.kill_many, self.freeze, self.terminate, self.reload, self.harm_caller_link,
                       self.harm_target_link, self.reset_links, self.store_away, self.store_outage, self.crash_target,
@@ -69,7 +70,7 @@
                              self.cut_from_half, self.cut_in_series, self.cut_silently, self.silence_target, self.brittle_service,
                              self.pause_one, self.pause_half, self.pause_all, self.pause_in_series, self.change_limits,
                              self.hold_up_daemons, self.stop_held_up, self.planned_work, self.stall_log, self.close_log,
-                             self.stall_callers, self.crowd]
+                             self.stall_callers, self.crowd, self.release_all_and_kill]
         if chosen != "on":
             known = {kind.__name__: kind for kind in self.kinds + self.opt_in_kinds}
             names = [] if chosen == "off" else chosen.split(",")
@@ -489,6 +490,24 @@
         target.start()
         await self.fleet.announce(target)
 
+    async def release_all_and_kill(self) -> None:
+        """All targets are replaced by those of the next version at the moment at which all daemons are killed, in series."""
+        if self.is_releasing_all:
+            return
+        self.is_releasing_all = True
+        for _ in range(self.random.randint(2, 3)):
+            gone = [target.id for target in self.fleet.targets if target.is_up]
+            for target in self.fleet.targets:
+                if target.is_up:
+                    target.crash()
+                    target.raise_version()
+                    target.start()
+            restarting = [self.restart(daemon, signal.SIGKILL) for daemon in self.fleet.daemons]
+            await asyncio.gather(*(self.fleet.remove(target_id) for target_id in gone),
+                                 *(self.fleet.announce(target) for target in self.fleet.targets), *restarting)
+            await asyncio.sleep(self.random.uniform(7, 12))
+        self.is_releasing_all = False
+
     async def evacuate(self) -> None:
         zone = f"z{self.random.randrange(targets.ZONES)}"
         if zone in self.evacuated:
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -394,7 +394,8 @@
             await writer.drain()
             return
         self.write_head(writer, request_id)
-        stream_id, version = head.headers.get("resumes", request_id), self.version
+        stream_id = head.headers.get("resumes", head.headers.get("emulated-stream", request_id))
+        version = self.version
         for number in range(int(head.headers.get("last-event-id", "0")) + 1, EVENTS + 1):
             await asyncio.sleep(gap_of(stream_id))
             await self.wait_while_paused()
--- a/tools/soak/test_verdict.py
+++ b/tools/soak/test_verdict.py
@@ -31,7 +31,7 @@
 
 
 def findings(records: list, runs: list, **changes) -> list[str]:
-    fleet = SimpleNamespace(callers=SimpleNamespace(records=records), runs=runs, revoked={}, left_at={}, stops=[], stop_times=defaultdict(list), stop_harms=set(), evacuations=[], arrivals=[], limits=[], crashes=[], ends=[], timeouts=[], harms=defaultdict(list), cuts=[], brittle_times=[], accusations=[], targets=[], crashing_parts={}, part_crashes=[], endless_ids=set(), peak_memory={}, started=0.0,
+    fleet = SimpleNamespace(callers=SimpleNamespace(records=records, names_streams=True), runs=runs, revoked={}, left_at={}, stops=[], stop_times=defaultdict(list), stop_harms=set(), evacuations=[], arrivals=[], limits=[], crashes=[], ends=[], timeouts=[], harms=defaultdict(list), cuts=[], brittle_times=[], accusations=[], targets=[], crashing_parts={}, part_crashes=[], endless_ids=set(), peak_memory={}, started=0.0,
                             fault_times=defaultdict(list), keys=["key-a"], recovered_at=0.0)
     vars(fleet).update(changes)
     return [line.split(" ")[0].rstrip(":") for line in verdict.findings(fleet)]
--- a/tools/soak/verdict.py
+++ b/tools/soak/verdict.py
@@ -434,7 +434,8 @@
         found.append(f"ORDER: streams hold events of several versions, {len(within)} in one answer, {len(over_attempts)} over attempts: "
                      f"{sorted(within | over_attempts)[:3]}")
     resumed, taken_up, began, new = resumption_counts(fleet, in_touch=True)
-    if taken_up >= FEWEST_RESUMPTIONS and new and resumed / taken_up < RESUMPTION_FRACTION * began / new:
+    # Only streams that callers name are promised to go on.
+    if fleet.callers.names_streams and taken_up >= FEWEST_RESUMPTIONS and new and resumed / taken_up < RESUMPTION_FRACTION * began / new:
         found.append(f"LOST: {resumed} of {taken_up} streams that were taken up went on, {began} of {new} new ones began")
     return found
 
